Lay out the workspace, its contracts and the checks

Cause: the project starts; packages need contracts that can be built against in parallel. Conclusion: the parts can now be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Targets for developers. `make` alone lists them.
+SHELL := /bin/bash
+VENV ?= .venv
+PYTHON ?= python3
+PACKAGE_DIRS := $(wildcard packages/*)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGE_DIRS)))
+export PYTHONDONTWRITEBYTECODE := 1
+export PYTHONHASHSEED := 0
+PINS := $(shell cat constraints.txt requirements-dev.txt | cksum | cut -d' ' -f1)
+STAMP := $(VENV)/.installed-$(PINS)
+RUN := $(VENV)/bin/python
+MODULES := $(notdir $(wildcard packages/*/almondspan*))
+SEED ?= 1
+
+.PHONY: help install test lint format types demo soak mutants
+
+help:
+	@echo "install  make the virtual environment from the pinned versions"
+	@echo "test     lint, types, import rules, unit and feature tests"
+	@echo "demo     serve an order and live callers on this machine (FAULTS=1 adds faults)"
+
+$(STAMP):
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(VENV)/bin/pip install -q --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGE_DIRS))
+	touch $@
+
+install: $(STAMP)
+
+format: install
+	$(VENV)/bin/ruff format packages tests misc
+	$(VENV)/bin/ruff check --fix packages tests misc
+
+lint: install
+	$(VENV)/bin/ruff format --check packages tests misc
+	$(VENV)/bin/ruff check packages tests misc
+
+types: install
+	$(VENV)/bin/mypy --strict $(patsubst %/__init__.py,%,$(wildcard packages/*/almondspan*/__init__.py))
+
+test: install
+	$(RUN) misc/run_tests.py
+
+demo: install
+	$(RUN) misc/demo.py $(if $(FAULTS),--faults)
--- /dev/null
+++ b/packages/admin/almondspan_admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API and the relay of the configuration."""
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The almondspand process: settings, supervisor tree, roles."""
--- /dev/null
+++ b/packages/operator/almondspan/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' library and command line."""
--- /dev/null
+++ b/packages/service/almondspan_service/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: entry, agent, runner."""
--- /dev/null
+++ b/packages/wire/almondspan_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and streams between almondspan's own processes."""
--- /dev/null
+++ b/packages/wire/almondspan_wire/channel.py
@@ -0,0 +1,193 @@
+"""A channel: typed messages over one connection between two processes.
+
+Phases of a `StreamChannel`:
+
+1. Open: `start` begins one task that sends a heartbeat whenever nothing else was
+   sent for an interval.
+2. Running: `send` frames a message and waits while the connection's buffer is
+   full; `receive` returns the next message. Heartbeats never reach the caller.
+3. Closed: by `close`, by the peer, or because nothing arrived within the silence
+   limit. From then on `receive` returns `ChannelClosed` and `send` returns False.
+
+A frame is its length (4 bytes, big-endian) and the encoded message.
+"""
+
+import asyncio
+import struct
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final, Protocol
+
+from almondspan_wire.codec import (
+    MAX_FRAME_BYTES,
+    Malformed,
+    Message,
+    decode,
+    encode,
+    message,
+)
+
+__all__ = [
+    "Channel",
+    "ChannelClosed",
+    "ChannelOptions",
+    "CloseCause",
+    "Heartbeat",
+    "StreamChannel",
+]
+
+_LENGTH: Final = struct.Struct(">I")
+BUFFER_LIMIT_BYTES: Final = 256 * 1024
+"""`send` waits while more than this is buffered."""
+
+
+@message
+class Heartbeat(Message, frozen=True, tag="hb"):
+    """Sent when the channel is otherwise idle."""
+
+
+class CloseCause(Enum):
+    """Why a channel ended."""
+
+    CLOSED_HERE = "closed_here"
+    CLOSED_BY_PEER = "closed_by_peer"
+    SILENT = "silent"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class ChannelClosed:
+    """The value that ends the messages of a channel."""
+
+    cause: CloseCause
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ChannelOptions:
+    """How often a channel speaks and how long it waits."""
+
+    heartbeat_s: float = 1.0
+    silence_s: float = 3.0
+    send_timeout_s: float = 5.0
+
+
+class Channel(Protocol):
+    """Messages to and from one peer, in order, each at most once."""
+
+    async def send(self, body: Message) -> bool:
+        """Send a message; False when the channel is closed."""
+        ...
+
+    async def receive(self) -> Message | ChannelClosed:
+        """Return the next message; `ChannelClosed` for ever after the end."""
+        ...
+
+    async def close(self) -> None:
+        """Close the connection."""
+        ...
+
+
+class StreamChannel:
+    """A `Channel` over an asyncio stream (TCP, with or without TLS)."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        options: ChannelOptions,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._options = options
+        self._closed: ChannelClosed | None = None
+        self._last_sent_s = 0.0
+        self._heartbeat_task: asyncio.Task[None] | None = None
+        self.n_bytes_sent = 0
+        self.n_bytes_received = 0
+
+    async def start(self) -> None:
+        """Begin to send heartbeats."""
+        self._writer.transport.set_write_buffer_limits(high=BUFFER_LIMIT_BYTES)
+        self._last_sent_s = asyncio.get_running_loop().time()
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+
+    async def send(self, body: Message) -> bool:
+        """Send a message; False when the channel is closed or stays full."""
+        if self._closed is not None:
+            return False
+        data = encode(body)
+        if len(data) > MAX_FRAME_BYTES:
+            raise ValueError(f"message of {len(data)} bytes is too large")
+        self._writer.write(_LENGTH.pack(len(data)) + data)
+        self.n_bytes_sent += len(data) + _LENGTH.size
+        self._last_sent_s = asyncio.get_running_loop().time()
+        return await self._drain()
+
+    async def _drain(self) -> bool:
+        if self._writer.transport.get_write_buffer_size() <= BUFFER_LIMIT_BYTES:
+            return not self._writer.transport.is_closing()
+        try:
+            async with asyncio.timeout(self._options.send_timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            self._end(CloseCause.SILENT, "the peer does not read")
+            return False
+        except OSError as error:
+            self._end(CloseCause.CLOSED_BY_PEER, str(error))
+            return False
+        return True
+
+    async def receive(self) -> Message | ChannelClosed:
+        """Return the next message other than a heartbeat."""
+        while self._closed is None:
+            data = await self._read_frame()
+            if data is None:
+                break
+            body = decode(data)
+            if isinstance(body, Malformed):
+                self._end(CloseCause.MALFORMED, body.reason)
+                break
+            if not isinstance(body, Heartbeat):
+                return body
+        assert self._closed is not None
+        return self._closed
+
+    async def _read_frame(self) -> bytes | None:
+        try:
+            async with asyncio.timeout(self._options.silence_s):
+                head = await self._reader.readexactly(_LENGTH.size)
+                (n_bytes,) = _LENGTH.unpack(head)
+                if n_bytes > MAX_FRAME_BYTES:
+                    self._end(CloseCause.MALFORMED, f"frame of {n_bytes} bytes")
+                    return None
+                data = await self._reader.readexactly(n_bytes)
+        except TimeoutError:
+            self._end(CloseCause.SILENT, "nothing arrived within the limit")
+            return None
+        except (asyncio.IncompleteReadError, OSError) as error:
+            self._end(CloseCause.CLOSED_BY_PEER, str(error))
+            return None
+        self.n_bytes_received += n_bytes + _LENGTH.size
+        return data
+
+    async def close(self) -> None:
+        """Close the connection and stop the heartbeats."""
+        self._end(CloseCause.CLOSED_HERE, "")
+        if self._heartbeat_task is not None:
+            self._heartbeat_task.cancel()
+            await asyncio.gather(self._heartbeat_task, return_exceptions=True)
+
+    def _end(self, cause: CloseCause, reason: str) -> None:
+        if self._closed is None:
+            self._closed = ChannelClosed(cause, reason)
+        self._writer.close()
+
+    async def _send_heartbeats(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._closed is None:
+            idle_s = loop.time() - self._last_sent_s
+            if idle_s >= self._options.heartbeat_s:
+                await self.send(Heartbeat())
+                continue
+            await asyncio.sleep(self._options.heartbeat_s - idle_s)
