Let the stand-ins implement the platform's Protocols

Cause: the in-memory stand-ins must satisfy Store and Worker. Change: the import rule of almondspan_standins gains almondspan_platform. Measured: misc/check_imports.py passes. Conclusion: one core can serve the HTTP stand-ins and the randomised tests.

--- a/misc/check_imports.py
+++ b/misc/check_imports.py
@@ -40,7 +40,7 @@
         }
     ),
     "almondspan": frozenset({"almondspan_decisions"}),
-    "almondspan_standins": frozenset({"almondspan_decisions"}),
+    "almondspan_standins": frozenset({"almondspan_decisions", "almondspan_platform"}),
 }
 
 FORBIDDEN_IN_DECISIONS: Final = frozenset(
