--- /dev/null
+++ b/packages/decisions/almondspan_decisions/burn.py
@@ -0,0 +1,173 @@
+"""How fast services spend their error budgets, over several windows.
+
+The error budget of a service is the share of calls that may miss its objective.
+A burn rate of 1 spends the budget exactly; 10 spends it ten times too fast. Calls
+are counted in slices of time: fine slices for the short windows, coarse slices for
+the long ones. Counts of several processes add without loss.
+
+An alert needs a high rate on two windows at once: the long one shows that it
+matters, the short one that it still goes on.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+__all__ = [
+    "ALERT_RULES",
+    "BURN_WINDOWS_S",
+    "AlertRule",
+    "AlertState",
+    "BurnCounter",
+    "BurnSeverity",
+    "CallCounts",
+    "alert_states",
+    "burn_rate",
+    "merge_counts",
+]
+
+BURN_WINDOWS_S: Final = (5.0, 60.0, 300.0, 1800.0, 3600.0, 21600.0)
+"""The windows of the report, in seconds."""
+
+_FINE_SLICE_S: Final = 1.0
+_N_FINE_SLICES: Final = 60
+_COARSE_SLICE_S: Final = 60.0
+_N_COARSE_SLICES: Final = 361
+"""Six hours and the slice that is being filled."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallCounts:
+    """Calls of a window, and how many of them missed the objective."""
+
+    n_calls: int = 0
+    n_missed: int = 0
+
+    def __add__(self, other: "CallCounts") -> "CallCounts":
+        return CallCounts(self.n_calls + other.n_calls, self.n_missed + other.n_missed)
+
+
+class BurnSeverity(Enum):
+    """What an alert asks for."""
+
+    PAGE = "page"
+    TICKET = "ticket"
+
+
+@dataclass(frozen=True, slots=True)
+class AlertRule:
+    """Fires when both windows burn at the rate or faster."""
+
+    severity: BurnSeverity
+    short_s: float
+    long_s: float
+    burn_rate: float
+
+
+ALERT_RULES: Final = (
+    AlertRule(BurnSeverity.PAGE, 300.0, 3600.0, 14.4),
+    AlertRule(BurnSeverity.PAGE, 1800.0, 21600.0, 6.0),
+    AlertRule(BurnSeverity.TICKET, 3600.0, 21600.0, 1.0),
+)
+"""Paired windows with their thresholds, from the fastest."""
+
+
+@dataclass(frozen=True, slots=True)
+class AlertState:
+    """A rule with the rates of its two windows."""
+
+    rule: AlertRule
+    short_burn_rate: float
+    long_burn_rate: float
+
+    @property
+    def firing(self) -> bool:
+        """Whether both windows burn too fast."""
+        least = min(self.short_burn_rate, self.long_burn_rate)
+        return least >= self.rule.burn_rate
+
+
+class _SliceRing:
+    """Counts by slice of time, for the last slices only."""
+
+    def __init__(self, slice_s: float, n_slices: int) -> None:
+        self._slice_s = slice_s
+        self._n_slices = n_slices
+        self._slices: dict[int, CallCounts] = {}
+
+    def add(self, now_s: float, counts: CallCounts) -> None:
+        index = math.floor(now_s / self._slice_s)
+        known = self._slices.get(index)
+        if known is None:
+            self._drop_before(index - self._n_slices)
+            known = CallCounts()
+        self._slices[index] = known + counts
+
+    def total(self, now_s: float, window_s: float) -> CallCounts:
+        last = math.floor(now_s / self._slice_s)
+        first = last - math.ceil(window_s / self._slice_s)
+        return merge_counts(
+            counts for index, counts in self._slices.items() if first < index <= last
+        )
+
+    def _drop_before(self, first: int) -> None:
+        for index in [index for index in self._slices if index <= first]:
+            del self._slices[index]
+
+
+class BurnCounter:
+    """Counts one service's calls for every window up to six hours."""
+
+    def __init__(self) -> None:
+        self._fine = _SliceRing(_FINE_SLICE_S, _N_FINE_SLICES)
+        self._coarse = _SliceRing(_COARSE_SLICE_S, _N_COARSE_SLICES)
+
+    def record(self, now_s: float, missed: bool) -> None:
+        """Count a call that ended at `now_s`."""
+        self.record_many(now_s, CallCounts(1, int(missed)))
+
+    def record_many(self, now_s: float, counts: CallCounts) -> None:
+        """Count several calls that ended at `now_s`."""
+        self._fine.add(now_s, counts)
+        self._coarse.add(now_s, counts)
+
+    def counts(self, now_s: float, window_s: float) -> CallCounts:
+        """Return the calls of the last `window_s`, to the width of a slice."""
+        if window_s <= _FINE_SLICE_S * _N_FINE_SLICES:
+            return self._fine.total(now_s, window_s)
+        return self._coarse.total(now_s, window_s)
+
+
+def merge_counts(counts: Iterable[CallCounts]) -> CallCounts:
+    """Add the counts of several processes or slices."""
+    return sum(counts, CallCounts())
+
+
+def burn_rate(counts: CallCounts, objective_share: float) -> float:
+    """Return how many times faster than allowed the budget is spent.
+
+    With an objective of 1 there is no budget: any miss burns at an infinite rate.
+    """
+    if counts.n_missed == 0 or counts.n_calls == 0:
+        return 0.0
+    budget_share = 1.0 - objective_share
+    if budget_share <= 0.0:
+        return math.inf
+    return counts.n_missed / counts.n_calls / budget_share
+
+
+def alert_states(
+    counts_by_window_s: dict[float, CallCounts], objective_share: float
+) -> tuple[AlertState, ...]:
+    """Return the state of every rule whose two windows were counted."""
+    rates = {
+        window_s: burn_rate(counts, objective_share)
+        for window_s, counts in counts_by_window_s.items()
+    }
+    return tuple(
+        AlertState(rule, rates[rule.short_s], rates[rule.long_s])
+        for rule in ALERT_RULES
+        if rule.short_s in rates and rule.long_s in rates
+    )
--- /dev/null
+++ b/packages/decisions/almondspan_decisions/headroom.py
@@ -0,0 +1,62 @@
+"""How much of a worker to keep free for the crest of its services.
+
+Declared sizes are far off, so room is kept from what the services were seen to
+use. `SwingTracker` keeps the highest demand of each slice of time in a ring. The
+crest that it expects is the mean of the highest slices, faded by their age, times
+a margin. Memory is bounded by the number of slices.
+"""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["HeadroomOptions", "SwingTracker"]
+
+
+@dataclass(frozen=True, slots=True)
+class HeadroomOptions:
+    """How long swings are remembered and how much room is added."""
+
+    slice_s: float = 5.0
+    n_slices: int = 60
+    n_highest: int = 3
+    half_life_s: float = 120.0
+    margin: float = 1.1
+
+
+class SwingTracker:
+    """Remembers the recent highest demand of a service, in the caller's unit."""
+
+    def __init__(self, options: HeadroomOptions | None = None) -> None:
+        self._options = options or HeadroomOptions()
+        self._highest: dict[int, float] = {}
+        self._current = 0.0
+
+    def observe(self, now_s: float, demand: float) -> None:
+        """Record the demand at `now_s`."""
+        index = math.floor(now_s / self._options.slice_s)
+        self._current = demand
+        self._highest[index] = max(self._highest.get(index, 0.0), demand)
+        oldest = index - self._options.n_slices
+        for known in [known for known in self._highest if known <= oldest]:
+            del self._highest[known]
+
+    def crest(self, now_s: float) -> float:
+        """Return the demand to expect at the next crest; 0 before any record."""
+        options = self._options
+        index = math.floor(now_s / options.slice_s)
+        faded = sorted(
+            (
+                high
+                * math.exp2(-(index - known) * options.slice_s / options.half_life_s)
+                for known, high in self._highest.items()
+            ),
+            reverse=True,
+        )
+        if not faded:
+            return 0.0
+        top = faded[: options.n_highest]
+        return options.margin * sum(top) / len(top)
+
+    def room(self, now_s: float) -> float:
+        """Return what to keep free besides the demand of now."""
+        return max(0.0, self.crest(now_s) - self._current)
--- /dev/null
+++ b/packages/decisions/almondspan_decisions/ladder.py
@@ -0,0 +1,396 @@
+"""When a worker's batch tasks are throttled, checkpointed or stopped.
+
+A ladder policy looks at a worker several times a second and returns the actions
+to take. Levels, in order: none, throttle, checkpoint, evict. `SwingLadder` works in
+these phases:
+
+1. Heat: the worst of the services' burn and recent latency over their limits. At
+   1 or more the worker is hot, below ``cool_heat`` it is calm; between the two,
+   nothing changes.
+2. Learned shares: for each band of the services' load it keeps the share of their
+   processors that batch tasks may use. Heat cuts the share of its band and of all
+   higher ones at once; lasting calm raises it, and all lower ones, by small steps.
+   A swing of the load moves to another band and so to another share at once,
+   before any latency has been measured.
+3. Throttle: every task gets the share of the band, harmful classes less of it.
+4. Checkpoint: while the share is at its floor and the worker stays hot for longer
+   than usage lags, one task at a time is checkpointed and so evicted, the one that
+   costs least. A token bucket bounds the evictions.
+5. Evict: a checkpoint that does not end in time is followed by a stop.
+
+Tasks that their keeper calls not checkpointable are only throttled. Raising at once
+and stepping down slowly with hysteresis is the degraded-mode ladder of "LLM Serving
+DR, in depth", applied to shares within a level as well.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final, Protocol
+
+from almondspan_decisions.ids import TaskClass, TaskId
+
+__all__ = [
+    "LADDER_POLICIES",
+    "EvictTask",
+    "LadderAction",
+    "LadderDecision",
+    "LadderLevel",
+    "LadderObservation",
+    "LadderOptions",
+    "LadderPolicy",
+    "LadderTask",
+    "SwingLadder",
+    "ThrottleTask",
+    "eviction_cost",
+    "ladder_policy",
+]
+
+
+class LadderLevel(Enum):
+    """How far a worker's batch work is held back."""
+
+    NONE = 0
+    THROTTLE = 1
+    CHECKPOINT = 2
+    EVICT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class LadderTask:
+    """A running batch attempt as its keeper describes it.
+
+    ``harm`` is the learned slowdown of the worker's services when the class fills
+    the worker, 1 for none. ``at_risk_s`` is the time that it ran since its last
+    checkpoint. ``share`` is the throttle share in force.
+    """
+
+    task_id: TaskId
+    attempt: int
+    task_class: TaskClass
+    cpu_millicores: int
+    harm: float = 1.0
+    at_risk_s: float = 0.0
+    share: float = 1.0
+    checkpointable: bool = True
+    idempotent: bool = True
+    urgent: bool = False
+    checkpointing_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LadderObservation:
+    """What the agent sees of its worker at ``now_s``.
+
+    ``load`` is the busy and queued requests over the slots, ``burn_rate`` how many
+    times faster than allowed the error budget is spent, and ``latency_ratio`` the
+    recent tail latency over the objective; each is the worst of the services.
+    ``usage_age_s`` is the age of the last usage report, infinite without one.
+    """
+
+    now_s: float
+    load: float
+    burn_rate: float
+    latency_ratio: float
+    usage_age_s: float = 0.0
+    tasks: tuple[LadderTask, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ThrottleTask:
+    """Limit a task to a share (0 to 1) of its shape."""
+
+    task_id: TaskId
+    attempt: int
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class EvictTask:
+    """End a task on this worker, after a checkpoint or at once."""
+
+    task_id: TaskId
+    attempt: int
+    checkpoint: bool
+
+
+LadderAction = ThrottleTask | EvictTask
+
+
+@dataclass(frozen=True, slots=True)
+class LadderDecision:
+    """The level in force, the share allowed to batch work, and what to do now."""
+
+    level: LadderLevel
+    share: float
+    actions: tuple[LadderAction, ...] = ()
+
+
+class LadderPolicy(Protocol):
+    """Decides for one worker; keeps its own state between steps."""
+
+    def step(self, observation: LadderObservation) -> LadderDecision:
+        """Return the decision for an observation later than all before."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class LadderOptions:
+    """Limits and paces of a ladder.
+
+    ``hot_burn_rate`` and ``hot_latency_ratio`` are heat 1. A share is cut by
+    ``cut_factor`` at most once each ``cut_dwell_s``, and raised by ``raise_step``
+    after each ``raise_dwell_s`` of calm. A throttle is sent when it changes a task's
+    share by more than ``share_resolution`` of it.
+    """
+
+    hot_burn_rate: float = 4.0
+    hot_latency_ratio: float = 0.8
+    cool_heat: float = 0.75
+    floor_share: float = 0.05
+    urgent_floor_share: float = 0.5
+    cut_factor: float = 0.5
+    cut_dwell_s: float = 0.5
+    raise_step: float = 0.05
+    raise_dwell_s: float = 1.0
+    top_load: float = 1.5
+    n_bands: int = 8
+    evict_heat: float = 2.0
+    evict_dwell_s: float = 5.0
+    eviction_refill_s: float = 60.0
+    eviction_burst: float = 2.0
+    checkpoint_timeout_s: float = 10.0
+    share_resolution: float = 0.1
+
+
+LadderFactory = Callable[[LadderOptions], LadderPolicy]
+
+LADDER_POLICIES: Final[dict[str, LadderFactory]] = {}
+
+
+def ladder_policy(name: str) -> Callable[[LadderFactory], LadderFactory]:
+    """Register a factory of ladder policies under `name`."""
+
+    def register(factory: LadderFactory) -> LadderFactory:
+        LADDER_POLICIES[name] = factory
+        return factory
+
+    return register
+
+
+def heat_of(observation: LadderObservation, options: LadderOptions) -> float:
+    """Return the worst signal of the services over its limit."""
+    return max(
+        observation.burn_rate / options.hot_burn_rate,
+        observation.latency_ratio / options.hot_latency_ratio,
+    )
+
+
+def eviction_cost(task: LadderTask) -> tuple[bool, float, str]:
+    """Order tasks by what their eviction costs, the cheapest first.
+
+    The work at risk is divided by the relief: processors times learned harm.
+    """
+    relief = max(1, task.cpu_millicores) * max(0.05, task.harm - 1.0)
+    return (task.urgent, task.at_risk_s / relief, task.task_id)
+
+
+def may_checkpoint(task: LadderTask) -> bool:
+    """Tell whether a task may be evicted after a checkpoint."""
+    return task.checkpointable and task.checkpointing_s <= 0.0
+
+
+def may_stop(task: LadderTask) -> bool:
+    """Tell whether a task may be stopped at once and started again."""
+    return task.checkpointable and task.idempotent
+
+
+@dataclass(slots=True)
+class _TokenBucket:
+    n_tokens: float
+    at_s: float | None = None
+
+    def take(self, now_s: float, refill_s: float, burst: float) -> bool:
+        if self.at_s is not None:
+            refilled = self.n_tokens + (now_s - self.at_s) / refill_s
+            self.n_tokens = min(burst, refilled)
+        self.at_s = now_s
+        if self.n_tokens < 1.0:
+            return False
+        self.n_tokens -= 1.0
+        return True
+
+
+@dataclass(slots=True)
+class _SwingState:
+    shares: list[float]
+    evictions: _TokenBucket
+    cut_at_s: float = float("-inf")
+    raised_at_s: float = float("-inf")
+    hot_at_floor_since_s: float | None = None
+    evicted_at_s: float = float("-inf")
+    stopped: set[tuple[TaskId, int]] = field(default_factory=set)
+
+
+class SwingLadder:
+    """The ladder with learned shares by load band."""
+
+    def __init__(self, options: LadderOptions, *, may_evict: bool = True) -> None:
+        self._options = options
+        self._may_evict = may_evict
+        self._state = _SwingState(
+            shares=[1.0] * options.n_bands,
+            evictions=_TokenBucket(options.eviction_burst),
+        )
+
+    def step(self, observation: LadderObservation) -> LadderDecision:
+        """Return the decision for an observation later than all before."""
+        band = self._band(observation.load)
+        heat = heat_of(observation, self._options)
+        self._learn(observation.now_s, band, heat)
+        share = self._state.shares[band]
+        actions: list[LadderAction] = []
+        if self._may_evict:
+            actions += self._stops(observation)
+            actions += self._checkpoints(observation, share, heat)
+        actions += throttles(observation.tasks, share, self._options)
+        return LadderDecision(
+            self._level(observation, share, actions), share, tuple(actions)
+        )
+
+    def _band(self, load: float) -> int:
+        options = self._options
+        band = int(max(0.0, load) / options.top_load * options.n_bands)
+        return min(options.n_bands - 1, band)
+
+    def _learn(self, now_s: float, band: int, heat: float) -> None:
+        options = self._options
+        state = self._state
+        if heat >= 1.0:
+            state.raised_at_s = now_s
+            if now_s - state.cut_at_s >= options.cut_dwell_s:
+                state.cut_at_s = now_s
+                self._cut_from(band, heat)
+        elif heat >= options.cool_heat:
+            state.raised_at_s = now_s
+        elif now_s - state.raised_at_s >= options.raise_dwell_s:
+            state.raised_at_s = now_s
+            self._raise_up_to(band)
+
+    def _cut_from(self, band: int, heat: float) -> None:
+        options = self._options
+        shares = self._state.shares
+        n_cuts = 2 if heat >= options.evict_heat else 1
+        cut = shares[band] * options.cut_factor**n_cuts
+        for higher in range(band, options.n_bands):
+            shares[higher] = max(options.floor_share, min(shares[higher], cut))
+
+    def _raise_up_to(self, band: int) -> None:
+        shares = self._state.shares
+        raised = min(1.0, shares[band] + self._options.raise_step)
+        for lower in range(band + 1):
+            shares[lower] = max(shares[lower], raised)
+
+    def _stops(self, observation: LadderObservation) -> list[LadderAction]:
+        stops: list[LadderAction] = []
+        running = {(task.task_id, task.attempt) for task in observation.tasks}
+        self._state.stopped &= running
+        for task in observation.tasks:
+            key = (task.task_id, task.attempt)
+            is_late = task.checkpointing_s > self._options.checkpoint_timeout_s
+            if is_late and may_stop(task) and key not in self._state.stopped:
+                self._state.stopped.add(key)
+                stops.append(EvictTask(task.task_id, task.attempt, checkpoint=False))
+        return stops
+
+    def _checkpoints(
+        self, observation: LadderObservation, share: float, heat: float
+    ) -> list[LadderAction]:
+        options = self._options
+        state = self._state
+        now_s = observation.now_s
+        if heat < options.evict_heat or share > options.floor_share:
+            state.hot_at_floor_since_s = None
+            return []
+        if state.hot_at_floor_since_s is None:
+            state.hot_at_floor_since_s = now_s
+        lag_s = min(observation.usage_age_s, options.evict_dwell_s)
+        since_s = max(state.hot_at_floor_since_s, state.evicted_at_s)
+        if now_s - since_s < options.evict_dwell_s + lag_s:
+            return []
+        victims = sorted(filter(may_checkpoint, observation.tasks), key=eviction_cost)
+        if not victims or not state.evictions.take(
+            now_s, options.eviction_refill_s, options.eviction_burst
+        ):
+            return []
+        state.evicted_at_s = now_s
+        return [EvictTask(victims[0].task_id, victims[0].attempt, checkpoint=True)]
+
+    def _level(
+        self,
+        observation: LadderObservation,
+        share: float,
+        actions: list[LadderAction],
+    ) -> LadderLevel:
+        if any(isinstance(each, EvictTask) and not each.checkpoint for each in actions):
+            return LadderLevel.EVICT
+        is_evicting = any(task.checkpointing_s > 0.0 for task in observation.tasks)
+        if is_evicting or any(isinstance(each, EvictTask) for each in actions):
+            return LadderLevel.CHECKPOINT
+        return LadderLevel.THROTTLE if share < 1.0 else LadderLevel.NONE
+
+
+def throttles(
+    tasks: tuple[LadderTask, ...], share: float, options: LadderOptions
+) -> list[LadderAction]:
+    """Return the throttle of each task whose share should change."""
+    found: list[LadderAction] = []
+    for task in tasks:
+        floor = options.urgent_floor_share if task.urgent else options.floor_share
+        wanted = max(floor, share)
+        if abs(wanted - task.share) > options.share_resolution * wanted:
+            found.append(ThrottleTask(task.task_id, task.attempt, wanted))
+    return found
+
+
+@ladder_policy("ladder")
+def swing_ladder(options: LadderOptions) -> LadderPolicy:
+    """Make the ladder with learned shares."""
+    return SwingLadder(options)
+
+
+@ladder_policy("no_eviction")
+def ladder_without_eviction(options: LadderOptions) -> LadderPolicy:
+    """Make the ladder that only throttles."""
+    return SwingLadder(options, may_evict=False)
+
+
+@ladder_policy("no_control")
+class NoControl:
+    """Never acts."""
+
+    def __init__(self, options: LadderOptions) -> None:
+        self._options = options
+
+    def step(self, observation: LadderObservation) -> LadderDecision:
+        """Return no action."""
+        return LadderDecision(LadderLevel.NONE, 1.0)
+
+
+@ladder_policy("naive_eviction")
+class NaiveEviction:
+    """Stops every task that may be stopped whenever a service is hot."""
+
+    def __init__(self, options: LadderOptions) -> None:
+        self._options = options
+
+    def step(self, observation: LadderObservation) -> LadderDecision:
+        """Return a stop for each task when hot."""
+        if heat_of(observation, self._options) < 1.0:
+            return LadderDecision(LadderLevel.NONE, 1.0)
+        stops = tuple(
+            EvictTask(task.task_id, task.attempt, checkpoint=False)
+            for task in observation.tasks
+            if may_stop(task)
+        )
+        return LadderDecision(LadderLevel.EVICT, 1.0, stops)
--- a/packages/decisions/almondspan_decisions/queue_order.py
+++ b/packages/decisions/almondspan_decisions/queue_order.py
@@ -2,13 +2,22 @@
 
 A queue policy gives each waiting task a sort key; the task with the lowest key
 starts first. Keys are computed anew each time a shard looks at its queue.
+
+The policy ``fair`` compares, in this order: urgent work, teams within their quota
+before teams beyond it, deadlines at risk by their slack, then the time that a task
+is expected to need still, in bands of a factor of two. A task that has waited many
+times what it needs rises by a band for each such time, so long work is not starved.
+The time expected is learned from the task's class; the declared time only counts
+until runs of the class were seen.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
 from almondspan_decisions.ids import TaskClass, TaskId, TeamName
+from almondspan_decisions.run_times import RunTimes
 from almondspan_decisions.shapes import Shape
 
 __all__ = [
@@ -22,6 +31,15 @@
 
 QueueKey = tuple[float, ...]
 
+MIN_REMAINING_S: Final = 0.05
+"""Shorter expected times count as this one."""
+
+AGEING_FACTOR: Final = 50.0
+"""A task rises by one band each time it has waited this many times its need."""
+
+SLACK_FACTOR: Final = 2.0
+"""A deadline is at risk when its slack is below this many times the need."""
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedTask:
@@ -47,10 +65,12 @@
     """What a policy may know besides the task.
 
     ``team_share`` is each team's dominant share in use, over its quota.
+    ``run_times`` holds what was learned of task classes, if anything.
     """
 
     now_s: float
     team_share: dict[TeamName, float]
+    run_times: RunTimes | None = None
 
 
 QueuePolicy = Callable[[QueuedTask, QueueContext], QueueKey]
@@ -78,3 +98,42 @@
 def urgent_first(task: QueuedTask, context: QueueContext) -> QueueKey:
     """Order urgent tasks before others, each by the time waited."""
     return (0.0 if task.urgent else 1.0, task.queued_s)
+
+
+@queue_policy("fair")
+def fair(task: QueuedTask, context: QueueContext) -> QueueKey:
+    """Order by urgency, team share, slack and the time still expected."""
+    remaining_s = max(MIN_REMAINING_S, _remaining_s(task, context))
+    waited_s = max(0.0, context.now_s - task.queued_s)
+    is_at_risk = task.slack_s < SLACK_FACTOR * remaining_s
+    band = math.floor(math.log2(remaining_s))
+    return (
+        0.0 if task.urgent else 1.0,
+        _share_band(context.team_share.get(task.team, 0.0)),
+        task.slack_s if is_at_risk else math.inf,
+        float(band - math.floor(waited_s / (AGEING_FACTOR * remaining_s))),
+        task.queued_s,
+    )
+
+
+def _remaining_s(task: QueuedTask, context: QueueContext) -> float:
+    if context.run_times is None:
+        return max(task.declared_run_s, task.attained_s)
+    return context.run_times.remaining_s(
+        task.task_class, task.declared_run_s, task.attained_s
+    )
+
+
+def _share_band(team_share: float) -> float:
+    """Return 0 within the quota, then a band for each further quarter of it."""
+    if team_share <= 1.0:
+        return 0.0
+    if math.isinf(team_share):
+        return math.inf
+    return float(math.ceil((team_share - 1.0) * 4.0))
+
+
+@queue_policy("least_attained")
+def least_attained(task: QueuedTask, context: QueueContext) -> QueueKey:
+    """Order urgent tasks first, then by the time that a job has run."""
+    return (0.0 if task.urgent else 1.0, task.attained_s, task.queued_s)
--- /dev/null
+++ b/tests/decisions/test_learning.py
@@ -0,0 +1,98 @@
+"""Interference, headroom, run times: what is learned from samples."""
+
+import math
+import random
+
+import pytest
+
+from almondspan_decisions.headroom import HeadroomOptions, SwingTracker
+from almondspan_decisions.ids import ServiceName, TaskClass
+from almondspan_decisions.interference import (
+    InterferenceModel,
+    LagAligner,
+    LearnedPair,
+    ServiceSample,
+    merge_pairs,
+)
+from almondspan_decisions.run_times import RunTimes
+
+SERVICE = ServiceName("listening")
+NOISY, QUIET = TaskClass("alignment"), TaskClass("cutting")
+
+
+def learn(n_samples: int, seed: int) -> InterferenceModel:
+    """Learn from a service that NOISY slows by exp(1.5) when it fills the worker."""
+    rng = random.Random(seed)
+    model = InterferenceModel()
+    for n in range(n_samples):
+        shares = {NOISY: rng.uniform(0, 0.6), QUIET: rng.uniform(0, 0.4)}
+        if rng.random() < 0.2:
+            shares = {}
+        factor = math.exp(1.5 * shares.get(NOISY, 0.0)) * rng.uniform(1.0, 1.1)
+        sample = ServiceSample(n * 0.25, SERVICE, 0.4, 10.0 * factor)
+        model.observe(sample, shares)
+    return model
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_harmful_class_is_told_from_a_harmless_one(seed: int) -> None:
+    pairs = {pair.task_class: pair for pair in learn(800, seed).pairs(200.0)}
+    assert pairs[NOISY].slowdown > 3.0
+    assert pairs[QUIET].slowdown < 1.6
+    assert pairs[NOISY].confidence > 0.9
+
+
+def test_what_was_learned_fades_to_the_prior() -> None:
+    model = learn(800, 1)
+    old = model.slowdown(SERVICE, NOISY, 1.0, 200.0)
+    faded = model.slowdown(SERVICE, NOISY, 1.0, 200.0 + 6_000.0)
+    assert old > 3.0
+    assert faded == pytest.approx(1.3, abs=0.05)
+    assert model.pairs(6_200.0)[0].confidence < 0.1
+
+
+def test_merged_pairs_weigh_by_confidence() -> None:
+    sure = LearnedPair(SERVICE, NOISY, 4.0, 0.9)
+    unsure = LearnedPair(SERVICE, NOISY, 1.0, 0.1)
+    (merged,) = merge_pairs([sure, unsure])
+    assert 3.0 < merged.slowdown < 4.0
+    assert merged.confidence == pytest.approx(0.91)
+
+
+def test_aligner_finds_the_moment_that_a_report_describes() -> None:
+    aligner = LagAligner(keep_s=10.0)
+    for n in range(100):
+        aligner.add(ServiceSample(n * 0.25, SERVICE, 0.5, float(n)))
+    assert [sample.at_s for sample in aligner.around(20.0, 0.3)] == [19.75, 20.0, 20.25]
+    assert aligner.around(2.0, 0.3) == []
+
+
+def test_crest_outlives_the_swing_and_fades() -> None:
+    options = HeadroomOptions(half_life_s=60.0, n_highest=1, margin=1.0)
+    tracker = SwingTracker(options)
+    assert tracker.crest(0.0) == 0.0
+    for second in range(100):
+        tracker.observe(float(second), 8.0 if 40 <= second < 45 else 2.0)
+    assert 3.5 < tracker.crest(100.0) < 8.0
+    assert tracker.room(100.0) == pytest.approx(tracker.crest(100.0) - 2.0)
+    for second in range(100, 700):
+        tracker.observe(float(second), 2.0)
+    assert tracker.crest(700.0) == pytest.approx(2.0, abs=0.2)
+
+
+@pytest.mark.parametrize(
+    "declared_s",
+    [pytest.param(0.1, id="ten times short"), pytest.param(10.0, id="ten times long")],
+)
+def test_run_times_correct_the_declaration(declared_s: float) -> None:
+    run_times = RunTimes()
+    assert run_times.expected_s(QUIET, declared_s) == declared_s
+    for _ in range(95):
+        run_times.observe(QUIET, 1.0)
+    for _ in range(5):
+        run_times.observe(QUIET, 50.0)
+    assert 0.85 < run_times.expected_s(QUIET, declared_s) < 1.9
+    assert run_times.remaining_s(QUIET, declared_s, 3.0) == pytest.approx(
+        47.0, rel=0.05
+    )
+    assert run_times.remaining_s(QUIET, declared_s, 80.0) == 80.0
