--- /dev/null
+++ b/packages/daemon/almondspan_daemon/metrics.py
@@ -0,0 +1,56 @@
+"""Counters and gauges of a process, by OpenTelemetry, in the Prometheus format.
+
+Components count in plain integers on their own hot paths; this module reads those
+integers when it is scraped, so a count costs no call.
+"""
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import generate_latest
+
+__all__ = ["Metrics"]
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    def __init__(self, process_id: str, role: str) -> None:
+        resource = Resource({"service.name": f"almondspan-{role}"})
+        self._provider = MeterProvider(
+            resource=resource,
+            metric_readers=[PrometheusMetricReader(disable_target_info=True)],
+        )
+        self._meter = self._provider.get_meter("almondspan")
+        self._attributes = {"process": process_id}
+
+    def counter(self, name: str, read: Callable[[], int], text: str) -> None:
+        """Expose an ever-growing count."""
+        self._meter.create_observable_counter(
+            name, callbacks=[self._observer(read)], description=text
+        )
+
+    def gauge(self, name: str, read: Callable[[], float], text: str) -> None:
+        """Expose a value that goes up and down."""
+        self._meter.create_observable_gauge(
+            name, callbacks=[self._observer(read)], description=text
+        )
+
+    def _observer(
+        self, read: Callable[[], float]
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read(), self._attributes)]
+
+        return observe
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest()
+
+    def close(self) -> None:
+        """Release the provider."""
+        self._provider.shutdown()
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/supervisor.py
@@ -0,0 +1,132 @@
+"""A tree of supervised tasks.
+
+A child is a coroutine function that runs until it is cancelled. When it fails on
+something outside the process (an `OSError`, a timeout, a bug in handling input)
+it is started again after an exponential delay with jitter. When it fails on a
+broken invariant the whole tree fails, and the process ends with the trace.
+
+Phases: `start` allows children; `spawn` adds one; `close` cancels the children in
+the reverse of their order and waits for them; `wait_failed` returns once an
+invariant is broken anywhere in the process.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final
+
+__all__ = ["Supervisor", "watch_invariants"]
+
+FIRST_DELAY_S: Final = 0.1
+LAST_DELAY_S: Final = 10.0
+STEADY_S: Final = 30.0
+"""A child that ran this long is restarted with the first delay again."""
+
+ChildMain = Callable[[], Awaitable[None]]
+
+_log = logging.getLogger(__name__)
+
+
+class Supervisor:
+    """Runs children and restarts those that fail."""
+
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self._name = name
+        self._rng = rng
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._failure: asyncio.Future[BaseException] | None = None
+        self.n_restarts = 0
+
+    async def start(self) -> None:
+        """Make the tree ready for children."""
+        loop = asyncio.get_running_loop()
+        self._failure = loop.create_future()
+        watch_invariants(loop, self.fail)
+
+    def spawn(self, name: str, main: ChildMain) -> None:
+        """Run `main` as a child; a child of the same name is replaced."""
+        old = self._tasks.pop(name, None)
+        if old is not None:
+            old.cancel()
+        task = asyncio.create_task(self._keep_running(name, main), name=name)
+        self._tasks[name] = task
+
+    def stop(self, name: str) -> None:
+        """Cancel a child."""
+        task = self._tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    async def close(self) -> None:
+        """Cancel every child, the youngest first, and wait for them."""
+        for task in reversed(list(self._tasks.values())):
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        self._tasks.clear()
+
+    def fail(self, error: BaseException) -> None:
+        """End the tree because of a broken invariant."""
+        if self._failure is not None and not self._failure.done():
+            self._failure.set_result(error)
+
+    async def wait_failed(self) -> BaseException:
+        """Return the broken invariant, when there is one."""
+        assert self._failure is not None
+        return await asyncio.shield(self._failure)
+
+    async def _keep_running(self, name: str, main: ChildMain) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = FIRST_DELAY_S
+        while True:
+            began_s = loop.time()
+            try:
+                await main()
+                return
+            except AssertionError:
+                raise
+            except Exception as error:
+                self.n_restarts += 1
+                _log.warning(
+                    "child failed",
+                    extra={"child": f"{self._name}/{name}", "error": repr(error)},
+                    exc_info=error,
+                )
+            if loop.time() - began_s > STEADY_S:
+                delay_s = FIRST_DELAY_S
+            await asyncio.sleep(delay_s * (0.5 + self._rng.random()))
+            delay_s = min(2 * delay_s, LAST_DELAY_S)
+
+
+def watch_invariants(
+    loop: asyncio.AbstractEventLoop, on_broken: Callable[[BaseException], None]
+) -> None:
+    """Report an `AssertionError` of any task of the loop to `on_broken`."""
+
+    def check(task: asyncio.Task[Any]) -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if isinstance(error, AssertionError):
+            on_broken(error)
+        elif error is not None:
+            _log.error("task failed", extra={"error": repr(error)}, exc_info=error)
+
+    def make_task(
+        loop: asyncio.AbstractEventLoop,
+        main: Coroutine[Any, Any, Any],
+        **options: Any,
+    ) -> asyncio.Task[Any]:
+        task = asyncio.Task(main, loop=loop, **options)
+        task.add_done_callback(check)
+        return task
+
+    loop.set_task_factory(make_task)  # type: ignore[arg-type]
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if isinstance(error, AssertionError):
+            on_broken(error)
+        loop.default_exception_handler(context)
+
+    loop.set_exception_handler(handle)
--- a/packages/wire/almondspan_wire/channel.py
+++ b/packages/wire/almondspan_wire/channel.py
@@ -79,6 +79,10 @@
         """Send a message; False when the channel is closed."""
         ...
 
+    def post(self, body: Message) -> bool:
+        """Send a message without waiting; False when closed or full."""
+        ...
+
     async def receive(self) -> Message | ChannelClosed:
         """Return the next message; `ChannelClosed` for ever after the end."""
         ...
@@ -105,6 +109,7 @@
         self._heartbeat_task: asyncio.Task[None] | None = None
         self.n_bytes_sent = 0
         self.n_bytes_received = 0
+        self.n_posts_dropped = 0
 
     async def start(self) -> None:
         """Begin to send heartbeats."""
@@ -116,13 +121,25 @@
         """Send a message; False when the channel is closed or stays full."""
         if self._closed is not None:
             return False
+        self._write(body)
+        return await self._drain()
+
+    def post(self, body: Message) -> bool:
+        """Send a message without waiting; False when closed or full."""
+        buffered = self._writer.transport.get_write_buffer_size()
+        if self._closed is not None or buffered > BUFFER_LIMIT_BYTES:
+            self.n_posts_dropped += 1
+            return False
+        self._write(body)
+        return True
+
+    def _write(self, body: Message) -> None:
         data = encode(body)
         if len(data) > MAX_FRAME_BYTES:
             raise ValueError(f"message of {len(data)} bytes is too large")
         self._writer.write(_LENGTH.pack(len(data)) + data)
         self.n_bytes_sent += len(data) + _LENGTH.size
         self._last_sent_s = asyncio.get_running_loop().time()
-        return await self._drain()
 
     async def _drain(self) -> bool:
         if self._writer.transport.get_write_buffer_size() <= BUFFER_LIMIT_BYTES:
--- a/packages/wire/almondspan_wire/membership.py
+++ b/packages/wire/almondspan_wire/membership.py
@@ -25,6 +25,7 @@
     "AgentStatus",
     "CandidatesFound",
     "ConfigPush",
+    "DrainRequest",
     "EntryAddress",
     "EntryHello",
     "EntryList",
@@ -130,6 +131,16 @@
     epoch: Epoch
 
 
+@message
+class DrainRequest(Message, frozen=True, tag="drain"):
+    """Asks an agent to take no new work, finish or checkpoint, and stay idle.
+
+    ``resume`` ends an earlier drain.
+    """
+
+    resume: bool = False
+
+
 @message
 class Goodbye(Message, frozen=True, tag="bye"):
     """The sender leaves after this message, on purpose."""
