--- /dev/null
+++ b/packages/daemon/almondspan_daemon/candidate_finder.py
@@ -0,0 +1,72 @@
+"""Asks an entry for candidates and matches the answers to the questions."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from almondspan_decisions.ids import EntryId
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import CandidatesFound, FindCandidates
+
+__all__ = ["CandidateFinder"]
+
+ANSWER_TIMEOUT_S: Final = 0.5
+N_TRIES: Final = 3
+
+
+class CandidateFinder:
+    """The agent's side of `FindCandidates`."""
+
+    def __init__(
+        self,
+        entry_ids: Callable[[], list[EntryId]],
+        post: Callable[[EntryId, Message], bool],
+        rng: random.Random,
+    ) -> None:
+        self._entry_ids = entry_ids
+        self._post = post
+        self._rng = rng
+        self._waiting: dict[int, asyncio.Future[CandidatesFound]] = {}
+        self._last_id = 0
+        self.n_unanswered = 0
+
+    async def find(self, query: FindCandidates) -> CandidatesFound | None:
+        """Return an entry's answer, or None when none answered in time."""
+        for _ in range(N_TRIES):
+            entry_ids = self._entry_ids()
+            if not entry_ids:
+                return None
+            answer = await self._ask(self._rng.choice(entry_ids), query)
+            if answer is not None:
+                return answer
+        return None
+
+    async def _ask(
+        self, entry_id: EntryId, query: FindCandidates
+    ) -> CandidatesFound | None:
+        self._last_id += 1
+        query_id = self._last_id
+        answer = asyncio.get_running_loop().create_future()
+        self._waiting[query_id] = answer
+        try:
+            if not self._post(
+                entry_id, msgspec.structs.replace(query, query_id=query_id)
+            ):
+                return None
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                found: CandidatesFound = await answer
+                return found
+        except TimeoutError:
+            self.n_unanswered += 1
+            return None
+        finally:
+            del self._waiting[query_id]
+
+    def on_found(self, found: CandidatesFound) -> None:
+        """Hand an answer to its question; late answers are dropped."""
+        waiting = self._waiting.get(found.query_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(found)
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/capacity_index.py
@@ -0,0 +1,129 @@
+"""Answers which agents could hold a task.
+
+The index keeps the latest status of each agent, less what was promised to recent
+queries, so that owners asking at the same moment are not all sent to one agent.
+A promise is forgotten with the agent's next status.
+"""
+
+import random
+from collections.abc import Callable
+
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import AgentId
+from almondspan_decisions.placement import (
+    PLACEMENT_POLICIES,
+    AgentView,
+    PlacementRequest,
+    rank_agents,
+)
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import (
+    AgentHello,
+    AgentStatus,
+    CandidatesFound,
+    FindCandidates,
+    FoundAgent,
+)
+
+__all__ = ["CapacityIndex"]
+
+
+class CapacityIndex:
+    """Free capacity of all connected agents; an `AgentListener`."""
+
+    def __init__(
+        self, post: Callable[[AgentId, Message], bool], rng: random.Random
+    ) -> None:
+        self._post = post
+        self._rng = rng
+        self._policy = PLACEMENT_POLICIES["least_loaded"]
+        self._hellos: dict[AgentId, AgentHello] = {}
+        self._views: dict[AgentId, AgentView] = {}
+        self._promised: dict[AgentId, Shape] = {}
+        self.n_queries = 0
+
+    def set_fleet(self, fleet: FleetConfig) -> None:
+        """Use the placement policy that the configuration names."""
+        known = PLACEMENT_POLICIES.get(fleet.policies.placement)
+        if known is not None:
+            self._policy = known
+
+    def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
+        """Note an agent's capacity."""
+        self._hellos[agent_id] = hello
+
+    def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
+        """Replace what is known of an agent."""
+        hello = self._hellos[agent_id]
+        self._promised.pop(agent_id, None)
+        self._views[agent_id] = AgentView(
+            agent_id=agent_id,
+            worker_id=hello.worker_id,
+            place=hello.place,
+            capacity=hello.capacity,
+            free=status.free,
+            n_tasks=status.n_tasks,
+            draining=status.draining,
+            resting=status.resting,
+            ladder_level=status.ladder_level,
+            services=tuple(runner.service for runner in status.runners),
+            classes=status.classes,
+            cpu_used_millicores=status.cpu_used_millicores,
+        )
+
+    def agent_left(self, agent_id: AgentId) -> None:
+        """Forget an agent."""
+        self._hellos.pop(agent_id, None)
+        self._views.pop(agent_id, None)
+        self._promised.pop(agent_id, None)
+
+    def on_message(self, agent_id: AgentId, body: Message) -> bool:
+        """Answer a query of an owner."""
+        if not isinstance(body, FindCandidates):
+            return False
+        self.n_queries += 1
+        self._post(agent_id, self.find(body))
+        return True
+
+    def find(self, query: FindCandidates) -> CandidatesFound:
+        """Return the best agents for a query and note what they are promised."""
+        request = PlacementRequest(
+            query.shape, query.task_class, query.urgent, query.avoid
+        )
+        views = [self._less_promised(view) for view in self._views.values()]
+        ranked = rank_agents(request, views, self._policy, self._rng)
+        found = ranked[: query.n_wanted]
+        if found:
+            best = found[0].agent_id
+            promised = self._promised.get(best, EMPTY_SHAPE)
+            self._promised[best] = promised + query.shape
+        workers = [hello for hello in self._hellos.values() if hello.worker_id]
+        return CandidatesFound(
+            query.query_id,
+            tuple(
+                FoundAgent(view.agent_id, view.worker_id, view.place, view.free)
+                for view in found
+            ),
+            any(query.shape.fits_in(hello.capacity) for hello in workers),
+            len(workers),
+        )
+
+    def _less_promised(self, view: AgentView) -> AgentView:
+        promised = self._promised.get(view.agent_id)
+        if promised is None:
+            return view
+        return AgentView(
+            agent_id=view.agent_id,
+            worker_id=view.worker_id,
+            place=view.place,
+            capacity=view.capacity,
+            free=view.free - promised,
+            n_tasks=view.n_tasks,
+            draining=view.draining,
+            resting=view.resting,
+            ladder_level=view.ladder_level,
+            services=view.services,
+            classes=view.classes,
+            cpu_used_millicores=view.cpu_used_millicores,
+        )
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/entry_registration.py
@@ -0,0 +1,157 @@
+"""The entry's key in the store, and the list of all entries of the region.
+
+Phases, repeated for ever:
+
+1. Grant a lease and create the entry's key under it.
+2. Renew the lease each third of its time. While the store is unavailable, keep
+   trying; when the lease lapsed, begin again.
+
+A second task reads the region's keys, then watches them; whenever the watch is
+lost it reads them again. The last known list stays in use during an outage.
+"""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from almondspan_decisions.ids import EntryId, PlaceName, RegionName
+from almondspan_platform.store import (
+    ABSENT_REVISION,
+    KeyValue,
+    LeaseGranted,
+    LeaseLapsed,
+    RangeFound,
+    Store,
+    Swapped,
+    Unavailable,
+    WatchLost,
+)
+from almondspan_wire.membership import EntryAddress, EntryList
+
+__all__ = ["EntryRegistration", "decode_address", "encode_address", "entries_prefix"]
+
+LEASE_S: Final = 12.0
+RETRY_S: Final = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+def entries_prefix(region: RegionName) -> str:
+    """Return the prefix of the keys of a region's entries."""
+    return f"entries/{region}/"
+
+
+def encode_address(address: EntryAddress) -> bytes:
+    """Return the value of an entry's key."""
+    fields = {
+        "entry_id": address.entry_id,
+        "host": address.host,
+        "port": address.port,
+        "place": address.place,
+    }
+    return json.dumps(fields, sort_keys=True).encode()
+
+
+def decode_address(value: bytes) -> EntryAddress | None:
+    """Return the address in an entry's key, or None when it is malformed."""
+    try:
+        fields = json.loads(value)
+        return EntryAddress(
+            EntryId(str(fields["entry_id"])),
+            str(fields["host"]),
+            int(fields["port"]),
+            PlaceName(str(fields["place"])),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+class EntryRegistration:
+    """Keeps this entry registered and follows the others."""
+
+    def __init__(
+        self,
+        store: Store,
+        region: RegionName,
+        own: EntryAddress,
+        on_entries: Callable[[EntryList], None],
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._prefix = entries_prefix(region)
+        self._own = own
+        self._on_entries = on_entries
+        self._rng = rng
+        self._known: dict[str, EntryAddress] = {}
+        self.is_registered = False
+
+    def entry_list(self) -> EntryList:
+        """Return all known entries, this one always among them."""
+        known = {address.entry_id: address for address in self._known.values()}
+        known[self._own.entry_id] = self._own
+        return EntryList(tuple(known[key] for key in sorted(known)))
+
+    async def keep_registered(self) -> None:
+        """Hold the entry's key in the store until cancelled."""
+        while True:
+            lease = await self._store.grant_lease(LEASE_S)
+            if isinstance(lease, LeaseGranted):
+                outcome = await self._store.compare_and_swap(
+                    self._prefix + self._own.entry_id,
+                    ABSENT_REVISION,
+                    encode_address(self._own),
+                    lease.lease_id,
+                )
+                if isinstance(outcome, Swapped):
+                    await self._renew(lease)
+            await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
+
+    async def _renew(self, lease: LeaseGranted) -> None:
+        self.is_registered = True
+        _log.info("registered in the store")
+        while True:
+            await asyncio.sleep(LEASE_S / 3)
+            outcome = await self._store.keep_lease(lease.lease_id)
+            if isinstance(outcome, LeaseLapsed):
+                self.is_registered = False
+                _log.info("registration lapsed")
+                return
+
+    async def follow_entries(self) -> None:
+        """Keep the list of entries current until cancelled."""
+        while True:
+            found = await self._store.get_range(self._prefix)
+            if not isinstance(found, Unavailable):
+                self._replace(found)
+                await self._watch(found)
+            await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
+
+    def _replace(self, found: RangeFound) -> None:
+        self._known = {}
+        self._add(found.items)
+        self._on_entries(self.entry_list())
+
+    def _add(self, items: tuple[KeyValue, ...]) -> None:
+        for item in items:
+            address = decode_address(item.value)
+            if address is not None:
+                self._known[item.key] = address
+
+    async def _watch(self, found: RangeFound) -> None:
+        async for event in self._store.watch(self._prefix, found.revision):
+            if isinstance(event, WatchLost):
+                return
+            self._add(event.changed)
+            for key in event.deleted:
+                self._known.pop(key, None)
+            self._on_entries(self.entry_list())
+
+    async def close(self) -> None:
+        """Delete the entry's key, so that agents stop dialling it."""
+        key = self._prefix + self._own.entry_id
+        found = await self._store.get(key)
+        if not isinstance(found, Unavailable) and found.item is not None:
+            await self._store.compare_and_swap(key, found.item.revision, None)
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/post_office.py
@@ -0,0 +1,144 @@
+"""Carries mail between processes of a region.
+
+The entry's `EntryPost` delivers mail for the entry itself, passes mail for an agent
+to that agent, and mail for ``shard:<id>`` to the shard's owner. The agent's
+`AgentPost` delivers mail for itself and for shards that it owns, and hands the
+rest to an entry. Mail that can't be carried is dropped and counted: whoever sent
+it repeats it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from almondspan_decisions.ids import AgentId, EntryId, ShardId
+from almondspan_wire.codec import Malformed, Message, decode, encode
+from almondspan_wire.mail import MailHandler
+from almondspan_wire.membership import AgentHello, AgentStatus, Post
+
+__all__ = ["AgentPost", "EntryPost", "shard_of_address"]
+
+SHARD_PREFIX: Final = "shard:"
+
+
+def shard_of_address(to: str) -> ShardId | None:
+    """Return the shard that an address names, or None for a process's id."""
+    if not to.startswith(SHARD_PREFIX):
+        return None
+    digits = to[len(SHARD_PREFIX) :]
+    return ShardId(int(digits)) if digits.isdigit() else None
+
+
+class EntryPost:
+    """Mail at an entry; an `AgentListener` and the entry's `Mailer`."""
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        post_to_agent: Callable[[AgentId, Message], bool],
+        owner_of: Callable[[ShardId], AgentId | None],
+    ) -> None:
+        self._entry_id = entry_id
+        self._post_to_agent = post_to_agent
+        self._owner_of = owner_of
+        self._handlers: list[MailHandler] = []
+        self.n_carried = 0
+        self.n_undeliverable = 0
+
+    def add_handler(self, handler: MailHandler) -> None:
+        """Give the entry's own mail to `handler`."""
+        self._handlers.append(handler)
+
+    def send(self, to: str, body: Message) -> None:
+        """Send mail from this entry."""
+        self._carry(Post(self._entry_id, to, encode(body)))
+
+    def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
+        """Ignore; mail follows the directory."""
+
+    def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
+        """Ignore; owners are found when mail is carried."""
+
+    def agent_left(self, agent_id: AgentId) -> None:
+        """Ignore; mail follows the directory."""
+
+    def on_message(self, agent_id: AgentId, body: Message) -> bool:
+        """Carry mail of an agent."""
+        if not isinstance(body, Post):
+            return False
+        self._carry(body)
+        return True
+
+    def _carry(self, mail: Post) -> None:
+        if mail.to == self._entry_id:
+            self._deliver(mail)
+            return
+        shard_id = shard_of_address(mail.to)
+        to = AgentId(mail.to) if shard_id is None else self._owner_of(shard_id)
+        if to is not None and self._post_to_agent(to, mail):
+            self.n_carried += 1
+        else:
+            self.n_undeliverable += 1
+
+    def _deliver(self, mail: Post) -> None:
+        body = decode(mail.body)
+        if isinstance(body, Malformed):
+            self.n_undeliverable += 1
+            return
+        for handler in self._handlers:
+            handler.on_mail(mail.sender, body)
+
+
+class AgentPost:
+    """Mail at an agent: its `Mailer` and the reader of what arrives."""
+
+    def __init__(
+        self, agent_id: AgentId, post_to_entry: Callable[[str, Message], bool]
+    ) -> None:
+        self._agent_id = agent_id
+        self._post_to_entry = post_to_entry
+        self._keeper: MailHandler | None = None
+        self._host: MailHandler | None = None
+        self._owns: Callable[[ShardId], bool] = lambda shard_id: False
+        self.n_undeliverable = 0
+
+    def set_handlers(
+        self,
+        keeper: MailHandler | None,
+        host: MailHandler,
+        owns: Callable[[ShardId], bool],
+    ) -> None:
+        """Name who takes mail for the agent itself and for its shards."""
+        self._keeper = keeper
+        self._host = host
+        self._owns = owns
+
+    def send(self, to: str, body: Message) -> None:
+        """Send mail from this agent, within the process where possible."""
+        shard_id = shard_of_address(to)
+        is_here = to == self._agent_id or (
+            shard_id is not None and self._owns(shard_id)
+        )
+        if is_here:
+            # Delivery waits for the next turn of the loop, so that a handler
+            # never runs inside another one.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._deliver, self._agent_id, to, body)
+            return
+        if not self._post_to_entry(to, Post(self._agent_id, to, encode(body))):
+            self.n_undeliverable += 1
+
+    def on_post(self, mail: Post) -> None:
+        """Deliver mail that arrived from an entry."""
+        body = decode(mail.body)
+        if isinstance(body, Malformed):
+            self.n_undeliverable += 1
+            return
+        self._deliver(mail.sender, mail.to, body)
+
+    def _deliver(self, sender: str, to: str, body: Message) -> None:
+        handler = self._host if shard_of_address(to) is not None else self._keeper
+        if handler is None:
+            self.n_undeliverable += 1
+            return
+        handler.on_mail(sender, body)
