--- /dev/null
+++ b/packages/daemon/almondspan_daemon/config_pusher.py
@@ -0,0 +1,82 @@
+"""Pushes the configuration in force to agents that hold an earlier one.
+
+Every entry of a region would push the same change to every agent. An entry
+therefore waits a random part of `SPREAD_S` for each agent and skips those whose
+status already names the revision, which another entry pushed in the meantime.
+An agent that does not acknowledge is sent the configuration again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from almondspan_daemon.agent_directory import ConnectedAgent
+from almondspan_decisions.ids import AgentId
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import AgentHello, AgentStatus, ConfigPush
+
+__all__ = ["ConfigPusher"]
+
+SPREAD_S: Final = 2.0
+REPEAT_S: Final = 3.0
+TICK_S: Final = 0.25
+
+
+class ConfigPusher:
+    """The entry's half of the relay; an `AgentListener`."""
+
+    def __init__(
+        self,
+        agents: Mapping[AgentId, ConnectedAgent],
+        post: Callable[[AgentId, Message], bool],
+        rng: random.Random,
+    ) -> None:
+        self._agents = agents
+        self._post = post
+        self._rng = rng
+        self._push: ConfigPush | None = None
+        self._due_s: dict[AgentId, float] = {}
+        self.n_pushes = 0
+
+    def set_config(self, push: ConfigPush) -> None:
+        """Bring every agent to `push`."""
+        self._push = push
+        for agent_id in self._agents:
+            self._schedule(agent_id, self._rng.random() * SPREAD_S)
+
+    def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
+        """Bring a new agent to the configuration at the next tick."""
+        self._schedule(agent_id, 0.0)
+
+    def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
+        """Forget what the agent has acknowledged."""
+        if self._push is not None and status.config_revision >= self._push.revision:
+            self._due_s.pop(agent_id, None)
+
+    def agent_left(self, agent_id: AgentId) -> None:
+        """Forget an agent."""
+        self._due_s.pop(agent_id, None)
+
+    def on_message(self, agent_id: AgentId, body: Message) -> bool:
+        """Take nothing."""
+        return False
+
+    async def run(self) -> None:
+        """Push what is due until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._push_due(loop.time())
+
+    def _push_due(self, now_s: float) -> None:
+        if self._push is None:
+            return
+        for agent_id, due_s in list(self._due_s.items()):
+            if due_s <= now_s:
+                self._post(agent_id, self._push)
+                self.n_pushes += 1
+                self._due_s[agent_id] = now_s + REPEAT_S
+
+    def _schedule(self, agent_id: AgentId, delay_s: float) -> None:
+        self._due_s[agent_id] = asyncio.get_running_loop().time() + delay_s
