--- /dev/null
+++ b/packages/daemon/almondspan_daemon/settings_checks.py
@@ -0,0 +1,107 @@
+"""Checks of settings that look at more than one key.
+
+A check names the keys that it reads and runs when none of them is at fault by
+itself, so that one run of the process reports every fault. It yields the key that
+should be changed and what is allowed.
+"""
+
+import ipaddress
+import os
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+__all__ = ["CROSS_CHECKS", "CrossCheck", "cross_check"]
+
+Values = Mapping[str, Any]
+"""Values by dotted key, defaults filled in."""
+
+CheckFunction = Callable[[Values], Iterator[tuple[str, str]]]
+
+
+@dataclass(frozen=True, slots=True)
+class CrossCheck:
+    """A check with the dotted keys that it reads."""
+
+    keys: tuple[str, ...]
+    find: CheckFunction
+
+
+CROSS_CHECKS: Final[list[CrossCheck]] = []
+
+
+def cross_check(*keys: str) -> Callable[[CheckFunction], CheckFunction]:
+    """Register a check that reads `keys`."""
+
+    def register(function: CheckFunction) -> CheckFunction:
+        CROSS_CHECKS.append(CrossCheck(keys, function))
+        return function
+
+    return register
+
+
+@cross_check("leases.margin_s", "leases.horizon_s")
+def _margin_below_horizon(values: Values) -> Iterator[tuple[str, str]]:
+    horizon_s = values["leases.horizon_s"]
+    if values["leases.margin_s"] >= horizon_s:
+        yield "leases.margin_s", f"seconds below leases.horizon_s ({horizon_s:g})"
+
+
+@cross_check("streams.heartbeat_s", "streams.silence_s")
+def _heartbeat_below_silence(values: Values) -> Iterator[tuple[str, str]]:
+    silence_s = values["streams.silence_s"]
+    if values["streams.heartbeat_s"] >= silence_s:
+        yield "streams.heartbeat_s", f"seconds below streams.silence_s ({silence_s:g})"
+
+
+@cross_check("tls.ca", "tls.cert", "tls.key")
+def _certificates_whole(values: Values) -> Iterator[tuple[str, str]]:
+    keys = ("tls.ca", "tls.cert", "tls.key")
+    if not any(values[key] for key in keys):
+        return
+    for key in keys:
+        if not values[key]:
+            yield key, "a path, since tls.ca, tls.cert and tls.key go together"
+        elif not os.access(values[key], os.R_OK) or not os.path.isfile(values[key]):
+            yield key, "the path of a readable PEM file"
+
+
+@cross_check(
+    "process.host", "tls.ca", "tls.cert", "tls.key", "tls.allow_plain_nonloopback"
+)
+def _plain_only_on_loopback(values: Values) -> Iterator[tuple[str, str]]:
+    encrypted = any(values[f"tls.{key}"] for key in ("ca", "cert", "key"))
+    if encrypted or values["tls.allow_plain_nonloopback"]:
+        return
+    if not ipaddress.ip_address(values["process.host"]).is_loopback:
+        yield (
+            "process.host",
+            "a loopback address, unless tls.ca, tls.cert and tls.key are set "
+            "or tls.allow_plain_nonloopback is true",
+        )
+
+
+@cross_check("agent.worker_address", "agent.services")
+def _agent_has_work(values: Values) -> Iterator[tuple[str, str]]:
+    if values["agent.worker_address"] is None and not values["agent.services"]:
+        yield "agent.worker_address", "an address, or at least one [[agent.services]]"
+
+
+@cross_check("agent.services")
+def _services_are_distinct(values: Values) -> Iterator[tuple[str, str]]:
+    seen: set[str] = set()
+    for index, service in enumerate(values["agent.services"]):
+        name = service.get("name")
+        if name in seen:
+            yield f"agent.services.{index}.name", "a name that no other entry has"
+        seen.add(name)
+
+
+@cross_check("entry.http_port", "entry.agent_port", "entry.admin_port")
+def _ports_are_distinct(values: Values) -> Iterator[tuple[str, str]]:
+    seen: set[int] = set()
+    for key in ("entry.http_port", "entry.agent_port", "entry.admin_port"):
+        port = values[key]
+        if port != 0 and port in seen:
+            yield key, "a port that no other key of [entry] has"
+        seen.add(port)
