Test the codec, the channel, the shard map and the mail

Cause: membership and mail had no contract tests. Change: tables for malformed frames, causes of a channel's end, targets of shards, nominations, releases and the ways of mail. Measured: 79 tests in tests/wire and tests/daemon pass. Conclusion: the contracts hold; found in writing them: a peer that does not read is noticed only once the kernel's buffers are full, which the test allows.

--- /dev/null
+++ b/tests/daemon/test_post_office.py
@@ -0,0 +1,108 @@
+"""Where mail goes."""
+
+import asyncio
+
+import pytest
+
+from almondspan_daemon.post_office import AgentPost, EntryPost, shard_of_address
+from almondspan_decisions.ids import AgentId, EntryId, ShardId
+from almondspan_wire.codec import Message, encode
+from almondspan_wire.membership import NominateOwner, Post
+
+BODY = NominateOwner(ShardId(9))
+
+
+class Inbox:
+    """Records mail."""
+
+    def __init__(self) -> None:
+        self.got: list[tuple[str, Message]] = []
+
+    def on_mail(self, sender: str, body: Message) -> None:
+        self.got.append((sender, body))
+
+
+@pytest.mark.parametrize(
+    ("to", "shard"),
+    [
+        pytest.param("shard:7", 7, id="shard"),
+        pytest.param("shard:", None, id="no number"),
+        pytest.param("shard:-1", None, id="negative"),
+        pytest.param("agent-1", None, id="process"),
+    ],
+)
+def test_shard_of_address(to: str, shard: int | None) -> None:
+    assert shard_of_address(to) == shard
+
+
+@pytest.mark.parametrize(
+    ("to", "reached"),
+    [
+        pytest.param("e1", "entry", id="the entry itself"),
+        pytest.param("a1", "a1", id="an agent"),
+        pytest.param("shard:7", "a2", id="the owner of a shard"),
+        pytest.param("shard:8", None, id="a shard without owner"),
+        pytest.param("a9", None, id="an agent that is gone"),
+    ],
+)
+def test_entry_carries_mail(to: str, reached: str | None) -> None:
+    posted: list[AgentId] = []
+
+    def post(agent_id: AgentId, body: Message) -> bool:
+        if agent_id == "a9":
+            return False
+        posted.append(agent_id)
+        return True
+
+    owners = {ShardId(7): AgentId("a2")}
+    office = EntryPost(EntryId("e1"), post, owners.get)
+    inbox = Inbox()
+    office.add_handler(inbox)
+    assert office.on_message(AgentId("a0"), Post("a0", to, encode(BODY)))
+    if reached == "entry":
+        assert inbox.got == [("a0", BODY)]
+    else:
+        assert posted == ([reached] if reached else [])
+    assert office.n_undeliverable == (0 if reached else 1)
+
+
+def test_malformed_mail_is_counted_not_delivered() -> None:
+    office = EntryPost(EntryId("e1"), lambda agent_id, body: True, lambda shard: None)
+    inbox = Inbox()
+    office.add_handler(inbox)
+    office.on_message(AgentId("a0"), Post("a0", "e1", b"\xc1"))
+    assert inbox.got == []
+    assert office.n_undeliverable == 1
+
+
+@pytest.mark.parametrize(
+    ("to", "handler"),
+    [
+        pytest.param("a1", "keeper", id="itself"),
+        pytest.param("shard:7", "host", id="a shard that it owns"),
+        pytest.param("shard:8", "entry", id="another shard"),
+        pytest.param("e1", "entry", id="an entry"),
+    ],
+)
+def test_agent_keeps_its_own_mail_in_the_process(to: str, handler: str) -> None:
+    through_entry: list[str] = []
+
+    def post(to: str, body: Message) -> bool:
+        through_entry.append(to)
+        return True
+
+    async def run() -> None:
+        keeper, host = Inbox(), Inbox()
+        office = AgentPost(AgentId("a1"), post)
+        office.set_handlers(keeper, host, lambda shard_id: shard_id == 7)
+        office.send(to, BODY)
+        assert keeper.got == host.got == []
+        await asyncio.sleep(0)
+        got = {
+            "keeper": keeper.got == [("a1", BODY)],
+            "host": host.got == [("a1", BODY)],
+            "entry": through_entry == [to],
+        }
+        assert [name for name, was_reached in got.items() if was_reached] == [handler]
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/daemon/test_shard_map.py
@@ -0,0 +1,154 @@
+"""Whom an entry nominates for which shard."""
+
+import pytest
+
+from almondspan_daemon.shard_map import (
+    FIRST_NOMINATION_S,
+    RENOMINATE_S,
+    SETTLED_S,
+    ShardMap,
+    assign_targets,
+)
+from almondspan_decisions.ids import AgentId, Epoch, ShardId
+from almondspan_decisions.shapes import Shape
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import AgentStatus, NominateOwner, ReleaseShard
+
+N_SHARDS = 16
+
+
+class Outbox:
+    """Records what the map posts."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[AgentId, Message]] = []
+
+    def post(self, agent_id: AgentId, body: Message) -> bool:
+        self.sent.append((agent_id, body))
+        return True
+
+    def taken(self) -> list[tuple[AgentId, Message]]:
+        sent, self.sent = self.sent, []
+        return sent
+
+
+def status(*owned: tuple[int, int], draining: bool = False) -> AgentStatus:
+    pairs = tuple((ShardId(shard), Epoch(epoch)) for shard, epoch in owned)
+    return AgentStatus(1, Shape(), 0, draining, 0, pairs)
+
+
+def names(n_agents: int) -> list[AgentId]:
+    return [AgentId(f"a{n}") for n in range(n_agents)]
+
+
+@pytest.mark.parametrize(
+    ("n_shards", "n_agents", "at_most"),
+    [
+        pytest.param(64, 10, 8, id="ten agents"),
+        pytest.param(64, 445, 2, id="a region"),
+        pytest.param(64, 1, 65, id="one agent"),
+    ],
+)
+def test_targets_are_bounded(n_shards: int, n_agents: int, at_most: int) -> None:
+    targets = assign_targets(range(n_shards), names(n_agents))
+    assert len(targets) == n_shards
+    assert max(list(targets.values()).count(a) for a in names(n_agents)) <= at_most
+
+
+def test_a_leaving_agent_moves_few_other_shards() -> None:
+    before = assign_targets(range(64), names(10))
+    after = assign_targets(range(64), names(9))
+    kept = [shard for shard, agent in before.items() if agent != "a9"]
+    n_moved = sum(before[shard] != after[shard] for shard in kept)
+    assert n_moved <= 16
+
+
+def test_no_agents_no_targets() -> None:
+    assert assign_targets(range(4), []) == {}
+
+
+def settled_map(n_agents: int) -> tuple[ShardMap, Outbox]:
+    outbox = Outbox()
+    shard_map = ShardMap(N_SHARDS, outbox.post)
+    for agent in names(n_agents):
+        shard_map.on_status(agent, status())
+    shard_map.tick(100.0)
+    return shard_map, outbox
+
+
+def test_entries_wait_for_agents_then_nominate_all_alike() -> None:
+    first, first_box = settled_map(4)
+    second, second_box = settled_map(4)
+    assert not first_box.sent
+    first.tick(100.0 + FIRST_NOMINATION_S)
+    second.tick(100.0 + FIRST_NOMINATION_S)
+    assert len(first_box.sent) == N_SHARDS
+    assert first_box.sent == second_box.sent
+
+
+def test_a_nomination_is_repeated_until_somebody_owns_the_shard() -> None:
+    shard_map, outbox = settled_map(1)
+    now_s = 100.0 + FIRST_NOMINATION_S
+    shard_map.tick(now_s)
+    shard_map.on_status(AgentId("a0"), status(*[(n, 1) for n in range(1, N_SHARDS)]))
+    outbox.taken()
+    shard_map.tick(now_s + RENOMINATE_S / 2)
+    assert outbox.taken() == []
+    shard_map.tick(now_s + RENOMINATE_S)
+    assert outbox.taken() == [(AgentId("a0"), NominateOwner(ShardId(0)))]
+
+
+@pytest.mark.parametrize(
+    ("statuses", "owner"),
+    [
+        pytest.param([("a0", (3, 1)), ("a1", (3, 2))], "a1", id="higher epoch"),
+        pytest.param([("a1", (3, 2)), ("a0", (3, 1))], "a1", id="late lower epoch"),
+        pytest.param([("a0", (3, 1)), ("a0", None)], None, id="given up"),
+        pytest.param([("a0", (3, 1)), ("a1", None)], "a0", id="another's status"),
+    ],
+)
+def test_the_highest_epoch_owns(
+    statuses: list[tuple[str, tuple[int, int] | None]], owner: str | None
+) -> None:
+    shard_map, _ = settled_map(2)
+    for agent, owned in statuses:
+        shard_map.on_status(AgentId(agent), status(*([owned] if owned else [])))
+    assert shard_map.owner_of(ShardId(3)) == owner
+
+
+def test_a_lost_owner_is_replaced_by_another_agent() -> None:
+    shard_map, outbox = settled_map(2)
+    shard_map.on_status(AgentId("a0"), status(*[(n, 1) for n in range(N_SHARDS)]))
+    shard_map.agent_left(AgentId("a0"))
+    shard_map.tick(200.0)
+    shard_map.tick(200.0 + FIRST_NOMINATION_S)
+    assert {agent for agent, _ in outbox.taken()} == {AgentId("a1")}
+
+
+def test_a_draining_agent_is_not_nominated() -> None:
+    shard_map, outbox = settled_map(2)
+    shard_map.on_status(AgentId("a0"), status(draining=True))
+    shard_map.tick(200.0)
+    shard_map.tick(200.0 + FIRST_NOMINATION_S)
+    assert {agent for agent, _ in outbox.taken()} == {AgentId("a1")}
+
+
+def test_a_crowded_owner_is_asked_to_release_once_settled() -> None:
+    shard_map, outbox = settled_map(4)
+    shard_map.on_status(AgentId("a0"), status(*[(n, 1) for n in range(N_SHARDS)]))
+    shard_map.tick(100.0 + SETTLED_S / 2)
+    assert outbox.taken() == []
+    shard_map.tick(100.0 + SETTLED_S)
+    sent = outbox.taken()
+    assert sent
+    assert all(agent == "a0" and isinstance(body, ReleaseShard) for agent, body in sent)
+
+
+def test_a_balanced_fleet_is_left_alone() -> None:
+    shard_map, outbox = settled_map(4)
+    targets = assign_targets(range(N_SHARDS), names(4))
+    for agent in names(4):
+        owned = [(int(s), 1) for s, target in targets.items() if target == agent]
+        shard_map.on_status(agent, status(*owned))
+    shard_map.tick(100.0 + 2 * SETTLED_S)
+    assert outbox.taken() == []
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,58 @@
+"""Messages survive the wire and nothing else does."""
+
+import msgspec
+import pytest
+
+from almondspan_decisions.ids import AgentId, EntryId, PlaceName, ShardId, WorkerId
+from almondspan_decisions.shapes import Shape
+from almondspan_wire.codec import Malformed, Message, decode, encode, message
+from almondspan_wire.membership import (
+    AgentHello,
+    AgentStatus,
+    EntryAddress,
+    EntryList,
+    NominateOwner,
+    Post,
+)
+
+MESSAGES = [
+    pytest.param(
+        AgentHello(AgentId("a"), WorkerId("w"), PlaceName("p"), Shape(1, 2, 3)),
+        id="hello",
+    ),
+    pytest.param(AgentStatus(1, Shape(), 0, False, 7), id="status"),
+    pytest.param(
+        EntryList((EntryAddress(EntryId("e"), "127.0.0.1", 1, PlaceName("p")),)),
+        id="entry list",
+    ),
+    pytest.param(NominateOwner(ShardId(3)), id="nomination"),
+    pytest.param(Post("a", "shard:3", b"\x00\xff"), id="mail"),
+]
+
+
+@pytest.mark.parametrize("body", MESSAGES)
+def test_a_message_comes_back_as_it_was(body: Message) -> None:
+    assert decode(encode(body)) == body
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="nothing"),
+        pytest.param(b"\xc1", id="no MessagePack"),
+        pytest.param(msgspec.msgpack.encode(["no such tag", 1]), id="unknown tag"),
+        pytest.param(msgspec.msgpack.encode(["nominate", "x"]), id="wrong type"),
+        pytest.param(msgspec.msgpack.encode(["post", "a", "b"]), id="too short"),
+        pytest.param(encode(NominateOwner(ShardId(3)))[:-1], id="cut"),
+    ],
+)
+def test_other_bytes_are_malformed(data: bytes) -> None:
+    assert isinstance(decode(data), Malformed)
+
+
+def test_a_tag_belongs_to_one_class() -> None:
+    class Other(Message, frozen=True, tag="nominate"):
+        """Claims a tag that is taken."""
+
+    with pytest.raises(ValueError, match="taken"):
+        message(Other)
