Add the platform's HTTP adapters and the stand-ins as programs

Cause: the daemon needs clients of a real store and worker, and the demo needs something to talk to. Change: store adapter etcd_json and worker adapter http_json over a shared HttpCaller (deadlines, pools retired once suspect) and a TokenBucket; programs store, worker and runner with debug pages and faults; the registry's factories take an optional source of TLS contexts.

--- /dev/null
+++ b/packages/platform/almondspan_platform/etcd_json.py
@@ -0,0 +1,345 @@
+"""The store adapter ``etcd_json``: etcd's version 3 calls as JSON over HTTP.
+
+Each call passes three steps:
+
+1. It takes a token of the rate bound, or ends as `Unavailable`.
+2. It is sent to the current address. A call that cannot have taken effect, and one
+   that may be repeated (reads, renewals), goes on to the next address until the
+   deadline; any other write ends as `Unavailable` with ``may_have_applied``.
+3. Its answer becomes an outcome.
+
+A watch asks for progress notices and ends as `WatchLost` when nothing at all
+arrives within the silence limit. The store's interval of notices must be shorter;
+otherwise a quiet watch is opened again after each limit.
+"""
+
+import asyncio
+import math
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
+
+import msgspec
+
+from almondspan_platform import etcd_messages as etcd
+from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
+from almondspan_platform.registry import TlsSource, store_adapter
+from almondspan_platform.store import (
+    MAX_VALUE_BYTES,
+    CasOutcome,
+    Conflict,
+    Found,
+    GetOutcome,
+    KeyValue,
+    LeaseGranted,
+    LeaseId,
+    LeaseLapsed,
+    LeaseOutcome,
+    RangeFound,
+    Revision,
+    Store,
+    Swapped,
+    Unavailable,
+    WatchEvent,
+    WatchLost,
+)
+from almondspan_platform.token_bucket import TokenBucket
+
+__all__ = ["EtcdJsonOptions", "EtcdJsonStore"]
+
+N_MIN_TRIES: Final = 2
+"""Sends of a repeatable call, even when there is one address only."""
+
+Response = TypeVar("Response")
+
+
+@dataclass(frozen=True, slots=True)
+class EtcdJsonOptions:
+    """Limits of one client.
+
+    Attributes
+    ----------
+    call_timeout_s : float
+        Deadline of a call, waiting for the rate bound included.
+    try_timeout_s : float
+        Time for one send of a call that may be repeated.
+    watch_silence_s : float
+        Time without any line after which a watch is lost.
+    calls_per_s, n_burst : float, int
+        The rate bound over all calls, opened watches included.
+    """
+
+    call_timeout_s: float = 2.5
+    try_timeout_s: float = 1.0
+    watch_silence_s: float = 15.0
+    calls_per_s: float = 200.0
+    n_burst: int = 100
+    http: HttpOptions = field(default_factory=HttpOptions)
+
+
+class EtcdJsonStore:
+    """A client; see `almondspan_platform.store.Store`."""
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        options: EtcdJsonOptions = EtcdJsonOptions(),
+        tls: TlsSource | None = None,
+    ) -> None:
+        if not addresses:
+            raise ValueError("a store needs at least one address")
+        self._addresses: Final = addresses
+        self._options: Final = options
+        self._caller: Final = HttpCaller(options.http, tls)
+        self._bucket: Final = TokenBucket(options.calls_per_s, options.n_burst)
+        self._address_index = 0
+        self.n_calls = 0
+        self.n_failed = 0
+
+    async def start(self) -> None:
+        """Open the client."""
+        await self._caller.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._caller.close()
+
+    async def get(self, key: str) -> GetOutcome:
+        """Read one key, linearizably."""
+        request = etcd.RangeRequest(key.encode())
+        answer = await self._repeat("/v3/kv/range", request, etcd.RangeResponse)
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason)
+        return Found(_item(answer.kvs[0]) if answer.kvs else None)
+
+    async def get_range(self, prefix: str) -> RangeFound | Unavailable:
+        """Read all keys that begin with `prefix`, linearizably."""
+        first, end = _prefix_range(prefix)
+        request = etcd.RangeRequest(first, end)
+        answer = await self._repeat("/v3/kv/range", request, etcd.RangeResponse)
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason)
+        items = sorted(map(_item, answer.kvs), key=lambda item: item.key)
+        return RangeFound(tuple(items), Revision(int(answer.header.revision)))
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        expected: Revision,
+        value: bytes | None,
+        lease_id: LeaseId | None = None,
+    ) -> CasOutcome:
+        """Replace `key` if it is at revision `expected`.
+
+        Raises
+        ------
+        ValueError
+            When `value` is longer than `MAX_VALUE_BYTES`.
+        """
+        if value is not None and len(value) > MAX_VALUE_BYTES:
+            raise ValueError(f"value of {len(value)} bytes for {key}")
+        request = _swap_request(key.encode(), expected, value, lease_id)
+        answer = await self._send_once("/v3/kv/txn", request, etcd.TxnResponse)
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason, answer.may_have_applied)
+        if answer.succeeded:
+            return Swapped(Revision(int(answer.header.revision)))
+        return Conflict(_conflicting_item(answer))
+
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        """Grant a lease of at least `ttl_s`, in whole seconds."""
+        request = etcd.LeaseGrantRequest(TTL=str(max(math.ceil(ttl_s), 1)))
+        answer = await self._send_once(
+            "/v3/lease/grant", request, etcd.LeaseGrantResponse
+        )
+        if isinstance(answer, CallFailed):
+            return Unavailable(answer.reason, answer.may_have_applied)
+        return LeaseGranted(LeaseId(int(answer.ID)), float(answer.TTL))
+
+    async def keep_lease(self, lease_id: LeaseId) -> LeaseOutcome:
+        """Renew a lease."""
+        request = etcd.LeaseKeepAliveRequest(ID=str(lease_id))
+        answer = await self._repeat(
+            "/v3/lease/keepalive", request, etcd.LeaseKeepAliveLine
+        )
+        if isinstance(answer, CallFailed):
+            return _lease_failure(answer)
+        ttl_s = float(answer.result.TTL)
+        return LeaseGranted(lease_id, ttl_s) if ttl_s > 0 else LeaseLapsed()
+
+    async def revoke_lease(self, lease_id: LeaseId) -> LeaseOutcome:
+        """End a lease; one that is gone already counts as ended."""
+        request = etcd.LeaseRevokeRequest(ID=str(lease_id))
+        answer = await self._repeat("/v3/lease/revoke", request, etcd.PutResponse)
+        if isinstance(answer, CallFailed):
+            return _lease_failure(answer)
+        return LeaseLapsed()
+
+    async def watch(
+        self, prefix: str, after: Revision
+    ) -> AsyncIterator[WatchEvent | WatchLost]:
+        """Yield changes under `prefix` later than `after`; ends with `WatchLost`."""
+        if not await self._bucket.acquire(self._deadline_s()):
+            yield WatchLost("the rate bound was reached")
+            return
+        self.n_calls += 1
+        url = self._addresses[self._address_index] + "/v3/watch"
+        request = msgspec.json.encode(_watch_request(prefix, after))
+        silence_s = self._options.watch_silence_s
+        async for line in self._caller.lines(url, request, silence_s):
+            event = _read_watch_line(line)
+            if isinstance(event, WatchLost):
+                self._use_next_address()
+                yield event
+                return
+            if event is not None:
+                yield event
+
+    async def _repeat(
+        self, path: str, request: msgspec.Struct, response_type: type[Response]
+    ) -> Response | CallFailed:
+        """Send a call that may be repeated, to one address after the other."""
+        body = msgspec.json.encode(request)
+        deadline_s = self._deadline_s()
+        try_timeout_s = self._options.try_timeout_s
+        n_tries = max(N_MIN_TRIES, len(self._addresses))
+        answer: bytes | CallFailed = CallFailed("no time to try", False)
+        for _ in range(n_tries):
+            answer = await self._send(path, body, deadline_s, try_timeout_s)
+            if not _is_retryable(answer):
+                break
+        return self._decode(answer, response_type)
+
+    async def _send_once(
+        self, path: str, request: msgspec.Struct, response_type: type[Response]
+    ) -> Response | CallFailed:
+        """Send a call until it may have taken effect."""
+        body = msgspec.json.encode(request)
+        deadline_s = self._deadline_s()
+        answer: bytes | CallFailed = CallFailed("no time to try", False)
+        for _ in self._addresses:
+            answer = await self._send(path, body, deadline_s, math.inf)
+            if not isinstance(answer, CallFailed) or answer.may_have_applied:
+                break
+            if answer.status:
+                break
+        return self._decode(answer, response_type)
+
+    async def _send(
+        self, path: str, body: bytes, deadline_s: float, try_timeout_s: float
+    ) -> bytes | CallFailed:
+        """Send to the current address; after a failure the next one is current."""
+        if not await self._bucket.acquire(deadline_s):
+            return CallFailed("the rate bound was reached", may_have_applied=False)
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        timeout_s = min(left_s, try_timeout_s)
+        url = self._addresses[self._address_index] + path
+        self.n_calls += 1
+        answer = await self._caller.call("POST", url, body, timeout_s)
+        if _is_retryable(answer):
+            self._use_next_address()
+        return answer
+
+    def _decode(
+        self, answer: bytes | CallFailed, response_type: type[Response]
+    ) -> Response | CallFailed:
+        if isinstance(answer, CallFailed):
+            self.n_failed += 1
+            return answer
+        try:
+            return msgspec.json.decode(answer, type=response_type)
+        except msgspec.DecodeError as error:
+            self.n_failed += 1
+            return CallFailed(f"not understood: {error}", may_have_applied=True)
+
+    def _deadline_s(self) -> float:
+        return asyncio.get_running_loop().time() + self._options.call_timeout_s
+
+    def _use_next_address(self) -> None:
+        self._address_index = (self._address_index + 1) % len(self._addresses)
+
+
+@store_adapter("etcd_json")
+def _make_store(addresses: tuple[str, ...], tls: TlsSource | None = None) -> Store:
+    return EtcdJsonStore(addresses, tls=tls)
+
+
+def _is_retryable(answer: bytes | CallFailed) -> bool:
+    """Tell whether another address may answer what this one did not."""
+    return isinstance(answer, CallFailed) and not 400 <= answer.status < 500
+
+
+def _item(kv: etcd.EtcdKeyValue) -> KeyValue:
+    return KeyValue(kv.key.decode(), kv.value, Revision(int(kv.mod_revision)))
+
+
+def _prefix_range(prefix: str) -> tuple[bytes, bytes]:
+    first = prefix.encode()
+    return first or etcd.ALL_KEYS, etcd.range_end_of_prefix(first)
+
+
+def _swap_request(
+    key: bytes, expected: Revision, value: bytes | None, lease_id: LeaseId | None
+) -> etcd.TxnRequest:
+    compare = etcd.Compare(key, mod_revision=str(expected), target="MOD")
+    if value is None:
+        change = etcd.RequestOp(request_delete_range=etcd.DeleteRangeRequest(key))
+    else:
+        put = etcd.PutRequest(key, value, lease=str(lease_id or 0))
+        change = etcd.RequestOp(request_put=put)
+    read = etcd.RequestOp(request_range=etcd.RangeRequest(key))
+    return etcd.TxnRequest((compare,), (change,), (read,))
+
+
+def _conflicting_item(answer: etcd.TxnResponse) -> KeyValue | None:
+    for one in answer.responses:
+        if one.response_range is not None and one.response_range.kvs:
+            return _item(one.response_range.kvs[0])
+    return None
+
+
+def _lease_failure(answer: CallFailed) -> LeaseLapsed | Unavailable:
+    """Read an answer that says that there is no such lease."""
+    if answer.status == 404:
+        try:
+            error = msgspec.json.decode(answer.body, type=etcd.ErrorBody)
+        except msgspec.DecodeError:
+            return Unavailable(answer.reason)
+        if error.code == etcd.CODE_NOT_FOUND:
+            return LeaseLapsed()
+    return Unavailable(answer.reason, answer.may_have_applied)
+
+
+def _watch_request(prefix: str, after: Revision) -> etcd.WatchRequest:
+    first, end = _prefix_range(prefix)
+    create = etcd.WatchCreateRequest(
+        first, end, start_revision=str(after + 1), progress_notify=True
+    )
+    return etcd.WatchRequest(create)
+
+
+def _read_watch_line(line: bytes | CallFailed) -> WatchEvent | WatchLost | None:
+    if isinstance(line, CallFailed):
+        return WatchLost(line.reason)
+    try:
+        body = msgspec.json.decode(line, type=etcd.WatchLine)
+    except msgspec.DecodeError as error:
+        return WatchLost(f"not understood: {error}")
+    if body.error is not None or body.result is None:
+        return WatchLost(f"the store refused: {body.error}")
+    result = body.result
+    if int(result.compact_revision) > 0:
+        return WatchLost(f"history compacted at {result.compact_revision}")
+    if result.canceled:
+        return WatchLost(f"the store cancelled: {result.cancel_reason}")
+    return _join_events(result.events) if result.events else None
+
+
+def _join_events(events: tuple[etcd.EtcdEvent, ...]) -> WatchEvent:
+    """Join events to one that holds the last state of each key."""
+    last = {event.kv.key: event for event in events}
+    return WatchEvent(
+        tuple(_item(one.kv) for one in last.values() if one.type == "PUT"),
+        tuple(key.decode() for key, one in last.items() if one.type == "DELETE"),
+        Revision(max(int(event.kv.mod_revision) for event in events)),
+    )
--- /dev/null
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -0,0 +1,230 @@
+"""HTTP calls with a deadline, and connections that are replaced once suspect.
+
+A pooled connection may have gone silent for good while new ones work. When a call
+ends without an answer, the whole pool is retired: later calls open new connections,
+and the old pool is closed when the last call on it has ended.
+
+A failed call says whether the service may have acted on it: not when no connection
+could be made or when the answer was a refusal (status 400 to 499).
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Final
+
+import aiohttp
+from aiohttp.client import _RequestContextManager
+
+from almondspan_platform.registry import TlsSource
+
+__all__ = ["CallFailed", "HttpCaller", "HttpOptions"]
+
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
+
+MAX_LINE_BYTES: Final = 64_000_000
+"""The longest line that a stream may send."""
+
+_EXPECTED_ERRORS: Final = (aiohttp.ClientError, OSError, TimeoutError)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpOptions:
+    """Limits of the connections.
+
+    Attributes
+    ----------
+    connect_timeout_s : float
+        Time for a new connection, in seconds.
+    keepalive_s : float
+        Time that an idle connection is kept, in seconds.
+    n_connections : int
+        Connections open at once, watches included.
+    """
+
+    connect_timeout_s: float = 0.5
+    keepalive_s: float = 10.0
+    n_connections: int = 32
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """A call without a good answer; ``status`` is 0 when there was none at all."""
+
+    reason: str
+    may_have_applied: bool
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass(slots=True, eq=False)
+class _Pool:
+    session: aiohttp.ClientSession
+    n_in_use: int = 0
+
+
+class HttpCaller:
+    """Makes calls to any number of addresses over one pool of connections."""
+
+    def __init__(
+        self, options: HttpOptions = HttpOptions(), tls: TlsSource | None = None
+    ) -> None:
+        self._options: Final = options
+        self._tls: Final = tls
+        self._pool: _Pool | None = None
+        self._retired: set[_Pool] = set()
+        self.n_pools_retired = 0
+
+    async def start(self) -> None:
+        """Open an empty pool."""
+        self._pool = self._open_pool()
+
+    async def close(self) -> None:
+        """Close all connections; pending calls fail."""
+        pools = [*self._retired, *([self._pool] if self._pool else [])]
+        self._pool = None
+        for pool in pools:
+            await pool.session.close()
+
+    async def call(
+        self, method: str, url: str, body: bytes | None, timeout_s: float
+    ) -> bytes | CallFailed:
+        """Make one call and return the body of its answer (status 200)."""
+        pool = self._pool
+        if pool is None:
+            return CallFailed("the client is closed", may_have_applied=False)
+        pool.n_in_use += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                async with self._request(pool, method, url, body) as response:
+                    data = await response.read()
+        except _EXPECTED_ERRORS as error:
+            return self._on_error(pool, error)
+        finally:
+            await self._leave(pool)
+        return data if response.status == 200 else _refusal(response, data)
+
+    async def lines(
+        self, url: str, body: bytes, silence_s: float
+    ) -> AsyncIterator[bytes | CallFailed]:
+        """Make a call and yield the lines of its answer as they arrive.
+
+        The last item is a `CallFailed`. The stream fails when no byte arrives for
+        `silence_s`; time that the consumer takes does not count.
+        """
+        pool = self._pool
+        if pool is None:
+            yield CallFailed("the client is closed", may_have_applied=False)
+            return
+        pool.n_in_use += 1
+        response: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(silence_s):
+                response = await self._request(pool, "POST", url, body)
+            if response.status != 200:
+                yield _refusal(response, await _read_within(response, silence_s))
+                return
+            splitter = _LineSplitter()
+            while chunk := await _chunk_within(response, silence_s):
+                for line in splitter.split(chunk):
+                    yield line
+            failure = CallFailed("the service ended the stream", False)
+        except _EXPECTED_ERRORS as error:
+            failure = self._on_error(pool, error)
+        finally:
+            if response is not None:
+                response.close()
+            await self._leave(pool)
+        yield failure
+
+    def _request(
+        self, pool: _Pool, method: str, url: str, body: bytes | None
+    ) -> "_RequestContextManager":
+        return pool.session.request(
+            method,
+            url,
+            data=body,
+            headers=JSON_HEADERS,
+            ssl=self._tls() if self._tls is not None else True,
+            allow_redirects=False,
+        )
+
+    def _on_error(self, pool: _Pool, error: Exception) -> CallFailed:
+        if isinstance(error, aiohttp.ClientConnectorError):
+            return CallFailed(f"no connection: {error}", may_have_applied=False)
+        if isinstance(error, aiohttp.ConnectionTimeoutError):
+            return CallFailed("no connection in time", may_have_applied=False)
+        self._retire(pool)
+        if isinstance(error, TimeoutError):
+            return CallFailed("no answer in time", may_have_applied=True)
+        reason = f"no answer: {type(error).__name__} {error}"
+        return CallFailed(reason, may_have_applied=True)
+
+    def _open_pool(self) -> _Pool:
+        options = self._options
+        connector = aiohttp.TCPConnector(
+            limit=options.n_connections, keepalive_timeout=options.keepalive_s
+        )
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=options.connect_timeout_s
+        )
+        return _Pool(
+            aiohttp.ClientSession(
+                connector=connector,
+                timeout=timeout,
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        )
+
+    def _retire(self, pool: _Pool) -> None:
+        if pool is self._pool:
+            self._pool = self._open_pool()
+            self._retired.add(pool)
+            self.n_pools_retired += 1
+
+    async def _leave(self, pool: _Pool) -> None:
+        pool.n_in_use -= 1
+        if pool in self._retired and pool.n_in_use == 0:
+            self._retired.discard(pool)
+            await pool.session.close()
+
+
+class _LineSplitter:
+    """Joins chunks and splits them at line ends."""
+
+    def __init__(self) -> None:
+        self._rest = bytearray()
+
+    def split(self, chunk: bytes) -> list[bytes]:
+        """Add a chunk and return the lines that it completes.
+
+        Raises
+        ------
+        aiohttp.ClientPayloadError
+            When a line is longer than `MAX_LINE_BYTES`.
+        """
+        first, *others = chunk.split(b"\n")
+        self._rest += first
+        lines = []
+        for other in others:
+            lines.append(bytes(self._rest))
+            self._rest = bytearray(other)
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise aiohttp.ClientPayloadError("a line is too long")
+        return [line for line in lines if line.strip()]
+
+
+async def _chunk_within(response: aiohttp.ClientResponse, silence_s: float) -> bytes:
+    async with asyncio.timeout(silence_s):
+        return await response.content.readany()
+
+
+async def _read_within(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
+    async with asyncio.timeout(timeout_s):
+        return await response.read()
+
+
+def _refusal(response: aiohttp.ClientResponse, body: bytes) -> CallFailed:
+    may_have_applied = not 400 <= response.status < 500
+    reason = f"status {response.status}"
+    return CallFailed(reason, may_have_applied, response.status, body)
--- /dev/null
+++ b/packages/platform/almondspan_platform/http_json.py
@@ -0,0 +1,182 @@
+"""The worker adapter ``http_json``: the worker's API as JSON over HTTP.
+
+A call without an answer is sent once more over a new connection while its deadline
+allows; what is still unanswered then is `WorkerUnavailable`, and may have taken
+effect. A start is sent again only when the first send cannot have taken effect: a
+worker that refuses the second send could still accept the first, delayed one, and
+the caller would hold a refusal of an attempt that runs.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any, Final, TypeVar
+
+import msgspec
+
+from almondspan_decisions.ids import TaskId
+from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
+from almondspan_platform.registry import TlsSource, worker_adapter
+from almondspan_platform.token_bucket import TokenBucket
+from almondspan_platform.worker import (
+    StartAttempt,
+    StartResult,
+    Worker,
+    WorkerAttempt,
+    WorkerInfo,
+    WorkerUnavailable,
+    WorkerUsage,
+)
+from almondspan_platform.worker_messages import (
+    AttemptRef,
+    AttemptRefs,
+    Started,
+    ThrottleRequest,
+    Took,
+)
+
+__all__ = ["HttpJsonWorker", "HttpJsonWorkerOptions"]
+
+N_TRIES: Final = 2
+"""Sends of one call."""
+
+START_PATH: Final = "attempts/start"
+
+Response = TypeVar("Response")
+
+
+def _http_options() -> HttpOptions:
+    return HttpOptions(n_connections=8)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpJsonWorkerOptions:
+    """Limits of one client; times in seconds."""
+
+    call_timeout_s: float = 2.0
+    try_timeout_s: float = 1.0
+    calls_per_s: float = 200.0
+    n_burst: int = 200
+    http: HttpOptions = field(default_factory=_http_options)
+
+
+class HttpJsonWorker:
+    """A client; see `almondspan_platform.worker.Worker`."""
+
+    def __init__(
+        self,
+        address: str,
+        options: HttpJsonWorkerOptions = HttpJsonWorkerOptions(),
+        tls: TlsSource | None = None,
+    ) -> None:
+        self._address: Final = address
+        self._options: Final = options
+        self._caller: Final = HttpCaller(options.http, tls)
+        self._bucket: Final = TokenBucket(options.calls_per_s, options.n_burst)
+        self.n_calls = 0
+        self.n_failed = 0
+
+    async def start(self) -> None:
+        """Open the client."""
+        await self._caller.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._caller.close()
+
+    async def info(self) -> WorkerInfo | WorkerUnavailable:
+        """Return the worker's capacity and lease time."""
+        return await self._call("GET", "info", None, WorkerInfo)
+
+    async def list_attempts(self) -> tuple[WorkerAttempt, ...] | WorkerUnavailable:
+        """Return every attempt that was not forgotten."""
+        return await self._call("GET", "attempts", None, tuple[WorkerAttempt, ...])
+
+    async def start_attempt(
+        self, request: StartAttempt
+    ) -> StartResult | WorkerUnavailable:
+        """Run an attempt once."""
+        answer = await self._call("POST", START_PATH, request, Started)
+        return answer if isinstance(answer, WorkerUnavailable) else answer.result
+
+    async def renew(
+        self, attempts: tuple[tuple[TaskId, int], ...]
+    ) -> tuple[tuple[TaskId, int], ...] | WorkerUnavailable:
+        """Renew leases; return the attempts that no longer run."""
+        body = AttemptRefs.of(attempts)
+        answer = await self._call("POST", "attempts/renew", body, AttemptRefs)
+        return answer if isinstance(answer, WorkerUnavailable) else answer.keys()
+
+    async def throttle(
+        self, task_id: TaskId, attempt: int, share: float
+    ) -> bool | WorkerUnavailable:
+        """Limit a task to a share of its shape."""
+        return await self._change("throttle", ThrottleRequest(task_id, attempt, share))
+
+    async def checkpoint(
+        self, task_id: TaskId, attempt: int
+    ) -> bool | WorkerUnavailable:
+        """Save a checkpoint, then stop."""
+        return await self._change("checkpoint", AttemptRef(task_id, attempt))
+
+    async def stop(self, task_id: TaskId, attempt: int) -> bool | WorkerUnavailable:
+        """Stop at once."""
+        return await self._change("stop", AttemptRef(task_id, attempt))
+
+    async def forget(
+        self, attempts: tuple[tuple[TaskId, int], ...]
+    ) -> bool | WorkerUnavailable:
+        """Drop ended attempts from the list."""
+        return await self._change("forget", AttemptRefs.of(attempts))
+
+    async def usage(self) -> WorkerUsage | WorkerUnavailable:
+        """Return usage, measured some time ago."""
+        return await self._call("GET", "usage", None, WorkerUsage)
+
+    async def _change(
+        self, verb: str, request: msgspec.Struct
+    ) -> bool | WorkerUnavailable:
+        answer = await self._call("POST", f"attempts/{verb}", request, Took)
+        return answer if isinstance(answer, WorkerUnavailable) else answer.took
+
+    async def _call(
+        self, method: str, path: str, request: Any, response_type: type[Response]
+    ) -> Response | WorkerUnavailable:
+        body = None if request is None else msgspec.json.encode(request)
+        deadline_s = asyncio.get_running_loop().time() + self._options.call_timeout_s
+        may_have_applied = False
+        reason = ""
+        for _ in range(N_TRIES):
+            answer = await self._send(method, path, body, deadline_s)
+            if not isinstance(answer, CallFailed):
+                return self._decode(answer, response_type)
+            reason = answer.reason
+            may_have_applied |= answer.may_have_applied
+            if answer.status or (may_have_applied and path == START_PATH):
+                break
+        self.n_failed += 1
+        return WorkerUnavailable(reason, may_have_applied)
+
+    async def _send(
+        self, method: str, path: str, body: bytes | None, deadline_s: float
+    ) -> bytes | CallFailed:
+        if not await self._bucket.acquire(deadline_s):
+            return CallFailed("the rate bound was reached", may_have_applied=False)
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        timeout_s = min(left_s, self._options.try_timeout_s)
+        self.n_calls += 1
+        url = f"{self._address}/v1/{path}"
+        return await self._caller.call(method, url, body, timeout_s)
+
+    def _decode(
+        self, answer: bytes, response_type: type[Response]
+    ) -> Response | WorkerUnavailable:
+        try:
+            return msgspec.json.decode(answer, type=response_type)
+        except msgspec.DecodeError as error:
+            self.n_failed += 1
+            return WorkerUnavailable(f"not understood: {error}")
+
+
+@worker_adapter("http_json")
+def _make_worker(address: str, tls: TlsSource | None = None) -> Worker:
+    return HttpJsonWorker(address, tls=tls)
--- /dev/null
+++ b/packages/platform/almondspan_platform/worker_messages.py
@@ -0,0 +1,58 @@
+"""Bodies of the worker's HTTP and JSON API, version 1.
+
+Bytes are base64, states are the values of their `Enum`. `StartAttempt`,
+`WorkerInfo`, `WorkerUsage` and lists of `WorkerAttempt` are sent as they are.
+"""
+
+import msgspec
+
+from almondspan_decisions.ids import TaskId
+from almondspan_platform.worker import StartResult
+
+__all__ = ["AttemptRef", "AttemptRefs", "Started", "ThrottleRequest", "Took"]
+
+
+class AttemptRef(msgspec.Struct, frozen=True):
+    """Names one attempt."""
+
+    task_id: TaskId
+    attempt: int
+
+    def key(self) -> tuple[TaskId, int]:
+        """Return the pair that names the attempt."""
+        return (self.task_id, self.attempt)
+
+
+class AttemptRefs(msgspec.Struct, frozen=True):
+    """Names attempts: those to renew or forget, or those that no longer run."""
+
+    attempts: tuple[AttemptRef, ...]
+
+    @classmethod
+    def of(cls, keys: tuple[tuple[TaskId, int], ...]) -> "AttemptRefs":
+        """Make a body of pairs."""
+        return cls(tuple(AttemptRef(task, attempt) for task, attempt in keys))
+
+    def keys(self) -> tuple[tuple[TaskId, int], ...]:
+        """Return the pairs that name the attempts."""
+        return tuple(ref.key() for ref in self.attempts)
+
+
+class ThrottleRequest(msgspec.Struct, frozen=True):
+    """Limits an attempt to ``share`` (0 to 1) of its shape."""
+
+    task_id: TaskId
+    attempt: int
+    share: float
+
+
+class Started(msgspec.Struct, frozen=True):
+    """The answer to a start."""
+
+    result: StartResult
+
+
+class Took(msgspec.Struct, frozen=True):
+    """The answer to a change; False when the attempt does not run."""
+
+    took: bool
--- /dev/null
+++ b/packages/standins/almondspan_standins/bodies.py
@@ -0,0 +1,30 @@
+"""The bodies that a runner answers with: pure functions of what was asked for."""
+
+import hashlib
+from typing import Final
+
+import msgspec
+
+__all__ = ["BillAnswer", "bill_body", "clip_body"]
+
+N_MIN_BYTES: Final = 1024
+N_SPREAD_BYTES: Final = 15 * 1024
+
+
+class BillAnswer(msgspec.Struct, frozen=True):
+    """The answer to a bill."""
+
+    bill_id: str
+    request_id: str
+
+
+def clip_body(clip_id: str) -> bytes:
+    """Return the bytes of a clip, between 1 and 16 KiB long."""
+    digest = hashlib.shake_128(clip_id.encode())
+    spread = int.from_bytes(digest.digest(4), "big") % N_SPREAD_BYTES
+    return digest.digest(N_MIN_BYTES + spread)
+
+
+def bill_body(bill_id: str, request_id: str) -> bytes:
+    """Return the answer to a bill, as JSON."""
+    return msgspec.json.encode(BillAnswer(bill_id, request_id))
--- a/packages/standins/almondspan_standins/memory_store.py
+++ b/packages/standins/almondspan_standins/memory_store.py
@@ -124,53 +124,47 @@
     ) -> AsyncIterator[WatchEvent | WatchLost]:
         """Yield changes under `prefix` later than `after`; ends with `WatchLost`."""
         changed = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        last_heard_s = loop.time()
         self._wakers.add(changed.set)
         try:
             with self._core.watching(changed.set):
                 while True:
                     changed.clear()
-                    if self._is_closed or self._joined_faults().outage:
-                        yield WatchLost("the connection was cut")
+                    event = await self._next_event(prefix, after)
+                    if event is None:
+                        await self._wait(changed)
+                        continue
+                    yield event
+                    if isinstance(event, WatchLost):
                         return
-                    if self._joined_faults().watch_silent:
-                        if loop.time() >= last_heard_s + self._options.watch_silence_s:
-                            yield WatchLost("nothing arrived within the limit")
-                            return
-                    else:
-                        last_heard_s = loop.time()
-                        event = self._next_event(prefix, after)
-                        if isinstance(event, WatchLost):
-                            yield event
-                            return
-                        if event is not None:
-                            after = event.revision
-                            await asyncio.sleep(self._joined_faults().delay_s)
-                            yield event
-                            continue
-                    await self._wait(changed, last_heard_s)
+                    after = event.revision
         finally:
             self._wakers.discard(changed.set)
 
-    def _next_event(
+    async def _next_event(
         self, prefix: str, after: Revision
     ) -> WatchEvent | WatchLost | None:
+        """Return what the watch sees now, None for nothing.
+
+        A watch that has once gone silent stays so until its limit.
+        """
+        faults = self._joined_faults()
+        if self._is_closed or faults.outage:
+            return WatchLost("the connection was cut")
+        if faults.watch_silent:
+            await asyncio.sleep(self._options.watch_silence_s)
+            return WatchLost("nothing arrived within the limit")
         changes = self._core.changes_after(prefix, after)
         if isinstance(changes, Compacted):
             return WatchLost(f"history compacted at {changes.revision}")
-        return event_of_changes(changes) if changes else None
-
-    async def _wait(self, changed: asyncio.Event, last_heard_s: float) -> None:
-        """Wait for a change, the next lapse or the end of the silence limit."""
-        times_s = []
-        lapse_s = self._core.next_lapse_s()
-        if self._joined_faults().watch_silent:
-            times_s.append(last_heard_s + self._options.watch_silence_s)
-        elif lapse_s is not None:
-            times_s.append(lapse_s)
+        if not changes:
+            return None
+        await asyncio.sleep(faults.delay_s)
+        return event_of_changes(changes)
+
+    async def _wait(self, changed: asyncio.Event) -> None:
+        """Wait for a change, changed faults or the next lapse of a lease."""
         try:
-            async with asyncio.timeout_at(min(times_s, default=None)):
+            async with asyncio.timeout_at(self._core.next_lapse_s()):
                 await changed.wait()
         except TimeoutError:
             return
--- /dev/null
+++ b/packages/standins/almondspan_standins/runner.py
@@ -0,0 +1,65 @@
+"""Runs a runner stand-in: ``python -m almondspan_standins.runner --port 0``."""
+
+import argparse
+import asyncio
+import random
+
+from almondspan_standins.runner_app import RunnerApp, RunnerOptions
+from almondspan_standins.serving import (
+    HttpServer,
+    Listening,
+    base_parser,
+    run_until_terminated,
+)
+
+__all__ = ["add_runner_arguments", "main", "make_runner"]
+
+
+def add_runner_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the options of a runner's limits and latencies."""
+    defaults = RunnerOptions()
+    parser.add_argument("--service", default=defaults.service)
+    parser.add_argument("--slots", type=int, default=defaults.n_slots)
+    parser.add_argument("--connections", type=int, default=defaults.n_connections)
+    parser.add_argument("--median-ms", type=float, default=defaults.median_ms)
+    parser.add_argument("--sigma", type=float, default=defaults.sigma)
+    parser.add_argument(
+        "--straggler-share", type=float, default=defaults.straggler_share
+    )
+    parser.add_argument(
+        "--straggler-factor", type=float, default=defaults.straggler_factor
+    )
+
+
+def make_runner(options: argparse.Namespace, seed: int) -> RunnerApp:
+    """Return a runner with the limits that the options give."""
+    runner_options = RunnerOptions(
+        options.service,
+        options.slots,
+        options.connections,
+        options.median_ms,
+        options.sigma,
+        options.straggler_share,
+        options.straggler_factor,
+    )
+    return RunnerApp(runner_options, random.Random(seed))
+
+
+async def _serve(options: argparse.Namespace) -> None:
+    runner = make_runner(options, options.seed)
+    server = HttpServer(runner.app)
+    runner.n_open_connections = lambda: server.n_connections
+    await server.start(options.host, options.port)
+    await run_until_terminated(Listening(server.address))
+    await server.close()
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    parser = base_parser("A stand-in of a runner.")
+    add_runner_arguments(parser)
+    asyncio.run(_serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/almondspan_standins/store_app.py
@@ -0,0 +1,272 @@
+"""A store over HTTP, in the JSON form that etcd v3 publishes.
+
+Only what the almondspan adapter sends is served: single keys and prefixes,
+transactions of one condition on a key's revision with one change, leases, watches.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from almondspan_platform import etcd_messages as etcd
+from almondspan_platform.store import (
+    KeyValue,
+    LeaseId,
+    LeaseLapsed,
+    Revision,
+    Swapped,
+)
+from almondspan_standins.faults import StoreFaults
+from almondspan_standins.serving import (
+    JSON_TYPE,
+    add_debug_routes,
+    fault_middleware,
+    json_answer,
+    read_json,
+)
+from almondspan_standins.store_core import Change, Compacted, LeaseUnknown, StoreCore
+
+__all__ = ["StoreApp", "StoreDebug"]
+
+PROGRESS_S: Final = 2.0
+
+Answer = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class StoreDebug(msgspec.Struct, frozen=True):
+    """What the store counts; a waiting watch is one call of kind ``watch``."""
+
+    revision: int
+    n_calls: dict[str, int]
+    n_watches_open: int
+    faults: StoreFaults
+
+
+class StoreApp:
+    """The HTTP handlers of one store."""
+
+    def __init__(
+        self, core: StoreCore, rng: random.Random, progress_s: float = PROGRESS_S
+    ) -> None:
+        self._core: Final = core
+        self._progress_s: Final = progress_s
+        self._now: Final = asyncio.get_running_loop().time
+        faults = fault_middleware(lambda: core.faults, rng)
+        self.app: Final = web.Application(middlewares=[faults], client_max_size=2**22)
+        routes: dict[str, Answer] = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._txn,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep,
+            "/v3/lease/revoke": self._revoke,
+            "/v3/kv/lease/revoke": self._revoke,
+            "/v3/watch": self._watch,
+        }
+        for path, handler in routes.items():
+            self.app.router.add_post(path, handler)
+        add_debug_routes(self.app, self.describe, StoreFaults, self._set_faults)
+
+    def describe(self) -> StoreDebug:
+        """Return the counters."""
+        core = self._core
+        n_calls = {kind.value: n for kind, n in core.n_calls.items()}
+        return StoreDebug(core.revision, n_calls, core.n_watches_open, core.faults)
+
+    def _set_faults(self, faults: StoreFaults) -> None:
+        self._core.faults = faults
+
+    def _header(self) -> etcd.ResponseHeader:
+        return etcd.ResponseHeader("1", "1", str(self._core.revision), "1")
+
+    async def _range(self, request: web.Request) -> web.Response:
+        body = await read_json(request, etcd.RangeRequest)
+        if body.range_end:
+            items = self._core.get_range(_prefix(body.key, body.range_end)).items
+        else:
+            item = self._core.get(body.key.decode())
+            items = () if item is None else (item,)
+        return json_answer(_range_response(self._header(), items))
+
+    async def _txn(self, request: web.Request) -> web.Response:
+        body = await read_json(request, etcd.TxnRequest)
+        compare, change = _only_change(body)
+        put = change.request_put
+        lease_id = LeaseId(int(put.lease)) if put is not None else LeaseId(0)
+        outcome = self._core.compare_and_swap(
+            compare.key.decode(),
+            Revision(int(compare.mod_revision)),
+            put.value if put is not None else None,
+            lease_id or None,
+        )
+        if isinstance(outcome, LeaseUnknown):
+            return _error("etcdserver: requested lease not found")
+        if isinstance(outcome, Swapped):
+            done = etcd.PutResponse(self._header())
+            response = etcd.ResponseOp(response_put=done)
+            if put is None:
+                response = etcd.ResponseOp(response_delete_range=done)
+            return json_answer(etcd.TxnResponse(self._header(), True, (response,)))
+        items = () if outcome.item is None else (outcome.item,)
+        read = _range_response(self._header(), items)
+        response = etcd.ResponseOp(response_range=read)
+        return json_answer(etcd.TxnResponse(self._header(), False, (response,)))
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        body = await read_json(request, etcd.LeaseGrantRequest)
+        granted = self._core.grant_lease(float(int(body.TTL)))
+        return json_answer(
+            etcd.LeaseGrantResponse(
+                self._header(), str(granted.lease_id), str(round(granted.ttl_s))
+            )
+        )
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        body = await read_json(request, etcd.LeaseKeepAliveRequest)
+        outcome = self._core.keep_lease(LeaseId(int(body.ID)))
+        ttl_s = 0 if isinstance(outcome, LeaseLapsed) else round(outcome.ttl_s)
+        kept = etcd.LeaseKeepAliveResponse(self._header(), body.ID, str(ttl_s))
+        return json_answer(etcd.LeaseKeepAliveLine(kept))
+
+    async def _revoke(self, request: web.Request) -> web.Response:
+        body = await read_json(request, etcd.LeaseRevokeRequest)
+        lease_id = LeaseId(int(body.ID))
+        if not self._core.holds_lease(lease_id):
+            return _error("etcdserver: requested lease not found")
+        self._core.revoke_lease(lease_id)
+        return json_answer(etcd.PutResponse(self._header()))
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        body = (await read_json(request, etcd.WatchRequest)).create_request
+        response = web.StreamResponse(headers={"Content-Type": JSON_TYPE})
+        await response.prepare(request)
+        changed = asyncio.Event()
+        with self._core.watching(changed.set):
+            try:
+                await self._stream(request, response, body, changed)
+            except ConnectionError:
+                return response
+        return response
+
+    async def _stream(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        body: etcd.WatchCreateRequest,
+        changed: asyncio.Event,
+    ) -> None:
+        """Send changes and progress notices until the connection ends.
+
+        A stream that has once gone silent stays so: it stands for a connection
+        that something on its way no longer knows.
+        """
+        prefix = _prefix(body.key, body.range_end)
+        after = Revision(int(body.start_revision) - 1)
+        await _send_line(response, etcd.WatchResponse(self._header(), created=True))
+        sent_s = self._now()
+        while not _is_gone(request):
+            changed.clear()
+            faults = self._core.faults
+            if faults.outage and request.transport is not None:
+                request.transport.abort()
+                return
+            if faults.watch_silent:
+                await self._stay_silent(request, changed)
+                return
+            changes = self._core.changes_after(prefix, after)
+            if isinstance(changes, Compacted):
+                await _send_line(response, self._compacted(changes))
+                return
+            if changes:
+                after = changes[-1].revision
+                await asyncio.sleep(faults.delay_s)
+                await _send_line(response, self._events(changes))
+                sent_s = self._now()
+                continue
+            if self._now() >= sent_s + self._progress_s:
+                await _send_line(response, etcd.WatchResponse(self._header()))
+                sent_s = self._now()
+            await self._wait(changed, sent_s + self._progress_s)
+
+    async def _wait(self, changed: asyncio.Event, until_s: float) -> None:
+        """Wait for a change, the lapse of a lease or a time of the loop."""
+        lapse_s = self._core.next_lapse_s()
+        if lapse_s is not None:
+            until_s = min(until_s, lapse_s)
+        try:
+            async with asyncio.timeout_at(until_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+    async def _stay_silent(self, request: web.Request, changed: asyncio.Event) -> None:
+        """Hold the connection open without sending, until the client leaves."""
+        while not _is_gone(request):
+            changed.clear()
+            await self._wait(changed, self._now() + self._progress_s)
+
+    def _compacted(self, changes: Compacted) -> etcd.WatchResponse:
+        return etcd.WatchResponse(
+            self._header(), canceled=True, compact_revision=str(changes.revision + 1)
+        )
+
+    def _events(self, changes: list[Change]) -> etcd.WatchResponse:
+        return etcd.WatchResponse(
+            self._header(), events=tuple(_event(change) for change in changes)
+        )
+
+
+async def _send_line(response: web.StreamResponse, message: etcd.WatchResponse) -> None:
+    line = msgspec.json.encode(etcd.WatchLine(message))
+    await response.write(line + b"\n")
+
+
+def _is_gone(request: web.Request) -> bool:
+    return request.transport is None or request.transport.is_closing()
+
+
+def _event(change: Change) -> etcd.EtcdEvent:
+    if change.item is not None:
+        return etcd.EtcdEvent(_kv(change.item))
+    revision = str(change.revision)
+    kv = etcd.EtcdKeyValue(change.key.encode(), mod_revision=revision)
+    return etcd.EtcdEvent(kv, "DELETE")
+
+
+def _kv(item: KeyValue) -> etcd.EtcdKeyValue:
+    return etcd.EtcdKeyValue(
+        item.key.encode(), mod_revision=str(item.revision), value=item.value
+    )
+
+
+def _range_response(
+    header: etcd.ResponseHeader, items: tuple[KeyValue, ...]
+) -> etcd.RangeResponse:
+    kvs = tuple(_kv(item) for item in items)
+    return etcd.RangeResponse(header, kvs, count=str(len(kvs)))
+
+
+def _prefix(key: bytes, range_end: bytes) -> str:
+    """Return the prefix that a range stands for."""
+    prefix = b"" if key == etcd.ALL_KEYS else key
+    if range_end != etcd.range_end_of_prefix(prefix):
+        raise web.HTTPBadRequest(text="only ranges of a prefix are served")
+    return prefix.decode()
+
+
+def _only_change(body: etcd.TxnRequest) -> tuple[etcd.Compare, etcd.RequestOp]:
+    """Return the one condition and the one change of a transaction."""
+    if len(body.compare) != 1 or len(body.success) != 1:
+        raise web.HTTPBadRequest(text="only one condition and one change are served")
+    compare = body.compare[0]
+    if compare.target != "MOD" or compare.result != "EQUAL":
+        raise web.HTTPBadRequest(text="only an equal revision is served")
+    return compare, body.success[0]
+
+
+def _error(reason: str) -> web.Response:
+    body = etcd.ErrorBody(reason, etcd.CODE_NOT_FOUND, reason)
+    return json_answer(body, status=404)
--- a/packages/standins/almondspan_standins/store_core.py
+++ b/packages/standins/almondspan_standins/store_core.py
@@ -33,7 +33,14 @@
 )
 from almondspan_standins.faults import StoreFaults
 
-__all__ = ["CallKind", "Change", "Compacted", "LeaseUnknown", "StoreCore"]
+__all__ = [
+    "CallKind",
+    "Change",
+    "Compacted",
+    "LeaseUnknown",
+    "StoreCore",
+    "event_of_changes",
+]
 
 FIRST_REVISION: Final = Revision(1)
 N_HISTORY: Final = 20_000
@@ -161,6 +168,11 @@
         self._earliest_lapse_s = min(self._earliest_lapse_s, lapses_s)
         return LeaseGranted(lease_id, ttl_s)
 
+    def holds_lease(self, lease_id: LeaseId) -> bool:
+        """Tell whether a lease holds now."""
+        self.collect_lapsed()
+        return lease_id in self._leases
+
     def keep_lease(self, lease_id: LeaseId) -> LeaseGranted | LeaseLapsed:
         """Begin a lease's time anew."""
         self.n_calls[CallKind.LEASE] += 1
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -291,6 +291,10 @@
         """Return the attempts that hold a part of the capacity."""
         return [one for one in self._attempts.values() if one.ended_s is None]
 
+    def running_keys(self) -> list[AttemptKey]:
+        """Return the attempts that hold a part of the capacity, by their names."""
+        return [one.key for one in self.running()]
+
     def running_classes(self) -> list[tuple[TaskClass, float]]:
         """Return the class and the processors used, over the capacity, of each."""
         whole = max(self.capacity.cpu_millicores, 1)
