Run the ladder on an agent's worker with the Colocator

Cause: nothing drove the ladder from lagging usage and the gates' burn. Change: Colocator with a usage loop and a control loop over three small Protocols, and contract tests in virtual time (swings by 5x, lag, silent worker, hanging keeper, no thrash). Conclusion: the agent's role can start it.

--- /dev/null
+++ b/packages/daemon/almondspan_daemon/colocation.py
@@ -0,0 +1,371 @@
+"""Runs the ladder on an agent's worker.
+
+A `Colocator` has two loops:
+
+- The usage loop asks the worker for its usage once a second. A report describes the
+  worker some time ago; it is paired with the services' load and latency of that
+  moment, and both teach the interference model and the crest. A worker that does not
+  answer leaves the last report to age; the control loop never waits for it.
+- The control loop runs several times a second. It reads the services' signals and
+  the running attempts, steps the ladder, and sends its actions to the keeper of the
+  attempts. Each action is its own short task with a timeout, at most one for each
+  attempt at a time. What has not taken effect is still wanted in the next step and
+  so is sent again.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Final, Protocol
+
+from almondspan_decisions.headroom import SwingTracker
+from almondspan_decisions.ids import ServiceName, TaskClass, TaskId
+from almondspan_decisions.interference import (
+    InterferenceModel,
+    LagAligner,
+    LearnedPair,
+    ServiceSample,
+)
+from almondspan_decisions.ladder import (
+    LADDER_POLICIES,
+    EvictTask,
+    LadderAction,
+    LadderDecision,
+    LadderLevel,
+    LadderObservation,
+    LadderOptions,
+    LadderTask,
+    ThrottleTask,
+)
+from almondspan_platform.worker import WorkerUnavailable, WorkerUsage
+
+__all__ = [
+    "ColocationCounters",
+    "ColocationOptions",
+    "Colocator",
+    "KeeperView",
+    "LadderMoment",
+    "ServiceSignal",
+    "ServiceView",
+    "UsageView",
+]
+
+_log = logging.getLogger(__name__)
+
+MAX_MOMENTS: Final = 256
+"""Changes of the ladder's level that are kept for the report."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSignal:
+    """A service at this moment.
+
+    ``run_ms`` is the mean time on the runner of recent calls, without their wait,
+    and ``tail_ms`` a high quantile of their whole latency; both are 0 without calls.
+    """
+
+    service: ServiceName
+    n_slots: int
+    n_busy: int
+    n_queued: int
+    burn_rate: float
+    run_ms: float
+    tail_ms: float
+    objective_ms: float
+
+    @property
+    def load(self) -> float:
+        """Busy and queued calls over the slots."""
+        return (self.n_busy + self.n_queued) / max(1, self.n_slots)
+
+
+class ServiceView(Protocol):
+    """A runner's gate as the colocator sees it."""
+
+    def signal(self) -> ServiceSignal:
+        """Return the service's state now."""
+        ...
+
+
+class KeeperView(Protocol):
+    """The keeper of a worker's attempts as the colocator sees it."""
+
+    def ladder_tasks(self) -> Sequence[LadderTask]:
+        """Return the running attempts; ``harm`` is filled in by the colocator."""
+        ...
+
+    async def throttle(self, task_id: TaskId, attempt: int, share: float) -> bool:
+        """Limit a task; True when the worker confirmed it."""
+        ...
+
+    async def evict(self, task_id: TaskId, attempt: int, checkpoint: bool) -> bool:
+        """End an attempt here; True when the worker took the request."""
+        ...
+
+
+class UsageView(Protocol):
+    """The part of a worker's client that reports usage."""
+
+    async def usage(self) -> WorkerUsage | WorkerUnavailable:
+        """Return usage, measured some time ago."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ColocationOptions:
+    """Paces of the loops and the limit of one call, in seconds."""
+
+    step_s: float = 0.25
+    usage_s: float = 1.0
+    call_timeout_s: float = 2.0
+    tolerance_s: float = 0.5
+    ladder: LadderOptions = field(default_factory=LadderOptions)
+
+
+@dataclass(frozen=True, slots=True)
+class LadderMoment:
+    """When the ladder changed its level, on the loop's clock."""
+
+    at_s: float
+    level: LadderLevel
+    share: float
+
+
+@dataclass(slots=True)
+class ColocationCounters:
+    """What the colocator did since its start."""
+
+    n_steps: int = 0
+    n_throttles: int = 0
+    n_checkpoints: int = 0
+    n_stops: int = 0
+    n_failed_actions: int = 0
+    n_usage_reports: int = 0
+    n_usage_missing: int = 0
+    throttled_s: float = 0.0
+
+
+class Colocator:
+    """Runs the ladder for one worker and the services beside it.
+
+    Parameters
+    ----------
+    keeper : the attempts on the worker.
+    services : the gates of the runners beside the agent.
+    worker : reports usage.
+    capacity_millicores : the worker's processors.
+    options : paces and limits.
+    policy : the name of the ladder policy.
+    """
+
+    def __init__(
+        self,
+        keeper: KeeperView,
+        services: Sequence[ServiceView],
+        worker: UsageView,
+        capacity_millicores: int,
+        options: ColocationOptions | None = None,
+        policy: str = "ladder",
+    ) -> None:
+        self._keeper = keeper
+        self._services = tuple(services)
+        self._worker = worker
+        self._capacity_millicores = max(1, capacity_millicores)
+        self._options = options or ColocationOptions()
+        self._ladder = LADDER_POLICIES[policy](self._options.ladder)
+        self._policy = policy
+        self._model = InterferenceModel()
+        self._aligner = LagAligner()
+        self._crest = SwingTracker()
+        self._decision = LadderDecision(LadderLevel.NONE, 1.0)
+        self._measured_s: float | None = None
+        self._used_millicores = 0
+        self._classes: dict[TaskId, TaskClass] = {}
+        self._acting: dict[tuple[TaskId, int], asyncio.Task[None]] = {}
+        self._loops: list[asyncio.Task[None]] = []
+        self.counters = ColocationCounters()
+        self.moments: list[LadderMoment] = []
+
+    async def start(self) -> None:
+        """Begin both loops."""
+        self._loops = [
+            asyncio.create_task(self._run_usage_loop()),
+            asyncio.create_task(self._run_control_loop()),
+        ]
+
+    async def close(self) -> None:
+        """Stop the loops and what they sent; throttles stay as they are."""
+        tasks = [*self._loops, *self._acting.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def set_policy(self, policy: str) -> None:
+        """Use another ladder policy; an unknown name changes nothing."""
+        if policy != self._policy and policy in LADDER_POLICIES:
+            self._policy = policy
+            self._ladder = LADDER_POLICIES[policy](self._options.ladder)
+
+    @property
+    def ladder_level(self) -> int:
+        """The level in force, from 0."""
+        return int(self._decision.level.value)
+
+    @property
+    def share(self) -> float:
+        """The share that batch tasks may use now."""
+        return self._decision.share
+
+    @property
+    def cpu_used_millicores(self) -> int:
+        """The processors in use as last reported."""
+        return self._used_millicores
+
+    @property
+    def crest_millicores(self) -> int:
+        """What the services are expected to use at their next crest."""
+        return round(self._crest.crest(_now_s()))
+
+    def pairs(self) -> tuple[LearnedPair, ...]:
+        """Return the learned pairs, the most harmful first."""
+        return self._model.pairs(_now_s())
+
+    def harms(self) -> tuple[tuple[TaskClass, float], ...]:
+        """Return each class's worst learned factor on a service's latency."""
+        worst: dict[TaskClass, float] = {}
+        for pair in self.pairs():
+            worst[pair.task_class] = max(worst.get(pair.task_class, 1.0), pair.slowdown)
+        return tuple(sorted(worst.items()))
+
+    async def _run_control_loop(self) -> None:
+        while True:
+            self._step()
+            await asyncio.sleep(self._options.step_s)
+
+    def _step(self) -> None:
+        now_s = _now_s()
+        signals = [view.signal() for view in self._services]
+        for signal in signals:
+            self._remember(now_s, signal)
+        observation = self._observe(now_s, signals)
+        decision = self._ladder.step(observation)
+        self._note_change(now_s, decision)
+        self._decision = decision
+        self.counters.n_steps += 1
+        if decision.share < 1.0:
+            self.counters.throttled_s += self._options.step_s
+        for action in decision.actions:
+            self._act(action)
+
+    def _remember(self, now_s: float, signal: ServiceSignal) -> None:
+        if signal.run_ms > 0.0:
+            busy_share = signal.n_busy / max(1, signal.n_slots)
+            self._aligner.add(
+                ServiceSample(now_s, signal.service, busy_share, signal.run_ms)
+            )
+
+    def _observe(
+        self, now_s: float, signals: Sequence[ServiceSignal]
+    ) -> LadderObservation:
+        harms = dict(self.harms())
+        running = self._keeper.ladder_tasks()
+        self._classes.update((task.task_id, task.task_class) for task in running)
+        tasks = tuple(
+            replace(task, harm=harms.get(task.task_class, task.harm))
+            for task in running
+        )
+        age_s = float("inf") if self._measured_s is None else now_s - self._measured_s
+        return LadderObservation(
+            now_s=now_s,
+            load=max((signal.load for signal in signals), default=0.0),
+            burn_rate=max((signal.burn_rate for signal in signals), default=0.0),
+            latency_ratio=max(map(_latency_ratio, signals), default=0.0),
+            usage_age_s=age_s,
+            tasks=tasks,
+        )
+
+    def _note_change(self, now_s: float, decision: LadderDecision) -> None:
+        if decision.level is self._decision.level:
+            return
+        self.moments.append(LadderMoment(now_s, decision.level, decision.share))
+        del self.moments[:-MAX_MOMENTS]
+        _log.info(
+            "ladder level changed",
+            extra={"level": decision.level.name, "share": decision.share},
+        )
+
+    def _act(self, action: LadderAction) -> None:
+        key = (action.task_id, action.attempt)
+        if key in self._acting:
+            return
+        self._acting[key] = asyncio.create_task(self._apply(action))
+
+    async def _apply(self, action: LadderAction) -> None:
+        try:
+            async with asyncio.timeout(self._options.call_timeout_s):
+                taken = await self._send(action)
+        except TimeoutError:
+            taken = False
+        finally:
+            self._acting.pop((action.task_id, action.attempt), None)
+        if not taken:
+            self.counters.n_failed_actions += 1
+
+    def _send(self, action: LadderAction) -> Awaitable[bool]:
+        match action:
+            case ThrottleTask(task_id, attempt, share):
+                self.counters.n_throttles += 1
+                return self._keeper.throttle(task_id, attempt, share)
+            case EvictTask(task_id, attempt, checkpoint):
+                self.counters.n_checkpoints += checkpoint
+                self.counters.n_stops += not checkpoint
+                return self._keeper.evict(task_id, attempt, checkpoint)
+
+    async def _run_usage_loop(self) -> None:
+        while True:
+            await self._poll_usage()
+            await asyncio.sleep(self._options.usage_s)
+
+    async def _poll_usage(self) -> None:
+        try:
+            async with asyncio.timeout(self._options.call_timeout_s):
+                usage = await self._worker.usage()
+        except TimeoutError:
+            usage = WorkerUnavailable("no answer in time")
+        if isinstance(usage, WorkerUnavailable):
+            self.counters.n_usage_missing += 1
+            return
+        self.counters.n_usage_reports += 1
+        self._measured_s = _now_s() - usage.lag_s
+        self._used_millicores = usage.cpu_millicores
+        self._learn(self._measured_s, usage)
+
+    def _learn(self, measured_s: float, usage: WorkerUsage) -> None:
+        by_task = dict(usage.by_task)
+        services_millicores = usage.cpu_millicores - sum(by_task.values())
+        self._crest.observe(measured_s, max(0.0, float(services_millicores)))
+        shares = self._class_shares(by_task)
+        for sample in self._aligner.around(measured_s, self._options.tolerance_s):
+            self._model.observe(sample, shares)
+
+    def _class_shares(self, by_task: Mapping[TaskId, int]) -> dict[TaskClass, float]:
+        """Return each class's share of the worker at the time of the report."""
+        shares: dict[TaskClass, float] = {}
+        for task_id, used_millicores in by_task.items():
+            task_class = self._classes.get(task_id)
+            if task_class is not None:
+                share = used_millicores / self._capacity_millicores
+                shares[task_class] = shares.get(task_class, 0.0) + share
+        running = {task.task_id for task in self._keeper.ladder_tasks()}
+        for task_id in self._classes.keys() - running - by_task.keys():
+            del self._classes[task_id]
+        return shares
+
+
+def _latency_ratio(signal: ServiceSignal) -> float:
+    return signal.tail_ms / signal.objective_ms if signal.objective_ms > 0.0 else 0.0
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/daemon/test_colocation.py
@@ -0,0 +1,251 @@
+"""The colocator over fakes of the keeper, the gate and the worker, in virtual time."""
+
+import asyncio
+import selectors
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from almondspan_daemon.colocation import Colocator, ServiceSignal
+from almondspan_decisions.ids import ServiceName, TaskClass, TaskId
+from almondspan_decisions.ladder import LadderLevel, LadderTask
+from almondspan_platform.worker import WorkerUnavailable, WorkerUsage
+
+OBJECTIVE_MS = 100.0
+N_SLOTS = 8
+CAPACITY_MILLICORES = 16_000
+ALIGNMENT, CUTTING = TaskClass("alignment"), TaskClass("cutting")
+HARM = {ALIGNMENT: 6.0, CUTTING: 0.0}
+
+
+class _JumpingSelector(selectors.DefaultSelector):  # type: ignore[misc,valid-type]
+    """Advances the virtual time instead of waiting."""
+
+    now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        self.now_s += timeout or 0.0
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes as soon as nothing is ready."""
+
+    def __init__(self) -> None:
+        self.jumping = _JumpingSelector()
+        super().__init__(self.jumping)
+
+    def time(self) -> float:
+        return self.jumping.now_s
+
+
+class FakeMachine:
+    """Keeper, gate and worker of one machine with a known interference."""
+
+    def __init__(self, tasks: tuple[LadderTask, ...], usage_lag_s: float = 2.0) -> None:
+        self.tasks = {task.task_id: task for task in tasks}
+        self.usage_lag_s = usage_lag_s
+        self.n_busy = 1
+        self.worker_answers = True
+        self.keeper_hangs = False
+        self.evicted: list[tuple[TaskId, bool]] = []
+        self._usage_history: list[tuple[float, WorkerUsage]] = []
+
+    def ladder_tasks(self) -> tuple[LadderTask, ...]:
+        return tuple(self.tasks.values())
+
+    async def throttle(self, task_id: TaskId, attempt: int, share: float) -> bool:
+        if self.keeper_hangs:
+            await asyncio.Event().wait()
+        if task_id not in self.tasks:
+            return False
+        self.tasks[task_id] = replace(self.tasks[task_id], share=share)
+        return True
+
+    async def evict(self, task_id: TaskId, attempt: int, checkpoint: bool) -> bool:
+        self.evicted.append((task_id, checkpoint))
+        return self.tasks.pop(task_id, None) is not None
+
+    def run_ms(self) -> float:
+        pressure = sum(
+            HARM[task.task_class] * task.share * task.cpu_millicores
+            for task in self.tasks.values()
+        )
+        return 20.0 * (1.0 + pressure / CAPACITY_MILLICORES)
+
+    def signal(self) -> ServiceSignal:
+        waits = self.n_busy / N_SLOTS
+        tail_ms = self.run_ms() * (1.5 + waits)
+        missed = tail_ms > OBJECTIVE_MS
+        return ServiceSignal(
+            service=ServiceName("listening"),
+            n_slots=N_SLOTS,
+            n_busy=self.n_busy,
+            n_queued=0,
+            burn_rate=20.0 if missed else 0.0,
+            run_ms=self.run_ms(),
+            tail_ms=tail_ms,
+            objective_ms=OBJECTIVE_MS,
+        )
+
+    async def usage(self) -> WorkerUsage | WorkerUnavailable:
+        if not self.worker_answers:
+            await asyncio.Event().wait()
+        now_s = asyncio.get_running_loop().time()
+        by_task = tuple(
+            (task.task_id, round(task.share * task.cpu_millicores))
+            for task in self.tasks.values()
+        )
+        used = sum(millicores for _, millicores in by_task)
+        usage = WorkerUsage(self.usage_lag_s, used, 0, by_task)
+        self._usage_history.append((now_s, usage))
+        old = [
+            each
+            for at_s, each in self._usage_history
+            if at_s <= now_s - self.usage_lag_s
+        ]
+        return old[-1] if old else WorkerUnavailable("nothing measured yet")
+
+
+def machine(task_class: TaskClass = ALIGNMENT, n_tasks: int = 3) -> FakeMachine:
+    return FakeMachine(
+        tuple(
+            LadderTask(TaskId(f"{task_class}-{n}/0"), 1, task_class, 4_000)
+            for n in range(n_tasks)
+        )
+    )
+
+
+def in_virtual_time(body: Callable[[], Awaitable[None]]) -> None:
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(asyncio.wait_for(body(), 10_000.0))
+    finally:
+        loop.close()
+
+
+async def started(fake: FakeMachine, policy: str = "ladder") -> Colocator:
+    colocator = Colocator(fake, [fake], fake, CAPACITY_MILLICORES, policy=policy)
+    await colocator.start()
+    return colocator
+
+
+def test_swing_is_answered_within_two_seconds_and_faster_the_next_time() -> None:
+    async def body() -> None:
+        fake = machine()
+        colocator = await started(fake)
+        fake.n_busy = 5
+        await asyncio.sleep(2.0)
+        assert fake.signal().tail_ms <= OBJECTIVE_MS
+        fake.n_busy = 1
+        await asyncio.sleep(10.0)
+        fake.n_busy = 5
+        await asyncio.sleep(0.6)
+        assert fake.signal().tail_ms <= OBJECTIVE_MS
+        await colocator.close()
+
+    in_virtual_time(body)
+
+
+def test_harmless_classes_are_left_alone() -> None:
+    async def body() -> None:
+        fake = machine(CUTTING)
+        colocator = await started(fake)
+        for n_busy in (1, 6, 1, 6):
+            fake.n_busy = n_busy
+            await asyncio.sleep(5.0)
+        assert colocator.counters.n_throttles == 0
+        assert colocator.ladder_level == LadderLevel.NONE.value
+        await colocator.close()
+
+    in_virtual_time(body)
+
+
+def test_swings_every_few_seconds_do_not_thrash() -> None:
+    async def body() -> None:
+        fake = machine()
+        colocator = await started(fake)
+        for _ in range(60):
+            fake.n_busy = 1
+            await asyncio.sleep(3.0)
+            fake.n_busy = 6
+            await asyncio.sleep(2.0)
+        assert not fake.evicted
+        assert len(colocator.moments) < 240
+        await colocator.close()
+
+    in_virtual_time(body)
+
+
+def test_silent_worker_does_not_stop_the_ladder() -> None:
+    async def body() -> None:
+        fake = machine()
+        fake.worker_answers = False
+        colocator = await started(fake)
+        fake.n_busy = 6
+        await asyncio.sleep(3.0)
+        assert fake.signal().tail_ms <= OBJECTIVE_MS
+        await asyncio.sleep(10.0)
+        assert colocator.counters.n_usage_missing >= 3
+        await colocator.close()
+
+    in_virtual_time(body)
+
+
+def test_unanswered_throttles_are_sent_again() -> None:
+    async def body() -> None:
+        fake = machine()
+        fake.keeper_hangs = True
+        colocator = await started(fake)
+        fake.n_busy = 6
+        await asyncio.sleep(5.0)
+        assert colocator.counters.n_failed_actions >= 3
+        fake.keeper_hangs = False
+        await asyncio.sleep(4.0)
+        assert all(task.share < 1.0 for task in fake.tasks.values())
+        await colocator.close()
+
+    in_virtual_time(body)
+
+
+@pytest.mark.parametrize(
+    "usage_lag_s", [pytest.param(1.0, id="1 s"), pytest.param(5.0, id="5 s")]
+)
+def test_pairs_are_learned_from_lagging_usage(usage_lag_s: float) -> None:
+    async def body() -> None:
+        fake = machine(n_tasks=2)
+        fake.usage_lag_s = usage_lag_s
+        quiet = LadderTask(TaskId("quiet/0"), 1, CUTTING, 4_000)
+        colocator = await started(fake, policy="no_control")
+        for n in range(200):
+            for task_id, task in list(fake.tasks.items()):
+                if task.task_class == ALIGNMENT:
+                    await fake.throttle(task_id, 1, 0.1 if n % 3 else 1.0)
+            if n % 5 == 0:
+                fake.tasks[quiet.task_id] = quiet
+            elif n % 5 == 3:
+                fake.tasks.pop(quiet.task_id, None)
+            await asyncio.sleep(3.0)
+        harms = dict(colocator.harms())
+        assert harms[ALIGNMENT] > 2.0 * harms[CUTTING]
+        await colocator.close()
+
+    in_virtual_time(body)
+
+
+def test_close_ends_hanging_calls() -> None:
+    async def body() -> None:
+        fake = machine()
+        fake.keeper_hangs = True
+        fake.worker_answers = False
+        before = asyncio.all_tasks()
+        colocator = await started(fake)
+        fake.n_busy = 6
+        await asyncio.sleep(1.0)
+        assert len(asyncio.all_tasks() - before) >= 3
+        await colocator.close()
+        assert asyncio.all_tasks() == before
+
+    in_virtual_time(body)
