--- /dev/null
+++ b/packages/service/almondspan_service/dispatcher.py
@@ -0,0 +1,211 @@
+"""Sends attempts to agents and finds the attempt that an answer belongs to.
+
+An attempt is known by its number, which is never used again, and by the agent that
+it was sent to. An answer that fits no open attempt is late: it is counted and goes
+nowhere.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Container
+from random import Random
+from typing import Final
+
+from almondspan_decisions.ids import AgentId
+from almondspan_service.attempt import (
+    AgentLost,
+    Arrival,
+    Attempt,
+    AttemptEvent,
+    Mailbox,
+)
+from almondspan_service.budget import RetryBudget
+from almondspan_service.call_spec import CallSpec
+from almondspan_service.credit import Credit
+from almondspan_service.router_options import RouterOptions
+from almondspan_service.runner_table import RunnerTable
+from almondspan_wire.codec import Message
+from almondspan_wire.service_messages import (
+    REQUEST_WINDOW_BYTES,
+    AnswerCredit,
+    AnswerData,
+    AnswerHead,
+    CallCancel,
+    CallEnded,
+    CallOpen,
+    CallRecover,
+    RequestCredit,
+    RequestData,
+)
+
+__all__ = ["Dispatcher", "SendToAgent"]
+
+SendToAgent = Callable[[AgentId, Message], Awaitable[bool]]
+
+N_INCARNATIONS: Final = 2**62
+
+
+class Dispatcher:
+    """Open attempts of every call of one entry.
+
+    Parameters
+    ----------
+    table : the runners to choose from.
+    send : sends a message to an agent; False when its channel is lost.
+    options : limits and times.
+    rng : randomness.
+    """
+
+    def __init__(
+        self,
+        table: RunnerTable,
+        send: SendToAgent,
+        options: RouterOptions,
+        rng: Random,
+    ) -> None:
+        self.table = table
+        self.options = options
+        self.rng = rng
+        self.budget = RetryBudget(options.retry_share, options.retry_burst)
+        self.n_late = 0
+        self._send = send
+        self._incarnation = rng.randrange(N_INCARNATIONS)
+        self._n_attempts = 0
+        self._attempts: dict[int, Attempt] = {}
+        self._notices: set[asyncio.Task[bool]] = set()
+
+    def prepare(
+        self, spec: CallSpec, mailbox: Mailbox, avoid: Container[AgentId]
+    ) -> Attempt | None:
+        """Choose a runner for the next attempt; None when there is none."""
+        row = self.table.choose(spec.service, avoid)
+        if row is None:
+            return None
+        self._n_attempts += 1
+        now_s = asyncio.get_running_loop().time()
+        attempt = Attempt(self._n_attempts, row, mailbox, Credit(0), now_s)
+        self._attempts[attempt.call_id] = attempt
+        row.n_open += 1
+        return attempt
+
+    async def open(
+        self, attempt: Attempt, spec: CallSpec, first: bytes, end: bool
+    ) -> None:
+        """Send the opening of an attempt.
+
+        When the channel is lost meanwhile, the opening may still have arrived.
+        """
+        attempt.request_credit.grant(REQUEST_WINDOW_BYTES - len(first))
+        opening = CallOpen(
+            self._incarnation,
+            attempt.call_id,
+            spec.service,
+            spec.request_id,
+            spec.caller,
+            spec.method,
+            spec.path,
+            spec.headers,
+            spec.idempotent,
+            spec.left_ms(),
+            self.options.answer_window_bytes,
+            first,
+            spec.body_bytes,
+            end,
+        )
+        if not await self._send(attempt.row.agent_id, opening):
+            self._lose(attempt)
+
+    async def send_body(
+        self, attempt: Attempt, sequence: int, data: bytes, end: bool
+    ) -> bool:
+        """Send the next part of a request's body."""
+        part = RequestData(self._incarnation, attempt.call_id, sequence, data, end)
+        return await self._send(attempt.row.agent_id, part)
+
+    def grant(self, attempt: Attempt, n_bytes: int) -> None:
+        """Let the agent send more of the answer."""
+        credit = AnswerCredit(self._incarnation, attempt.call_id, n_bytes)
+        self._post(attempt, credit)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Withdraw an attempt; it stays open."""
+        self._post(attempt, CallCancel(self._incarnation, attempt.call_id))
+
+    def close(self, attempt: Attempt) -> None:
+        """Forget an attempt; what still arrives for it is late."""
+        if not attempt.is_open:
+            return
+        attempt.is_open = False
+        attempt.request_credit.close()
+        if attempt.pump is not None:
+            attempt.pump.cancel()
+        del self._attempts[attempt.call_id]
+        attempt.row.n_open -= 1
+
+    def on_message(self, agent_id: AgentId, message: Message) -> bool:
+        """Pass a message to its attempt; False when it is not for any."""
+        if isinstance(message, RequestCredit):
+            attempt = self._find(agent_id, message.incarnation, message.call_id)
+            if attempt is not None:
+                attempt.request_credit.grant(message.n_bytes)
+            return True
+        if isinstance(message, (AnswerHead, AnswerData, CallEnded)):
+            attempt = self._find(agent_id, message.incarnation, message.call_id)
+            if attempt is not None:
+                self._arrived(attempt, message)
+            return True
+        return False
+
+    def _find(
+        self, agent_id: AgentId, incarnation: int, call_id: int
+    ) -> Attempt | None:
+        attempt = self._attempts.get(call_id)
+        if (
+            attempt is None
+            or incarnation != self._incarnation
+            or attempt.row.agent_id != agent_id
+        ):
+            self.n_late += 1
+            return None
+        return attempt
+
+    def _arrived(
+        self, attempt: Attempt, message: AnswerHead | AnswerData | CallEnded
+    ) -> None:
+        if not isinstance(message, AnswerData):
+            n_held = message.n_busy + message.n_queued
+            attempt.row.on_load(n_held, message.latency_ms)
+        self._tell(attempt, message)
+
+    def _tell(self, attempt: Attempt, event: AttemptEvent) -> None:
+        attempt.mailbox.put(Arrival(attempt, event))
+
+    def agent_left(self, agent_id: AgentId) -> None:
+        """Tell every attempt at an agent that its channel is lost."""
+        for attempt in list(self._attempts.values()):
+            if attempt.row.agent_id == agent_id:
+                self._lose(attempt)
+
+    def _lose(self, attempt: Attempt) -> None:
+        if attempt.is_open and not attempt.lost:
+            attempt.lost = True
+            attempt.request_credit.close()
+            self._tell(attempt, AgentLost())
+
+    def agent_joined(self, agent_id: AgentId) -> None:
+        """Ask a returned agent what became of the attempts it was sent."""
+        for attempt in self._attempts.values():
+            if attempt.row.agent_id == agent_id and attempt.lost:
+                attempt.lost = False
+                window = self.options.answer_window_bytes
+                recover = CallRecover(self._incarnation, attempt.call_id, window)
+                self._post(attempt, recover)
+
+    def _post(self, attempt: Attempt, message: Message) -> None:
+        sending = self._send(attempt.row.agent_id, message)
+        task = asyncio.ensure_future(sending)
+        self._notices.add(task)
+        task.add_done_callback(self._notices.discard)
+
+    async def finish(self) -> None:
+        """Wait for the messages that are being sent."""
+        await asyncio.gather(*self._notices, return_exceptions=True)
--- /dev/null
+++ b/packages/service/almondspan_service/entry_call.py
@@ -0,0 +1,357 @@
+"""One caller's call at the entry, from its request to the end of its answer.
+
+A call passes through these phases:
+
+1. Body: the first part of the request's body is read, so that a slow sender holds
+   no slot.
+2. Claim: a request that is not idempotent is claimed before it is first sent.
+3. Attempts: the call is sent to a runner, and again to another one when that is
+   safe: after a confirmed `NotRun`, or when the request is idempotent. The first
+   attempt whose answer begins is the one that counts.
+4. Relay: the answer goes to the caller as fast as it reads. An answer that breaks
+   off breaks the caller's connection.
+5. Late: for a request that is not idempotent, the true outcome is awaited for a
+   while also after its caller was told that it is unknown or went away, and is
+   recorded with the claim.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from almondspan_decisions.ids import AgentId
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_service.attempt import AgentLost, Arrival, Attempt, Mailbox
+from almondspan_service.call_spec import AnswerSink, BodyBroken, BodyReader, CallSpec
+from almondspan_service.dispatcher import Dispatcher
+from almondspan_wire.service_messages import (
+    REQUEST_WINDOW_BYTES,
+    AnswerData,
+    AnswerHead,
+    CallEnded,
+)
+
+__all__ = ["EntryCall", "outcome_of_status"]
+
+FIRST_FAILING_STATUS = 500
+"""From this HTTP status on, the runner reports an error of its own."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Begun:
+    """An answer has begun at this attempt."""
+
+    attempt: Attempt
+    head: AnswerHead
+
+
+def outcome_of_status(status: int) -> OutcomeKind:
+    """Return the outcome of a request that was answered whole."""
+    return OutcomeKind.FAILED if status >= FIRST_FAILING_STATUS else OutcomeKind.DONE
+
+
+class EntryCall:
+    """Carries one call; `run` and `finish_late` are its two parts."""
+
+    def __init__(
+        self,
+        spec: CallSpec,
+        body: BodyReader,
+        sink: AnswerSink,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self._spec = spec
+        self._body = body
+        self._sink = sink
+        self._dispatcher = dispatcher
+        self._options = dispatcher.options
+        self._mailbox = Mailbox()
+        self._open: list[Attempt] = []
+        self._tried: set[AgentId] = set()
+        self._first = b""
+        self._first_is_all = True
+        self._replayable = True
+        self._n_attempts = 0
+        self._retry_s: float | None = None
+        self._failure = Outcome(OutcomeKind.NOT_RUN, "no runner serves this")
+        self._begun = False
+        self._result = b""
+
+    async def read_first(self) -> Outcome | None:
+        """Read the first part of the body; an outcome when that fails."""
+        if self._spec.body_bytes == 0:
+            return None
+        try:
+            async with asyncio.timeout_at(self._spec.deadline_s):
+                return await self._read_first()
+        except TimeoutError:
+            return Outcome(OutcomeKind.NOT_RUN, "the request's body came too slowly")
+
+    async def _read_first(self) -> Outcome | None:
+        parts: list[bytes] = []
+        n_bytes = 0
+        self._first_is_all = False
+        while n_bytes < REQUEST_WINDOW_BYTES:
+            part = await self._body.read(REQUEST_WINDOW_BYTES - n_bytes)
+            if isinstance(part, BodyBroken):
+                return Outcome(OutcomeKind.CANCELLED, part.reason)
+            parts.append(part)
+            n_bytes += len(part)
+            if not part or n_bytes == self._spec.body_bytes:
+                self._first_is_all = True
+                break
+        self._first = b"".join(parts)
+        return None
+
+    async def run(self) -> Outcome:
+        """Send the request and relay its answer; returns what the caller got."""
+        try:
+            async with asyncio.timeout_at(self._spec.deadline_s):
+                return await self._perform()
+        except TimeoutError:
+            return self._at_deadline()
+
+    def is_undecided(self) -> bool:
+        """Tell whether an attempt is still open whose outcome matters."""
+        return bool(self._open) and not self._spec.idempotent
+
+    def abandon(self) -> None:
+        """Withdraw what is still open, because nobody waits for it."""
+        for attempt in list(self._open):
+            self._dispatcher.cancel(attempt)
+            if self._spec.idempotent:
+                self._close(attempt)
+
+    async def finish_late(self) -> Outcome:
+        """Await the outcome of what is still open, for the claim's record."""
+        try:
+            async with asyncio.timeout(self._options.late_wait_s):
+                return await self._await_late()
+        except TimeoutError:
+            return Outcome(OutcomeKind.UNKNOWN, "no outcome arrived", b"", True)
+        finally:
+            for attempt in list(self._open):
+                self._close(attempt)
+
+    async def _perform(self) -> Outcome:
+        begun = await self._begin_answer()
+        if isinstance(begun, Outcome):
+            return begun
+        self._begun = True
+        for attempt in list(self._open):
+            if attempt is not begun.attempt:
+                self._dispatcher.cancel(attempt)
+                self._close(attempt)
+        if begun.head.end:
+            return await self._relay_whole(begun)
+        return await self._relay_parts(begun)
+
+    def _at_deadline(self) -> Outcome:
+        if self._begun:
+            self._sink.abort()
+            return Outcome(OutcomeKind.UNKNOWN, "the answer broke off", b"", True)
+        if not self._open:
+            return self._failure
+        return Outcome(OutcomeKind.UNKNOWN, "the deadline passed", b"", True)
+
+    # Attempts.
+
+    async def _begin_answer(self) -> _Begun | Outcome:
+        """Send attempts until one begins to answer or none may follow."""
+        self._dispatcher.budget.on_request()
+        await self._send_attempt()
+        while self._open or self._retry_s is not None:
+            arrival = await self._mailbox.next(self._wake_s())
+            if arrival is None:
+                if self._sink.gone():
+                    return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
+                await self._on_time()
+            elif isinstance(arrival.event, AnswerHead):
+                return _Begun(arrival.attempt, arrival.event)
+            else:
+                self._on_failure(arrival)
+        return self._failure
+
+    def _wake_s(self) -> float:
+        check_s = self._now_s() + self._options.caller_check_s
+        return check_s if self._retry_s is None else min(check_s, self._retry_s)
+
+    async def _on_time(self) -> None:
+        if self._retry_s is not None and self._now_s() >= self._retry_s:
+            self._retry_s = None
+            await self._send_attempt()
+
+    async def _send_attempt(self) -> None:
+        attempt = self._dispatcher.prepare(self._spec, self._mailbox, self._tried)
+        if attempt is None:
+            return
+        self._open.append(attempt)
+        self._n_attempts += 1
+        self._tried.add(attempt.row.agent_id)
+        await self._dispatcher.open(
+            attempt, self._spec, self._first, self._first_is_all
+        )
+        if not self._first_is_all:
+            attempt.pump = asyncio.create_task(self._pump(attempt))
+
+    def _on_failure(self, arrival: Arrival) -> None:
+        """Close a failed attempt and decide whether another one follows."""
+        attempt, event = arrival.attempt, arrival.event
+        if not attempt.is_open:
+            return
+        if isinstance(event, AgentLost) and not self._spec.idempotent:
+            self._failure = Outcome(
+                OutcomeKind.UNKNOWN, "the agent was lost", b"", True
+            )
+            return
+        self._close(attempt)
+        failure = _outcome_of_failure(event)
+        if failure.may_have_run or not self._failure.may_have_run:
+            self._failure = failure
+        if not self._open and self._may_retry():
+            self._retry_s = self._now_s() + self._backoff_s()
+
+    def _may_retry(self) -> bool:
+        return (
+            (self._spec.idempotent or not self._failure.may_have_run)
+            and self._replayable
+            and self._n_attempts < self._options.max_attempts
+            and self._dispatcher.budget.take()
+        )
+
+    def _backoff_s(self) -> float:
+        """Return a random wait below a bound that doubles each time."""
+        bound_s = self._options.retry_base_s * 2.0 ** (self._n_attempts - 1)
+        return self._dispatcher.rng.random() * min(bound_s, self._options.retry_max_s)
+
+    async def _pump(self, attempt: Attempt) -> None:
+        """Send the rest of the body as far as the agent has granted."""
+        sequence = 0
+        n_sent = len(self._first)
+        while n_taken := await attempt.request_credit.take(self._options.chunk_bytes):
+            part = await self._body.read(n_taken)
+            if isinstance(part, BodyBroken):
+                self._dispatcher.cancel(attempt)
+                self._mailbox.put(Arrival(attempt, part))
+                return
+            self._replayable = False
+            n_sent += len(part)
+            end = not part or n_sent == self._spec.body_bytes
+            attempt.request_credit.grant(n_taken - len(part))
+            await self._dispatcher.send_body(attempt, sequence, part, end)
+            sequence += 1
+            if end:
+                return
+
+    def _close(self, attempt: Attempt) -> None:
+        self._dispatcher.close(attempt)
+        self._open.remove(attempt)
+
+    # Relay.
+
+    async def _relay_whole(self, begun: _Begun) -> Outcome:
+        self._close(begun.attempt)
+        head = begun.head
+        if not await self._sink.whole(head):
+            return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
+        self._result = head.data
+        return self._done(head)
+
+    async def _relay_parts(self, begun: _Begun) -> Outcome:
+        if not await self._sink.begin(begun.head):
+            return self._caller_left()
+        n_bytes = 0
+        while True:
+            arrival = await self._mailbox.next(
+                self._now_s() + self._options.caller_check_s
+            )
+            if arrival is None:
+                if self._sink.gone():
+                    return self._caller_left()
+                continue
+            part = arrival.event
+            if arrival.attempt is not begun.attempt:
+                continue
+            if not isinstance(part, AnswerData) or not _is_next(begun.attempt, part):
+                return self._broke_off(begun, part)
+            n_bytes += len(part.data)
+            if part.data and not await self._sink.write(part.data):
+                return self._caller_left()
+            if not part.end:
+                self._dispatcher.grant(begun.attempt, len(part.data))
+                continue
+            self._close(begun.attempt)
+            return await self._finish_parts(begun.head, n_bytes)
+
+    async def _finish_parts(self, head: AnswerHead, n_bytes: int) -> Outcome:
+        if head.body_bytes not in (-1, n_bytes):
+            self._sink.abort()
+            return Outcome(OutcomeKind.UNKNOWN, "the answer broke off", b"", True)
+        if not await self._sink.finish():
+            return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
+        return self._done(head)
+
+    def _broke_off(self, begun: _Begun, event: object) -> Outcome:
+        """Break the caller's connection: its answer will not be whole."""
+        self._sink.abort()
+        if not isinstance(event, AgentLost) or self._spec.idempotent:
+            self._close(begun.attempt)
+        return Outcome(OutcomeKind.UNKNOWN, "the answer broke off", b"", True)
+
+    def _caller_left(self) -> Outcome:
+        return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
+
+    def _done(self, head: AnswerHead) -> Outcome:
+        kind = outcome_of_status(head.status)
+        kept = self._options.kept_result_bytes
+        result = self._result if len(self._result) <= kept else b""
+        return Outcome(kind, f"status {head.status}", result, True)
+
+    # Late.
+
+    async def _await_late(self) -> Outcome:
+        outcome = self._failure
+        while self._open:
+            arrival = await self._mailbox.next(
+                self._now_s() + self._options.late_wait_s
+            )
+            if arrival is None or not arrival.attempt.is_open:
+                continue
+            event = arrival.event
+            if isinstance(event, AnswerHead):
+                outcome = self._done(event)
+                self._result = event.data if event.end else b""
+            if isinstance(event, AnswerData):
+                self._dispatcher.grant(arrival.attempt, len(event.data))
+            if isinstance(event, CallEnded):
+                outcome = _outcome_of_failure(event)
+            if _is_last(event):
+                self._close(arrival.attempt)
+        return outcome
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _is_next(attempt: Attempt, part: AnswerData) -> bool:
+    if part.sequence != attempt.next_sequence:
+        return False
+    attempt.next_sequence += 1
+    return True
+
+
+def _is_last(event: object) -> bool:
+    if isinstance(event, (AnswerHead, AnswerData)):
+        return event.end
+    return not isinstance(event, AgentLost)
+
+
+def _outcome_of_failure(event: object) -> Outcome:
+    if isinstance(event, CallEnded):
+        may_have_run = event.kind is not OutcomeKind.NOT_RUN
+        kind = OutcomeKind.UNKNOWN if may_have_run else OutcomeKind.NOT_RUN
+        return Outcome(kind, event.reason, b"", may_have_run)
+    if isinstance(event, BodyBroken):
+        return Outcome(OutcomeKind.CANCELLED, event.reason, b"", True)
+    if isinstance(event, AgentLost):
+        return Outcome(OutcomeKind.UNKNOWN, "the agent was lost", b"", True)
+    return Outcome(OutcomeKind.UNKNOWN, "the answer is out of order", b"", True)
--- /dev/null
+++ b/packages/service/almondspan_service/gate_call.py
@@ -0,0 +1,125 @@
+"""One call at the gate: the body of its request and the state of its answer."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+
+from almondspan_service.credit import Credit
+from almondspan_service.ledger import CallKey
+from almondspan_service.runner_client import RunnerRequest
+from almondspan_wire.service_messages import CallOpen, RequestData
+
+__all__ = ["BodyAborted", "GateCall", "RequestBody"]
+
+
+class BodyAborted(Exception):
+    """Tells the HTTP library that the rest of a body will not come."""
+
+
+class RequestBody:
+    """The parts of a request's body as they arrive; one reader.
+
+    Parts hold at most what was granted to the entry, so no limit is needed here.
+    """
+
+    def __init__(self, first: bytes, end: bool) -> None:
+        self._parts: deque[bytes] = deque([first] if first else [])
+        self._end = end
+        self._aborted = False
+        self._next_sequence = 0
+        self._waiter: asyncio.Future[None] | None = None
+
+    def feed(self, part: RequestData) -> None:
+        """Add a part; one that came before is ignored, a gap ends the body."""
+        if part.sequence < self._next_sequence:
+            return
+        if part.sequence > self._next_sequence:
+            self.abort()
+            return
+        self._next_sequence += 1
+        if part.data:
+            self._parts.append(part.data)
+        self._end = part.end
+        self._wake()
+
+    def abort(self) -> None:
+        """Let the reader fail: the rest will not come."""
+        self._aborted = True
+        self._wake()
+
+    async def read(self) -> bytes:
+        """Return the next part; ``b""`` at the end.
+
+        Raises
+        ------
+        BodyAborted
+            When the rest will not come.
+        """
+        while not self._parts:
+            if self._aborted:
+                raise BodyAborted
+            if self._end:
+                return b""
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._parts.popleft()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class GateCall:
+    """A call that the gate holds, queued or running."""
+
+    __slots__ = (
+        "answer_credit",
+        "arrived_s",
+        "body",
+        "deadline_s",
+        "detached",
+        "dispatched_s",
+        "has_slot",
+        "key",
+        "opened",
+        "recover",
+        "shed_timer",
+        "task",
+    )
+
+    def __init__(self, key: CallKey, opened: CallOpen, now_s: float) -> None:
+        self.key = key
+        self.opened = opened
+        self.arrived_s = now_s
+        self.deadline_s = now_s + opened.timeout_ms / 1000.0
+        self.dispatched_s = 0.0
+        self.body = RequestBody(opened.data, opened.end)
+        self.answer_credit = Credit(opened.credit_bytes)
+        self.has_slot = False
+        self.detached = False
+        self.recover = False
+        self.shed_timer: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def detach(self) -> None:
+        """Go on without the entry: nothing more is sent to it."""
+        self.detached = True
+        self.answer_credit.close()
+        self.body.abort()
+
+    def runner_request(
+        self, body: bytes | AsyncIterator[bytes], now_s: float
+    ) -> RunnerRequest:
+        """Return the request for the runner."""
+        opened = self.opened
+        left_ms = max(0, int((self.deadline_s - now_s) * 1000.0))
+        headers = (
+            *opened.headers,
+            ("X-Request-Id", opened.request_id),
+            ("X-Caller", opened.caller),
+            ("X-Timeout-Ms", str(left_ms)),
+            ("X-Idempotent", "true" if opened.idempotent else "false"),
+        )
+        return RunnerRequest(
+            opened.method, opened.path, headers, body, opened.body_bytes
+        )
--- /dev/null
+++ b/packages/service/almondspan_service/http_edge.py
@@ -0,0 +1,273 @@
+"""The caller's side of a call over HTTP: request, answer and error answers.
+
+`read_spec` makes a `CallSpec` of a request or says what is wrong with its headers.
+`HttpSink` gives the answer; `error_answer` makes the answer for a call that has
+none of its own.
+"""
+
+import asyncio
+import json
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import ClientError, web
+from multidict import CIMultiDict
+
+from almondspan_decisions.ids import CallerId, RequestId, ServiceName
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_service.call_spec import BodyBroken, CallSpec
+from almondspan_service.entry_call import outcome_of_status
+from almondspan_service.runner_client import forwarded_headers
+from almondspan_wire.service_messages import AnswerHead, Headers
+
+__all__ = [
+    "BadRequest",
+    "HttpBody",
+    "HttpSink",
+    "error_answer",
+    "read_spec",
+    "repeated_answer",
+]
+
+OUTCOME_HEADER: Final = "X-Outcome"
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+CALLER_HEADER: Final = "X-Caller"
+TIMEOUT_HEADER: Final = "X-Timeout-Ms"
+IDEMPOTENT_HEADER: Final = "X-Idempotent"
+
+OWN_HEADERS: Final = frozenset(
+    {"x-request-id", "x-caller", "x-timeout-ms", "x-idempotent"}
+)
+IDEMPOTENT_METHODS: Final = frozenset(
+    {"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"}
+)
+IDEMPOTENT_VALUES: Final = {"true": True, "false": False}
+MAX_ID_CHARS: Final = 200
+RETRY_AFTER_S: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """What is wrong with a request; nothing of it was run."""
+
+    reason: str
+
+
+def read_spec(
+    request: web.Request, default_timeout_ms: float, max_timeout_ms: float
+) -> CallSpec | BadRequest:
+    """Return the call that a request asks for."""
+    headers = request.headers
+    request_id = headers.get(REQUEST_ID_HEADER) or str(uuid.uuid4())
+    caller = headers.get(CALLER_HEADER) or request.remote or ""
+    if len(request_id) > MAX_ID_CHARS or len(caller) > MAX_ID_CHARS:
+        return BadRequest(f"an id is longer than {MAX_ID_CHARS} characters")
+    timeout_ms = _timeout_ms(headers.get(TIMEOUT_HEADER), default_timeout_ms)
+    if timeout_ms is None:
+        return BadRequest(f"{TIMEOUT_HEADER} is no positive number")
+    idempotent = _idempotent(headers.get(IDEMPOTENT_HEADER), request.method)
+    if idempotent is None:
+        return BadRequest(f"{IDEMPOTENT_HEADER} is neither true nor false")
+    if "upgrade" in headers:
+        return BadRequest("connections cannot be upgraded")
+    now_s = asyncio.get_running_loop().time()
+    return CallSpec(
+        service=ServiceName(request.match_info["service"]),
+        request_id=RequestId(request_id),
+        caller=CallerId(caller),
+        method=request.method,
+        path=_path(request),
+        headers=_request_headers(request),
+        idempotent=idempotent,
+        deadline_s=now_s + min(timeout_ms, max_timeout_ms) / 1000.0,
+        body_bytes=_body_bytes(request),
+    )
+
+
+def _timeout_ms(value: str | None, default_ms: float) -> float | None:
+    if value is None:
+        return default_ms
+    try:
+        timeout_ms = float(value)
+    except ValueError:
+        return None
+    return timeout_ms if 0.0 < timeout_ms < float("inf") else None
+
+
+def _idempotent(value: str | None, method: str) -> bool | None:
+    if value is None:
+        return method in IDEMPOTENT_METHODS
+    return IDEMPOTENT_VALUES.get(value.strip().lower())
+
+
+def _path(request: web.Request) -> str:
+    """Return path and query as they were sent, without the route's prefix."""
+    _, _, rest = request.raw_path.lstrip("/").partition("/")
+    _, _, path = rest.partition("/")
+    return "/" + path
+
+
+def _request_headers(request: web.Request) -> Headers:
+    return tuple(
+        (name, value)
+        for name, value in forwarded_headers(request.headers)
+        if name.lower() not in OWN_HEADERS
+    )
+
+
+def _body_bytes(request: web.Request) -> int:
+    if not request.body_exists:
+        return 0
+    return -1 if request.content_length is None else request.content_length
+
+
+class HttpBody:
+    """The body of a caller's request."""
+
+    def __init__(self, request: web.Request) -> None:
+        self._content = request.content
+
+    async def read(self, n_bytes: int) -> bytes | BodyBroken:
+        """Return up to `n_bytes`; ``b""`` at the end."""
+        try:
+            return await self._content.read(n_bytes)
+        except (OSError, ClientError, web.PayloadAccessError, web.HTTPException) as e:
+            return BodyBroken(f"the request's body broke off: {e!r}")
+        except Exception as error:
+            return BodyBroken(f"the request's body cannot be read: {error!r}")
+
+
+class HttpSink:
+    """Gives the answer to the caller of one request."""
+
+    def __init__(self, request: web.Request, spec: CallSpec) -> None:
+        self._request = request
+        self._spec = spec
+        self.response: web.StreamResponse | None = None
+
+    async def whole(self, head: AnswerHead) -> bool:
+        """Keep a whole answer as the response; it is sent by the server."""
+        self.response = web.Response(
+            status=head.status, headers=self._headers(head), body=head.data
+        )
+        return not self.gone()
+
+    async def begin(self, head: AnswerHead) -> bool:
+        """Send status and headers."""
+        headers = self._headers(head)
+        response = web.StreamResponse(status=head.status, headers=headers)
+        if head.body_bytes >= 0:
+            response.content_length = head.body_bytes
+        self.response = response
+        try:
+            await response.prepare(self._request)
+        except (OSError, ClientError):
+            return False
+        return True
+
+    async def write(self, data: bytes) -> bool:
+        """Send the next part; waits while the connection's buffer is full."""
+        assert self.response is not None
+        try:
+            await self.response.write(data)
+        except (OSError, ClientError):
+            return False
+        return True
+
+    async def finish(self) -> bool:
+        """Send the end of the body."""
+        assert self.response is not None
+        try:
+            await self.response.write_eof()
+        except (OSError, ClientError):
+            return False
+        return True
+
+    def abort(self) -> None:
+        """Break the connection."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def gone(self) -> bool:
+        """Tell whether the caller has closed its connection."""
+        transport = self._request.transport
+        return transport is None or transport.is_closing()
+
+    def _headers(self, head: AnswerHead) -> CIMultiDict[str]:
+        headers = CIMultiDict(head.headers)
+        headers[OUTCOME_HEADER] = outcome_of_status(head.status).value
+        headers[REQUEST_ID_HEADER] = self._spec.request_id
+        return headers
+
+
+ErrorStatus = Callable[[Outcome], HTTPStatus]
+
+ERROR_STATUSES: Final[dict[OutcomeKind, ErrorStatus]] = {}
+
+
+def error_status(kind: OutcomeKind) -> Callable[[ErrorStatus], ErrorStatus]:
+    """Register the HTTP status of an outcome for which there is no answer."""
+
+    def register(status: ErrorStatus) -> ErrorStatus:
+        ERROR_STATUSES[kind] = status
+        return status
+
+    return register
+
+
+@error_status(OutcomeKind.NOT_RUN)
+def not_run_status(outcome: Outcome) -> HTTPStatus:
+    """Tell the caller that it may try again."""
+    return HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@error_status(OutcomeKind.UNKNOWN)
+def unknown_status(outcome: Outcome) -> HTTPStatus:
+    """Tell the caller that no answer came in time."""
+    return HTTPStatus.GATEWAY_TIMEOUT
+
+
+@error_status(OutcomeKind.CANCELLED)
+def cancelled_status(outcome: Outcome) -> HTTPStatus:
+    """Tell a caller that broke off its own request."""
+    return HTTPStatus.BAD_REQUEST
+
+
+def error_answer(spec: CallSpec, outcome: Outcome) -> web.Response:
+    """Return the answer that tells an outcome without a runner's answer."""
+    status = ERROR_STATUSES[outcome.kind](outcome)
+    return _outcome_answer(spec, outcome, status)
+
+
+def repeated_answer(spec: CallSpec, first: Outcome | None) -> web.Response:
+    """Return the answer to a request id that was claimed before."""
+    reason = "this request id was used before, and its outcome is not known"
+    outcome = first or Outcome(OutcomeKind.UNKNOWN, reason, b"", True)
+    return _outcome_answer(spec, outcome, HTTPStatus.CONFLICT)
+
+
+def _outcome_answer(
+    spec: CallSpec, outcome: Outcome, status: HTTPStatus
+) -> web.Response:
+    body = {
+        "kind": outcome.kind.value,
+        "reason": outcome.reason,
+        "request_id": spec.request_id,
+        "idempotent": spec.idempotent,
+        "may_have_run": outcome.may_have_run,
+    }
+    if outcome.result:
+        body["result"] = outcome.result.decode("utf-8", "replace")
+    headers = {OUTCOME_HEADER: outcome.kind.value, REQUEST_ID_HEADER: spec.request_id}
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        headers["Retry-After"] = str(RETRY_AFTER_S)
+    return web.Response(
+        status=status,
+        headers=headers,
+        body=json.dumps(body).encode(),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/packages/service/almondspan_service/router.py
@@ -0,0 +1,211 @@
+"""The router at an entry: from a caller's HTTP request to an agent and back.
+
+The router knows agents by their hellos and statuses, holds the calls in flight and
+gives each one to an `EntryCall`. It answers itself for calls that were not sent:
+while it drains, for a caller beyond its share, and for a request id that was
+claimed before.
+"""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Coroutine
+from random import Random
+
+from aiohttp import web
+
+from almondspan_decisions.fleet import FleetConfig, ServiceConfig
+from almondspan_decisions.ids import AgentId, EntryId, PlaceName, ServiceName
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_service.call_spec import AnswerSink, BodyReader, CallSpec
+from almondspan_service.caller_shares import CallerShares
+from almondspan_service.dispatcher import Dispatcher, SendToAgent
+from almondspan_service.entry_call import EntryCall
+from almondspan_service.http_edge import (
+    BadRequest,
+    HttpBody,
+    HttpSink,
+    error_answer,
+    read_spec,
+    repeated_answer,
+)
+from almondspan_service.router_options import RouterOptions
+from almondspan_service.runner_table import RunnerTable
+from almondspan_tasks.desk import Claim, ClaimBook, ClaimState
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import AgentHello, AgentStatus
+
+__all__ = ["ServiceRouter"]
+
+_LOGGER = logging.getLogger(__name__)
+
+CALL_ROUTE = "/call/{service}/{path:.*}"
+
+
+class ServiceRouter:
+    """Routes callers' requests to runners.
+
+    Parameters
+    ----------
+    entry_id : the entry.
+    place : the entry's place.
+    send : sends a message to an agent; False when its channel is lost.
+    claims : claims of requests that are not idempotent.
+    options : limits and times.
+    rng : randomness.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        place: PlaceName,
+        send: SendToAgent,
+        claims: ClaimBook,
+        options: RouterOptions,
+        rng: Random,
+    ) -> None:
+        self._claims = claims
+        self._options = options
+        self._table = RunnerTable(entry_id, place, options.n_subset, rng)
+        self._dispatcher = Dispatcher(self._table, send, options, rng)
+        self._shares = CallerShares(options.max_in_flight)
+        self._services: dict[ServiceName, ServiceConfig] = {}
+        self._draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Begin; there is nothing to open."""
+
+    async def close(self) -> None:
+        """Stop; `drain` first to cut nothing."""
+        self._draining = True
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+        await self._dispatcher.finish()
+
+    async def drain(self) -> None:
+        """Refuse new calls and wait for those in flight."""
+        self._draining = True
+        _LOGGER.info("router drains %d calls", self.n_in_flight())
+        await self._idle.wait()
+
+    def n_in_flight(self) -> int:
+        """Return the number of calls that have no whole answer yet."""
+        return self._shares.n_in_flight
+
+    def add_routes(self, app: web.Application) -> None:
+        """Register the route of calls for all methods."""
+        app.router.add_route("*", CALL_ROUTE, self._handle)
+
+    def set_fleet(self, fleet: FleetConfig) -> None:
+        """Take services and the routing policy from a configuration."""
+        self._services = {service.name: service for service in fleet.services}
+        if not self._table.set_policy(fleet.policies.routing):
+            _LOGGER.warning("no routing policy %r", fleet.policies.routing)
+
+    def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
+        """Know an agent whose channel has opened."""
+        self._table.agent_joined(agent_id, hello)
+        self._dispatcher.agent_joined(agent_id)
+
+    def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
+        """Take the load of an agent's runners."""
+        self._table.on_status(agent_id, status)
+
+    def agent_left(self, agent_id: AgentId) -> None:
+        """Settle what was in flight at an agent whose channel is lost."""
+        self._table.agent_left(agent_id)
+        self._dispatcher.agent_left(agent_id)
+
+    def on_message(self, agent_id: AgentId, message: Message) -> bool:
+        """Take a message of an agent; False when it is not one of a call."""
+        return self._dispatcher.on_message(agent_id, message)
+
+    async def call(
+        self, spec: CallSpec, body: BodyReader, sink: AnswerSink
+    ) -> Outcome | Claim:
+        """Carry one call.
+
+        Returns what became of it, also when `sink` took the answer; or the earlier
+        claim of its request id.
+        """
+        if self._draining:
+            return Outcome(OutcomeKind.NOT_RUN, "the entry drains")
+        if not self._shares.admit(spec.caller):
+            return Outcome(OutcomeKind.NOT_RUN, "the caller has too many calls")
+        self._idle.clear()
+        try:
+            return await self._carry(spec, body, sink)
+        finally:
+            self._shares.release(spec.caller)
+            if self._shares.n_in_flight == 0:
+                self._idle.set()
+
+    async def _carry(
+        self, spec: CallSpec, body: BodyReader, sink: AnswerSink
+    ) -> Outcome | Claim:
+        call = EntryCall(spec, body, sink, self._dispatcher)
+        broken = await call.read_first()
+        if broken is not None:
+            return broken
+        if not spec.idempotent:
+            claim = await self._claim(spec)
+            if claim.state is ClaimState.TAKEN:
+                return claim
+            if claim.state is ClaimState.UNAVAILABLE:
+                return Outcome(OutcomeKind.NOT_RUN, f"no claim: {claim.reason}")
+        return await self._run(spec, call)
+
+    async def _run(self, spec: CallSpec, call: EntryCall) -> Outcome:
+        outcome: Outcome | None = None
+        try:
+            outcome = await call.run()
+            return outcome
+        finally:
+            call.abandon()
+            if not spec.idempotent:
+                self._start(self._settle(spec, call, outcome))
+
+    async def _claim(self, spec: CallSpec) -> Claim:
+        try:
+            async with asyncio.timeout_at(spec.deadline_s):
+                return await self._claims.claim(spec.request_id, uuid.uuid4().hex)
+        except TimeoutError:
+            return Claim(ClaimState.UNAVAILABLE, None, "the claim took too long")
+
+    async def _settle(
+        self, spec: CallSpec, call: EntryCall, outcome: Outcome | None
+    ) -> None:
+        if call.is_undecided() or outcome is None:
+            outcome = await call.finish_late()
+        await self._claims.settle(spec.request_id, outcome)
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        spec = read_spec(
+            request, self._default_timeout_ms(request), self._options.max_timeout_ms
+        )
+        if isinstance(spec, BadRequest):
+            return web.Response(
+                status=400, text=spec.reason, headers={"X-Outcome": "not_run"}
+            )
+        sink = HttpSink(request, spec)
+        ended = await self.call(spec, HttpBody(request), sink)
+        if sink.response is not None:
+            return sink.response
+        if isinstance(ended, Claim):
+            return repeated_answer(spec, ended.outcome)
+        return error_answer(spec, ended)
+
+    def _default_timeout_ms(self, request: web.Request) -> float:
+        service = self._services.get(ServiceName(request.match_info["service"]))
+        if service is None:
+            return self._options.default_timeout_ms
+        return service.default_timeout_ms
--- /dev/null
+++ b/packages/service/almondspan_service/router_options.py
@@ -0,0 +1,32 @@
+"""Settings of the router at an entry."""
+
+from dataclasses import dataclass
+
+__all__ = ["RouterOptions"]
+
+
+@dataclass(frozen=True, slots=True)
+class RouterOptions:
+    """Limits and times of a `ServiceRouter`.
+
+    ``answer_window_bytes`` bounds what is held of one answer for a slow caller.
+    ``late_wait_s`` is how long the outcome of a request that is not idempotent is
+    awaited after its caller was told that it is unknown. ``recover_wait_s`` is how
+    long a call waits for an agent whose channel was lost.
+    """
+
+    default_timeout_ms: float = 2000.0
+    max_timeout_ms: float = 3_600_000.0
+    answer_window_bytes: int = 128 * 1024
+    chunk_bytes: int = 32 * 1024
+    max_attempts: int = 4
+    retry_share: float = 0.2
+    retry_burst: float = 10.0
+    retry_base_s: float = 0.002
+    retry_max_s: float = 0.1
+    caller_check_s: float = 0.25
+    late_wait_s: float = 30.0
+    recover_wait_s: float = 3.0
+    kept_result_bytes: int = 1024
+    n_subset: int = 16
+    max_in_flight: int = 4096
--- /dev/null
+++ b/tests/service/service_path.py
@@ -0,0 +1,305 @@
+"""Routers and gates joined by channels in memory, with fakes at both ends."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from almondspan_decisions.ids import (
+    AgentId,
+    CallerId,
+    EntryId,
+    PlaceName,
+    RequestId,
+    ServiceName,
+    WorkerId,
+)
+from almondspan_decisions.outcomes import Outcome
+from almondspan_decisions.shapes import EMPTY_SHAPE
+from almondspan_service.call_spec import BodyBroken, CallSpec
+from almondspan_service.gate import RunnerGate
+from almondspan_service.gate_options import GateOptions
+from almondspan_service.router import ServiceRouter
+from almondspan_service.router_options import RouterOptions
+from almondspan_service.runner_client import RunnerFault, RunnerRequest
+from almondspan_tasks.desk import Claim, ClaimState
+from almondspan_wire.codec import Malformed, Message, decode, encode
+from almondspan_wire.membership import AgentHello, AgentStatus
+
+SERVICE = ServiceName("clips")
+HERE = PlaceName("here")
+ENTRY = EntryId("entry-1")
+
+
+class MemoryClaims:
+    """A `ClaimBook` in memory that can be down."""
+
+    def __init__(self) -> None:
+        self.holders: dict[RequestId, str] = {}
+        self.settled: dict[RequestId, Outcome] = {}
+        self.up = True
+
+    async def claim(self, request_id: RequestId, nonce: str) -> Claim:
+        await asyncio.sleep(0)
+        if not self.up:
+            return Claim(ClaimState.UNAVAILABLE, None, "the store is down")
+        if self.holders.setdefault(request_id, nonce) == nonce:
+            return Claim(ClaimState.GRANTED)
+        return Claim(ClaimState.TAKEN, self.settled.get(request_id))
+
+    async def settle(self, request_id: RequestId, outcome: Outcome) -> bool:
+        await asyncio.sleep(0)
+        assert request_id not in self.settled, "settled twice"
+        self.settled[request_id] = outcome
+        return True
+
+
+@dataclass
+class FakeAnswer:
+    """A `RunnerAnswer` whose body comes in parts; it may break off."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body_bytes: int
+    parts: deque[bytes]
+    breaks_off: bool = False
+    on_close: Callable[[], None] = lambda: None
+
+    async def read(self, n_bytes: int) -> bytes | RunnerFault:
+        await asyncio.sleep(0)
+        if not self.parts:
+            return RunnerFault(True, "broke off") if self.breaks_off else b""
+        part = self.parts.popleft()
+        if len(part) > n_bytes:
+            self.parts.appendleft(part[n_bytes:])
+        return part[:n_bytes]
+
+    def close(self) -> None:
+        self.on_close()
+
+
+async def read_request(request: RunnerRequest) -> bytes:
+    if isinstance(request.body, bytes):
+        return request.body
+    return b"".join([part async for part in request.body])
+
+
+Serve = Callable[[RunnerRequest], Awaitable[FakeAnswer | RunnerFault]]
+
+
+async def echo(request: RunnerRequest) -> FakeAnswer | RunnerFault:
+    """Answer with the path and the request's body."""
+    body = request.path.encode() + b"|" + await read_request(request)
+    return FakeAnswer(200, (("X-Kind", "echo"),), len(body), deque([body]))
+
+
+class FakeRunner:
+    """A `RunnerClient` that records the requests it runs."""
+
+    def __init__(self, serve: Serve = echo, n_slots: int = 8) -> None:
+        self.serve = serve
+        self.n_slots = n_slots
+        self.n_busy = 0
+        self.runs: list[str] = []
+
+    async def start(self) -> None:
+        pass
+
+    async def close(self) -> None:
+        pass
+
+    async def send(self, request: RunnerRequest) -> FakeAnswer | RunnerFault:
+        self.n_busy += 1
+        assert self.n_busy <= self.n_slots, "more calls than slots"
+        self.runs.append(dict(request.headers)["X-Request-Id"])
+        try:
+            answer = await self.serve(request)
+        except BaseException:
+            self.n_busy -= 1
+            raise
+        if isinstance(answer, RunnerFault):
+            self.n_busy -= 1
+        else:
+            answer.on_close = self._closed
+        return answer
+
+    def _closed(self) -> None:
+        self.n_busy -= 1
+
+
+@dataclass
+class MemoryBody:
+    """A caller's body in parts; it may break off at its end."""
+
+    parts: deque[bytes] = field(default_factory=deque)
+    breaks_off: bool = False
+
+    async def read(self, n_bytes: int) -> bytes | BodyBroken:
+        await asyncio.sleep(0)
+        if not self.parts:
+            return BodyBroken("broke off") if self.breaks_off else b""
+        part = self.parts.popleft()
+        if len(part) > n_bytes:
+            self.parts.appendleft(part[n_bytes:])
+        return part[:n_bytes]
+
+
+class MemorySink:
+    """Takes an answer in memory, slowly when asked to."""
+
+    def __init__(self, write_s: float = 0.0) -> None:
+        self.write_s = write_s
+        self.status = 0
+        self.body = bytearray()
+        self.is_whole = False
+        self.is_aborted = False
+        self.left = False
+
+    async def whole(self, head) -> bool:
+        self.status = head.status
+        self.body += head.data
+        self.is_whole = not self.left
+        return not self.left
+
+    async def begin(self, head) -> bool:
+        self.status = head.status
+        return not self.left
+
+    async def write(self, data: bytes) -> bool:
+        await asyncio.sleep(self.write_s)
+        self.body += data
+        return not self.left
+
+    async def finish(self) -> bool:
+        self.is_whole = not self.left
+        return not self.left
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def gone(self) -> bool:
+        return self.left
+
+
+class ServicePath:
+    """One router and some gates; every message passes through the codec."""
+
+    def __init__(
+        self,
+        runners: dict[str, FakeRunner],
+        router_options: RouterOptions | None = None,
+        gate_options: GateOptions | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.claims = MemoryClaims()
+        self.rng = Random(seed)
+        self.carry_to_gate: Callable[[AgentId, Message], None] = self.to_gate
+        self.carry_to_router: Callable[[AgentId, Message], None] = self.to_router
+        self.router = ServiceRouter(
+            ENTRY,
+            HERE,
+            self._send_to_agent,
+            self.claims,
+            router_options or RouterOptions(),
+            self.rng,
+        )
+        self.runners = {AgentId(name): runner for name, runner in runners.items()}
+        options = gate_options or GateOptions()
+        self.gates = {
+            agent_id: RunnerGate(
+                agent_id,
+                SERVICE,
+                "",
+                self._sender_of(agent_id),
+                options,
+                self.rng,
+                runner,
+            )
+            for agent_id, runner in self.runners.items()
+        }
+        self.connected: set[AgentId] = set()
+
+    async def __aenter__(self) -> "ServicePath":
+        await self.router.start()
+        for agent_id, gate in self.gates.items():
+            await gate.start()
+            self.join(agent_id)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.router.close()
+        for gate in self.gates.values():
+            await gate.close()
+
+    def join(self, agent_id: AgentId, place: PlaceName = HERE) -> None:
+        self.connected.add(agent_id)
+        hello = AgentHello(agent_id, WorkerId(""), place, EMPTY_SHAPE)
+        self.router.agent_joined(agent_id, hello)
+        self.tell_status(agent_id)
+
+    def tell_status(self, agent_id: AgentId, draining: bool = False) -> None:
+        runners = (self.gates[agent_id].status(),)
+        status = AgentStatus(0, EMPTY_SHAPE, 0, draining, 0, runners=runners)
+        self.router.on_status(agent_id, status)
+
+    def lose(self, agent_id: AgentId) -> None:
+        self.connected.discard(agent_id)
+        self.router.agent_left(agent_id)
+        self.gates[agent_id].entry_left(ENTRY)
+
+    def to_gate(self, agent_id: AgentId, message: Message) -> None:
+        assert self.gates[agent_id].on_message(ENTRY, message)
+
+    def to_router(self, agent_id: AgentId, message: Message) -> None:
+        assert self.router.on_message(agent_id, message)
+
+    async def _send_to_agent(self, agent_id: AgentId, message: Message) -> bool:
+        if agent_id not in self.connected:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.carry_to_gate, agent_id, through_codec(message))
+        return True
+
+    def _sender_of(
+        self, agent_id: AgentId
+    ) -> Callable[[EntryId, Message], Awaitable[bool]]:
+        async def send(entry_id: EntryId, message: Message) -> bool:
+            if agent_id not in self.connected:
+                return False
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.carry_to_router, agent_id, through_codec(message))
+            return True
+
+        return send
+
+    def spec(self, name: str, idempotent: bool = True, **changes) -> CallSpec:
+        now_s = asyncio.get_running_loop().time()
+        fields = {
+            "service": SERVICE,
+            "request_id": RequestId(name),
+            "caller": CallerId("school"),
+            "method": "GET" if idempotent else "POST",
+            "path": f"/{name}",
+            "headers": (),
+            "idempotent": idempotent,
+            "deadline_s": now_s + 2.0,
+        }
+        return CallSpec(**(fields | changes))
+
+    async def call(self, spec: CallSpec, *parts: bytes, sink: MemorySink | None = None):
+        """Make a call and return its outcome and sink."""
+        sink = sink or MemorySink()
+        ended = await self.router.call(spec, MemoryBody(deque(parts)), sink)
+        return ended, sink
+
+
+def through_codec(message: Message) -> Message:
+    decoded = decode(encode(message))
+    assert not isinstance(decoded, Malformed)
+    return decoded
+
+
+async def body_parts(parts: list[bytes]) -> AsyncIterator[bytes]:
+    for part in parts:
+        yield part
--- /dev/null
+++ b/tests/service/test_service_http.py
@@ -0,0 +1,193 @@
+"""The whole path over HTTP on both sides."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+from aiohttp import ClientError, ClientSession, web
+from aiohttp.test_utils import TestServer
+from service_path import SERVICE, ServicePath
+from yarl import URL
+
+from almondspan_decisions.ids import AgentId
+from almondspan_service.gate import RunnerGate
+from almondspan_service.gate_options import GateOptions
+from almondspan_service.runner_client import HttpRunnerClient, RunnerRequest
+
+
+async def runner_echo(request: web.Request) -> web.Response:
+    body = await request.read()
+    text = f"{request.method} {request.raw_path} {request.headers['X-Caller']} "
+    return web.Response(body=text.encode() + body, headers={"X-From": "runner"})
+
+
+async def runner_cut(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse()
+    response.content_length = 200_000
+    await response.prepare(request)
+    await response.write(b"x" * 100_000)
+    request.transport.abort()
+    return response
+
+
+async def runner_cut_chunked(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse()
+    await response.prepare(request)
+    await response.write(b"x" * 100_000)
+    request.transport.abort()
+    return response
+
+
+async def runner_stream(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse()
+    await response.prepare(request)
+    async for part in request.content.iter_any():
+        await response.write(part)
+    await response.write_eof()
+    return response
+
+
+def runner_app() -> web.Application:
+    app = web.Application(client_max_size=10_000_000)
+    app.router.add_route("*", "/cut", runner_cut)
+    app.router.add_route("*", "/cut-chunked", runner_cut_chunked)
+    app.router.add_route("*", "/stream", runner_stream)
+    app.router.add_route("*", "/{path:.*}", runner_echo)
+    return app
+
+
+@asynccontextmanager
+async def http_path():
+    """Yield a session and the base address of an entry with one runner."""
+    path = ServicePath({})
+    async with TestServer(runner_app()) as runner, path, ClientSession() as session:
+        agent_id = AgentId("a")
+        gate = RunnerGate(
+            agent_id,
+            SERVICE,
+            str(runner.make_url("/")),
+            path._sender_of(agent_id),
+            GateOptions(),
+            Random(1),
+        )
+        path.gates[agent_id] = gate
+        await gate.start()
+        path.join(agent_id)
+        app = web.Application()
+        path.router.add_routes(app)
+        async with TestServer(app) as entry:
+            yield session, str(entry.make_url(f"/call/{SERVICE}")), path
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "body", "answer"),
+    [
+        pytest.param("GET", "/a?x=%20y", b"", b"GET /a?x=%20y school ", id="get"),
+        pytest.param("GET", "/a%2Fb", b"", b"GET /a%2Fb school ", id="escaped"),
+        pytest.param("POST", "/", b"hi", b"POST / school hi", id="post"),
+        pytest.param("PUT", "/p", b"z" * 300_000, None, id="large"),
+        pytest.param("POST", "/stream", b"z" * 3_000_000, None, id="stream"),
+    ],
+)
+def test_request_and_answer_pass_unchanged(method, target, body, answer) -> None:
+    async def run() -> None:
+        async with http_path() as (session, base, _):
+            url = URL(base + target, encoded=True)
+            headers = {"X-Caller": "school", "X-Request-Id": "r-1"}
+            async with session.request(
+                method, url, data=body or None, headers=headers
+            ) as reply:
+                read = await reply.read()
+                assert reply.status == 200
+                assert reply.headers["X-Outcome"] == "done"
+                assert reply.headers["X-Request-Id"] == "r-1"
+                assert read == answer if answer else read.endswith(body)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("target", ["/cut", "/cut-chunked"])
+def test_a_cut_answer_is_not_taken_for_whole(target: str) -> None:
+    async def run() -> None:
+        async with http_path() as (session, base, _):
+            with pytest.raises(ClientError):
+                async with session.get(base + target) as reply:
+                    await reply.read()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        pytest.param({"X-Timeout-Ms": "soon"}, 400, id="timeout-word"),
+        pytest.param({"X-Timeout-Ms": "-1"}, 400, id="timeout-negative"),
+        pytest.param({"X-Timeout-Ms": "nan"}, 400, id="timeout-nan"),
+        pytest.param({"X-Idempotent": "maybe"}, 400, id="idempotent"),
+        pytest.param({"X-Request-Id": "x" * 201}, 400, id="long-id"),
+        pytest.param({"X-Idempotent": "TRUE"}, 200, id="fine"),
+    ],
+)
+def test_headers_are_checked(headers: dict[str, str], status: int) -> None:
+    async def run() -> None:
+        async with http_path() as (session, base, _):
+            async with session.get(base + "/x", headers=headers) as reply:
+                assert reply.status == status
+
+    asyncio.run(run())
+
+
+def test_a_repeated_request_id_is_refused_with_its_first_outcome() -> None:
+    async def run() -> None:
+        async with http_path() as (session, base, _):
+            headers = {"X-Request-Id": "once", "X-Caller": "school"}
+            async with session.post(base + "/x", headers=headers) as reply:
+                assert reply.status == 200
+            await asyncio.sleep(0.05)
+            async with session.post(base + "/x", headers=headers) as reply:
+                assert reply.status == 409
+                told = await reply.json()
+                assert told["kind"] == "done"
+                assert told["result"] == "POST /x school "
+                assert reply.headers["X-Outcome"] == "done"
+
+    asyncio.run(run())
+
+
+def test_the_gate_refuses_for_another_service() -> None:
+    async def run() -> None:
+        async with http_path() as (session, base, path):
+            other = base.replace(SERVICE, "other")
+            async with session.get(other + "/x") as reply:
+                assert reply.status == 503
+                assert reply.headers["Retry-After"]
+                assert (await reply.json())["kind"] == "not_run"
+            assert path.router.n_in_flight() == 0
+            assert path.gates[AgentId("a")].status().n_busy == 0
+
+    asyncio.run(run())
+
+
+def test_a_request_is_not_sent_again_on_a_closed_connection() -> None:
+    """The HTTP library would repeat a GET by itself when a connection breaks."""
+
+    async def run() -> None:
+        runs = []
+
+        async def drop(request: web.Request) -> web.Response:
+            runs.append(request.path)
+            request.transport.abort()
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", drop)
+        async with TestServer(app) as server:
+            client = HttpRunnerClient(str(server.make_url("/")), 8, 1.0)
+            await client.start()
+            fault = await client.send(RunnerRequest("GET", "/pay", (), b"", 0))
+            await client.close()
+            assert fault.may_have_run
+            assert runs == ["/pay"]
+
+    asyncio.run(run())
