Settle calls truthfully when channels, callers or deadlines fail

Cause: a call that is not idempotent was told as unknown although its agent came back and knew its outcome; a withdrawn or lost call had no test. Change: a lost agent is awaited for a while and asked what became of its calls; the gate's answer overrules the loss. A router that drains waits for outcomes to be recorded. Tests in virtual time cover late and crossed answers, tombstones, lost channels, deadlines, callers that leave, slow readers and drains.

--- a/packages/service/almondspan_service/entry_call.py
+++ b/packages/service/almondspan_service/entry_call.py
@@ -72,6 +72,7 @@
         self._replayable = True
         self._n_attempts = 0
         self._retry_s: float | None = None
+        self._give_up_s = float("inf")
         self._failure = Outcome(OutcomeKind.NOT_RUN, "no runner serves this")
         self._begun = False
         self._result = b""
@@ -163,7 +164,9 @@
             arrival = await self._mailbox.next(self._wake_s())
             if arrival is None:
                 if self._sink.gone():
-                    return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
+                    return self._caller_left()
+                if self._is_lost():
+                    return _outcome_of_failure(AgentLost())
                 await self._on_time()
             elif isinstance(arrival.event, AnswerHead):
                 return _Begun(arrival.attempt, arrival.event)
@@ -173,7 +176,16 @@
 
     def _wake_s(self) -> float:
         check_s = self._now_s() + self._options.caller_check_s
-        return check_s if self._retry_s is None else min(check_s, self._retry_s)
+        if self._retry_s is not None:
+            check_s = min(check_s, self._retry_s)
+        return min(check_s, self._give_up_s)
+
+    def _is_lost(self) -> bool:
+        """Tell whether an agent has not come back in time."""
+        if self._now_s() < self._give_up_s:
+            return False
+        self._give_up_s = float("inf")
+        return any(attempt.lost for attempt in self._open)
 
     async def _on_time(self) -> None:
         if self._retry_s is not None and self._now_s() >= self._retry_s:
@@ -199,9 +211,7 @@
         if not attempt.is_open:
             return
         if isinstance(event, AgentLost) and not self._spec.idempotent:
-            self._failure = Outcome(
-                OutcomeKind.UNKNOWN, "the agent was lost", b"", True
-            )
+            self._give_up_s = self._now_s() + self._options.recover_wait_s
             return
         self._close(attempt)
         failure = _outcome_of_failure(event)
@@ -251,9 +261,9 @@
     async def _relay_whole(self, begun: _Begun) -> Outcome:
         self._close(begun.attempt)
         head = begun.head
+        self._result = head.data
         if not await self._sink.whole(head):
             return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
-        self._result = head.data
         return self._done(head)
 
     async def _relay_parts(self, begun: _Begun) -> Outcome:
@@ -298,7 +308,8 @@
         return Outcome(OutcomeKind.UNKNOWN, "the answer broke off", b"", True)
 
     def _caller_left(self) -> Outcome:
-        return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", True)
+        may_have_run = bool(self._open) or self._failure.may_have_run
+        return Outcome(OutcomeKind.CANCELLED, "the caller left", b"", may_have_run)
 
     def _done(self, head: AnswerHead) -> Outcome:
         kind = outcome_of_status(head.status)
@@ -318,8 +329,8 @@
                 continue
             event = arrival.event
             if isinstance(event, AnswerHead):
-                outcome = self._done(event)
                 self._result = event.data if event.end else b""
+                outcome = self._done(event)
             if isinstance(event, AnswerData):
                 self._dispatcher.grant(arrival.attempt, len(event.data))
             if isinstance(event, CallEnded):
--- a/packages/service/almondspan_service/router.py
+++ b/packages/service/almondspan_service/router.py
@@ -91,11 +91,17 @@
         self._draining = True
         _LOGGER.info("router drains %d calls", self.n_in_flight())
         await self._idle.wait()
+        if self._background:
+            await asyncio.wait(self._background, timeout=self._options.settle_wait_s)
 
     def n_in_flight(self) -> int:
         """Return the number of calls that have no whole answer yet."""
         return self._shares.n_in_flight
 
+    def n_late_answers(self) -> int:
+        """Return the number of answers that fitted no open call."""
+        return self._dispatcher.n_late
+
     def add_routes(self, app: web.Application) -> None:
         """Register the route of calls for all methods."""
         app.router.add_route("*", CALL_ROUTE, self._handle)
--- a/packages/service/almondspan_service/router_options.py
+++ b/packages/service/almondspan_service/router_options.py
@@ -12,7 +12,8 @@
     ``answer_window_bytes`` bounds what is held of one answer for a slow caller.
     ``late_wait_s`` is how long the outcome of a request that is not idempotent is
     awaited after its caller was told that it is unknown. ``recover_wait_s`` is how
-    long a call waits for an agent whose channel was lost.
+    long a call waits for an agent whose channel was lost. ``settle_wait_s`` bounds
+    how long a drain waits for outcomes to be recorded.
     """
 
     default_timeout_ms: float = 2000.0
@@ -27,6 +28,7 @@
     caller_check_s: float = 0.25
     late_wait_s: float = 30.0
     recover_wait_s: float = 3.0
+    settle_wait_s: float = 5.0
     kept_result_bytes: int = 1024
     n_subset: int = 16
     max_in_flight: int = 4096
--- /dev/null
+++ b/tests/service/service_clock.py
@@ -0,0 +1,38 @@
+"""An event loop whose time moves only when every task waits."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any
+
+
+class _SkippingSelector(selectors.SelectSelector):
+    """Skips the time that the loop would sleep."""
+
+    skipped_s = 0.0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("every task waits for ever")
+        self.skipped_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop that starts at 1000 s and sleeps in no time."""
+
+    def __init__(self) -> None:
+        self._skipping = _SkippingSelector()
+        super().__init__(self._skipping)
+
+    def time(self) -> float:
+        return 1000.0 + self._skipping.skipped_s
+
+
+def run_virtual(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run `work` to its end in virtual time."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        loop.close()
--- /dev/null
+++ b/tests/service/test_service_faults.py
@@ -0,0 +1,500 @@
+"""Lost channels, late answers, cancels, deadlines, slow readers and drains."""
+
+import asyncio
+from collections import deque
+
+import pytest
+from service_clock import run_virtual
+from service_path import (
+    ENTRY,
+    FakeAnswer,
+    FakeRunner,
+    MemoryBody,
+    MemorySink,
+    ServicePath,
+    echo,
+    read_request,
+)
+
+from almondspan_decisions.ids import AgentId, RequestId
+from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_service.gate_options import GateOptions
+from almondspan_service.router_options import RouterOptions
+from almondspan_tasks.desk import ClaimState
+from almondspan_wire.service_messages import (
+    AnswerData,
+    AnswerHead,
+    CallCancel,
+    CallEnded,
+    CallOpen,
+    CallRecover,
+)
+
+A = AgentId("a")
+
+
+def slow(run_s: float):
+    """Return a runner's behaviour that echoes after a time."""
+
+    async def serve(request):
+        body = await read_request(request)
+        await asyncio.sleep(run_s)
+        answer = request.path.encode() + b"|" + body
+        return FakeAnswer(200, (), len(answer), deque([answer]))
+
+    return serve
+
+
+class Tape:
+    """Keeps the messages to or from one gate instead of carrying them."""
+
+    def __init__(self) -> None:
+        self.messages = []
+
+    def __call__(self, agent_id, message) -> None:
+        self.messages.append((agent_id, message))
+
+
+def opening(call_id: int, **changes) -> CallOpen:
+    fields = {
+        "incarnation": 1,
+        "call_id": call_id,
+        "service": "clips",
+        "request_id": f"r{call_id}",
+        "caller": "school",
+        "method": "GET",
+        "path": "/",
+        "headers": (),
+        "idempotent": True,
+        "timeout_ms": 1000.0,
+        "credit_bytes": 65_536,
+    }
+    return CallOpen(**(fields | changes))
+
+
+# What a gate does with messages in any order.
+
+
+@pytest.mark.parametrize(
+    ("messages", "n_runs", "kinds"),
+    [
+        pytest.param([opening(1)], 1, ["answer"], id="open"),
+        pytest.param([opening(1), opening(1)], 1, ["answer"], id="open-twice"),
+        pytest.param(
+            [CallCancel(1, 1), opening(1)],
+            0,
+            [OutcomeKind.NOT_RUN, OutcomeKind.NOT_RUN],
+            id="open-after-cancel",
+        ),
+        pytest.param(
+            [CallRecover(1, 1, 9), opening(1)],
+            0,
+            [OutcomeKind.NOT_RUN, OutcomeKind.NOT_RUN],
+            id="open-after-recover",
+        ),
+        pytest.param(
+            [opening(1), CallCancel(1, 1)], 1, [OutcomeKind.CANCELLED], id="cancel"
+        ),
+        pytest.param(
+            [opening(1, idempotent=False), CallCancel(1, 1)],
+            1,
+            ["answer"],
+            id="cancel-claimed",
+        ),
+        pytest.param(
+            [opening(1, idempotent=False), CallRecover(1, 1, 9)],
+            1,
+            ["answer"],
+            id="recover-running",
+        ),
+        pytest.param(
+            [opening(1, timeout_ms=5.0)], 1, [OutcomeKind.UNKNOWN], id="deadline"
+        ),
+        pytest.param(
+            [opening(1, timeout_ms=0.0)], 0, [OutcomeKind.NOT_RUN], id="too-late"
+        ),
+        pytest.param(
+            [opening(1, timeout_ms=5.0, idempotent=False)],
+            1,
+            ["answer"],
+            id="deadline-claimed",
+        ),
+    ],
+)
+def test_gate_answers(messages, n_runs, kinds) -> None:
+    async def run() -> None:
+        runner = FakeRunner(slow(0.05))
+        async with ServicePath({"a": runner}) as path:
+            path.carry_to_router = tape = Tape()
+            for message in messages:
+                path.gates[A].on_message(ENTRY, message)
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(1.0)
+            assert len(runner.runs) == n_runs
+            told = [
+                "answer" if isinstance(message, AnswerHead) else message.kind
+                for _, message in tape.messages
+            ]
+            assert told == kinds
+            assert path.gates[A].status().n_busy == 0
+
+    run_virtual(run())
+
+
+def test_a_forgotten_call_is_never_run_again() -> None:
+    async def run() -> None:
+        runner = FakeRunner()
+        options = GateOptions(n_remembered_calls=8)
+        async with ServicePath({"a": runner}, gate_options=options) as path:
+            path.carry_to_router = tape = Tape()
+            for n in range(20):
+                path.gates[A].on_message(ENTRY, opening(n))
+                await asyncio.sleep(0.01)
+            path.gates[A].on_message(ENTRY, opening(0))
+            await asyncio.sleep(0.01)
+            assert len(runner.runs) == 20
+            assert tape.messages[-1][1].kind is OutcomeKind.UNKNOWN
+
+    run_virtual(run())
+
+
+def test_queue_is_bounded_and_sheds_what_cannot_end_in_time() -> None:
+    async def run() -> None:
+        runner = FakeRunner(slow(0.1))
+        options = GateOptions(initial_run_s=0.1)
+        async with ServicePath({"a": runner}, gate_options=options) as path:
+            path.carry_to_router = tape = Tape()
+            for n in range(200):
+                timeout_ms = 10_000.0 if n < 100 else 200.0
+                message = opening(n, timeout_ms=timeout_ms)
+                path.gates[A].on_message(ENTRY, message)
+            status = path.gates[A].status()
+            assert (status.n_busy, status.n_queued) == (8, 56)
+            await asyncio.sleep(0.001)
+            refused = [m.call_id for _, m in tape.messages]
+            assert len(refused) >= 36 + 100
+            await asyncio.sleep(5.0)
+            assert len(runner.runs) == 64
+
+    run_virtual(run())
+
+
+def test_a_callers_burst_does_not_hold_up_another() -> None:
+    async def run() -> None:
+        order = []
+
+        async def serve(request):
+            order.append(dict(request.headers)["X-Caller"])
+            return await slow(0.1)(request)
+
+        async with ServicePath({"a": FakeRunner(serve)}) as path:
+            path.carry_to_router = Tape()
+            for n in range(50):
+                message = opening(n, caller="burst", timeout_ms=10_000.0)
+                path.gates[A].on_message(ENTRY, message)
+            for n in range(50, 53):
+                message = opening(n, caller="quiet", timeout_ms=10_000.0)
+                path.gates[A].on_message(ENTRY, message)
+            await asyncio.sleep(5.0)
+            assert order[8:14].count("quiet") == 3
+
+    run_virtual(run())
+
+
+# Answers that come late, crossed or not at all.
+
+
+def test_late_and_crossed_answers_reach_nobody_else() -> None:
+    async def run() -> None:
+        runners = {"a": FakeRunner(), "b": FakeRunner()}
+        async with ServicePath(runners) as path:
+            path.carry_to_router = tape = Tape()
+            calls = [
+                asyncio.create_task(path.call(path.spec(f"c{n}"))) for n in range(10)
+            ]
+            await asyncio.sleep(0.01)
+            held = list(tape.messages)
+            for agent_id, message in reversed(held):
+                other = AgentId("b") if agent_id == A else A
+                path.to_router(other, message)
+                path.to_router(agent_id, message)
+            for n, (_, sink) in enumerate(await asyncio.gather(*calls)):
+                assert bytes(sink.body) == f"/c{n}|".encode()
+            for agent_id, message in held:
+                path.to_router(agent_id, message)
+            assert path.router.n_late_answers() == 20
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "kind", "n_runs"),
+    [
+        pytest.param(True, OutcomeKind.DONE, 2, id="idempotent"),
+        pytest.param(False, OutcomeKind.UNKNOWN, 1, id="claimed"),
+    ],
+)
+def test_a_lost_channel(idempotent, kind, n_runs) -> None:
+    async def run() -> None:
+        runners = {"a": FakeRunner(slow(0.1)), "b": FakeRunner(slow(0.1))}
+        async with ServicePath(runners) as path:
+            path.tell_status(AgentId("b"), draining=True)
+            spec = path.spec("x", idempotent, deadline_s=path_time() + 60.0)
+            call = asyncio.create_task(path.call(spec))
+            await asyncio.sleep(0.01)
+            path.tell_status(AgentId("b"))
+            path.lose(A)
+            begun_s = path_time()
+            outcome, _ = await call
+            assert outcome.kind is kind
+            assert path_time() - begun_s < 5.0
+            n_all = sum(len(runner.runs) for runner in runners.values())
+            assert n_all == n_runs
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("run_s", "lost_after_s", "back_after_s", "kind"),
+    [
+        pytest.param(0.2, 0.0, 0.5, OutcomeKind.DONE, id="before-it-came"),
+        pytest.param(0.2, 0.05, 0.01, OutcomeKind.DONE, id="back-while-running"),
+        pytest.param(8.0, 0.05, 0.01, OutcomeKind.DONE, id="back-and-runs-on"),
+        pytest.param(0.2, 0.05, 1.0, OutcomeKind.DONE, id="back-after-its-end"),
+        pytest.param(0.2, 0.05, 9.0, OutcomeKind.UNKNOWN, id="back-too-late"),
+    ],
+)
+def test_a_returned_agent_tells_the_true_outcome(
+    run_s, lost_after_s, back_after_s, kind
+) -> None:
+    async def run() -> None:
+        runner = FakeRunner(slow(run_s))
+        async with ServicePath({"a": runner}) as path:
+            if lost_after_s == 0.0:
+                path.carry_to_gate = Tape()
+            spec = path.spec("x", False, deadline_s=path_time() + 60.0)
+            call = asyncio.create_task(path.call(spec))
+            await asyncio.sleep(lost_after_s + 0.01)
+            path.lose(A)
+            path.carry_to_gate = path.to_gate
+            await asyncio.sleep(back_after_s)
+            path.join(A)
+            outcome, sink = await call
+            assert outcome.kind is kind
+            assert sink.is_whole is (kind is OutcomeKind.DONE)
+            await asyncio.sleep(40.0)
+            assert path.claims.settled[RequestId("x")].kind is OutcomeKind.DONE
+            assert runner.runs == ["x"]
+
+    run_virtual(run())
+
+
+# Deadlines and callers that leave.
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "settled"),
+    [
+        pytest.param(True, None, id="idempotent"),
+        pytest.param(False, OutcomeKind.DONE, id="claimed"),
+    ],
+)
+@pytest.mark.parametrize("leaves", [True, False])
+def test_deadline_or_caller_leaving(idempotent, settled, leaves) -> None:
+    async def run() -> None:
+        runner = FakeRunner(slow(10.0))
+        async with ServicePath({"a": runner}) as path:
+            sink = MemorySink()
+            call = asyncio.create_task(path.call(path.spec("x", idempotent), sink=sink))
+            await asyncio.sleep(0.1)
+            sink.left = leaves
+            await asyncio.sleep(1.0)
+            assert call.done() is leaves
+            outcome, _ = await call
+            expected = OutcomeKind.CANCELLED if leaves else OutcomeKind.UNKNOWN
+            assert outcome.kind is expected
+            await asyncio.sleep(0.1)
+            assert runner.n_busy == (0 if idempotent else 1)
+            await asyncio.sleep(10.0)
+            told = path.claims.settled.get(RequestId("x"))
+            assert (told.kind if told else None) is settled
+            assert runner.n_busy == 0
+
+    run_virtual(run())
+
+
+def test_a_body_that_breaks_off_is_not_answered_as_done() -> None:
+    async def run() -> None:
+        runner = FakeRunner()
+        async with ServicePath({"a": runner}) as path:
+            body = MemoryBody(deque([b"x" * 100_000]), breaks_off=True)
+            spec = path.spec("x", method="PUT", body_bytes=200_000)
+            outcome = await path.router.call(spec, body, MemorySink())
+            assert outcome.kind is OutcomeKind.CANCELLED
+            await asyncio.sleep(0.1)
+            assert runner.n_busy == 0
+
+    run_virtual(run())
+
+
+# Flow control.
+
+
+@pytest.mark.parametrize("window_bytes", [65_536, 131_072])
+def test_a_slow_reader_holds_bounded_memory(window_bytes: int) -> None:
+    async def run() -> None:
+        n_parts = 100
+        parts = deque([bytes([n]) * 20_000 for n in range(n_parts)])
+        whole = b"".join(parts)
+
+        async def serve(request):
+            return FakeAnswer(200, (), -1, parts)
+
+        options = RouterOptions(answer_window_bytes=window_bytes)
+        async with ServicePath({"a": FakeRunner(serve)}, options) as path:
+            sink = MemorySink(write_s=0.05)
+            most = 0
+            carried = 0
+
+            def carry(agent_id, message) -> None:
+                nonlocal carried, most
+                if isinstance(message, AnswerData):
+                    carried += len(message.data)
+                    most = max(most, carried - len(sink.body))
+                path.to_router(agent_id, message)
+
+            path.carry_to_router = carry
+            spec = path.spec("x", deadline_s=path_time() + 600.0)
+            outcome, _ = await path.call(spec, sink=sink)
+            assert outcome.kind is OutcomeKind.DONE
+            assert bytes(sink.body) == whole
+            assert window_bytes / 2 < most <= window_bytes
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        pytest.param("drop", id="dropped"),
+        pytest.param("swap", id="swapped"),
+        pytest.param("cut", id="cut-by-the-runner"),
+        pytest.param("lose", id="channel-lost"),
+    ],
+)
+def test_an_answer_in_parts_is_whole_or_aborted(spoil: str) -> None:
+    async def run() -> None:
+        parts = deque([b"%05d" % n * 4000 for n in range(10)])
+
+        async def serve(request):
+            return FakeAnswer(200, (), -1, parts, breaks_off=spoil == "cut")
+
+        async with ServicePath({"a": FakeRunner(serve)}) as path:
+            held = []
+
+            def carry(agent_id, message) -> None:
+                if not isinstance(message, AnswerData) or message.sequence != 2:
+                    path.to_router(agent_id, message)
+                elif spoil == "swap":
+                    held.append(message)
+                elif spoil == "lose":
+                    path.lose(agent_id)
+                elif spoil == "cut":
+                    path.to_router(agent_id, message)
+                if held and message.sequence == 3:
+                    path.to_router(agent_id, held.pop())
+
+            path.carry_to_router = carry
+            sink = MemorySink()
+            outcome, _ = await path.call(path.spec("x"), sink=sink)
+            assert outcome.kind is OutcomeKind.UNKNOWN
+            assert sink.is_aborted
+            assert not sink.is_whole
+
+    run_virtual(run())
+
+
+# Draining.
+
+
+def test_a_drained_gate_cuts_nothing_and_takes_nothing() -> None:
+    async def run() -> None:
+        runners = {"a": FakeRunner(slow(0.5)), "b": FakeRunner(slow(0.5))}
+        async with ServicePath(runners) as path:
+            early = [
+                asyncio.create_task(path.call(path.spec(f"e{n}"))) for n in range(30)
+            ]
+            await asyncio.sleep(0.1)
+            n_before = len(runners["a"].runs)
+            assert n_before > 0
+            drained = asyncio.create_task(path.gates[A].drain())
+            await asyncio.sleep(0)
+            late = [
+                asyncio.create_task(path.call(path.spec(f"l{n}"))) for n in range(4)
+            ]
+            await asyncio.sleep(0.01)
+            path.tell_status(A, draining=True)
+            ended = await asyncio.gather(*early, *late)
+            assert {outcome.kind for outcome, _ in ended} == {OutcomeKind.DONE}
+            await drained
+            n_after = len(runners["a"].runs)
+            later = [path.call(path.spec(f"x{n}")) for n in range(20)]
+            await asyncio.gather(*later)
+            assert len(runners["a"].runs) == n_after
+
+    run_virtual(run())
+
+
+def test_a_drained_router_cuts_nothing_and_takes_nothing() -> None:
+    async def run() -> None:
+        runner = FakeRunner(slow(0.5))
+        async with ServicePath({"a": runner}) as path:
+            calls = [
+                asyncio.create_task(path.call(path.spec(f"e{n}", n % 2 == 0)))
+                for n in range(8)
+            ]
+            await asyncio.sleep(0.1)
+            drained = asyncio.create_task(path.router.drain())
+            await asyncio.sleep(0)
+            refused, _ = await path.call(path.spec("late"))
+            assert refused.kind is OutcomeKind.NOT_RUN
+            assert path.router.n_in_flight() == 8
+            await drained
+            assert path.router.n_in_flight() == 0
+            assert len(path.claims.settled) == 4
+            for call in calls:
+                assert call.result()[0].kind is OutcomeKind.DONE
+            assert "late" not in runner.runs
+
+    run_virtual(run())
+
+
+def test_a_handler_that_is_cancelled_settles_its_claim() -> None:
+    async def run() -> None:
+        async with ServicePath({"a": FakeRunner(slow(0.5))}) as path:
+            call = asyncio.create_task(path.call(path.spec("x", False)))
+            await asyncio.sleep(0.1)
+            call.cancel()
+            await asyncio.sleep(1.0)
+            assert path.claims.settled[RequestId("x")].kind is OutcomeKind.DONE
+            again, _ = await path.call(path.spec("x", False))
+            assert again.state is ClaimState.TAKEN
+
+    run_virtual(run())
+
+
+def test_a_cancel_before_the_first_step_frees_the_slot() -> None:
+    async def run() -> None:
+        async with ServicePath({"a": FakeRunner(echo)}) as path:
+            path.carry_to_router = tape = Tape()
+            path.gates[A].on_message(ENTRY, opening(1))
+            path.gates[A].on_message(ENTRY, CallCancel(1, 1))
+            await asyncio.sleep(0.1)
+            assert path.gates[A].status().n_busy == 0
+            assert isinstance(tape.messages[0][1], CallEnded)
+
+    run_virtual(run())
+
+
+def path_time() -> float:
+    return asyncio.get_running_loop().time()
