Add the administration API and the relay of the configuration

Cause: operators need one place to submit jobs and configurations, and entries need a copy of the configuration that survives the store. Change: typed configuration text with every fault in one run; a relay that keeps the highest revision; submissions by compare-and-swap with a nonce; routes in a registry, bearer tokens by digest, limits on body and rate, an OpenAPI document.

--- /dev/null
+++ b/packages/admin/almondspan_admin/api.py
@@ -0,0 +1,191 @@
+"""Serves the administration API over HTTP.
+
+Each request goes through the same steps: identify the caller by its token; charge
+the team's rate; check the role; read the body up to its limit; decode it by the
+route's type; call the route; encode the answer as JSON.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from importlib import resources
+from typing import Final
+
+import msgspec
+from aiohttp import web
+
+from almondspan_admin import config_routes, fleet_routes, job_routes
+from almondspan_admin.auth import Identity, identify
+from almondspan_admin.fleet_view import FleetView
+from almondspan_admin.holder import ConfigHolder
+from almondspan_admin.rate import RateLimiter
+from almondspan_admin.relay import ConfigRelay
+from almondspan_admin.routes import (
+    ROUTES,
+    Access,
+    ApiCall,
+    ApiContext,
+    Reply,
+    Route,
+    refuse,
+)
+from almondspan_tasks.desk import JobDesk
+
+__all__ = ["AdminApi", "AdminCounters", "AdminOptions"]
+
+ROUTE_MODULES: Final = (config_routes, fleet_routes, job_routes)
+"""The modules whose import fills the registry."""
+
+OPENAPI_PATH: Final = "/v1/openapi.json"
+ANONYMOUS: Final = "(no valid token)"
+"""The key under which requests without a valid token are charged."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdminOptions:
+    """Limits of the administration API, and the token of the very first change."""
+
+    bootstrap_token_sha256: str = ""
+    max_body_bytes: int = 1_000_000
+    max_requests_per_s: float = 50.0
+    wall_clock: Callable[[], float] = time.time
+
+
+@dataclass(slots=True)
+class AdminCounters:
+    """Counts of requests since the start."""
+
+    n_requests: int = 0
+    n_unauthorized: int = 0
+    n_forbidden: int = 0
+    n_rate_limited: int = 0
+    n_oversized: int = 0
+    n_malformed: int = 0
+
+
+class AdminApi:
+    """The administration API of an entry.
+
+    Parameters
+    ----------
+    desk : JobDesk
+    relay : ConfigRelay
+    fleet_view : FleetView
+    options : AdminOptions, optional
+    """
+
+    def __init__(
+        self,
+        desk: JobDesk,
+        relay: ConfigRelay,
+        fleet_view: FleetView,
+        options: AdminOptions | None = None,
+    ) -> None:
+        self._options = options or AdminOptions()
+        self._relay = relay
+        self._holder = ConfigHolder()
+        self._context = ApiContext(
+            desk, relay, fleet_view, self._holder, self._options.wall_clock
+        )
+        self._limiter = RateLimiter()
+        self._openapi = (
+            resources.files("almondspan_admin").joinpath("openapi.json").read_bytes()
+        )
+        self.counters = AdminCounters()
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add every route of the API to an application that has not started."""
+        app.router.add_get(OPENAPI_PATH, self._serve_openapi)
+        for entry in ROUTES:
+            app.router.add_route(entry.method, entry.path, self._handler_of(entry))
+
+    async def _serve_openapi(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._openapi, content_type="application/json")
+
+    def _handler_of(
+        self, entry: Route
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        async def handle(request: web.Request) -> web.StreamResponse:
+            return _encode(await self._answer(entry, request))
+
+        return handle
+
+    async def _answer(self, entry: Route, request: web.Request) -> Reply:
+        self.counters.n_requests += 1
+        identity = self._identify(request)
+        refused = self._admit(entry, identity)
+        if refused is not None:
+            return refused
+        assert identity is not None
+        data = await self._read_body(request)
+        if isinstance(data, Reply):
+            return data
+        body: msgspec.Struct | None = None
+        if entry.body is not None:
+            try:
+                body = msgspec.json.decode(data, type=entry.body)
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                self.counters.n_malformed += 1
+                return refuse(HTTPStatus.BAD_REQUEST, "bad_request", str(error))
+        call = ApiCall(identity, request.match_info, body)
+        return await entry.handler(self._context, call)
+
+    def _identify(self, request: web.Request) -> Identity | None:
+        push = self._relay.current()
+        if push is not None and push.revision > self._holder.revision:
+            self._holder.accept(push)
+        header = request.headers.get("Authorization", "")
+        digest = self._options.bootstrap_token_sha256
+        return identify(header, self._holder.fleet, digest)
+
+    def _admit(self, entry: Route, identity: Identity | None) -> Reply | None:
+        """Return why the caller is refused, or None."""
+        now_s = asyncio.get_running_loop().time()
+        rate_per_s = self._options.max_requests_per_s
+        if identity is not None and identity.max_requests_per_s > 0:
+            rate_per_s = identity.max_requests_per_s
+        key = identity.team if identity is not None else ANONYMOUS
+        wait_s = self._limiter.delay_s(key, rate_per_s, now_s)
+        if wait_s > 0:
+            self.counters.n_rate_limited += 1
+            reason = f"too many requests; repeat in {wait_s:.2f} s"
+            return refuse(HTTPStatus.TOO_MANY_REQUESTS, "rate_limited", reason)
+        if identity is None:
+            self.counters.n_unauthorized += 1
+            reason = "no valid bearer token"
+            return refuse(HTTPStatus.UNAUTHORIZED, "unauthorized", reason)
+        if entry.access is Access.OPERATOR and not identity.operator:
+            self.counters.n_forbidden += 1
+            reason = f"team {identity.team} is no operator"
+            return refuse(HTTPStatus.FORBIDDEN, "forbidden", reason)
+        return None
+
+    async def _read_body(self, request: web.Request) -> bytes | Reply:
+        limit = self._options.max_body_bytes
+        data = bytearray()
+        if (request.content_length or 0) <= limit:
+            async for chunk in request.content.iter_any():
+                data += chunk
+                if len(data) > limit:
+                    break
+            else:
+                return bytes(data)
+        self.counters.n_oversized += 1
+        reason = f"a body holds at most {limit} bytes"
+        return refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "too_large", reason)
+
+
+def _encode(reply: Reply) -> web.Response:
+    headers = {}
+    if reply.status is HTTPStatus.TOO_MANY_REQUESTS:
+        headers["Retry-After"] = "1"
+    if reply.status is HTTPStatus.UNAUTHORIZED:
+        headers["WWW-Authenticate"] = "Bearer"
+    return web.Response(
+        body=msgspec.json.encode(reply.body),
+        status=reply.status,
+        headers=headers,
+        content_type="application/json",
+    )
--- /dev/null
+++ b/packages/admin/almondspan_admin/routes.py
@@ -0,0 +1,120 @@
+"""The registry of the administration API's routes.
+
+A route is a function that a decorator puts into `ROUTES` with its method, path,
+who may call it, and the types of its bodies. `api` serves the registry; `openapi`
+describes it.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from http import HTTPStatus
+from typing import Final, TypeVar
+
+from msgspec import Struct
+
+from almondspan_admin.auth import Identity
+from almondspan_admin.fleet_view import FleetView
+from almondspan_admin.holder import ConfigHolder
+from almondspan_admin.messages import ErrorBody
+from almondspan_admin.relay import ConfigRelay
+from almondspan_tasks.desk import JobDesk
+
+__all__ = [
+    "ROUTES",
+    "Access",
+    "ApiCall",
+    "ApiContext",
+    "Reply",
+    "Route",
+    "refuse",
+    "route",
+]
+
+Body = TypeVar("Body", bound=Struct)
+
+
+class Access(Enum):
+    """Who may call a route."""
+
+    TEAM = "team"
+    OPERATOR = "operator"
+
+
+@dataclass(frozen=True, slots=True)
+class ApiContext:
+    """What the routes work with."""
+
+    desk: JobDesk
+    relay: ConfigRelay
+    fleet_view: FleetView
+    holder: ConfigHolder
+    wall_clock: Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class ApiCall:
+    """One authorised request."""
+
+    identity: Identity
+    path: Mapping[str, str] = field(default_factory=dict)
+    body: Struct | None = None
+
+    def read(self, cls: type[Body]) -> Body:
+        """Return the body, which the route has declared to be of `cls`."""
+        assert isinstance(self.body, cls)
+        return self.body
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The status and body of an answer."""
+
+    body: Struct
+    status: HTTPStatus = HTTPStatus.OK
+
+
+Handler = Callable[[ApiContext, ApiCall], Awaitable[Reply]]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A route with all that its description needs."""
+
+    method: str
+    path: str
+    access: Access
+    handler: Handler
+    answer: type[Struct]
+    body: type[Struct] | None = None
+
+    @property
+    def summary(self) -> str:
+        """The first line of the handler's docstring."""
+        return (self.handler.__doc__ or "").strip().splitlines()[0]
+
+
+ROUTES: Final[list[Route]] = []
+
+
+def route(
+    method: str,
+    path: str,
+    access: Access,
+    answer: type[Struct],
+    body: type[Struct] | None = None,
+) -> Callable[[Handler], Handler]:
+    """Register a route."""
+
+    def register(handler: Handler) -> Handler:
+        ROUTES.append(Route(method, path, access, handler, answer, body))
+        return handler
+
+    return register
+
+
+def refuse(
+    status: HTTPStatus, kind: str, reason: str, *, may_have_applied: bool = False
+) -> Reply:
+    """Return an answer that says why a request was not carried out."""
+    return Reply(ErrorBody(kind, reason, may_have_applied=may_have_applied), status)
--- a/packages/decisions/almondspan_decisions/fleet.py
+++ b/packages/decisions/almondspan_decisions/fleet.py
@@ -4,7 +4,7 @@
 number. Every process reads it into a `FleetConfig`.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from almondspan_decisions.ids import OrderName, ServiceName, TaskClass, TeamName
 
@@ -38,12 +38,15 @@
 
     ``quota_share`` is the dominant share of the fleet that the team's running
     tasks may hold. ``token_sha256`` is the lower-case hexadecimal digest.
+    ``max_requests_per_s`` limits its administration requests at each entry; 0
+    stands for the entry's own limit.
     """
 
     name: TeamName
     quota_share: float
     token_sha256: str
     operator: bool = False
+    max_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,12 +64,19 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderConfig:
-    """A hand-back order: its team, deadline and the stages of each record."""
+    """A hand-back order: its team, deadline and the stages of each record.
+
+    ``records_sha256`` is the digest of the sorted record names, by which a report
+    proves that no ordered record is missing; see `records_digest`. It is empty
+    while the records are not settled.
+    """
 
     name: OrderName
     team: TeamName
     deadline_unix_s: float
     stages: tuple[TaskClass, ...]
+    n_records: int = 0
+    records_sha256: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,3 +99,7 @@
     task_classes: tuple[TaskClassConfig, ...] = ()
     orders: tuple[OrderConfig, ...] = ()
     policies: PolicyConfig = PolicyConfig()
+
+    def at_revision(self, revision: int) -> "FleetConfig":
+        """Return the same configuration under another revision."""
+        return replace(self, revision=revision)
