Route by load, health and slow start; hedge and damp

Cause: calls went to failing, slow and flapping runners like to any other. Change: ejection with a capped share and probes, slow start, damping of agents that come and go, hedges after a learned quantile paid from the retry budget, counters. The gate counts burn and latency with the decisions package, tells its median run time, takes only messages of its own service and can resume after a drain. Withdrawals name the service; an ended call tells whether the runner failed. Conclusion: the pieces still need their own tables of tests.

--- a/packages/service/almondspan_service/dispatcher.py
+++ b/packages/service/almondspan_service/dispatcher.py
@@ -20,9 +20,11 @@
 )
 from almondspan_service.budget import RetryBudget
 from almondspan_service.call_spec import CallSpec
+from almondspan_service.counters import RouterCounters
 from almondspan_service.credit import Credit
+from almondspan_service.hedging import HedgeDelays
 from almondspan_service.router_options import RouterOptions
-from almondspan_service.runner_table import RunnerTable
+from almondspan_service.runner_table import RunnerRow, RunnerTable
 from almondspan_wire.codec import Message
 from almondspan_wire.service_messages import (
     REQUEST_WINDOW_BYTES,
@@ -37,12 +39,15 @@
     RequestData,
 )
 
-__all__ = ["Dispatcher", "SendToAgent"]
+__all__ = ["FIRST_FAILING_STATUS", "Dispatcher", "SendToAgent"]
 
 SendToAgent = Callable[[AgentId, Message], Awaitable[bool]]
 
 N_INCARNATIONS: Final = 2**62
 
+FIRST_FAILING_STATUS: Final = 500
+"""From this HTTP status on, the runner reports an error of its own."""
+
 
 class Dispatcher:
     """Open attempts of every call of one entry.
@@ -52,6 +57,7 @@
     table : the runners to choose from.
     send : sends a message to an agent; False when its channel is lost.
     options : limits and times.
+    counters : counters of the router.
     rng : randomness.
     """
 
@@ -60,29 +66,45 @@
         table: RunnerTable,
         send: SendToAgent,
         options: RouterOptions,
+        counters: RouterCounters,
         rng: Random,
     ) -> None:
         self.table = table
         self.options = options
         self.rng = rng
+        self.counters = counters
         self.budget = RetryBudget(options.retry_share, options.retry_burst)
-        self.n_late = 0
+        self.hedge_delays = HedgeDelays(options)
         self._send = send
         self._incarnation = rng.randrange(N_INCARNATIONS)
-        self._n_attempts = 0
         self._attempts: dict[int, Attempt] = {}
         self._notices: set[asyncio.Task[bool]] = set()
 
     def prepare(
-        self, spec: CallSpec, mailbox: Mailbox, avoid: Container[AgentId]
+        self, spec: CallSpec, mailbox: Mailbox, tried: Container[AgentId]
     ) -> Attempt | None:
         """Choose a runner for the next attempt; None when there is none."""
-        row = self.table.choose(spec.service, avoid)
-        if row is None:
-            return None
-        self._n_attempts += 1
         now_s = asyncio.get_running_loop().time()
-        attempt = Attempt(self._n_attempts, row, mailbox, Credit(0), now_s)
+        row = self.table.choose(spec.service, tried, now_s, spec.idempotent)
+        return None if row is None else self._new_attempt(row, mailbox, now_s)
+
+    def prepare_hedge(
+        self, spec: CallSpec, mailbox: Mailbox, tried: Container[AgentId]
+    ) -> Attempt | None:
+        """Choose a free runner for a hedge; None when there is none."""
+        now_s = asyncio.get_running_loop().time()
+        row = self.table.choose_free(spec.service, tried, now_s)
+        if row is None or not self.budget.take():
+            return None
+        attempt = self._new_attempt(row, mailbox, now_s)
+        attempt.is_hedge = True
+        self.counters.n_hedges += 1
+        return attempt
+
+    def _new_attempt(self, row: RunnerRow, mailbox: Mailbox, now_s: float) -> Attempt:
+        self.counters.n_attempts += 1
+        number = self.counters.n_attempts
+        attempt = Attempt(number, row, mailbox, Credit(0), now_s)
         self._attempts[attempt.call_id] = attempt
         row.n_open += 1
         return attempt
@@ -128,7 +150,8 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Withdraw an attempt; it stays open."""
-        self._post(attempt, CallCancel(self._incarnation, attempt.call_id))
+        service = attempt.row.service
+        self._post(attempt, CallCancel(self._incarnation, attempt.call_id, service))
 
     def close(self, attempt: Attempt) -> None:
         """Forget an attempt; what still arrives for it is late."""
@@ -164,7 +187,7 @@
             or incarnation != self._incarnation
             or attempt.row.agent_id != agent_id
         ):
-            self.n_late += 1
+            self.counters.n_late_answers += 1
             return None
         return attempt
 
@@ -174,8 +197,20 @@
         if not isinstance(message, AnswerData):
             n_held = message.n_busy + message.n_queued
             attempt.row.on_load(n_held, message.latency_ms)
+            self._judge(attempt, message)
         self._tell(attempt, message)
 
+    def _judge(self, attempt: Attempt, message: AnswerHead | CallEnded) -> None:
+        """Count an answer or a fault of the runner for its health."""
+        now_s = asyncio.get_running_loop().time()
+        if isinstance(message, CallEnded):
+            if message.fault:
+                self.table.on_failure(attempt.row, now_s)
+        elif message.status >= FIRST_FAILING_STATUS:
+            self.table.on_failure(attempt.row, now_s)
+        else:
+            self.table.on_success(attempt.row, now_s)
+
     def _tell(self, attempt: Attempt, event: AttemptEvent) -> None:
         attempt.mailbox.put(Arrival(attempt, event))
 
@@ -197,7 +232,9 @@
             if attempt.row.agent_id == agent_id and attempt.lost:
                 attempt.lost = False
                 window = self.options.answer_window_bytes
-                recover = CallRecover(self._incarnation, attempt.call_id, window)
+                recover = CallRecover(
+                    self._incarnation, attempt.call_id, window, attempt.row.service
+                )
                 self._post(attempt, recover)
 
     def _post(self, attempt: Attempt, message: Message) -> None:
--- a/packages/service/almondspan_service/entry_call.py
+++ b/packages/service/almondspan_service/entry_call.py
@@ -22,7 +22,7 @@
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_service.attempt import AgentLost, Arrival, Attempt, Mailbox
 from almondspan_service.call_spec import AnswerSink, BodyBroken, BodyReader, CallSpec
-from almondspan_service.dispatcher import Dispatcher
+from almondspan_service.dispatcher import FIRST_FAILING_STATUS, Dispatcher
 from almondspan_wire.service_messages import (
     REQUEST_WINDOW_BYTES,
     AnswerData,
@@ -32,9 +32,6 @@
 
 __all__ = ["EntryCall", "outcome_of_status"]
 
-FIRST_FAILING_STATUS = 500
-"""From this HTTP status on, the runner reports an error of its own."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Begun:
@@ -73,6 +70,7 @@
         self._n_attempts = 0
         self._retry_s: float | None = None
         self._give_up_s = float("inf")
+        self._hedge_s = float("inf")
         self._failure = Outcome(OutcomeKind.NOT_RUN, "no runner serves this")
         self._begun = False
         self._result = b""
@@ -160,6 +158,7 @@
         """Send attempts until one begins to answer or none may follow."""
         self._dispatcher.budget.on_request()
         await self._send_attempt()
+        self._plan_hedge()
         while self._open or self._retry_s is not None:
             arrival = await self._mailbox.next(self._wake_s())
             if arrival is None:
@@ -169,6 +168,7 @@
                     return _outcome_of_failure(AgentLost())
                 await self._on_time()
             elif isinstance(arrival.event, AnswerHead):
+                self._learn(arrival.attempt)
                 return _Begun(arrival.attempt, arrival.event)
             else:
                 self._on_failure(arrival)
@@ -178,7 +178,21 @@
         check_s = self._now_s() + self._options.caller_check_s
         if self._retry_s is not None:
             check_s = min(check_s, self._retry_s)
-        return min(check_s, self._give_up_s)
+        return min(check_s, self._give_up_s, self._hedge_s)
+
+    def _plan_hedge(self) -> None:
+        if self._spec.idempotent and self._first_is_all:
+            now_s = self._now_s()
+            hedges = self._dispatcher.hedge_delays
+            delay_s = hedges.delay_s(self._spec.service, now_s)
+            self._hedge_s = float("inf") if delay_s is None else now_s + delay_s
+
+    def _learn(self, attempt: Attempt) -> None:
+        """Count the time until the answer began, for later hedges."""
+        now_s = self._now_s()
+        latency_ms = (now_s - attempt.sent_s) * 1000.0
+        self._dispatcher.hedge_delays.add(self._spec.service, now_s, latency_ms)
+        self._dispatcher.counters.n_hedges_won += attempt.is_hedge
 
     def _is_lost(self) -> bool:
         """Tell whether an agent has not come back in time."""
@@ -190,12 +204,25 @@
     async def _on_time(self) -> None:
         if self._retry_s is not None and self._now_s() >= self._retry_s:
             self._retry_s = None
+            self._dispatcher.counters.n_retries += 1
             await self._send_attempt()
+        elif self._now_s() >= self._hedge_s:
+            self._hedge_s = float("inf")
+            await self._send_hedge()
+
+    async def _send_hedge(self) -> None:
+        if len(self._open) != 1 or self._n_attempts >= self._options.max_attempts:
+            return
+        attempt = self._dispatcher.prepare_hedge(self._spec, self._mailbox, self._tried)
+        if attempt is not None:
+            await self._open_attempt(attempt)
 
     async def _send_attempt(self) -> None:
         attempt = self._dispatcher.prepare(self._spec, self._mailbox, self._tried)
-        if attempt is None:
-            return
+        if attempt is not None:
+            await self._open_attempt(attempt)
+
+    async def _open_attempt(self, attempt: Attempt) -> None:
         self._open.append(attempt)
         self._n_attempts += 1
         self._tried.add(attempt.row.agent_id)
--- /dev/null
+++ b/packages/service/almondspan_service/flap_damping.py
@@ -0,0 +1,72 @@
+"""Keeps agents out of use that come and go too often.
+
+Each departure adds a penalty that halves with time. An agent whose penalty exceeds
+a limit is suppressed until the penalty has fallen below a lower one.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+__all__ = ["DampingOptions", "FlapDamper"]
+
+FORGET_PENALTY: Final = 0.01
+"""Penalties below this are dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class DampingOptions:
+    """Departures that suppress, the penalty that releases, and its half-life."""
+
+    suppress: float = 2.5
+    reuse: float = 1.2
+    half_life_s: float = 20.0
+
+
+@dataclass(slots=True)
+class _Penalty:
+    amount: float
+    at_s: float
+    suppressed: bool = False
+
+
+class FlapDamper:
+    """Penalties by the name of an agent's worker or of the agent."""
+
+    def __init__(self, options: DampingOptions) -> None:
+        self._options = options
+        self._penalties: dict[str, _Penalty] = {}
+
+    def on_departure(self, name: str, now_s: float) -> None:
+        """Count a departure."""
+        amount = self._amount(name, now_s) + 1.0
+        known = self._penalties.get(name)
+        suppressed = amount > self._options.suppress or (
+            known is not None and known.suppressed and amount > self._options.reuse
+        )
+        self._drop_small(now_s)
+        self._penalties[name] = _Penalty(amount, now_s, suppressed)
+
+    def suppressed_until_s(self, name: str, now_s: float) -> float:
+        """Return when an agent may be used; a time that has passed when now."""
+        known = self._penalties.get(name)
+        if known is None or not known.suppressed:
+            return now_s
+        halvings = math.log2(max(1.0, known.amount / self._options.reuse))
+        return known.at_s + halvings * self._options.half_life_s
+
+    def _amount(self, name: str, now_s: float) -> float:
+        known = self._penalties.get(name)
+        if known is None:
+            return 0.0
+        halvings = (now_s - known.at_s) / self._options.half_life_s
+        return float(known.amount * 0.5**halvings)
+
+    def _drop_small(self, now_s: float) -> None:
+        small = [
+            name
+            for name in self._penalties
+            if self._amount(name, now_s) < FORGET_PENALTY
+        ]
+        for name in small:
+            del self._penalties[name]
--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -18,16 +18,18 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 
+from almondspan_decisions.burn import BurnCounter, burn_rate
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId, EntryId, ServiceName
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_service.fair_queue import FairQueue
 from almondspan_service.gate_call import GateCall
 from almondspan_service.gate_options import GateOptions
-from almondspan_service.latency import BurnSample, LatencyRecord
+from almondspan_service.latency import LatencyWindow
 from almondspan_service.ledger import CallKey, CallLedger, CallState
 from almondspan_service.run_estimate import RunEstimate
 from almondspan_service.runner_client import (
@@ -50,10 +52,20 @@
     RequestData,
 )
 
-__all__ = ["RunnerGate"]
+__all__ = ["BurnSample", "GateOptions", "RunnerGate"]
 
 _LOGGER = logging.getLogger(__name__)
 
+
+@dataclass(frozen=True, slots=True)
+class BurnSample:
+    """Calls of a window against the service's objective."""
+
+    n_calls: int
+    n_missed: int
+    burn_rate: float
+
+
 SendToEntry = Callable[[EntryId, Message], Awaitable[bool]]
 
 
@@ -98,8 +110,9 @@
             options.n_kept_answers,
             options.n_remembered_entries,
         )
-        self._latencies = LatencyRecord(
-            options.latency_window_s, options.latency_slice_s
+        self._burn = BurnCounter()
+        self._tail = LatencyWindow(
+            options.tail_period_s, options.tail_share, options.tail_least_calls
         )
         self._run = RunEstimate(options.initial_run_s)
         self._objective_ms = options.objective_latency_ms
@@ -109,7 +122,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._notices: set[asyncio.Task[bool]] = set()
-        self._handlers: dict[type[Message], Callable[[EntryId, Message], None]] = {
+        self._handlers: dict[type[Message], Callable[[EntryId, Message], bool]] = {
             CallOpen: self._on_open,
             CallCancel: self._on_cancel,
             CallRecover: self._on_recover,
@@ -138,6 +151,10 @@
         _LOGGER.info("gate of %s drains %d calls", self._service, len(self._calls))
         await self._idle.wait()
 
+    def resume(self) -> None:
+        """Take new calls again after a drain."""
+        self._draining = False
+
     def set_fleet(self, fleet: FleetConfig) -> None:
         """Take the service's objective from a configuration."""
         for service in fleet.services:
@@ -152,21 +169,32 @@
             n_slots=self._options.n_slots,
             n_busy=self._n_busy,
             n_queued=len(self._queue),
-            latency_ms=self._run.mean_s * 1000.0,
+            latency_ms=self._run.median_s * 1000.0,
             burn_rate=self.burn(self._options.burn_window_s).burn_rate,
         )
 
     def burn(self, window_s: float) -> BurnSample:
         """Return the calls of the last `window_s` seconds against the objective."""
-        return self._latencies.burn(_now_s(), window_s, self._objective_share)
+        counts = self._burn.counts(_now_s(), window_s)
+        rate = burn_rate(counts, self._objective_share)
+        return BurnSample(counts.n_calls, counts.n_missed, rate)
+
+    def run_ms(self) -> float:
+        """Return the mean time of recent calls on the runner, without their wait."""
+        return self._run.mean_s * 1000.0
+
+    def tail_ms(self) -> float:
+        """Return a high quantile of recent whole latencies; 0 while unknown."""
+        return self._tail.quantile_ms(_now_s()) or 0.0
+
+    def objective_ms(self) -> float:
+        """Return the latency that the service's objective allows."""
+        return self._objective_ms
 
     def on_message(self, entry_id: EntryId, message: Message) -> bool:
         """Handle a message of an entry; False when it is not one of the gate's."""
         handler = self._handlers.get(type(message))
-        if handler is None:
-            return False
-        handler(entry_id, message)
-        return True
+        return handler is not None and handler(entry_id, message)
 
     def entry_left(self, entry_id: EntryId) -> None:
         """Settle the calls of an entry whose channel was lost."""
@@ -180,8 +208,14 @@
 
     # Admission.
 
-    def _on_open(self, entry_id: EntryId, message: Message) -> None:
+    def _on_open(self, entry_id: EntryId, message: Message) -> bool:
         assert isinstance(message, CallOpen)
+        if message.service != self._service:
+            return False
+        self._admit(entry_id, message)
+        return True
+
+    def _admit(self, entry_id: EntryId, message: CallOpen) -> None:
         key = CallKey(entry_id, message.incarnation, message.call_id)
         state = self._ledger.state(key)
         if state is not CallState.NEW:
@@ -210,8 +244,6 @@
         """Return why a call is not admitted, or an empty string."""
         if self._draining:
             return "the runner drains"
-        if call.opened.service != self._service:
-            return f"the runner does not serve {call.opened.service!r}"
         if self._n_busy < self._options.n_slots:
             return "" if call.opened.timeout_ms > 0 else "the deadline has passed"
         n_ahead = self._queue.n_ahead(call.opened.caller)
@@ -316,17 +348,17 @@
 
     async def _end_fault(self, call: GateCall, fault: RunnerFault) -> None:
         if fault.may_have_run:
-            await self._end(call, OutcomeKind.UNKNOWN, fault.reason)
+            await self._end(call, OutcomeKind.UNKNOWN, fault.reason, True)
             return
         self._ledger.record(call.key, CallState.REFUSED)
-        await self._end(call, OutcomeKind.NOT_RUN, fault.reason)
+        await self._end(call, OutcomeKind.NOT_RUN, fault.reason, True)
 
     async def _relay(self, call: GateCall, answer: RunnerAnswer) -> None:
         """Relay an answer; a small one of known length goes in one message."""
         if 0 <= answer.body_bytes <= self._options.whole_answer_bytes:
             body = await _read_whole(answer)
             if isinstance(body, RunnerFault):
-                await self._end(call, OutcomeKind.UNKNOWN, body.reason)
+                await self._end(call, OutcomeKind.UNKNOWN, body.reason, True)
                 return
             self._count(call)
             self._over(call)
@@ -354,7 +386,7 @@
             n_taken = await call.answer_credit.take(self._options.chunk_bytes)
             part = await answer.read(n_taken or self._options.chunk_bytes)
             if isinstance(part, RunnerFault):
-                await self._end(call, OutcomeKind.UNKNOWN, part.reason)
+                await self._end(call, OutcomeKind.UNKNOWN, part.reason, True)
                 return
             n_bytes += len(part)
             kept = self._keep(kept, part)
@@ -400,7 +432,7 @@
             end,
             self._n_busy,
             len(self._queue),
-            self._run.mean_s * 1000.0,
+            self._run.median_s * 1000.0,
         )
 
     def _part(
@@ -412,24 +444,33 @@
         now_s = _now_s()
         self._run.add(now_s - call.dispatched_s)
         latency_ms = (now_s - call.arrived_s) * 1000.0
-        self._latencies.add(now_s, latency_ms, latency_ms > self._objective_ms)
+        self._burn.record(now_s, latency_ms > self._objective_ms)
+        self._tail.add(now_s, latency_ms)
 
     # Messages about calls that are held or over.
 
-    def _on_request_data(self, entry_id: EntryId, message: Message) -> None:
+    def _on_request_data(self, entry_id: EntryId, message: Message) -> bool:
         assert isinstance(message, RequestData)
         call = self._calls.get(CallKey(entry_id, message.incarnation, message.call_id))
         if call is not None:
             call.body.feed(message)
+        return call is not None
 
-    def _on_answer_credit(self, entry_id: EntryId, message: Message) -> None:
+    def _on_answer_credit(self, entry_id: EntryId, message: Message) -> bool:
         assert isinstance(message, AnswerCredit)
         call = self._calls.get(CallKey(entry_id, message.incarnation, message.call_id))
         if call is not None:
             call.answer_credit.grant(message.n_bytes)
+        return call is not None
 
-    def _on_cancel(self, entry_id: EntryId, message: Message) -> None:
+    def _on_cancel(self, entry_id: EntryId, message: Message) -> bool:
         assert isinstance(message, CallCancel)
+        if message.service != self._service:
+            return False
+        self._withdraw(entry_id, message)
+        return True
+
+    def _withdraw(self, entry_id: EntryId, message: CallCancel) -> None:
         key = CallKey(entry_id, message.incarnation, message.call_id)
         call = self._calls.get(key)
         state = self._ledger.state(key)
@@ -441,8 +482,14 @@
         elif call is not None and call.opened.idempotent and call.task is not None:
             call.task.cancel()
 
-    def _on_recover(self, entry_id: EntryId, message: Message) -> None:
+    def _on_recover(self, entry_id: EntryId, message: Message) -> bool:
         assert isinstance(message, CallRecover)
+        if message.service != self._service:
+            return False
+        self._recover(entry_id, message)
+        return True
+
+    def _recover(self, entry_id: EntryId, message: CallRecover) -> None:
         key = CallKey(entry_id, message.incarnation, message.call_id)
         call = self._calls.get(key)
         state = self._ledger.state(key)
@@ -474,10 +521,13 @@
         if not call.detached:
             await self._send(call.key.entry_id, message)
 
-    async def _end(self, call: GateCall, kind: OutcomeKind, reason: str) -> None:
+    async def _end(
+        self, call: GateCall, kind: OutcomeKind, reason: str, fault: bool = False
+    ) -> None:
         self._over(call)
         if call.recover or not call.detached:
-            await self._send(call.key.entry_id, self._ended(call.key, kind, reason))
+            ended = self._ended(call.key, kind, reason, fault)
+            await self._send(call.key.entry_id, ended)
 
     def _notify_end(self, key: CallKey, kind: OutcomeKind, reason: str) -> None:
         self._post(self._send(key.entry_id, self._ended(key, kind, reason)))
@@ -488,7 +538,9 @@
         self._notices.add(task)
         task.add_done_callback(self._notices.discard)
 
-    def _ended(self, key: CallKey, kind: OutcomeKind, reason: str) -> CallEnded:
+    def _ended(
+        self, key: CallKey, kind: OutcomeKind, reason: str, fault: bool = False
+    ) -> CallEnded:
         return CallEnded(
             key.incarnation,
             key.call_id,
@@ -496,7 +548,8 @@
             reason,
             self._n_busy,
             len(self._queue),
-            self._run.mean_s * 1000.0,
+            self._run.median_s * 1000.0,
+            fault,
         )
 
 
--- a/packages/service/almondspan_service/gate_options.py
+++ b/packages/service/almondspan_service/gate_options.py
@@ -26,7 +26,8 @@
     n_remembered_entries: int = 256
     objective_latency_ms: float = 200.0
     objective_share: float = 0.99
-    burn_window_s: float = 10.0
-    latency_window_s: float = 60.0
-    latency_slice_s: float = 1.0
+    burn_window_s: float = 5.0
+    tail_share: float = 0.99
+    tail_period_s: float = 5.0
+    tail_least_calls: int = 20
     initial_run_s: float = 0.01
--- a/packages/service/almondspan_service/router.py
+++ b/packages/service/almondspan_service/router.py
@@ -19,6 +19,7 @@
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_service.call_spec import AnswerSink, BodyReader, CallSpec
 from almondspan_service.caller_shares import CallerShares
+from almondspan_service.counters import RouterCounters
 from almondspan_service.dispatcher import Dispatcher, SendToAgent
 from almondspan_service.entry_call import EntryCall
 from almondspan_service.http_edge import (
@@ -35,7 +36,7 @@
 from almondspan_wire.codec import Message
 from almondspan_wire.membership import AgentHello, AgentStatus
 
-__all__ = ["ServiceRouter"]
+__all__ = ["RouterOptions", "ServiceRouter"]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -66,8 +67,9 @@
     ) -> None:
         self._claims = claims
         self._options = options
-        self._table = RunnerTable(entry_id, place, options.n_subset, rng)
-        self._dispatcher = Dispatcher(self._table, send, options, rng)
+        self.counters = RouterCounters()
+        self._table = RunnerTable(entry_id, place, options, self.counters, rng)
+        self._dispatcher = Dispatcher(self._table, send, options, self.counters, rng)
         self._shares = CallerShares(options.max_in_flight)
         self._services: dict[ServiceName, ServiceConfig] = {}
         self._draining = False
@@ -98,10 +100,6 @@
         """Return the number of calls that have no whole answer yet."""
         return self._shares.n_in_flight
 
-    def n_late_answers(self) -> int:
-        """Return the number of answers that fitted no open call."""
-        return self._dispatcher.n_late
-
     def add_routes(self, app: web.Application) -> None:
         """Register the route of calls for all methods."""
         app.router.add_route("*", CALL_ROUTE, self._handle)
@@ -119,11 +117,11 @@
 
     def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
         """Take the load of an agent's runners."""
-        self._table.on_status(agent_id, status)
+        self._table.on_status(agent_id, status, _now_s())
 
     def agent_left(self, agent_id: AgentId) -> None:
         """Settle what was in flight at an agent whose channel is lost."""
-        self._table.agent_left(agent_id)
+        self._table.agent_left(agent_id, _now_s())
         self._dispatcher.agent_left(agent_id)
 
     def on_message(self, agent_id: AgentId, message: Message) -> bool:
@@ -141,10 +139,14 @@
         if self._draining:
             return Outcome(OutcomeKind.NOT_RUN, "the entry drains")
         if not self._shares.admit(spec.caller):
+            self.counters.n_refused_callers += 1
             return Outcome(OutcomeKind.NOT_RUN, "the caller has too many calls")
         self._idle.clear()
         try:
-            return await self._carry(spec, body, sink)
+            ended = await self._carry(spec, body, sink)
+            if isinstance(ended, Outcome):
+                self.counters.n_outcomes[ended.kind] += 1
+            return ended
         finally:
             self._shares.release(spec.caller)
             if self._shares.n_in_flight == 0:
@@ -215,3 +217,7 @@
         if service is None:
             return self._options.default_timeout_ms
         return service.default_timeout_ms
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/service/almondspan_service/router_options.py
+++ b/packages/service/almondspan_service/router_options.py
@@ -1,6 +1,9 @@
 """Settings of the router at an entry."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from almondspan_service.ejection import EjectionOptions
+from almondspan_service.flap_damping import DampingOptions
 
 __all__ = ["RouterOptions"]
 
@@ -32,3 +35,10 @@
     kept_result_bytes: int = 1024
     n_subset: int = 16
     max_in_flight: int = 4096
+    slow_start_s: float = 10.0
+    hedge_quantile: float = 0.95
+    hedge_period_s: float = 15.0
+    hedge_least_calls: int = 50
+    hedge_least_ms: float = 2.0
+    ejection: EjectionOptions = field(default_factory=EjectionOptions)
+    damping: DampingOptions = field(default_factory=DampingOptions)
--- a/packages/service/almondspan_service/runner_table.py
+++ b/packages/service/almondspan_service/runner_table.py
@@ -2,8 +2,17 @@
 
 A row holds a runner's load as its agent told it last, with an answer or with a
 status, corrected by what this entry has opened and closed there since.
+
+The choice goes through these phases:
+
+1. The entry's subset of the service's runners, without those that drain.
+2. Of these, the runners in full use: not ejected, not damped, not tried before by
+   this call. When there are none, first the tried ones and then all of the subset.
+3. Now and then, a runner that is being probed.
+4. The entry's own place, unless it is overloaded; then the routing policy.
 """
 
+import logging
 from collections.abc import Container, Sequence
 from random import Random
 
@@ -15,10 +24,22 @@
     prefer_place,
     rendezvous_subset,
 )
+from almondspan_service.counters import RouterCounters
+from almondspan_service.ejection import (
+    HealthState,
+    RunnerHealth,
+    is_outlier,
+    may_eject,
+)
+from almondspan_service.flap_damping import FlapDamper
+from almondspan_service.router_options import RouterOptions
+from almondspan_service.slow_start import slow_start_weight
 from almondspan_wire.membership import AgentHello, AgentStatus, RunnerStatus
 
 __all__ = ["RunnerRow", "RunnerTable"]
 
+_LOGGER = logging.getLogger(__name__)
+
 UNKNOWN_SLOTS = 1
 """Slots of a runner whose status has not arrived."""
 
@@ -30,24 +51,34 @@
         "_n_open_then",
         "_n_reported",
         "agent_id",
+        "damped_until_s",
         "draining",
+        "health",
         "latency_ms",
         "n_open",
         "n_slots",
         "place",
+        "ramp_from_s",
         "service",
         "weight",
     )
 
     def __init__(
-        self, agent_id: AgentId, place: PlaceName, service: ServiceName
+        self,
+        agent_id: AgentId,
+        place: PlaceName,
+        service: ServiceName,
+        health: RunnerHealth,
     ) -> None:
         self.agent_id = agent_id
         self.place = place
         self.service = service
+        self.health = health
         self.n_slots = UNKNOWN_SLOTS
         self.latency_ms = 0.0
         self.weight = 1.0
+        self.ramp_from_s: float | None = None
+        self.damped_until_s = 0.0
         self.draining = False
         self.n_open = 0
         self._n_reported = 0
@@ -59,6 +90,10 @@
         estimate = self._n_reported + self.n_open - self._n_open_then
         return max(estimate, self.n_open)
 
+    def has_free_slot(self) -> bool:
+        """Tell whether a call would probably not wait."""
+        return self.n_outstanding < self.n_slots
+
     def on_load(self, n_held: int, latency_ms: float) -> None:
         """Take the number of calls that the agent says the runner holds."""
         self._n_reported = n_held
@@ -70,6 +105,14 @@
         self.n_slots = status.n_slots
         self.on_load(status.n_busy + status.n_queued, status.latency_ms)
 
+    def ramp(self, now_s: float, ramp_s: float) -> None:
+        """Let the weight follow the slow start, until it is over."""
+        if self.ramp_from_s is None:
+            return
+        self.weight = slow_start_weight(now_s - self.ramp_from_s, ramp_s)
+        if self.weight >= 1.0:
+            self.ramp_from_s = None
+
 
 class RunnerTable:
     """Rows by agent and by service.
@@ -78,22 +121,31 @@
     ----------
     entry_id : the entry, for its subset of the runners.
     place : the entry's place.
-    n_subset : how many runners of a service the entry talks to.
+    options : limits and times.
+    counters : counters of the router.
     rng : randomness of the routing policies.
     """
 
     def __init__(
-        self, entry_id: EntryId, place: PlaceName, n_subset: int, rng: Random
+        self,
+        entry_id: EntryId,
+        place: PlaceName,
+        options: RouterOptions,
+        counters: RouterCounters,
+        rng: Random,
     ) -> None:
         self._entry_id = entry_id
         self._place = place
-        self._n_subset = n_subset
+        self._options = options
+        self._counters = counters
         self._rng = rng
         self._policy: RoutingPolicy = ROUTING_POLICIES["two_choices"]
         self._n_calls = 0
+        self._damper = FlapDamper(options.damping)
         self._hellos: dict[AgentId, AgentHello] = {}
         self._rows: dict[AgentId, dict[ServiceName, RunnerRow]] = {}
         self._subsets: dict[ServiceName, list[RunnerRow]] = {}
+        self._checked_s: dict[ServiceName, float] = {}
 
     def set_policy(self, name: str) -> bool:
         """Use the policy registered as `name`; False when there is none."""
@@ -102,19 +154,23 @@
             self._policy = policy
         return policy is not None
 
+    # Membership.
+
     def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
         """Know an agent; its runners come with its first status."""
         self._hellos[agent_id] = hello
         self._rows[agent_id] = {}
         self._subsets.clear()
 
-    def agent_left(self, agent_id: AgentId) -> None:
+    def agent_left(self, agent_id: AgentId, now_s: float) -> None:
         """Forget an agent."""
-        self._hellos.pop(agent_id, None)
+        hello = self._hellos.pop(agent_id, None)
+        if hello is not None:
+            self._damper.on_departure(_damping_name(hello), now_s)
         self._rows.pop(agent_id, None)
         self._subsets.clear()
 
-    def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
+    def on_status(self, agent_id: AgentId, status: AgentStatus, now_s: float) -> None:
         """Take the runners of an agent and their load."""
         hello = self._hellos.get(agent_id)
         if hello is None:
@@ -123,28 +179,22 @@
         for runner in status.runners:
             row = rows.get(runner.service)
             if row is None:
-                row = RunnerRow(agent_id, hello.place, runner.service)
-                rows[runner.service] = row
-                self._subsets.clear()
+                row = rows[runner.service] = self._new_row(hello, runner, now_s)
             row.draining = status.draining
             row.on_status(runner)
 
-    def choose(
-        self, service: ServiceName, avoid: Container[AgentId]
-    ) -> RunnerRow | None:
-        """Return the runner for a call; None when there is none.
-
-        Agents to avoid are chosen only when there is no other.
-        """
-        ready = [row for row in self._subset(service) if not row.draining]
-        fresh = [row for row in ready if row.agent_id not in avoid]
-        rows: Sequence[RunnerRow] = fresh or ready
-        if not rows:
-            return None
-        near = prefer_place(self._place, rows)
-        self._n_calls += 1
-        index = self._policy(RoutingContext(self._n_calls), near, self._rng)
-        return near[index]
+    def _new_row(
+        self, hello: AgentHello, runner: RunnerStatus, now_s: float
+    ) -> RunnerRow:
+        health = RunnerHealth(self._options.ejection)
+        row = RunnerRow(hello.agent_id, hello.place, runner.service, health)
+        row.damped_until_s = self._damper.suppressed_until_s(
+            _damping_name(hello), now_s
+        )
+        row.ramp_from_s = max(now_s, row.damped_until_s)
+        row.ramp(now_s, self._options.slow_start_s)
+        self._subsets.clear()
+        return row
 
     def _subset(self, service: ServiceName) -> list[RunnerRow]:
         known = self._subsets.get(service)
@@ -155,6 +205,108 @@
             for agent_id, rows in self._rows.items()
             if service in rows
         }
-        chosen = rendezvous_subset(self._entry_id, serving, self._n_subset)
+        chosen = rendezvous_subset(self._entry_id, serving, self._options.n_subset)
         self._subsets[service] = [serving[agent_id] for agent_id in chosen]
         return self._subsets[service]
+
+    # Health.
+
+    def on_success(self, row: RunnerRow, now_s: float) -> None:
+        """Count an answer of a runner."""
+        if row.health.on_success():
+            _LOGGER.info("runner of %s is healthy again", row.agent_id)
+            row.ramp_from_s = now_s
+            row.ramp(now_s, self._options.slow_start_s)
+
+    def on_failure(self, row: RunnerRow, now_s: float) -> None:
+        """Count a fault of a runner, and eject it when that is too many."""
+        if row.health.on_failure():
+            self._eject(row, now_s, "it fails")
+
+    def _eject(self, row: RunnerRow, now_s: float, reason: str) -> None:
+        subset = self._subset(row.service)
+        n_out = sum(
+            other.health.state is not HealthState.HEALTHY
+            for other in subset
+            if other is not row
+        )
+        if not may_eject(n_out, len(subset), self._options.ejection.max_share):
+            return
+        row.health.eject_at(now_s)
+        self._counters.n_ejections += 1
+        _LOGGER.warning("runner of %s is ejected: %s", row.agent_id, reason)
+
+    def _check(self, service: ServiceName, now_s: float) -> None:
+        """Eject slow runners, begin probes and raise weights."""
+        if now_s < self._checked_s.get(service, 0.0):
+            return
+        self._checked_s[service] = now_s + self._options.ejection.check_s
+        subset = self._subset(service)
+        for row in subset:
+            row.health.check(now_s)
+            row.ramp(now_s, self._options.slow_start_s)
+            peers_ms = [other.latency_ms for other in subset if other is not row]
+            if row.health.state is HealthState.HEALTHY and is_outlier(
+                row.latency_ms, peers_ms, self._options.ejection
+            ):
+                self._eject(row, now_s, "it is slow")
+
+    # Choice.
+
+    def choose(
+        self,
+        service: ServiceName,
+        tried: Container[AgentId],
+        now_s: float,
+        may_probe: bool = False,
+    ) -> RunnerRow | None:
+        """Return the runner for a call; None when there is none."""
+        self._check(service, now_s)
+        subset = [row for row in self._subset(service) if not row.draining]
+        if not subset:
+            return None
+        used = [row for row in subset if _in_use(row, now_s)]
+        fresh = [row for row in used if row.agent_id not in tried]
+        probed = self._probe(subset) if may_probe else None
+        if probed is not None:
+            return probed
+        return self._pick(fresh or used or subset)
+
+    def choose_free(
+        self, service: ServiceName, tried: Container[AgentId], now_s: float
+    ) -> RunnerRow | None:
+        """Return a runner that was not tried and has a free slot, or None."""
+        rows = [
+            row
+            for row in self._subset(service)
+            if not row.draining
+            and row.agent_id not in tried
+            and _in_use(row, now_s)
+            and row.has_free_slot()
+        ]
+        return self._pick(rows) if rows else None
+
+    def _probe(self, subset: Sequence[RunnerRow]) -> RunnerRow | None:
+        for row in subset:
+            if (
+                row.health.state is HealthState.PROBING
+                and row.n_open == 0
+                and self._rng.random() < self._options.ejection.probe_share
+            ):
+                return row
+        return None
+
+    def _pick(self, rows: Sequence[RunnerRow]) -> RunnerRow:
+        near = prefer_place(self._place, rows)
+        self._n_calls += 1
+        index = self._policy(RoutingContext(self._n_calls), near, self._rng)
+        return near[index]
+
+
+def _in_use(row: RunnerRow, now_s: float) -> bool:
+    return row.health.state is HealthState.HEALTHY and now_s >= row.damped_until_s
+
+
+def _damping_name(hello: AgentHello) -> str:
+    """Name the worker when there is one, since a restarted agent has a new id."""
+    return hello.worker_id or hello.agent_id
--- a/packages/wire/almondspan_wire/service_messages.py
+++ b/packages/wire/almondspan_wire/service_messages.py
@@ -92,6 +92,7 @@
 
     incarnation: int
     call_id: int
+    service: ServiceName
 
 
 @message
@@ -104,6 +105,7 @@
     incarnation: int
     call_id: int
     credit_bytes: int
+    service: ServiceName
 
 
 @message
@@ -150,7 +152,8 @@
 class CallEnded(Message, frozen=True, tag="call_ended"):
     """Ends a call without an answer, or cuts one whose head was sent.
 
-    With `OutcomeKind.NOT_RUN` the agent will never run this call.
+    With `OutcomeKind.NOT_RUN` the agent will never run this call. ``fault`` says that
+    the runner failed, not its caller, its load or the deadline.
     """
 
     incarnation: int
@@ -160,3 +163,4 @@
     n_busy: int
     n_queued: int
     latency_ms: float
+    fault: bool = False
--- a/tests/service/test_service_faults.py
+++ b/tests/service/test_service_faults.py
@@ -7,6 +7,7 @@
 from service_clock import run_virtual
 from service_path import (
     ENTRY,
+    SERVICE,
     FakeAnswer,
     FakeRunner,
     MemoryBody,
@@ -59,7 +60,7 @@
     fields = {
         "incarnation": 1,
         "call_id": call_id,
-        "service": "clips",
+        "service": SERVICE,
         "request_id": f"r{call_id}",
         "caller": "school",
         "method": "GET",
@@ -81,28 +82,31 @@
         pytest.param([opening(1)], 1, ["answer"], id="open"),
         pytest.param([opening(1), opening(1)], 1, ["answer"], id="open-twice"),
         pytest.param(
-            [CallCancel(1, 1), opening(1)],
+            [CallCancel(1, 1, SERVICE), opening(1)],
             0,
             [OutcomeKind.NOT_RUN, OutcomeKind.NOT_RUN],
             id="open-after-cancel",
         ),
         pytest.param(
-            [CallRecover(1, 1, 9), opening(1)],
+            [CallRecover(1, 1, 9, SERVICE), opening(1)],
             0,
             [OutcomeKind.NOT_RUN, OutcomeKind.NOT_RUN],
             id="open-after-recover",
         ),
         pytest.param(
-            [opening(1), CallCancel(1, 1)], 1, [OutcomeKind.CANCELLED], id="cancel"
+            [opening(1), CallCancel(1, 1, SERVICE)],
+            1,
+            [OutcomeKind.CANCELLED],
+            id="cancel",
         ),
         pytest.param(
-            [opening(1, idempotent=False), CallCancel(1, 1)],
+            [opening(1, idempotent=False), CallCancel(1, 1, SERVICE)],
             1,
             ["answer"],
             id="cancel-claimed",
         ),
         pytest.param(
-            [opening(1, idempotent=False), CallRecover(1, 1, 9)],
+            [opening(1, idempotent=False), CallRecover(1, 1, 9, SERVICE)],
             1,
             ["answer"],
             id="recover-running",
@@ -222,7 +226,7 @@
                 assert bytes(sink.body) == f"/c{n}|".encode()
             for agent_id, message in held:
                 path.to_router(agent_id, message)
-            assert path.router.n_late_answers() == 20
+            assert path.router.counters.n_late_answers == 20
 
     run_virtual(run())
 
@@ -488,7 +492,7 @@
         async with ServicePath({"a": FakeRunner(echo)}) as path:
             path.carry_to_router = tape = Tape()
             path.gates[A].on_message(ENTRY, opening(1))
-            path.gates[A].on_message(ENTRY, CallCancel(1, 1))
+            path.gates[A].on_message(ENTRY, CallCancel(1, 1, SERVICE))
             await asyncio.sleep(0.1)
             assert path.gates[A].status().n_busy == 0
             assert isinstance(tape.messages[0][1], CallEnded)
