Tell an agent's set of gates which calls a gate knows

Cause: an agent may have several gates, and later messages name only the call. Change: the gate's service, and whether it knows a call. Conclusion: as needed by the daemon.

--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -152,9 +152,19 @@
         await self._idle.wait()
 
     def resume(self) -> None:
-        """Take new calls again after a drain."""
+        """Take calls again after a drain."""
         self._draining = False
 
+    @property
+    def service(self) -> ServiceName:
+        """The service that the runner serves."""
+        return self._service
+
+    def knows(self, entry_id: EntryId, incarnation: int, call_id: int) -> bool:
+        """Tell whether a call has reached this gate, in whatever state it is."""
+        key = CallKey(entry_id, incarnation, call_id)
+        return self._ledger.state(key) is not CallState.NEW
+
     def set_fleet(self, fleet: FleetConfig) -> None:
         """Take the service's objective from a configuration."""
         for service in fleet.services:
