Add the operators' library and command line

Cause: operators describe a hand-back in Python, review it as text and submit it. Change: Plan prints canonical TOML of the configuration, of an order's records and of single jobs; the command line checks, diffs, submits, reports, drains and declares losses, with exit codes for scripts; conflicts name both sides' changes.

--- /dev/null
+++ b/packages/operator/almondspan/config_commands.py
@@ -0,0 +1,212 @@
+"""Commands about the configuration."""
+
+import re
+import uuid
+from dataclasses import dataclass
+from typing import Final
+
+from almondspan.answers import (
+    Accepted,
+    Config,
+    ConfigHistory,
+    ConfigStatus,
+)
+from almondspan.client import AdminClient, NoAnswer, Refused, path_of
+from almondspan.exit_codes import ExitCode
+from almondspan.results import Result, failure
+from almondspan.tables import format_share, format_table, format_time
+from almondspan.texts import (
+    ALREADY_IN_FORCE,
+    CONFIG_ACCEPTED,
+    CONFIG_HEADER,
+    CONFIG_OK,
+    CONFLICT_NEXT,
+    CONFLICT_TITLE,
+    FILE_FAULT,
+    HISTORY_HEADERS,
+    NO_DIFFERENCE,
+)
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.fleet_diff import Difference, clashing_keys, diff_fleets
+from almondspan_decisions.fleet_document import ConfigFaults, parse_fleet
+
+__all__ = [
+    "ConfigFile",
+    "check_config",
+    "config_history",
+    "config_status",
+    "diff_config",
+    "edited_revision",
+    "show_config",
+    "submit_config",
+]
+
+_HEADER: Final = re.compile(r"# revision (\d{1,9})\s*$", re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigFile:
+    """A configuration that was read from a file and is in order."""
+
+    file: str
+    text: str
+    fleet: FleetConfig
+
+
+def check_config(file: str, text: str) -> ConfigFile | Result:
+    """Return the configuration in a file's text, or a result with every fault."""
+    parsed = parse_fleet(text)
+    if isinstance(parsed, ConfigFaults):
+        lines = [FILE_FAULT.format(file=file, fault=fault) for fault in parsed.faults]
+        return Result(ExitCode.USAGE, "\n".join(lines), {"faults": parsed.faults})
+    return ConfigFile(file, text, parsed)
+
+
+def accept_check(config: ConfigFile) -> Result:
+    """Return the result of a check that found no fault."""
+    text = CONFIG_OK.format(
+        file=config.file,
+        n_teams=len(config.fleet.teams),
+        n_orders=len(config.fleet.orders),
+    )
+    return Result(ExitCode.DONE, text, {"faults": []})
+
+
+def edited_revision(text: str) -> int | None:
+    """Return the revision that a printed text says it is, if it says one."""
+    first_line = text.partition("\n")[0]
+    found = _HEADER.match(first_line)
+    return int(found.group(1)) if found else None
+
+
+async def show_config(client: AdminClient, revision: int | None) -> Result:
+    """Print a revision, by default the one in force."""
+    path = "/v1/config"
+    if revision is not None:
+        path = path_of("config", "history", str(revision))
+    found = await client.get(path, Config)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    text = CONFIG_HEADER.format(revision=found.revision) + "\n" + found.toml
+    return Result(ExitCode.DONE, text.rstrip("\n"), found)
+
+
+async def diff_config(client: AdminClient, config: ConfigFile) -> Result:
+    """Tell what a file would change in the configuration in force."""
+    found = await client.get("/v1/config", Config)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    differences = diff_fleets(_fleet_of(found.toml), config.fleet)
+    text = "\n".join([f"to revision {found.revision}:", *_lines(differences)])
+    if not differences:
+        text = NO_DIFFERENCE.format(revision=found.revision)
+    return Result(
+        ExitCode.DONE, text, {"revision": found.revision, "differences": differences}
+    )
+
+
+async def submit_config(
+    client: AdminClient, config: ConfigFile, expected: int, author: str
+) -> Result:
+    """Put a file in force if the revision that was edited still is."""
+    body = {
+        "expected_revision": expected,
+        "toml": config.text,
+        "author": author,
+        "submission_id": uuid.uuid4().hex,
+    }
+    found = await client.post("/v1/config", body, Accepted)
+    if isinstance(found, Accepted):
+        text = CONFIG_ACCEPTED.format(revision=found.revision)
+        return Result(ExitCode.DONE, text, found)
+    if isinstance(found, NoAnswer) or found.refusal.kind != "conflict":
+        return failure(found)
+    return await _explain_conflict(client, config, expected, found)
+
+
+async def _explain_conflict(
+    client: AdminClient, config: ConfigFile, expected: int, refused: Refused
+) -> Result:
+    """Tell both sides' changes since the revision that was edited."""
+    current = refused.refusal.current
+    if current is None:
+        return failure(refused)
+    theirs = _fleet_of(current.toml)
+    if not diff_fleets(theirs, config.fleet):
+        text = ALREADY_IN_FORCE.format(revision=current.revision)
+        return Result(ExitCode.DONE, text, {"revision": current.revision})
+    base = FleetConfig()
+    base_is_known = expected == 0
+    if expected > 0:
+        found = await client.get(path_of("config", "history", str(expected)), Config)
+        if isinstance(found, Config):
+            base = _fleet_of(found.toml)
+            base_is_known = True
+    lines = [
+        CONFLICT_TITLE.format(
+            expected=expected,
+            revision=current.revision,
+            author=current.author,
+            time=format_time(current.submitted_unix_s),
+        )
+    ]
+    their_changes: tuple[Difference, ...] = ()
+    our_changes = diff_fleets(theirs, config.fleet)
+    clashes: tuple[str, ...] = ()
+    if base_is_known:
+        their_changes = diff_fleets(base, theirs)
+        our_changes = diff_fleets(base, config.fleet)
+        clashes = clashing_keys(our_changes, their_changes)
+        lines += [f"their changes since revision {expected}:", *_lines(their_changes)]
+        lines += [f"your changes since revision {expected}:", *_lines(our_changes)]
+        lines += [f"both changed, differently: {', '.join(clashes) or 'nothing'}"]
+    else:
+        lines += [f"revision {expected} is not kept; yours against theirs:"]
+        lines += _lines(our_changes)
+    lines += [CONFLICT_NEXT.format(revision=current.revision)]
+    data = {
+        "error": refused.refusal,
+        "their_changes": their_changes,
+        "your_changes": our_changes,
+        "clashes": clashes,
+    }
+    return Result(ExitCode.CONFLICT, "\n".join(lines), data)
+
+
+async def config_history(client: AdminClient) -> Result:
+    """List the kept revisions."""
+    found = await client.get("/v1/config/history", ConfigHistory)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    rows = [
+        (one.revision, one.author, format_time(one.submitted_unix_s), one.n_bytes)
+        for one in found.revisions
+    ]
+    return Result(ExitCode.DONE, format_table(HISTORY_HEADERS, rows), found)
+
+
+async def config_status(client: AdminClient) -> Result:
+    """Tell what share of the agents holds which revision."""
+    found = await client.get("/v1/config/status", ConfigStatus)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    lines = [
+        f"revision {found.revision} is in force; "
+        f"{found.n_agents} agents are known, {found.n_silent} silent"
+    ]
+    lines += [
+        f"  revision {one.revision}: {one.n_agents} agents, {format_share(one.share)}"
+        for one in found.shares
+    ]
+    is_everywhere = all(one.revision >= found.revision for one in found.shares)
+    code = ExitCode.DONE if is_everywhere else ExitCode.ATTENTION
+    return Result(code, "\n".join(lines), found)
+
+
+def _fleet_of(text: str) -> FleetConfig:
+    parsed = parse_fleet(text, strict=False)
+    return FleetConfig() if isinstance(parsed, ConfigFaults) else parsed
+
+
+def _lines(differences: tuple[Difference, ...]) -> list[str]:
+    return [f"  {one}" for one in differences] or ["  none"]
--- /dev/null
+++ b/packages/operator/almondspan/fleet_commands.py
@@ -0,0 +1,118 @@
+"""Commands about the fleet: agents, shards, draining, losses, burn."""
+
+from almondspan.answers import Agent, Agents, Burn, Drained, Loss, Service, Shards
+from almondspan.client import AdminClient, NoAnswer, Refused, path_of
+from almondspan.exit_codes import ExitCode
+from almondspan.results import Result, failure
+from almondspan.tables import format_share, format_table
+from almondspan.texts import (
+    AGENT_HEADERS,
+    DRAINING,
+    LOSS_DECLARED,
+    LOSS_NEXT,
+    SHARD_HEADERS,
+)
+
+__all__ = ["declare_loss", "drain", "list_agents", "list_shards", "report_burn"]
+
+N_SHOWN_PAIRS = 3
+
+
+async def list_agents(client: AdminClient) -> Result:
+    """List the agents."""
+    found = await client.get("/v1/fleet/agents", Agents)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    rows = [
+        (
+            agent.agent_id,
+            agent.worker_id or "-",
+            agent.place,
+            agent.n_tasks,
+            agent.n_shards,
+            agent.free.cpu_millicores,
+            agent.free.memory_mb,
+            agent.config_revision,
+            round(agent.silent_s, 1),
+            _agent_state(agent),
+        )
+        for agent in sorted(found.agents, key=lambda agent: agent.agent_id)
+    ]
+    return Result(ExitCode.DONE, format_table(AGENT_HEADERS, rows), found)
+
+
+def _agent_state(agent: Agent) -> str:
+    states = []
+    if agent.draining:
+        states.append("draining")
+    if agent.resting:
+        states.append("resting")
+    if agent.ladder_level:
+        states.append(f"ladder {agent.ladder_level}")
+    return ", ".join(states) or "ready"
+
+
+async def list_shards(client: AdminClient) -> Result:
+    """List the shards with their owners; attention when one has none."""
+    found = await client.get("/v1/fleet/shards", Shards)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    rows = [(one.shard_id, one.owner or "(none)", one.epoch) for one in found.shards]
+    is_owned = all(one.owner for one in found.shards)
+    code = ExitCode.DONE if is_owned else ExitCode.ATTENTION
+    return Result(code, format_table(SHARD_HEADERS, rows), found)
+
+
+async def drain(client: AdminClient, agent_id: str) -> Result:
+    """Let an agent leave."""
+    path = path_of("fleet", "agents", agent_id, "drain")
+    found = await client.post(path, {}, Drained)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    return Result(ExitCode.DONE, DRAINING.format(agent_id=found.agent_id), found)
+
+
+async def declare_loss(client: AdminClient, kind: str, name: str, token: str) -> Result:
+    """Tell the consequence of a loss; declare it when the token is given."""
+    body = {"kind": kind, "name": name, "token": token}
+    found = await client.post("/v1/fleet/losses", body, Loss)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    if found.declared:
+        text = LOSS_DECLARED.format(kind=kind, name=name)
+        return Result(ExitCode.DONE, text, found)
+    next_step = LOSS_NEXT.format(kind=kind, name=name, token=found.token)
+    return Result(ExitCode.DONE, "\n".join([*found.consequence, next_step]), found)
+
+
+async def report_burn(client: AdminClient) -> Result:
+    """Report how fast each service spends its error budget."""
+    found = await client.get("/v1/burn", Burn)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    lines: list[str] = []
+    for service in found.services:
+        lines += _service_lines(service)
+    is_fine = not any(one.alert or one.n_missing for one in found.services)
+    code = ExitCode.DONE if is_fine else ExitCode.ATTENTION
+    return Result(code, "\n".join(lines) or "no service is configured", found)
+
+
+def _service_lines(service: Service) -> list[str]:
+    windows = ", ".join(
+        f"{one.window_s:g} s {one.burn_rate:.2f}" for one in service.windows
+    )
+    pairs = ", ".join(
+        f"{one.task_class} {one.slowdown:.2f}x" for one in service.pairs[:N_SHOWN_PAIRS]
+    )
+    return [
+        f"{service.service}: {format_share(service.objective_share)} "
+        f"within {service.objective_latency_ms:g} ms; alert: {service.alert or 'none'}",
+        f"  p50 {service.p50_ms:.1f} ms, p99 {service.p99_ms:.1f} ms, "
+        f"budget spent {format_share(service.budget_spent_share)}",
+        f"  burn: {windows or 'no evidence'}",
+        f"  colocation: {service.n_throttles} throttles, "
+        f"{service.n_checkpoints} checkpoints, {service.n_evictions} evictions",
+        f"  interfering: {pairs or 'none'}",
+        f"  from {service.n_reporting} processes, {service.n_missing} missing",
+    ]
--- /dev/null
+++ b/packages/operator/almondspan/order_report.py
@@ -0,0 +1,242 @@
+"""What the ledger of a hand-back order proves.
+
+Phases: count each record by where its job stands; compare the records with those
+that the order names, by their number and the digest of their names; forecast the
+end from the rate of recent deliveries; tell what is late.
+
+A record is delivered when its job has ended as done. The job's id follows from the
+order and the record, so a record has one job; one that stands in the ledger twice
+is reported, never silently merged.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from almondspan.answers import Job, Ledger
+from almondspan_decisions.fleet_document import records_digest
+from almondspan_decisions.outcomes import OutcomeKind
+
+__all__ = ["Forecast", "OrderReport", "RecordNote", "Verdict", "make_report"]
+
+N_FOR_FORECAST: Final = 5
+"""Fewer deliveries than this give no forecast."""
+
+RECENT_SHARE: Final = 0.5
+"""The share of deliveries, the latest ones, from which the rate is taken."""
+
+
+class Verdict(Enum):
+    """How an order stands."""
+
+    COMPLETE = "complete"
+    """Every ordered record was delivered, once, and none is missing."""
+
+    ON_TIME = "on_time"
+    """Records remain, and by the forecast they end before the deadline."""
+
+    AT_RISK = "at_risk"
+    """By the forecast, or already, the deadline is missed."""
+
+    NOT_WHOLE = "not_whole"
+    """Every record has ended or is missing, and not all were delivered."""
+
+    NO_FORECAST = "no_forecast"
+    """Too little was delivered to tell, and the deadline has not passed."""
+
+    UNPROVEN = "unproven"
+    """Some shards did not answer; ask again."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordNote:
+    """A record that is not simply delivered, and why."""
+
+    record_name: str
+    state: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """When the last record is expected, from deliveries per second."""
+
+    records_per_s: float
+    ends_unix_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class OrderReport:
+    """The proof and the progress of an order.
+
+    ``records_match`` is True when the ledger's records are exactly the ordered
+    ones, False when not, and None while the order does not name its records.
+    """
+
+    order_name: str
+    team: str
+    verdict: Verdict
+    deadline_unix_s: float
+    now_unix_s: float
+    n_ordered: int
+    n_delivered: int
+    n_running: int
+    n_queued: int
+    n_ended_otherwise: int
+    n_missing: int
+    n_duplicated: int
+    n_delivered_late: int
+    n_attempts: int
+    n_evictions: int
+    n_shards_missing: int
+    records_match: bool | None
+    forecast: Forecast | None
+    by_stage: tuple[tuple[str, int], ...]
+    problems: tuple[RecordNote, ...]
+    waiting: tuple[RecordNote, ...]
+
+
+def make_report(ledger: Ledger, ordered: Iterable[str] = ()) -> OrderReport:
+    """Return the report of a ledger.
+
+    With the names in `ordered`, missing records are named; their number and the
+    proof that none is missing need only the order's own digest.
+    """
+    jobs = {job.record_name: job for job in ledger.jobs}
+    copies = Counter(job.record_name for job in ledger.jobs)
+    delivered = [job for job in jobs.values() if _is_delivered(job)]
+    ended = [job for job in jobs.values() if job.state == "ended"]
+    n_ordered = max(ledger.order.n_records, len(set(ordered)))
+    pending = [job for job in jobs.values() if job.state in ("queued", "running")]
+    forecast = _forecast(delivered, len(pending), ledger.now_unix_s)
+    n_missing = max(0, n_ordered - len(jobs))
+    problems = _problems(ledger, jobs, copies, frozenset(ordered))
+    records_match = _records_match(ledger, jobs)
+    return OrderReport(
+        order_name=ledger.order.name,
+        team=ledger.order.team,
+        verdict=_verdict(
+            ledger,
+            len(jobs),
+            len(delivered),
+            len(pending),
+            n_missing,
+            forecast,
+            records_match is not False and not any(n > 1 for n in copies.values()),
+        ),
+        deadline_unix_s=ledger.order.deadline_unix_s,
+        now_unix_s=ledger.now_unix_s,
+        n_ordered=n_ordered,
+        n_delivered=len(delivered),
+        n_running=sum(job.state == "running" for job in pending),
+        n_queued=sum(job.state == "queued" for job in pending),
+        n_ended_otherwise=len(ended) - len(delivered),
+        n_missing=n_missing,
+        n_duplicated=sum(n > 1 for n in copies.values()),
+        n_delivered_late=sum(
+            job.ended_unix_s > ledger.order.deadline_unix_s for job in delivered
+        ),
+        n_attempts=sum(job.n_attempts for job in jobs.values()),
+        n_evictions=sum(job.n_evictions for job in jobs.values()),
+        n_shards_missing=ledger.n_shards_missing,
+        records_match=records_match,
+        forecast=forecast,
+        by_stage=_by_stage(ledger, pending),
+        problems=problems,
+        waiting=_waiting(pending),
+    )
+
+
+def _is_delivered(job: Job) -> bool:
+    return job.outcome is not None and job.outcome.kind is OutcomeKind.DONE
+
+
+def _records_match(ledger: Ledger, jobs: dict[str, Job]) -> bool | None:
+    if not ledger.order.records_sha256:
+        return None
+    return records_digest(jobs) == ledger.order.records_sha256
+
+
+def _forecast(
+    delivered: list[Job], n_pending: int, now_unix_s: float
+) -> Forecast | None:
+    if len(delivered) < N_FOR_FORECAST:
+        return None
+    times = sorted(job.ended_unix_s for job in delivered)
+    recent = times[-max(N_FOR_FORECAST, int(len(times) * RECENT_SHARE)) :]
+    # The time up to now counts too: a delivery that stands still slows the rate.
+    span_s = max(now_unix_s, recent[-1]) - recent[0]
+    if span_s <= 0:
+        return None
+    records_per_s = (len(recent) - 1) / span_s
+    if records_per_s <= 0:
+        return None
+    return Forecast(records_per_s, now_unix_s + n_pending / records_per_s)
+
+
+def _verdict(
+    ledger: Ledger,
+    n_known: int,
+    n_delivered: int,
+    n_pending: int,
+    n_missing: int,
+    forecast: Forecast | None,
+    is_consistent: bool,
+) -> Verdict:
+    if ledger.n_shards_missing:
+        return Verdict.UNPROVEN
+    if n_pending == 0:
+        is_complete = is_consistent and n_known > 0 and n_delivered == n_known
+        if is_complete and n_missing == 0:
+            return Verdict.COMPLETE
+        return Verdict.NOT_WHOLE
+    deadline_unix_s = ledger.order.deadline_unix_s
+    if ledger.now_unix_s > deadline_unix_s:
+        return Verdict.AT_RISK
+    if forecast is None:
+        return Verdict.NO_FORECAST
+    if forecast.ends_unix_s > deadline_unix_s:
+        return Verdict.AT_RISK
+    return Verdict.ON_TIME
+
+
+def _problems(
+    ledger: Ledger,
+    jobs: dict[str, Job],
+    copies: Counter[str],
+    ordered: frozenset[str],
+) -> tuple[RecordNote, ...]:
+    notes = []
+    for name in sorted(jobs):
+        job = jobs[name]
+        if copies[name] > 1:
+            notes.append(RecordNote(name, "duplicated", f"{copies[name]} jobs"))
+        if ordered and name not in ordered:
+            notes.append(RecordNote(name, "not_ordered", "no record of the file"))
+        if job.outcome is not None and not _is_delivered(job):
+            reason = job.outcome.reason or "no reason was given"
+            if job.outcome.may_have_run:
+                reason += " (it may have run)"
+            notes.append(RecordNote(name, job.outcome.kind.value, reason))
+        elif job.ended_unix_s > ledger.order.deadline_unix_s:
+            notes.append(RecordNote(name, "late", "delivered after the deadline"))
+    for name in sorted(ordered - jobs.keys()):
+        notes.append(RecordNote(name, "missing", "was never submitted"))
+    return tuple(notes)
+
+
+def _by_stage(ledger: Ledger, pending: list[Job]) -> tuple[tuple[str, int], ...]:
+    counts = Counter(job.stage_index for job in pending)
+    return tuple(
+        (stage, counts.get(index, 0)) for index, stage in enumerate(ledger.order.stages)
+    )
+
+
+def _waiting(pending: list[Job]) -> tuple[RecordNote, ...]:
+    return tuple(
+        RecordNote(job.record_name, job.state, job.waiting_reason)
+        for job in sorted(pending, key=lambda job: job.record_name)
+        if job.waiting_reason
+    )
--- /dev/null
+++ b/packages/operator/almondspan/results.py
@@ -0,0 +1,39 @@
+"""What a command ends with: an exit code, a text for people, data for programs."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from almondspan.client import NoAnswer, Refused
+from almondspan.exit_codes import ExitCode
+from almondspan.texts import NO_ANSWER, REFUSED, UNKNOWN_RESULT
+
+__all__ = ["Result", "failure"]
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """The end of a command.
+
+    ``data`` is what ``--json`` prints. A text of a failed command goes to the
+    standard error.
+    """
+
+    code: ExitCode
+    text: str
+    data: Any
+
+
+def failure(found: Refused | NoAnswer) -> Result:
+    """Return the result of a request that was refused or not answered."""
+    if isinstance(found, NoAnswer):
+        text = UNKNOWN_RESULT if found.may_have_applied else NO_ANSWER
+        code = ExitCode.UNKNOWN if found.may_have_applied else ExitCode.NOT_DONE
+        return Result(code, text.format(reason=found.reason), {"error": found})
+    refusal = found.refusal
+    lines = [REFUSED.format(kind=refusal.kind, reason=refusal.reason)]
+    lines += [
+        f"  {one.key} = {one.value}; allowed: {one.allowed}" for one in refusal.faults
+    ]
+    is_conflict = refusal.kind in ("conflict", "stale_token")
+    code = ExitCode.CONFLICT if is_conflict else ExitCode.REFUSED
+    return Result(code, "\n".join(lines), {"error": refusal})
--- /dev/null
+++ b/packages/operator/almondspan/texts.py
@@ -0,0 +1,100 @@
+"""Every text that the command line prints to people."""
+
+from typing import Final
+
+__all__ = [
+    "AGENT_HEADERS",
+    "ALREADY_IN_FORCE",
+    "CONFIG_ACCEPTED",
+    "CONFIG_HEADER",
+    "CONFIG_OK",
+    "CONFLICT_NEXT",
+    "CONFLICT_TITLE",
+    "DRAINING",
+    "FILE_FAULT",
+    "HISTORY_HEADERS",
+    "JOB_HEADERS",
+    "LOSS_DECLARED",
+    "LOSS_NEXT",
+    "NO_ANSWER",
+    "NO_DIFFERENCE",
+    "NO_ENTRIES",
+    "NO_EXPECTED",
+    "NO_TOKEN",
+    "PLAN_USAGE",
+    "REFUSED",
+    "SHARD_HEADERS",
+    "SUBMITTED",
+    "TOKEN_MADE",
+    "UNKNOWN_RESULT",
+]
+
+PLAN_USAGE: Final = """\
+usage: python PLAN.py config         print the fleet's configuration
+       python PLAN.py order NAME     print an order's records (orders: {orders})
+       python PLAN.py jobs           print the single jobs
+"""
+
+NO_ENTRIES: Final = (
+    "no entry is named: set ALMONDSPAN_ENTRIES or --entries to the administration "
+    "addresses, as http://127.0.0.1:8081,http://127.0.0.1:8082"
+)
+NO_TOKEN: Final = (
+    "no token: set ALMONDSPAN_TOKEN, or --token_file to a file that holds it"
+)
+NO_EXPECTED: Final = (
+    "which revision did you edit? Give --expected N (0 for the very first); "
+    "`almondspan config history` lists them, and `almondspan config show` prints a "
+    "text that names its own"
+)
+FILE_FAULT: Final = "{file}: {fault}"
+REFUSED: Final = "refused ({kind}): {reason}"
+NO_ANSWER: Final = "no answer, nothing was changed: {reason}"
+UNKNOWN_RESULT: Final = (
+    "no answer; it may be in force: {reason}\nrepeating the same command is safe"
+)
+
+CONFIG_HEADER: Final = "# revision {revision}"
+CONFIG_OK: Final = "{file}: in order ({n_teams} teams, {n_orders} orders)"
+CONFIG_ACCEPTED: Final = "accepted as revision {revision}"
+ALREADY_IN_FORCE: Final = "revision {revision} already holds exactly this"
+NO_DIFFERENCE: Final = "no difference to revision {revision}"
+CONFLICT_TITLE: Final = (
+    "conflict: you edited revision {expected}; revision {revision} is in force, "
+    "by {author} at {time}. Nothing was changed."
+)
+CONFLICT_NEXT: Final = (
+    "next: take their changes into your plan, then submit with --expected {revision}"
+)
+
+SUBMITTED: Final = (
+    "{n_accepted} accepted, {n_known} known already, {n_conflicts} conflicts, "
+    "{n_refused} refused"
+)
+DRAINING: Final = (
+    "{agent_id} drains: it takes no new work and leaves when its work has ended"
+)
+LOSS_NEXT: Final = (
+    "to declare it, within five minutes: almondspan lost {kind} {name} --token {token}"
+)
+LOSS_DECLARED: Final = "{kind} {name} is declared lost"
+TOKEN_MADE: Final = (
+    "token (give it to the team, keep it nowhere else): {token}\n"
+    "token_sha256 (put it into the plan): {digest}"
+)
+
+JOB_HEADERS: Final = ("JOB", "STATE", "STAGE", "ATTEMPTS", "EVICTIONS", "OUTCOME")
+AGENT_HEADERS: Final = (
+    "AGENT",
+    "WORKER",
+    "PLACE",
+    "TASKS",
+    "SHARDS",
+    "FREE CPU",
+    "FREE MB",
+    "REVISION",
+    "SILENT S",
+    "STATE",
+)
+SHARD_HEADERS: Final = ("SHARD", "OWNER", "EPOCH")
+HISTORY_HEADERS: Final = ("REVISION", "AUTHOR", "SUBMITTED", "BYTES")
