Throttle the most harmful classes first

Cause: one share for all classes slows harmless work for nothing. Change: a band's share is a share of the harm; classes get their need in the order of their learned slowdown.

--- a/packages/decisions/almondspan_decisions/ladder.py
+++ b/packages/decisions/almondspan_decisions/ladder.py
@@ -7,12 +7,13 @@
 1. Heat: the worst of the services' burn and recent latency over their limits. At
    1 or more the worker is hot, below ``cool_heat`` it is calm; between the two,
    nothing changes.
-2. Learned shares: for each band of the services' load it keeps the share of their
-   processors that batch tasks may use. Heat cuts the share of its band and of all
+2. Learned shares: for each band of the services' load it keeps the share of its
+   harm that batch work may do. Heat cuts the share of its band and of all
    higher ones at once; lasting calm raises it, and all lower ones, by small steps.
    A swing of the load moves to another band and so to another share at once,
    before any latency has been measured.
-3. Throttle: every task gets the share of the band, harmful classes less of it.
+3. Throttle: the share of the band is a share of the harm that all tasks would do.
+   Harmless classes get their whole need first, the most harmful what is left.
 4. Checkpoint: while the share is at its floor and the worker stays hot for longer
    than usage lags, one task at a time is checkpointed and so evicted, the one that
    costs least. A token bucket bounds the evictions.
@@ -23,6 +24,7 @@
 DR, in depth", applied to shares within a level as well.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -161,6 +163,7 @@
     eviction_burst: float = 2.0
     checkpoint_timeout_s: float = 10.0
     share_resolution: float = 0.1
+    any_harm: float = 0.1
 
 
 LadderFactory = Callable[[LadderOptions], LadderPolicy]
@@ -253,7 +256,7 @@
         if self._may_evict:
             actions += self._stops(observation)
             actions += self._checkpoints(observation, share, heat)
-        actions += throttles(observation.tasks, share, self._options)
+        actions += throttles(observation, share, self._options)
         return LadderDecision(
             self._level(observation, share, actions), share, tuple(actions)
         )
@@ -340,14 +343,40 @@
         return LadderLevel.THROTTLE if share < 1.0 else LadderLevel.NONE
 
 
-def throttles(
+def class_shares(
     tasks: tuple[LadderTask, ...], share: float, options: LadderOptions
+) -> dict[TaskClass, float]:
+    """Return each class's share when all together may do `share` of their harm.
+
+    The harm of a class is its processors times the logarithm of its slowdown, and a
+    little for the processors alone. Classes get their whole need in the order of
+    their slowdown, until the harm allowed is used up.
+    """
+    needs: dict[TaskClass, float] = {}
+    slowdowns: dict[TaskClass, float] = {}
+    for task in tasks:
+        slowdowns[task.task_class] = max(1.0, task.harm)
+        harm = task.cpu_millicores * (math.log(max(1.0, task.harm)) + options.any_harm)
+        needs[task.task_class] = needs.get(task.task_class, 0.0) + harm
+    left = share * sum(needs.values())
+    shares: dict[TaskClass, float] = {}
+    for task_class in sorted(needs, key=lambda each: (slowdowns[each], each)):
+        need = needs[task_class]
+        granted = min(left, need)
+        left -= granted
+        shares[task_class] = granted / need if need > 0.0 else share
+    return shares
+
+
+def throttles(
+    observation: LadderObservation, share: float, options: LadderOptions
 ) -> list[LadderAction]:
     """Return the throttle of each task whose share should change."""
     found: list[LadderAction] = []
-    for task in tasks:
+    by_class = class_shares(observation.tasks, share, options)
+    for task in observation.tasks:
         floor = options.urgent_floor_share if task.urgent else options.floor_share
-        wanted = max(floor, share)
+        wanted = max(floor, by_class[task.task_class])
         if abs(wanted - task.share) > options.share_resolution * wanted:
             found.append(ThrottleTask(task.task_id, task.attempt, wanted))
     return found
