Fit the Colocator to the keeper of attempts

Cause: the keeper's throttle and evict only begin something and are not awaited. Change: the Colocator's Protocols take the keeper's running(), throttle and evict; throttles are repeated while they are wanted.

--- a/packages/daemon/almondspan_daemon/colocation.py
+++ b/packages/daemon/almondspan_daemon/colocation.py
@@ -7,16 +7,15 @@
   moment, and both teach the interference model and the crest. A worker that does not
   answer leaves the last report to age; the control loop never waits for it.
 - The control loop runs several times a second. It reads the services' signals and
-  the running attempts, steps the ladder, and sends its actions to the keeper of the
-  attempts. Each action is its own short task with a timeout, at most one for each
-  attempt at a time. What has not taken effect is still wanted in the next step and
-  so is sent again.
+  the running attempts, steps the ladder, and gives its actions to the keeper of the
+  attempts. The keeper does not tell what became of a throttle, so each is given
+  again after some seconds for as long as it is wanted.
 """
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from almondspan_decisions.headroom import SwingTracker
@@ -38,6 +37,7 @@
     LadderTask,
     ThrottleTask,
 )
+from almondspan_decisions.shapes import Shape
 from almondspan_platform.worker import WorkerUnavailable, WorkerUsage
 
 __all__ = [
@@ -46,6 +46,7 @@
     "Colocator",
     "KeeperView",
     "LadderMoment",
+    "RunningTask",
     "ServiceSignal",
     "ServiceView",
     "UsageView",
@@ -88,19 +89,67 @@
         ...
 
 
+class RunningTask(Protocol):
+    """A running attempt as its keeper describes it."""
+
+    @property
+    def task_id(self) -> TaskId:
+        """The task."""
+        ...
+
+    @property
+    def attempt(self) -> int:
+        """The number of the attempt."""
+        ...
+
+    @property
+    def task_class(self) -> TaskClass:
+        """The task's class."""
+        ...
+
+    @property
+    def shape(self) -> Shape:
+        """What the task declares."""
+        ...
+
+    @property
+    def attained_s(self) -> float:
+        """The time that this attempt has run, all of it since its checkpoint."""
+        ...
+
+    @property
+    def checkpointable(self) -> bool:
+        """Whether it may be evicted after a checkpoint."""
+        ...
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may be stopped and started again."""
+        ...
+
+    @property
+    def urgent(self) -> bool:
+        """Whether it is urgent."""
+        ...
+
+
 class KeeperView(Protocol):
-    """The keeper of a worker's attempts as the colocator sees it."""
+    """The keeper of a worker's attempts as the colocator sees it.
+
+    Both orders only begin something: they answer whether the attempt runs and may
+    be treated so, and may be lost on their way to the worker.
+    """
 
-    def ladder_tasks(self) -> Sequence[LadderTask]:
-        """Return the running attempts; ``harm`` is filled in by the colocator."""
+    def running(self) -> Sequence[RunningTask]:
+        """Return the running attempts that are not being evicted."""
         ...
 
-    async def throttle(self, task_id: TaskId, attempt: int, share: float) -> bool:
-        """Limit a task; True when the worker confirmed it."""
+    def throttle(self, task: TaskId, share: float) -> bool:
+        """Begin to limit a task to a share of its shape."""
         ...
 
-    async def evict(self, task_id: TaskId, attempt: int, checkpoint: bool) -> bool:
-        """End an attempt here; True when the worker took the request."""
+    def evict(self, task: TaskId, checkpoint: bool) -> bool:
+        """Begin to end a task here."""
         ...
 
 
@@ -114,11 +163,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ColocationOptions:
-    """Paces of the loops and the limit of one call, in seconds."""
+    """Paces of the loops and the limit of one call, in seconds.
+
+    A throttle is sent again after ``repeat_s``, in case it was lost.
+    """
 
     step_s: float = 0.25
     usage_s: float = 1.0
     call_timeout_s: float = 2.0
+    repeat_s: float = 3.0
     tolerance_s: float = 0.5
     ladder: LadderOptions = field(default_factory=LadderOptions)
 
@@ -140,12 +193,18 @@
     n_throttles: int = 0
     n_checkpoints: int = 0
     n_stops: int = 0
-    n_failed_actions: int = 0
+    n_refused_actions: int = 0
     n_usage_reports: int = 0
     n_usage_missing: int = 0
     throttled_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _SentShare:
+    share: float
+    at_s: float
+
+
 class Colocator:
     """Runs the ladder for one worker and the services beside it.
 
@@ -182,7 +241,7 @@
         self._measured_s: float | None = None
         self._used_millicores = 0
         self._classes: dict[TaskId, TaskClass] = {}
-        self._acting: dict[tuple[TaskId, int], asyncio.Task[None]] = {}
+        self._sent: dict[tuple[TaskId, int], _SentShare] = {}
         self._loops: list[asyncio.Task[None]] = []
         self.counters = ColocationCounters()
         self.moments: list[LadderMoment] = []
@@ -195,11 +254,10 @@
         ]
 
     async def close(self) -> None:
-        """Stop the loops and what they sent; throttles stay as they are."""
-        tasks = [*self._loops, *self._acting.values()]
-        for task in tasks:
+        """Stop the loops; throttles stay as they are."""
+        for task in self._loops:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._loops, return_exceptions=True)
 
     def set_policy(self, policy: str) -> None:
         """Use another ladder policy; an unknown name changes nothing."""
@@ -256,7 +314,7 @@
         if decision.share < 1.0:
             self.counters.throttled_s += self._options.step_s
         for action in decision.actions:
-            self._act(action)
+            self._act(action, now_s)
 
     def _remember(self, now_s: float, signal: ServiceSignal) -> None:
         if signal.run_ms > 0.0:
@@ -269,12 +327,10 @@
         self, now_s: float, signals: Sequence[ServiceSignal]
     ) -> LadderObservation:
         harms = dict(self.harms())
-        running = self._keeper.ladder_tasks()
+        running = self._keeper.running()
         self._classes.update((task.task_id, task.task_class) for task in running)
-        tasks = tuple(
-            replace(task, harm=harms.get(task.task_class, task.harm))
-            for task in running
-        )
+        self._forget_sent(now_s, running)
+        tasks = tuple(self._ladder_task(task, harms) for task in running)
         age_s = float("inf") if self._measured_s is None else now_s - self._measured_s
         return LadderObservation(
             now_s=now_s,
@@ -285,6 +341,33 @@
             tasks=tasks,
         )
 
+    def _forget_sent(self, now_s: float, running: Sequence[RunningTask]) -> None:
+        """Drop shares of ended attempts, and those that are due to be repeated."""
+        held = {(task.task_id, task.attempt) for task in running}
+        oldest_s = now_s - self._options.repeat_s
+        self._sent = {
+            key: sent
+            for key, sent in self._sent.items()
+            if key in held and (sent.at_s > oldest_s or sent.share >= 1.0)
+        }
+
+    def _ladder_task(
+        self, task: RunningTask, harms: Mapping[TaskClass, float]
+    ) -> LadderTask:
+        sent = self._sent.get((task.task_id, task.attempt))
+        return LadderTask(
+            task_id=task.task_id,
+            attempt=task.attempt,
+            task_class=task.task_class,
+            cpu_millicores=task.shape.cpu_millicores,
+            harm=harms.get(task.task_class, 1.0),
+            at_risk_s=task.attained_s,
+            share=1.0 if sent is None else sent.share,
+            checkpointable=task.checkpointable,
+            idempotent=task.idempotent,
+            urgent=task.urgent,
+        )
+
     def _note_change(self, now_s: float, decision: LadderDecision) -> None:
         if decision.level is self._decision.level:
             return
@@ -295,32 +378,17 @@
             extra={"level": decision.level.name, "share": decision.share},
         )
 
-    def _act(self, action: LadderAction) -> None:
-        key = (action.task_id, action.attempt)
-        if key in self._acting:
-            return
-        self._acting[key] = asyncio.create_task(self._apply(action))
-
-    async def _apply(self, action: LadderAction) -> None:
-        try:
-            async with asyncio.timeout(self._options.call_timeout_s):
-                taken = await self._send(action)
-        except TimeoutError:
-            taken = False
-        finally:
-            self._acting.pop((action.task_id, action.attempt), None)
-        if not taken:
-            self.counters.n_failed_actions += 1
-
-    def _send(self, action: LadderAction) -> Awaitable[bool]:
+    def _act(self, action: LadderAction, now_s: float) -> None:
         match action:
             case ThrottleTask(task_id, attempt, share):
+                taken = self._keeper.throttle(task_id, share)
+                self._sent[task_id, attempt] = _SentShare(share, now_s)
                 self.counters.n_throttles += 1
-                return self._keeper.throttle(task_id, attempt, share)
-            case EvictTask(task_id, attempt, checkpoint):
+            case EvictTask(task_id, _, checkpoint):
+                taken = self._keeper.evict(task_id, checkpoint)
                 self.counters.n_checkpoints += checkpoint
                 self.counters.n_stops += not checkpoint
-                return self._keeper.evict(task_id, attempt, checkpoint)
+        self.counters.n_refused_actions += not taken
 
     async def _run_usage_loop(self) -> None:
         while True:
@@ -357,7 +425,7 @@
             if task_class is not None:
                 share = used_millicores / self._capacity_millicores
                 shares[task_class] = shares.get(task_class, 0.0) + share
-        running = {task.task_id for task in self._keeper.ladder_tasks()}
+        running = {task.task_id for task in self._keeper.running()}
         for task_id in self._classes.keys() - running - by_task.keys():
             del self._classes[task_id]
         return shares
