Test the platform's contracts over every adapter

Cause: adapters and stand-ins had no common contract to hold them to. The stand-ins read a delayed request before they wait, for a late write was dropped when its caller had left (test_slow_write_takes_effect_after_its_caller_gave_up failed on it). Conclusion: other adapters join by registering a rig.

--- a/packages/platform/almondspan_platform/etcd_messages.py
+++ b/packages/platform/almondspan_platform/etcd_messages.py
@@ -120,7 +120,7 @@
     """A condition of a transaction on a key's last revision."""
 
     key: bytes
-    mod_revision: Int64 = "0"
+    mod_revision: Int64
     target: str = "VERSION"
     result: str = "EQUAL"
 
--- /dev/null
+++ b/packages/standins/almondspan_standins/rigs.py
@@ -0,0 +1,236 @@
+"""Adapters with a stand-in behind them, for contract tests over every adapter.
+
+A rig owns the stand-in's core and its clock, makes clients and closes what it made.
+An adapter from elsewhere joins the contract tests by registering a rig under its
+name.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.shapes import Shape
+from almondspan_platform.etcd_json import EtcdJsonOptions, EtcdJsonStore
+from almondspan_platform.http_json import HttpJsonWorker, HttpJsonWorkerOptions
+from almondspan_platform.store import Store
+from almondspan_platform.worker import Worker
+from almondspan_standins.memory_store import MemoryStore, MemoryStoreOptions
+from almondspan_standins.memory_worker import MemoryWorker
+from almondspan_standins.serving import HttpServer
+from almondspan_standins.store_app import StoreApp
+from almondspan_standins.store_core import StoreCore
+from almondspan_standins.worker_app import WorkerApp
+from almondspan_standins.worker_core import WorkerCore
+
+__all__ = [
+    "STORE_RIGS",
+    "WORKER_RIGS",
+    "HttpStoreRig",
+    "HttpWorkerRig",
+    "MemoryStoreRig",
+    "MemoryWorkerRig",
+    "ShiftedClock",
+    "StoreRig",
+    "WorkerRig",
+]
+
+PATIENT_S: Final = 10.0
+"""A limit that is never reached unless a test sets a fault."""
+
+PROGRESS_S: Final = 0.05
+
+SHUTDOWN_TIMEOUT_S: Final = 0.02
+
+CAPACITY: Final = Shape(4000, 8000, 1)
+
+
+class ShiftedClock:
+    """The running loop's time plus what a test has skipped, in seconds."""
+
+    def __init__(self) -> None:
+        self._now: Final = asyncio.get_running_loop().time
+        self._skipped_s = 0.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self._now() + self._skipped_s
+
+    def skip(self, seconds: float) -> None:
+        """Move the clock forward."""
+        self._skipped_s += seconds
+
+
+class StoreRig(Protocol):
+    """A store stand-in and clients of it."""
+
+    core: StoreCore
+
+    async def start(self) -> None:
+        """Start the stand-in."""
+        ...
+
+    async def close(self) -> None:
+        """Close the clients, then the stand-in."""
+        ...
+
+    async def client(
+        self, call_timeout_s: float = PATIENT_S, silence_s: float = PATIENT_S
+    ) -> Store:
+        """Return a new client that is started."""
+        ...
+
+    def skip(self, seconds: float) -> None:
+        """Move the stand-in's clock forward."""
+        ...
+
+
+class WorkerRig(Protocol):
+    """A worker stand-in and clients of it."""
+
+    core: WorkerCore
+
+    async def start(self) -> None:
+        """Start the stand-in."""
+        ...
+
+    async def close(self) -> None:
+        """Close the clients, then the stand-in."""
+        ...
+
+    async def client(self, call_timeout_s: float = PATIENT_S) -> Worker:
+        """Return a new client that is started."""
+        ...
+
+    def skip(self, seconds: float) -> None:
+        """Move the stand-in's clock forward."""
+        ...
+
+
+class MemoryStoreRig:
+    """Clients in the same process."""
+
+    def __init__(self) -> None:
+        self._clock: Final = ShiftedClock()
+        self._clients: list[Store] = []
+        self.core: StoreCore = StoreCore(self._clock)
+
+    async def start(self) -> None:
+        """Do nothing: there is no server."""
+
+    async def close(self) -> None:
+        """Close the clients."""
+        for client in self._clients:
+            await client.close()
+
+    async def client(
+        self, call_timeout_s: float = PATIENT_S, silence_s: float = PATIENT_S
+    ) -> Store:
+        """Return a new client that is started."""
+        client = self.make_client(call_timeout_s, silence_s)
+        await client.start()
+        self._clients.append(client)
+        return client
+
+    def make_client(self, call_timeout_s: float, silence_s: float) -> Store:
+        """Return a client that is not started."""
+        return MemoryStore(self.core, MemoryStoreOptions(call_timeout_s, silence_s))
+
+    def skip(self, seconds: float) -> None:
+        """Move the clock forward and let leases lapse."""
+        self._clock.skip(seconds)
+        self.core.collect_lapsed()
+
+
+class HttpStoreRig(MemoryStoreRig):
+    """Clients over HTTP on a loopback address."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        app = StoreApp(self.core, random.Random(1), PROGRESS_S).app
+        self.server: Final = HttpServer(app, shutdown_timeout_s=SHUTDOWN_TIMEOUT_S)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        await self.server.start()
+
+    async def close(self) -> None:
+        """Close the clients, then the server."""
+        await super().close()
+        await self.server.close()
+
+    def make_client(self, call_timeout_s: float, silence_s: float) -> Store:
+        """Return a client that is not started."""
+        options = EtcdJsonOptions(
+            call_timeout_s=call_timeout_s,
+            try_timeout_s=call_timeout_s,
+            watch_silence_s=silence_s,
+        )
+        return EtcdJsonStore((self.server.address,), options)
+
+
+class MemoryWorkerRig:
+    """Clients in the same process."""
+
+    def __init__(self) -> None:
+        self._clock: Final = ShiftedClock()
+        self._clients: list[Worker] = []
+        self.core: WorkerCore = WorkerCore(WorkerId("w1"), CAPACITY, self._clock)
+
+    async def start(self) -> None:
+        """Do nothing: there is no server."""
+
+    async def close(self) -> None:
+        """Close the clients."""
+        for client in self._clients:
+            await client.close()
+
+    async def client(self, call_timeout_s: float = PATIENT_S) -> Worker:
+        """Return a new client that is started."""
+        client = self.make_client(call_timeout_s)
+        await client.start()
+        self._clients.append(client)
+        return client
+
+    def make_client(self, call_timeout_s: float) -> Worker:
+        """Return a client that is not started."""
+        return MemoryWorker(self.core, call_timeout_s)
+
+    def skip(self, seconds: float) -> None:
+        """Move the clock forward."""
+        self._clock.skip(seconds)
+
+
+class HttpWorkerRig(MemoryWorkerRig):
+    """Clients over HTTP on a loopback address."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        app = WorkerApp(self.core, random.Random(1)).app
+        self.server: Final = HttpServer(app, shutdown_timeout_s=SHUTDOWN_TIMEOUT_S)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        await self.server.start()
+
+    async def close(self) -> None:
+        """Close the clients, then the server."""
+        await super().close()
+        await self.server.close()
+
+    def make_client(self, call_timeout_s: float) -> Worker:
+        """Return a client that is not started."""
+        options = HttpJsonWorkerOptions(call_timeout_s, call_timeout_s)
+        return HttpJsonWorker(self.server.address, options)
+
+
+STORE_RIGS: dict[str, Callable[[], StoreRig]] = {
+    "memory": MemoryStoreRig,
+    "etcd_json": HttpStoreRig,
+}
+
+WORKER_RIGS: dict[str, Callable[[], WorkerRig]] = {
+    "memory": MemoryWorkerRig,
+    "http_json": HttpWorkerRig,
+}
--- a/packages/standins/almondspan_standins/runner_app.py
+++ b/packages/standins/almondspan_standins/runner_app.py
@@ -102,7 +102,7 @@
         self.app: Final = web.Application(middlewares=middlewares)
         self.app.router.add_get("/clip/{clip_id}", self._clip)
         self.app.router.add_post("/bill/{bill_id}", self._bill)
-        add_debug_routes(self.app, self.describe, RunnerFaults, self._set_faults)
+        add_debug_routes(self.app, self.describe, RunnerFaults, self.set_faults)
 
     def describe(self) -> RunnerDebug:
         """Return the counters and the ledger."""
@@ -124,7 +124,8 @@
         """Return the busy slots over all slots."""
         return self._n_busy / self._options.n_slots
 
-    def _set_faults(self, faults: RunnerFaults) -> None:
+    def set_faults(self, faults: RunnerFaults) -> None:
+        """Replace the faults; requests that wait for a thaw go on."""
         self.faults = faults
         if faults.freeze:
             self._thawed.clear()
@@ -156,7 +157,7 @@
         if self._rng.random() < self.faults.error_share:
             return web.Response(status=500, text="error")
         answer = await handler(request)
-        await asyncio.sleep(self._latency_s())
+        await asyncio.sleep(self.next_latency_s())
         await self._thawed.wait()
         self._n_served += 1
         return answer
@@ -174,7 +175,8 @@
         self._connections.add(transport)
         return True
 
-    def _latency_s(self) -> float:
+    def next_latency_s(self) -> float:
+        """Draw the latency of the next request, in seconds."""
         options = self._options
         latency_ms = self._rng.lognormvariate(
             math.log(options.median_ms), options.sigma
--- a/packages/standins/almondspan_standins/serving.py
+++ b/packages/standins/almondspan_standins/serving.py
@@ -79,6 +79,8 @@
         if faults.outage:
             return _cut(request)
         if faults.delay_s > 0:
+            # The body can't be read any more once the caller has left.
+            await request.read()
             await asyncio.sleep(faults.delay_s)
         answer = await handler(request)
         return _cut(request) if faults.loses_answer(rng) else answer
@@ -108,11 +110,16 @@
 class HttpServer:
     """Serves one application on one address."""
 
-    def __init__(self, app: web.Application, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        tls: ssl.SSLContext | None = None,
+        shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    ) -> None:
         self._app: Final = app
         self._tls: Final = tls
         self._runner: Final = web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app, access_log=None, shutdown_timeout=shutdown_timeout_s
         )
         self.address = ""
 
--- /dev/null
+++ b/tests/platform/test_http_calls.py
@@ -0,0 +1,142 @@
+"""Connections that went silent, and the bound on the rate of calls."""
+
+import asyncio
+import random
+
+import pytest
+
+from almondspan_platform.etcd_json import EtcdJsonOptions, EtcdJsonStore
+from almondspan_platform.http_calls import _LineSplitter
+from almondspan_platform.store import ABSENT_REVISION, Found, Revision, WatchLost
+from almondspan_platform.token_bucket import TokenBucket
+from almondspan_standins.rigs import HttpStoreRig
+from almondspan_standins.virtual_time import run_in_virtual_time
+
+
+class Relay:
+    """Passes bytes between a client and a server; old connections can go silent."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._forwarding: asyncio.Event = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self.n_accepted = 0
+
+    async def start(self) -> str:
+        self._forwarding.set()
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return f"http://127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+
+    def silence(self) -> None:
+        """Forward nothing more on the connections that are open now."""
+        self._forwarding.clear()
+        self._forwarding = asyncio.Event()
+        self._forwarding.set()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.n_accepted += 1
+        forwarding = self._forwarding
+        there, back = await asyncio.open_connection("127.0.0.1", self._port)
+        for source, sink in ((reader, back), (there, writer)):
+            task = asyncio.create_task(self._pump(source, sink, forwarding))
+            self._tasks.add(task)
+
+    async def _pump(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        forwarding: asyncio.Event,
+    ) -> None:
+        while data := await source.read(65536):
+            await forwarding.wait()
+            sink.write(data)
+            await sink.drain()
+        sink.close()
+
+
+def test_silent_connections_are_replaced() -> None:
+    async def main() -> None:
+        rig = HttpStoreRig()
+        await rig.start()
+        relay = Relay(int(rig.server.address.rpartition(":")[2]))
+        address = await relay.start()
+        options = EtcdJsonOptions(
+            call_timeout_s=10.0, try_timeout_s=0.3, watch_silence_s=0.3
+        )
+        store = EtcdJsonStore((address,), options)
+        await store.start()
+        await asyncio.gather(*(store.get("k") for _ in range(4)))
+        n_before = relay.n_accepted
+        assert n_before == 4
+        relay.silence()
+        # One silent connection is enough to leave the others unused.
+        for _ in range(3):
+            assert await store.get("k") == Found(None)
+        assert relay.n_accepted == n_before + 1
+        await store.compare_and_swap("k", ABSENT_REVISION, b"")
+        watch = store.watch("k", Revision(1))
+        await anext(watch)
+        relay.silence()
+        assert isinstance(await anext(watch), WatchLost)
+        await store.close()
+        await relay.close()
+        await rig.close()
+
+    asyncio.run(main())
+
+
+def test_token_bucket_spaces_its_tokens() -> None:
+    async def main() -> list[float]:
+        loop = asyncio.get_running_loop()
+        bucket = TokenBucket(rate_per_s=10.0, n_burst=2)
+        began_s = loop.time()
+        times_s = []
+        for _ in range(5):
+            assert await bucket.acquire(began_s + 60.0)
+            times_s.append(round(loop.time() - began_s, 6))
+        return times_s
+
+    assert run_in_virtual_time(main()) == [0.0, 0.0, 0.1, 0.2, 0.3]
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "n_granted"),
+    [
+        pytest.param(0.0, 1, id="burst-alone"),
+        pytest.param(0.25, 3, id="two-in-time"),
+        pytest.param(10.0, 20, id="all-in-time"),
+    ],
+)
+def test_token_bucket_counts_those_who_wait(wait_s: float, n_granted: int) -> None:
+    async def main() -> None:
+        bucket = TokenBucket(rate_per_s=10.0, n_burst=1)
+        deadline_s = asyncio.get_running_loop().time() + wait_s
+        waiting = (bucket.acquire(deadline_s) for _ in range(20))
+        assert sum(await asyncio.gather(*waiting)) == n_granted
+        assert bucket.n_refused == 20 - n_granted
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lines_are_whole_however_they_are_cut(seed: int) -> None:
+    rng = random.Random(seed)
+    lines = [bytes([rng.randrange(97, 123)]) * rng.randrange(1, 50) for _ in range(40)]
+    data = b"".join(line + b"\n" for line in lines)
+    splitter = _LineSplitter()
+    found = []
+    while data:
+        n_bytes = rng.randrange(1, 80)
+        found += splitter.split(data[:n_bytes])
+        data = data[n_bytes:]
+    assert found == lines
