Prove the contracts of the administration by tables

Cause: racing operators, lost answers, a silent watch, a store that went back, oversized bodies, foreign tokens and faulty texts each need a case that fails. Faults found and fixed: a header that is no UTF-8 ended in an error; a store that went back blocked submissions; record digests were not injective; huge numbers and far dates ended in an error; whole numbers and fractions printed differently; an accepted change was reported as unknown when the time ended during the clean-up.

--- a/packages/admin/almondspan_admin/auth.py
+++ b/packages/admin/almondspan_admin/auth.py
@@ -33,7 +33,7 @@
 
 def token_digest(token: str) -> str:
     """Return the digest of a token as the configuration holds it."""
-    return hashlib.sha256(token.encode()).hexdigest()
+    return hashlib.sha256(token.encode(errors="surrogateescape")).hexdigest()
 
 
 def identify(
--- a/packages/admin/almondspan_admin/config_submit.py
+++ b/packages/admin/almondspan_admin/config_submit.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Final
 
 from almondspan_admin.config_store import ConfigStore, StoredKey
 from almondspan_admin.stored_config import StoredConfig, encode_config
@@ -26,6 +27,7 @@
     Swapped,
     Unavailable,
 )
+from almondspan_wire.membership import ConfigPush
 
 __all__ = [
     "ConfigAccepted",
@@ -40,6 +42,10 @@
 ]
 
 
+LOST_AUTHOR: Final = "(unknown)"
+"""The author of a revision that an entry holds and the store has lost."""
+
+
 @dataclass(frozen=True, slots=True)
 class SubmitOptions:
     """How long a submission may take, and how much history is kept."""
@@ -127,8 +133,8 @@
     ----------
     keys : ConfigStore
     submission : ConfigSubmission
-    held_revision : int
-        The revision that the entry holds, in case the store has lost the key.
+    held : ConfigPush or None
+        The revision that the entry holds, in case the store has lost it.
     options : SubmitOptions
     """
 
@@ -136,15 +142,16 @@
         self,
         keys: ConfigStore,
         submission: ConfigSubmission,
-        held_revision: int,
+        held: ConfigPush | None,
         options: SubmitOptions,
     ) -> None:
         self._keys = keys
         self._submission = submission
-        self._held_revision = held_revision
+        self._held = held
         self._options = options
         self._reason = "the store gave no answer in time"
         self._may_have_applied = False
+        self._accepted: ConfigAccepted | None = None
 
     async def run(self) -> SubmitOutcome:
         """Submit within the time that the options allow."""
@@ -156,6 +163,8 @@
                         return outcome
                     await asyncio.sleep(self._options.retry_s)
         except TimeoutError:
+            if self._accepted is not None:
+                return self._accepted
             return ConfigUnavailable(self._reason, self._may_have_applied)
 
     async def _try_once(self) -> SubmitOutcome | None:
@@ -166,21 +175,31 @@
             return None
         if stored.unreadable:
             return ConfigConflict(None)
-        if stored.config is None:
-            if self._submission.expected_revision != self._held_revision:
-                return ConfigConflict(None)
-            return await self._replace(stored)
-        if stored.config.nonce == self._submission.nonce:
-            return ConfigAccepted(stored.config.revision)
-        if stored.config.revision != self._submission.expected_revision:
-            return await self._explain_conflict(stored.config)
-        missing = await self._keys.archive(stored.config)
-        if missing is not None:
-            self._reason = missing.reason
-            return None
+        current = self._in_force(stored)
+        if stored.config is not None:
+            if stored.config.nonce == self._submission.nonce:
+                return ConfigAccepted(stored.config.revision)
+        revision = current.revision if current is not None else 0
+        if revision != self._submission.expected_revision:
+            return await self._explain_conflict(current)
+        if current is not None:
+            missing = await self._keys.archive(current)
+            if missing is not None:
+                self._reason = missing.reason
+                return None
         return await self._replace(stored)
 
-    async def _explain_conflict(self, current: StoredConfig) -> SubmitOutcome | None:
+    def _in_force(self, stored: StoredKey) -> StoredConfig | None:
+        """Return what is in force, which a store that went back may have lost."""
+        held, config = self._held, stored.config
+        if held is None or (config is not None and config.revision >= held.revision):
+            return config
+        toml = held.toml.decode()
+        return StoredConfig(held.revision, LOST_AUTHOR, 0.0, "", toml)
+
+    async def _explain_conflict(
+        self, current: StoredConfig | None
+    ) -> SubmitOutcome | None:
         """Tell a submission that was taken and then replaced from a lost race."""
         kept = await self._keys.read_archived(self._submission.expected_revision + 1)
         if isinstance(kept, Unavailable):
@@ -198,8 +217,9 @@
         outcome = await self._keys.replace(stored.key_revision, config)
         match outcome:
             case Swapped():
+                self._accepted = ConfigAccepted(config.revision)
                 await self._keys.prune(config.revision - self._options.n_history)
-                return ConfigAccepted(config.revision)
+                return self._accepted
             case Unavailable(may_have_applied=False):
                 self._may_have_applied = before
                 self._reason = outcome.reason
--- a/packages/admin/almondspan_admin/relay.py
+++ b/packages/admin/almondspan_admin/relay.py
@@ -111,9 +111,8 @@
         refused = check_submission(submission, self._options.policies)
         if refused is not None:
             return refused
-        held_revision = self._push.revision if self._push is not None else 0
         attempt = SubmitAttempt(
-            self._keys, submission, held_revision, self._options.submit
+            self._keys, submission, self._push, self._options.submit
         )
         return await attempt.run()
 
--- a/packages/decisions/almondspan_decisions/fleet_document.py
+++ b/packages/decisions/almondspan_decisions/fleet_document.py
@@ -76,7 +76,8 @@
     """Return the digest of a set of record names, whatever their order."""
     digest = hashlib.sha256()
     for name in sorted(record_names):
-        digest.update(name.encode() + b"\n")
+        encoded = name.encode()
+        digest.update(b"%d:%b," % (len(encoded), encoded))
     return digest.hexdigest()
 
 
@@ -97,12 +98,13 @@
         return ConfigFaults((ConfigFault("(text)", str(error), "TOML in UTF-8"),))
     reader = _Reader(strict)
     config = reader.read(document)
-    if strict and not reader.faults:
-        reader.faults += _reference_faults(config)
-        reader.faults += _policy_faults(config.policies, policies or {})
-    if reader.faults:
-        return ConfigFaults(tuple(reader.faults))
-    return config
+    faults = {fault.key: fault for fault in reader.faults}
+    if strict:
+        references = [*_reference_faults(document), *_team_faults(document)]
+        references += _policy_faults(config.policies, policies or {})
+        for fault in references:
+            faults.setdefault(fault.key, fault)
+    return ConfigFaults(tuple(faults.values())) if faults else config
 
 
 class _Reader:
@@ -200,25 +202,36 @@
     return text if len(text) <= MAX_SHOWN_CHARS else text[:MAX_SHOWN_CHARS] + "..."
 
 
-def _reference_faults(config: FleetConfig) -> list[ConfigFault]:
+def _tables_of(document: Mapping[str, Any], section: str) -> list[dict[str, Any]]:
+    """Return the tables of a section that have a name, faulty ones included."""
+    given = document.get(section, [])
+    tables = given if isinstance(given, list) else []
+    return [
+        table
+        for table in tables
+        if isinstance(table, dict) and isinstance(table.get("name"), str)
+    ]
+
+
+def _reference_faults(document: Mapping[str, Any]) -> list[ConfigFault]:
     faults = []
+    names = {
+        section: [table["name"] for table in _tables_of(document, section)]
+        for section in _TABLES
+    }
     for section in _TABLES:
-        faults += _repeated_names(section, [t.name for t in getattr(config, section)])
-    teams = {team.name for team in config.teams}
-    classes = {task_class.name for task_class in config.task_classes}
-    for order in config.orders:
-        if order.team not in teams:
+        faults += _repeated_names(section, names[section])
+    for order in _tables_of(document, "orders"):
+        label = f"orders.{order['name']}"
+        team, stages = order.get("team"), order.get("stages")
+        if isinstance(team, str) and team not in names["teams"]:
             allowed = "the name of one of [[teams]]"
-            faults.append(
-                ConfigFault(f"orders.{order.name}.team", f'"{order.team}"', allowed)
-            )
-        for stage in order.stages:
-            if stage not in classes:
+            faults.append(ConfigFault(f"{label}.team", f'"{team}"', allowed))
+        for stage in stages if isinstance(stages, list) else []:
+            if stage not in names["task_classes"]:
                 allowed = "names of [[task_classes]]"
-                faults.append(
-                    ConfigFault(f"orders.{order.name}.stages", f'"{stage}"', allowed)
-                )
-    return faults + _team_faults(config)
+                faults.append(ConfigFault(f"{label}.stages", f'"{stage}"', allowed))
+    return faults
 
 
 def _repeated_names(section: str, names: list[str]) -> list[ConfigFault]:
@@ -227,19 +240,21 @@
     return [ConfigFault(f"{section}.{name}.name", name, allowed) for name in repeated]
 
 
-def _team_faults(config: FleetConfig) -> list[ConfigFault]:
+def _team_faults(document: Mapping[str, Any]) -> list[ConfigFault]:
     faults = []
-    if not any(team.operator for team in config.teams):
+    teams = _tables_of(document, "teams")
+    if not any(team.get("operator") is True for team in teams):
         allowed = "at least one team with operator = true"
         faults.append(ConfigFault("teams", "(no operator)", allowed))
     holders: dict[str, str] = {}
-    for team in config.teams:
-        other = holders.setdefault(team.token_sha256, team.name)
-        if other != team.name:
-            allowed = f"a digest other than that of team {other}"
-            faults.append(
-                ConfigFault(f"teams.{team.name}.token_sha256", "(hidden)", allowed)
-            )
+    for team in teams:
+        digest = team.get("token_sha256")
+        if isinstance(digest, str):
+            other = holders.setdefault(digest, team["name"])
+            if other != team["name"]:
+                key = f"teams.{team['name']}.token_sha256"
+                allowed = f"a digest other than that of team {other}"
+                faults.append(ConfigFault(key, "(hidden)", allowed))
     return faults
 
 
--- a/packages/decisions/almondspan_decisions/fleet_rules.py
+++ b/packages/decisions/almondspan_decisions/fleet_rules.py
@@ -4,7 +4,6 @@
 text tells people what is allowed.
 """
 
-import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,10 +18,25 @@
     TeamConfig,
 )
 
-__all__ = ["DEADLINE_KEY", "FIELD_RULES", "NAME_PATTERN", "Rule"]
+__all__ = [
+    "DEADLINE_KEY",
+    "DEADLINE_RULE",
+    "FIELD_RULES",
+    "MAX_NUMBER",
+    "NAME_PATTERN",
+    "Rule",
+    "is_deadline",
+]
 
 NAME_PATTERN: Final = re.compile(r"[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?")
 SHA256_PATTERN: Final = re.compile(r"[0-9a-f]{64}")
+MAX_NUMBER: Final = 2**53
+"""The largest whole number that a float holds exactly."""
+
+FIRST_YEAR: Final = 2000
+LAST_YEAR: Final = 9000
+
+DEADLINE_RULE: Final = "a date and time with its zone, as 2026-12-20T08:00:00Z"
 DEADLINE_KEY: Final = "deadline"
 """How the document names ``deadline_unix_s``, as a date with a time zone."""
 
@@ -42,11 +56,12 @@
 
 def _is_number(value: Any) -> bool:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return is_number and math.isfinite(value)
+    return is_number and -MAX_NUMBER <= value <= MAX_NUMBER
 
 
 def _is_count(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    return is_whole and 0 <= value <= MAX_NUMBER
 
 
 def _is_name(value: Any) -> bool:
@@ -57,8 +72,11 @@
     return isinstance(value, str) and SHA256_PATTERN.fullmatch(value) is not None
 
 
-def _is_aware(value: Any) -> bool:
-    return isinstance(value, datetime) and value.tzinfo is not None
+def is_deadline(value: Any) -> bool:
+    """Tell whether a value is a time with a zone that every process can hold."""
+    if not isinstance(value, datetime) or value.tzinfo is None:
+        return False
+    return FIRST_YEAR <= value.year <= LAST_YEAR
 
 
 _NAME: Final = Rule(
@@ -104,8 +122,8 @@
     lambda value: value == "" or _is_digest(value),
 )
 _DEADLINE: Final = Rule(
-    "a date and time with its zone, as 2026-12-20T08:00:00Z",
-    _is_aware,
+    DEADLINE_RULE,
+    is_deadline,
     lambda value: value.timestamp(),
 )
 
--- a/packages/operator/almondspan/job_files.py
+++ b/packages/operator/almondspan/job_files.py
@@ -7,7 +7,6 @@
 
 import base64
 import binascii
-import math
 import re
 import tomllib
 from collections.abc import Mapping
@@ -17,7 +16,11 @@
 
 from almondspan.canonical import canonical_toml
 from almondspan.faults import FileFault, FileFaults
-from almondspan_decisions.fleet_rules import NAME_PATTERN
+from almondspan_decisions.fleet_rules import (
+    DEADLINE_RULE,
+    NAME_PATTERN,
+    is_deadline,
+)
 from almondspan_decisions.ids import JobId, OrderName, TaskClass, TeamName
 from almondspan_decisions.orders import RECORD_PATTERN, RECORD_RULE, record_job_id
 from almondspan_decisions.shapes import Shape
@@ -25,10 +28,12 @@
 
 __all__ = ["jobs_text", "order_text", "parse_jobs"]
 
+MAX_RUN_S: Final = 1e8
+"""The longest declared run time, in seconds."""
+
 JOB_ID_PATTERN: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@/-]{0,199}")
 _JOB_ID_RULE: Final = "1 to 200 of letters, digits, '.', '_', ':', '@', '/', '-'"
 _NAME_RULE: Final = "1 to 64 of a-z, 0-9, '.', '_', '-'"
-_DEADLINE_RULE: Final = "a date and time with its zone, as 2026-12-20T08:00:00Z"
 
 
 def order_text(jobs: tuple[JobSpec, ...]) -> str:
@@ -183,10 +188,11 @@
         team = self._name(f"{label}.team", table.get("team"))
         deadline = table.get("deadline")
         deadline_unix_s = 0.0
-        if isinstance(deadline, datetime) and deadline.tzinfo is not None:
+        if is_deadline(deadline):
+            assert isinstance(deadline, datetime)
             deadline_unix_s = deadline.timestamp()
         elif deadline is not None:
-            self.fault(f"{label}.deadline", deadline, _DEADLINE_RULE)
+            self.fault(f"{label}.deadline", deadline, DEADLINE_RULE)
         return {
             "team": TeamName(team),
             "deadline_unix_s": deadline_unix_s,
@@ -275,9 +281,9 @@
 
     def _seconds(self, label: str, given: Any) -> float:
         if isinstance(given, int | float) and not isinstance(given, bool):
-            if math.isfinite(given) and given > 0:
+            if 0 < given <= MAX_RUN_S:
                 return float(given)
-        self.fault(label, given, "seconds, above 0")
+        self.fault(label, given, "seconds, above 0 and at most 1e8")
         return 1.0
 
     def _flag(self, label: str, given: Any) -> bool:
--- a/packages/operator/almondspan/order_report.py
+++ b/packages/operator/almondspan/order_report.py
@@ -34,6 +34,9 @@
     COMPLETE = "complete"
     """Every ordered record was delivered, once, and none is missing."""
 
+    COMPLETE_LATE = "complete_late"
+    """As complete, but some record was delivered after the deadline."""
+
     ON_TIME = "on_time"
     """Records remain, and by the forecast they end before the deadline."""
 
@@ -47,7 +50,7 @@
     """Too little was delivered to tell, and the deadline has not passed."""
 
     UNPROVEN = "unproven"
-    """Some shards did not answer; ask again."""
+    """Some shards did not answer, or the order does not name its records."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,53 +101,63 @@
     waiting: tuple[RecordNote, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Counts:
+    n_known: int
+    n_delivered: int
+    n_pending: int
+    n_missing: int
+    n_duplicated: int
+    n_delivered_late: int
+    records_match: bool | None
+
+
 def make_report(ledger: Ledger, ordered: Iterable[str] = ()) -> OrderReport:
     """Return the report of a ledger.
 
     With the names in `ordered`, missing records are named; their number and the
     proof that none is missing need only the order's own digest.
     """
+    order = ledger.order
+    names = frozenset(ordered)
     jobs = {job.record_name: job for job in ledger.jobs}
     copies = Counter(job.record_name for job in ledger.jobs)
     delivered = [job for job in jobs.values() if _is_delivered(job)]
-    ended = [job for job in jobs.values() if job.state == "ended"]
-    n_ordered = max(ledger.order.n_records, len(set(ordered)))
     pending = [job for job in jobs.values() if job.state in ("queued", "running")]
+    n_ordered = max(order.n_records, len(names))
     forecast = _forecast(delivered, len(pending), ledger.now_unix_s)
-    n_missing = max(0, n_ordered - len(jobs))
-    problems = _problems(ledger, jobs, copies, frozenset(ordered))
-    records_match = _records_match(ledger, jobs)
-    return OrderReport(
-        order_name=ledger.order.name,
-        team=ledger.order.team,
-        verdict=_verdict(
-            ledger,
-            len(jobs),
-            len(delivered),
-            len(pending),
-            n_missing,
-            forecast,
-            records_match is not False and not any(n > 1 for n in copies.values()),
+    counts = _Counts(
+        n_known=len(jobs),
+        n_delivered=len(delivered),
+        n_pending=len(pending),
+        n_missing=max(0, n_ordered - len(jobs)),
+        n_duplicated=sum(n > 1 for n in copies.values()),
+        n_delivered_late=sum(
+            job.ended_unix_s > order.deadline_unix_s for job in delivered
         ),
-        deadline_unix_s=ledger.order.deadline_unix_s,
+        records_match=_records_match(ledger, jobs),
+    )
+    return OrderReport(
+        order_name=order.name,
+        team=order.team,
+        verdict=_verdict(ledger, counts, forecast),
+        deadline_unix_s=order.deadline_unix_s,
         now_unix_s=ledger.now_unix_s,
         n_ordered=n_ordered,
-        n_delivered=len(delivered),
+        n_delivered=counts.n_delivered,
         n_running=sum(job.state == "running" for job in pending),
         n_queued=sum(job.state == "queued" for job in pending),
-        n_ended_otherwise=len(ended) - len(delivered),
-        n_missing=n_missing,
-        n_duplicated=sum(n > 1 for n in copies.values()),
-        n_delivered_late=sum(
-            job.ended_unix_s > ledger.order.deadline_unix_s for job in delivered
-        ),
+        n_ended_otherwise=len(jobs) - len(delivered) - len(pending),
+        n_missing=counts.n_missing,
+        n_duplicated=counts.n_duplicated,
+        n_delivered_late=counts.n_delivered_late,
         n_attempts=sum(job.n_attempts for job in jobs.values()),
         n_evictions=sum(job.n_evictions for job in jobs.values()),
         n_shards_missing=ledger.n_shards_missing,
-        records_match=records_match,
+        records_match=counts.records_match,
         forecast=forecast,
         by_stage=_by_stage(ledger, pending),
-        problems=problems,
+        problems=_problems(ledger, jobs, copies, names),
         waiting=_waiting(pending),
     )
 
@@ -176,22 +189,11 @@
     return Forecast(records_per_s, now_unix_s + n_pending / records_per_s)
 
 
-def _verdict(
-    ledger: Ledger,
-    n_known: int,
-    n_delivered: int,
-    n_pending: int,
-    n_missing: int,
-    forecast: Forecast | None,
-    is_consistent: bool,
-) -> Verdict:
+def _verdict(ledger: Ledger, counts: _Counts, forecast: Forecast | None) -> Verdict:
     if ledger.n_shards_missing:
         return Verdict.UNPROVEN
-    if n_pending == 0:
-        is_complete = is_consistent and n_known > 0 and n_delivered == n_known
-        if is_complete and n_missing == 0:
-            return Verdict.COMPLETE
-        return Verdict.NOT_WHOLE
+    if counts.n_pending == 0:
+        return _end_verdict(counts)
     deadline_unix_s = ledger.order.deadline_unix_s
     if ledger.now_unix_s > deadline_unix_s:
         return Verdict.AT_RISK
@@ -202,6 +204,17 @@
     return Verdict.ON_TIME
 
 
+def _end_verdict(counts: _Counts) -> Verdict:
+    is_delivered = 0 < counts.n_known == counts.n_delivered
+    if not is_delivered or counts.n_missing or counts.n_duplicated:
+        return Verdict.NOT_WHOLE
+    if counts.records_match is None:
+        return Verdict.UNPROVEN
+    if not counts.records_match:
+        return Verdict.NOT_WHOLE
+    return Verdict.COMPLETE_LATE if counts.n_delivered_late else Verdict.COMPLETE
+
+
 def _problems(
     ledger: Ledger,
     jobs: dict[str, Job],
--- a/packages/operator/almondspan/plan.py
+++ b/packages/operator/almondspan/plan.py
@@ -104,7 +104,7 @@
         self._services: list[ServiceConfig] = []
         self._teams: list[TeamConfig] = []
         self._task_classes: dict[str, TaskClassConfig] = {}
-        self._repeated: list[FileFault] = []
+        self._faults: list[FileFault] = []
         self._orders: list[Order] = []
         self._jobs: list[tuple[JobSpec, tuple[str, ...], bytes]] = []
         self._policies = PolicyConfig()
@@ -153,9 +153,8 @@
     ) -> None:
         """Declare what a task of a class needs."""
         if name in self._task_classes:
-            self._repeated.append(
-                FileFault(f"task_classes.{name}", name, "a class declared once")
-            )
+            allowed = "a class that is declared once"
+            self._faults.append(FileFault(f"task_classes.{name}", name, allowed))
         self._task_classes[name] = TaskClassConfig(
             TaskClass(name),
             cpu_millicores,
@@ -179,6 +178,7 @@
 
         `deadline` needs a time zone. `stages` are task classes, run in order.
         """
+        self._check_zone(f"orders.{name}.deadline", deadline)
         order = Order(name, team, deadline, tuple(stages), urgent, max_attempts)
         self._orders.append(order)
         return order
@@ -194,6 +194,8 @@
         max_attempts: int = 4,
     ) -> None:
         """Declare a single job; its stages are task classes."""
+        if deadline is not None:
+            self._check_zone(f"jobs.{job_id}.deadline", deadline)
         spec = JobSpec(
             job_id=JobId(job_id),
             team=TeamName(team),
@@ -226,17 +228,17 @@
 
     def config_text(self) -> str | FileFaults:
         """Return the canonical configuration, or every fault of it."""
-        faults = [*self._repeated, *self._unzoned()]
-        if faults:
-            return FileFaults(tuple(faults))
-        text = canonical_fleet(self.config())
-        parsed = parse_fleet(text)
+        if self._faults:
+            return FileFaults(tuple(self._faults))
+        parsed = parse_fleet(canonical_fleet(self.config()))
         if isinstance(parsed, ConfigFaults):
             return _faults_of(parsed)
-        return text
+        return canonical_fleet(parsed)
 
     def order_jobs(self, name: str) -> tuple[JobSpec, ...] | FileFaults:
         """Return the jobs of an order's records, or every fault of them."""
+        if self._faults:
+            return FileFaults(tuple(self._faults))
         orders = [order for order in self._orders if order.name == name]
         if len(orders) != 1:
             known = ", ".join(sorted(order.name for order in self._orders))
@@ -271,7 +273,7 @@
     def jobs_text(self) -> str | FileFaults:
         """Return the canonical file of the single jobs."""
         jobs = []
-        faults: list[FileFault] = []
+        faults = list(self._faults)
         for spec, names, payload in self._jobs:
             stages = self._stages(f"jobs.{spec.job_id}.stages", names)
             if isinstance(stages, FileFaults):
@@ -282,7 +284,7 @@
             return FileFaults(tuple(faults))
         text = jobs_text(tuple(jobs))
         parsed = parse_jobs(text)
-        return parsed if isinstance(parsed, FileFaults) else text
+        return parsed if isinstance(parsed, FileFaults) else jobs_text(parsed)
 
     def main(self, arguments: Sequence[str] | None = None) -> None:
         """Print the text that the script's arguments name, and end the process."""
@@ -304,16 +306,12 @@
         sys.stdout.write(text)
         sys.exit(ExitCode.DONE)
 
-    def _unzoned(self) -> list[FileFault]:
-        return [
-            FileFault(
-                f"orders.{order.name}.deadline",
-                str(order.deadline),
-                "a datetime with a time zone, as datetime(2026, 12, 20, 8, tzinfo=UTC)",
+    def _check_zone(self, key: str, moment: datetime) -> None:
+        if moment.tzinfo is None:
+            allowed = (
+                "a datetime with a time zone, as datetime(2026, 12, 20, tzinfo=UTC)"
             )
-            for order in self._orders
-            if order.deadline.tzinfo is None
-        ]
+            self._faults.append(FileFault(key, str(moment), allowed))
 
     def _stages(
         self, label: str, names: Iterable[str]
--- a/tests/admin/test_api_bodies.py
+++ b/tests/admin/test_api_bodies.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from admin_api import running_api
 
 STAGE = {
     "task_class": "validate",
@@ -22,9 +23,9 @@
     return job(f"return-2026/{name}", **names) | fields
 
 
-def test_submit_then_status(admin):
+def test_submit_then_status():
     async def run():
-        async with admin.running_api() as api:
+        async with running_api() as api:
             first = await api.call(
                 "POST", "/v1/jobs", "archive-token", {"jobs": [job(), job("job-2")]}
             )
@@ -91,9 +92,9 @@
         ),
     ],
 )
-def test_refused_jobs(admin, body, status, reason):
+def test_refused_jobs(body, status, reason):
     async def run():
-        async with admin.running_api() as api:
+        async with running_api() as api:
             kind = {"data": body} if isinstance(body, bytes) else {"json": body}
             answer = await api.call("POST", "/v1/jobs", "archive-token", **kind)
             return answer, api.desk.jobs
@@ -104,9 +105,9 @@
     assert held == {}
 
 
-def test_absent_owner_says_that_jobs_may_be_taken(admin):
+def test_absent_owner_says_that_jobs_may_be_taken():
     async def run():
-        async with admin.running_api() as api:
+        async with running_api() as api:
             api.desk.unavailable = True
             submit = await api.call(
                 "POST", "/v1/jobs", "archive-token", {"jobs": [job()]}
--- /dev/null
+++ b/tests/admin/test_holder.py
@@ -0,0 +1,60 @@
+"""A process never goes back to an earlier configuration."""
+
+import pytest
+from admin_api import FLEET
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondspan_admin.holder import ConfigHolder
+from almondspan_wire.membership import ConfigPush
+
+
+def push(revision, toml=FLEET):
+    return ConfigPush(revision=revision, toml=toml.encode())
+
+
+@pytest.mark.parametrize(
+    ("pushes", "accepted", "revision"),
+    [
+        pytest.param([push(1)], [True], 1, id="first"),
+        pytest.param([push(0)], [False], 0, id="nothing"),
+        pytest.param([push(2), push(2)], [True, False], 2, id="repeated"),
+        pytest.param([push(3), push(2)], [True, False], 3, id="overtaken"),
+        pytest.param([push(1), push(9)], [True, True], 9, id="gap"),
+        pytest.param([push(1), push(2, "[")], [True, False], 1, id="no TOML"),
+        pytest.param(
+            [push(1), push(2, FLEET + "[new_section]\nkey = 1")],
+            [True, True],
+            2,
+            id="a newer release's section",
+        ),
+        pytest.param(
+            [push(1), push(2, "[[teams]]\nname = 3")], [True, False], 1, id="wrong type"
+        ),
+    ],
+)
+def test_accept(pushes, accepted, revision):
+    holder = ConfigHolder()
+    assert [holder.accept(one) for one in pushes] == accepted
+    assert holder.revision == revision
+    assert holder.fleet.revision == revision
+
+
+@given(st.lists(st.integers(0, 12), max_size=40))
+def test_any_order(revisions):
+    holder = ConfigHolder()
+    seen = []
+    for revision in revisions:
+        is_newer = revision > max(seen, default=0)
+        assert holder.accept(push(revision, "")) == is_newer
+        seen.append(revision)
+        assert holder.revision == max(seen)
+    assert holder.n_refused_old == len(revisions) - len(set(_climbs(revisions)))
+
+
+def _climbs(revisions):
+    highest = 0
+    for revision in revisions:
+        if revision > highest:
+            highest = revision
+            yield revision
--- /dev/null
+++ b/tests/admin/test_relay.py
@@ -0,0 +1,287 @@
+"""The relay under faults of the store, in virtual time."""
+
+import asyncio
+
+import pytest
+from admin_api import FLEET
+from virtual_time import run_virtual
+
+from almondspan_admin.config_submit import (
+    ConfigAccepted,
+    ConfigConflict,
+    ConfigRefused,
+    ConfigSubmission,
+    ConfigUnavailable,
+    SubmitOptions,
+)
+from almondspan_admin.relay import ConfigRelay, RelayOptions
+from almondspan_admin.stored_config import CURRENT_KEY, HISTORY_PREFIX, history_key
+from almondspan_platform.store import ABSENT_REVISION
+from almondspan_standins.faults import StoreFaults
+from almondspan_standins.memory_store import MemoryStore
+from almondspan_standins.store_core import StoreCore
+from almondspan_wire.membership import ConfigPush
+
+IN_FORCE_S = 5.0
+"""The time within which a relay must know a change."""
+
+
+def submission(expected, nonce=None, toml=FLEET):
+    return ConfigSubmission(expected, toml, "operators", 1.0, nonce or f"n{expected}")
+
+
+class Site:
+    """One store with relays of several entries; each sees changes in `seen`."""
+
+    def __init__(self, n_relays=2, **options):
+        self.core = StoreCore(asyncio.get_running_loop().time)
+        self.stores = [MemoryStore(self.core) for _ in range(n_relays)]
+        self.seen = [[] for _ in range(n_relays)]
+        self.relays = [
+            ConfigRelay(store, seen.append, RelayOptions(**options))
+            for store, seen in zip(self.stores, self.seen, strict=True)
+        ]
+
+    async def __aenter__(self):
+        for relay in self.relays:
+            await relay.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for relay in self.relays:
+            await relay.close()
+
+    def revisions(self):
+        return [[push.revision for push in seen] for seen in self.seen]
+
+
+FAULTS = [
+    pytest.param(StoreFaults(), id="none"),
+    pytest.param(StoreFaults(watch_silent=True), id="watch silent"),
+    pytest.param(StoreFaults(delay_s=1.0), id="slow"),
+    pytest.param(StoreFaults(lose_answer_share=0.3), id="lost answers"),
+]
+
+
+@pytest.mark.parametrize("faults", FAULTS)
+def test_change_reaches_the_other_entry(faults):
+    async def run():
+        async with Site() as site:
+            await asyncio.sleep(3)
+            site.stores[1].faults = faults
+            assert await site.relays[0].submit(submission(0)) == ConfigAccepted(1)
+            await asyncio.sleep(IN_FORCE_S + 2 * faults.delay_s)
+            return site.revisions()
+
+    assert run_virtual(run()) == [[1], [1]]
+
+
+def test_outage_keeps_the_last_and_catches_up():
+    async def run():
+        async with Site() as site:
+            await site.relays[0].submit(submission(0))
+            await asyncio.sleep(IN_FORCE_S)
+            site.core.faults = StoreFaults(outage=True)
+            await asyncio.sleep(600)
+            outcome = await site.relays[0].submit(submission(1))
+            held = [relay.current().revision for relay in site.relays]
+            site.core.faults = StoreFaults()
+            await site.relays[1].submit(submission(1))
+            await asyncio.sleep(IN_FORCE_S)
+            return outcome, held, site.revisions()
+
+    outcome, held, revisions = run_virtual(run())
+    assert outcome == ConfigUnavailable("outage", may_have_applied=False)
+    assert held == [1, 1]
+    assert revisions == [[1, 2], [1, 2]]
+
+
+def test_outage_costs_few_calls():
+    async def run():
+        async with Site(n_relays=1) as site:
+            calls = site.core.n_calls
+            await asyncio.sleep(60)
+            return calls.total()
+
+    # A read each four seconds, a watch, and the read before the watch.
+    assert run_virtual(run()) < 60 / 3
+
+
+def test_compacted_history_is_no_loss():
+    async def run():
+        async with Site() as site:
+            await site.relays[0].submit(submission(0))
+            for _ in range(50):
+                found = site.core.get("other")
+                revision = found.revision if found else ABSENT_REVISION
+                site.core.compare_and_swap("other", revision, b"x")
+            site.core.compact(site.core.revision)
+            site.stores[1].faults = StoreFaults(outage=True)
+            await asyncio.sleep(1)
+            site.stores[1].faults = StoreFaults()
+            await asyncio.sleep(IN_FORCE_S)
+            n_reads = site.core.n_calls.total()
+            await asyncio.sleep(40)
+            return site.revisions(), site.core.n_calls.total() - n_reads
+
+    revisions, n_calls = run_virtual(run())
+    assert revisions == [[1], [1]]
+    assert n_calls < 2 * 40 / 3
+
+
+def test_store_that_went_back():
+    """A store restored from an old copy neither reverts nor blocks the fleet."""
+
+    async def run():
+        async with Site() as site:
+            await site.relays[0].submit(submission(0))
+            old = site.core.get(CURRENT_KEY).value
+            await site.relays[0].submit(submission(1))
+            await asyncio.sleep(IN_FORCE_S)
+            now = site.core.get(CURRENT_KEY)
+            site.core.compare_and_swap(CURRENT_KEY, now.revision, old)
+            await asyncio.sleep(IN_FORCE_S)
+            held = [relay.current().revision for relay in site.relays]
+            outcome = await site.relays[1].submit(submission(2, "after"))
+            await asyncio.sleep(IN_FORCE_S)
+            return held, outcome, site.revisions()
+
+    held, outcome, revisions = run_virtual(run())
+    assert held == [2, 2]
+    assert outcome == ConfigAccepted(3)
+    assert revisions == [[1, 2, 3], [1, 2, 3]]
+
+
+def test_store_that_lost_the_key():
+    async def run():
+        async with Site() as site:
+            await site.relays[0].submit(submission(0))
+            await asyncio.sleep(IN_FORCE_S)
+            now = site.core.get(CURRENT_KEY)
+            site.core.compare_and_swap(CURRENT_KEY, now.revision, None)
+            await asyncio.sleep(IN_FORCE_S)
+            wrong = await site.relays[0].submit(submission(0, "again"))
+            right = await site.relays[0].submit(submission(1, "after"))
+            return wrong, right
+
+    wrong, right = run_virtual(run())
+    assert wrong.current.revision == 1
+    assert right == ConfigAccepted(2)
+
+
+def test_unreadable_key_is_left_alone():
+    async def run():
+        async with Site() as site:
+            await site.relays[0].submit(submission(0))
+            now = site.core.get(CURRENT_KEY)
+            site.core.compare_and_swap(CURRENT_KEY, now.revision, b"\xff")
+            await asyncio.sleep(IN_FORCE_S)
+            outcome = await site.relays[0].submit(submission(1))
+            return (
+                outcome,
+                site.relays[0].current().revision,
+                site.core.get(CURRENT_KEY),
+            )
+
+    outcome, held, item = run_virtual(run())
+    assert outcome == ConfigConflict(None)
+    assert (held, item.value) == (1, b"\xff")
+
+
+@pytest.mark.parametrize(
+    ("toml", "reason"),
+    [
+        pytest.param("[[teams]]", "name", id="missing keys"),
+        pytest.param(FLEET.replace("operator = true", ""), "operator", id="lock-out"),
+        pytest.param(FLEET + "#" * 1_000_000, "bytes", id="too large"),
+    ],
+)
+def test_refused_before_the_store(toml, reason):
+    async def run():
+        async with Site() as site:
+            outcome = await site.relays[0].submit(submission(0, toml=toml))
+            return outcome, site.core.get(CURRENT_KEY)
+
+    outcome, item = run_virtual(run())
+    assert isinstance(outcome, ConfigRefused)
+    assert reason in str(outcome.faults)
+    assert item is None
+
+
+def test_repeated_submission_is_one_change():
+    async def run():
+        async with Site() as site:
+            first = await site.relays[0].submit(submission(0, "a"))
+            again = await site.relays[1].submit(submission(0, "a"))
+            other = await site.relays[1].submit(submission(1, "b"))
+            late = await site.relays[0].submit(submission(0, "a"))
+            return first, again, other, late, await site.relays[0].history()
+
+    first, again, other, late, history = run_virtual(run())
+    assert first == again == late == ConfigAccepted(1)
+    assert other == ConfigAccepted(2)
+    assert [one.nonce for one in history] == ["a", "b"]
+
+
+def test_history_is_bounded():
+    async def run():
+        options = {"submit": SubmitOptions(n_history=3)}
+        async with Site(n_relays=1, **options) as site:
+            for revision in range(12):
+                await site.relays[0].submit(submission(revision))
+            kept = [one.revision for one in await site.relays[0].history()]
+            found = await site.relays[0].revision(10)
+            gone = await site.relays[0].revision(2)
+            n_keys = len(site.core.get_range(HISTORY_PREFIX).items)
+            return kept, found, gone, n_keys
+
+    kept, found, gone, n_keys = run_virtual(run())
+    assert kept == [9, 10, 11, 12]
+    assert (found.revision, gone, n_keys) == (10, None, 3)
+
+
+def test_time_that_is_over_after_the_write():
+    """Clearing the history away does not cost the answer."""
+
+    async def run():
+        options = SubmitOptions(timeout_s=3.0, n_history=1)
+        async with Site(n_relays=1, submit=options) as site:
+            for revision in range(5):
+                await site.relays[0].submit(submission(revision))
+            site.core.faults = StoreFaults(delay_s=0.9)
+            return await site.relays[0].submit(submission(5))
+
+    assert run_virtual(run()) == ConfigAccepted(6)
+
+
+def test_time_that_is_over_during_the_write_is_told():
+    """A write under way when the time ends may still take effect."""
+
+    async def run():
+        async with Site(n_relays=1, submit=SubmitOptions(timeout_s=3.0)) as site:
+            await asyncio.sleep(1)
+            site.core.faults = StoreFaults(delay_s=1.9)
+            outcome = await site.relays[0].submit(submission(0))
+            await asyncio.sleep(5)
+            return outcome, site.core.get(CURRENT_KEY)
+
+    outcome, item = run_virtual(run())
+    assert isinstance(outcome, ConfigUnavailable)
+    assert outcome.may_have_applied
+    assert item is not None
+
+
+def test_entry_learns_from_an_agent_while_the_store_is_down():
+    async def run():
+        async with Site() as site:
+            site.core.faults = StoreFaults(outage=True)
+            push = ConfigPush(revision=4, toml=FLEET.encode())
+            older = ConfigPush(revision=3, toml=b"")
+            return [site.relays[0].adopt(one) for one in (push, older, push)]
+
+    assert run_virtual(run()) == [True, False, False]
+
+
+def test_history_keys_sort_as_revisions():
+    keys = [history_key(revision) for revision in (1, 9, 10, 99, 100, 12_345)]
+    assert keys == sorted(keys)
--- a/tests/operator/conftest.py
+++ b/tests/operator/conftest.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-import importlib.util
 import io
 import json
+import sys
 import threading
 from pathlib import Path
 from types import SimpleNamespace
@@ -13,14 +13,12 @@
 
 from almondspan.command import main
 
-_SPEC = importlib.util.spec_from_file_location(
-    "almondspan_admin_helpers", Path(__file__).parents[1] / "admin" / "conftest.py"
-)
-helpers = importlib.util.module_from_spec(_SPEC)
-_SPEC.loader.exec_module(helpers)
+sys.path.insert(0, str(Path(__file__).parents[1] / "admin"))
+
+import admin_api
 
 TOKENS = {name: f"{name}-token" for name in ("operator", "archive", "water")}
-TOKENS["bootstrap"] = helpers.BOOTSTRAP
+TOKENS["bootstrap"] = admin_api.BOOTSTRAP
 
 
 class Ended(SimpleNamespace):
@@ -66,7 +64,7 @@
     async def _serve(self):
         self._loop, self._end = asyncio.get_running_loop(), asyncio.Event()
         try:
-            async with helpers.running_api(self._toml, **self._options) as self.api:
+            async with admin_api.running_api(self._toml, **self._options) as self.api:
                 self.address = str(self.api.client.make_url("")).rstrip("/")
                 self._ready.set()
                 await self._end.wait()
@@ -81,8 +79,8 @@
 
 @pytest.fixture
 def serve(monkeypatch):
-    """Make a `Served` API; use it in a ``with``."""
-    return lambda toml=helpers.FLEET, **options: Served(monkeypatch, toml, options)
+    """Return how to make a `Served` API; use it in a ``with``."""
+    return lambda toml=admin_api.FLEET, **options: Served(monkeypatch, toml, options)
 
 
 @pytest.fixture
@@ -91,9 +89,3 @@
     monkeypatch.delenv("ALMONDSPAN_ENTRIES", raising=False)
     monkeypatch.delenv("ALMONDSPAN_TOKEN", raising=False)
     return lambda *arguments: run_command(monkeypatch, *arguments)
-
-
-@pytest.fixture(scope="session")
-def admin():
-    """The helpers of the administration's tests."""
-    return helpers
--- a/tests/operator/test_command_line.py
+++ b/tests/operator/test_command_line.py
@@ -3,16 +3,17 @@
 from datetime import UTC, datetime
 
 import pytest
+from admin_api import token_digest
 
 from almondspan import Plan
 
 DEADLINE = datetime(2026, 12, 20, 8, tzinfo=UTC)
 
 
-def make_plan(admin, n_records=3, **changed):
+def make_plan(n_records=3, **changed):
     plan = Plan()
     for name in ("operator", "archive", "water"):
-        digest = admin.token_digest(f"{name}-token")
+        digest = token_digest(f"{name}-token")
         plan.team(name, 0.5, digest, operator=name == "operator")
     stages = ("validate", "cut", "transcribe", "deliver")
     for name in stages:
@@ -24,8 +25,8 @@
     return plan
 
 
-def test_from_plan_to_report(admin, serve, tmp_path):
-    plan = make_plan(admin, n_records=450)
+def test_from_plan_to_report(serve, tmp_path):
+    plan = make_plan(n_records=450)
     config, records = tmp_path / "fleet.toml", tmp_path / "records.toml"
     config.write_text(plan.config_text())
     records.write_text(plan.order_text("return-2026"))
@@ -96,11 +97,11 @@
         assert (second.code, fleet.api.fleet.lost) == (0, [("worker-of-agent-1",)])
 
 
-def test_conflict_names_both_sides(admin, serve, tmp_path):
+def test_conflict_names_both_sides(serve, tmp_path):
     ours, theirs = tmp_path / "ours.toml", tmp_path / "theirs.toml"
-    base = make_plan(admin).config_text()
-    ours.write_text(make_plan(admin, latency_ms=100).config_text())
-    theirs.write_text(make_plan(admin, latency_ms=200, n_records=4).config_text())
+    base = make_plan().config_text()
+    ours.write_text(make_plan(latency_ms=100).config_text())
+    theirs.write_text(make_plan(latency_ms=200, n_records=4).config_text())
     with serve(toml=base) as fleet:
         assert fleet.run("config", "submit", str(theirs), "--expected=1").code == 0
         lost = fleet.run("config", "submit", str(ours), "--expected=1")
@@ -118,9 +119,9 @@
     assert (again.code, again.out) == (0, "revision 2 already holds exactly this\n")
 
 
-def test_revision_in_the_file(admin, serve, tmp_path):
+def test_revision_in_the_file(serve, tmp_path):
     file = tmp_path / "fleet.toml"
-    with serve(toml=make_plan(admin).config_text()) as fleet:
+    with serve(toml=make_plan().config_text()) as fleet:
         shown = fleet.run("config", "show").out
         file.write_text(shown.replace("150.0", "120.0"))
         assert (
