--- a/misc/measure_trial.py
+++ b/misc/measure_trial.py
@@ -218,9 +218,15 @@
     """One policy combination on one mix with one seed."""
 
     def __init__(
-        self, mix: dict[str, Any], combination: Combination, seed: int, seconds: float
+        self,
+        mix: dict[str, Any],
+        combination: Combination,
+        seed: int,
+        seconds: float,
+        ladder_options: LadderOptions,
     ) -> None:
         self.mix = mix
+        self.ladder_options = ladder_options
         self.combination = combination
         self.seconds = seconds
         self.rng = random.Random(seed)
@@ -239,7 +245,7 @@
 
     def _machine(self, index: int) -> Machine:
         capacity = Shape(self.mix["cores"] * 1000, self.mix["memory_mb"])
-        ladder = LADDER_POLICIES[self.combination.ladder](LadderOptions())
+        ladder = LADDER_POLICIES[self.combination.ladder](self.ladder_options)
         return Machine(index, capacity, ladder)
 
     def _place_runners(self) -> None:
@@ -515,7 +521,7 @@
                     self._evict(machine, task, action.checkpoint)
 
     def _observe(self, machine: Machine) -> LadderObservation:
-        loads, burns, ratios = [0.0], [0.0], [0.0]
+        loads, burns, ratios, slowdowns = [0.0], [0.0], [0.0], [1.0]
         for runner in machine.runners:
             while runner.recent and runner.recent[0][0] < self.now_s - 1.0:
                 runner.recent.popleft()
@@ -529,12 +535,15 @@
                 run_ms = statistics.fmean(run for _, _, run in runner.recent)
                 name = ServiceName(runner.service["name"])
                 busy = runner.n_busy / N_SLOTS
-                machine.aligner.add(ServiceSample(self.now_s, name, busy, run_ms))
+                sample = ServiceSample(self.now_s, name, busy, run_ms)
+                machine.aligner.add(sample)
+                slowdowns.append(machine.model.measured_slowdown(sample))
         return LadderObservation(
             now_s=self.now_s,
             load=max(loads),
             burn_rate=max(burns),
             latency_ratio=max(ratios),
+            slowdown=max(slowdowns),
             usage_age_s=self.mix["usage_lag_s"],
             tasks=tuple(self._ladder_task(machine, task) for task in _tasks(machine)),
         )
@@ -587,13 +596,17 @@
 
 
 def run_all(
-    mix_name: str, policies: list[str], seeds: list[int], seconds: float
+    mix_name: str,
+    policies: list[str],
+    seeds: list[int],
+    seconds: float,
+    ladder_options: LadderOptions,
 ) -> dict[str, list[dict[str, float]]]:
     mix = tomllib.loads((PARAMS / f"{mix_name}.toml").read_text())
     figures: dict[str, list[dict[str, float]]] = {}
     for policy in policies:
         for seed in seeds:
-            trial = Trial(mix, COMBINATIONS[policy], seed, seconds)
+            trial = Trial(mix, COMBINATIONS[policy], seed, seconds, ladder_options)
             figures.setdefault(policy, []).append(trial.run().figures(seconds))
     return figures
 
@@ -619,8 +632,10 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=120.0)
     parser.add_argument("--policies", default=",".join(COMBINATIONS))
+    parser.add_argument("--ladder", default="{}", help="LadderOptions as JSON")
     parser.add_argument("--json", type=Path, default=None)
     options = parser.parse_args()
+    ladder_options = LadderOptions(**json.loads(options.ladder))
     everything = {}
     for mix in options.mix or ["archive", "water_board"]:
         figures = run_all(
@@ -628,6 +643,7 @@
             options.policies.split(","),
             list(range(1, options.seeds + 1)),
             options.seconds,
+            ladder_options,
         )
         print_table(mix, figures)
         everything[mix] = figures
--- a/packages/decisions/almondspan_decisions/interference.py
+++ b/packages/decisions/almondspan_decisions/interference.py
@@ -35,6 +35,9 @@
 N_LOAD_BANDS: Final = 4
 """Baselines are kept for each quarter of a service's slots."""
 
+BASELINE_SMOOTHING: Final = 0.2
+"""The weight of a new sample in the smoothed latency."""
+
 
 @dataclass(frozen=True, slots=True)
 class InterferenceOptions:
@@ -76,6 +79,13 @@
     confidence: float
 
 
+@dataclass(slots=True)
+class _Baseline:
+    smooth_ms: float
+    least_ms: float
+    at_s: float
+
+
 @dataclass(slots=True)
 class _Weight:
     log_slowdown: float
@@ -108,7 +118,7 @@
 
     def __init__(self, options: InterferenceOptions | None = None) -> None:
         self._options = options or InterferenceOptions()
-        self._baselines: dict[tuple[ServiceName, int], tuple[float, float]] = {}
+        self._baselines: dict[tuple[ServiceName, int], _Baseline] = {}
         self._weights: dict[tuple[ServiceName, TaskClass], _Weight] = {}
 
     def observe(
@@ -129,18 +139,26 @@
         measured = min(measured, math.log(self._options.max_slowdown))
         self._move_weights(sample, ran, measured)
 
+    def measured_slowdown(self, sample: ServiceSample) -> float:
+        """Return a sample's latency over the baseline of its load; 1 if unknown."""
+        known = self._baselines.get(_band_key(sample))
+        if known is None or sample.latency_ms <= 0.0:
+            return 1.0
+        return sample.latency_ms / known.least_ms
+
     def _update_baseline(self, sample: ServiceSample) -> float:
-        band = min(N_LOAD_BANDS - 1, int(max(0.0, sample.busy_share) * N_LOAD_BANDS))
-        key = (sample.service, band)
+        """Follow the least smoothed latency; single samples are too noisy."""
+        key = _band_key(sample)
         known = self._baselines.get(key)
         if known is None:
-            baseline_ms = sample.latency_ms
-        else:
-            least_ms, at_s = known
-            rise = self._options.baseline_rise_per_s * max(0.0, sample.at_s - at_s)
-            baseline_ms = min(sample.latency_ms, least_ms * (1.0 + rise))
-        self._baselines[key] = (baseline_ms, sample.at_s)
-        return baseline_ms
+            known = _Baseline(sample.latency_ms, sample.latency_ms, sample.at_s)
+            self._baselines[key] = known
+            return known.least_ms
+        rise = self._options.baseline_rise_per_s * max(0.0, sample.at_s - known.at_s)
+        known.smooth_ms += BASELINE_SMOOTHING * (sample.latency_ms - known.smooth_ms)
+        known.least_ms = min(known.smooth_ms, known.least_ms * (1.0 + rise))
+        known.at_s = sample.at_s
+        return known.least_ms
 
     def _move_weights(
         self, sample: ServiceSample, ran: Mapping[TaskClass, float], measured: float
@@ -197,6 +215,11 @@
         return tuple(found)
 
 
+def _band_key(sample: ServiceSample) -> tuple[ServiceName, int]:
+    band = min(N_LOAD_BANDS - 1, int(max(0.0, sample.busy_share) * N_LOAD_BANDS))
+    return sample.service, band
+
+
 def merge_pairs(reports: Iterable[LearnedPair]) -> tuple[LearnedPair, ...]:
     """Merge what several workers learned: means weighted by confidence."""
     by_pair: dict[tuple[ServiceName, TaskClass], list[LearnedPair]] = {}
--- a/packages/decisions/almondspan_decisions/ladder.py
+++ b/packages/decisions/almondspan_decisions/ladder.py
@@ -86,7 +86,8 @@
 
     ``load`` is the busy and queued requests over the slots, ``burn_rate`` how many
     times faster than allowed the error budget is spent, and ``latency_ratio`` the
-    recent tail latency over the objective; each is the worst of the services.
+    recent tail latency over the objective. ``slowdown`` is the mean time on the
+    runner over what it is without batch work. Each is the worst of the services.
     ``usage_age_s`` is the age of the last usage report, infinite without one.
     """
 
@@ -94,6 +95,7 @@
     load: float
     burn_rate: float
     latency_ratio: float
+    slowdown: float = 1.0
     usage_age_s: float = 0.0
     tasks: tuple[LadderTask, ...] = ()
 
@@ -148,6 +150,9 @@
 
     hot_burn_rate: float = 4.0
     hot_latency_ratio: float = 0.8
+    hot_slowdown: float = 1.25
+    max_slowdown_heat: float = 1.9
+    crest_load: float = 0.4
     cool_heat: float = 0.75
     floor_share: float = 0.05
     urgent_floor_share: float = 0.5
@@ -182,11 +187,19 @@
 
 
 def heat_of(observation: LadderObservation, options: LadderOptions) -> float:
-    """Return the worst signal of the services over its limit."""
-    return max(
+    """Return the worst signal of the services over its limit.
+
+    Slowdown counts at the crest alone: outside it, latency within the objective is
+    enough.
+    """
+    heat = max(
         observation.burn_rate / options.hot_burn_rate,
         observation.latency_ratio / options.hot_latency_ratio,
     )
+    if observation.load < options.crest_load:
+        return heat
+    excess = (observation.slowdown - 1.0) / (options.hot_slowdown - 1.0)
+    return max(heat, min(excess, options.max_slowdown_heat))
 
 
 def eviction_cost(task: LadderTask) -> tuple[bool, float, str]:
