--- a/misc/measure_trial.py
+++ b/misc/measure_trial.py
@@ -409,7 +409,7 @@
 
     def _view(self, machine: Machine) -> AgentView:
         harms: dict[TaskClass, float] = {}
-        for pair in machine.model.pairs(self.now_s):
+        for pair in machine.model.pairs():
             harms[pair.task_class] = max(harms.get(pair.task_class, 1.0), pair.slowdown)
         return AgentView(
             agent_id=AgentId(str(machine.index)),
@@ -551,7 +551,7 @@
     def _ladder_task(self, machine: Machine, task: Task) -> LadderTask:
         harms = [
             machine.model.slowdown(
-                ServiceName(runner.service["name"]), task.task_class, 1.0, self.now_s
+                ServiceName(runner.service["name"]), task.task_class, 1.0
             )
             for runner in machine.runners
         ]
--- a/packages/daemon/almondspan_daemon/colocation.py
+++ b/packages/daemon/almondspan_daemon/colocation.py
@@ -287,7 +287,7 @@
 
     def pairs(self) -> tuple[LearnedPair, ...]:
         """Return the learned pairs, the most harmful first."""
-        return self._model.pairs(_now_s())
+        return self._model.pairs()
 
     def harms(self) -> tuple[tuple[TaskClass, float], ...]:
         """Return each class's worst learned factor on a service's latency."""
