Hold the load for bands and share learned harms between like agents

Cause: single looks at 8 slots are noisy, and a worker knows only the classes that it has met. Change: the ladder follows the load down slowly; placement uses the mean harm over agents with the same services.

--- a/misc/measure_trial.py
+++ b/misc/measure_trial.py
@@ -56,6 +56,7 @@
     AgentView,
     PlacementRequest,
     rank_agents,
+    share_harms,
 )
 from almondspan_decisions.queue_order import QUEUE_POLICIES, QueueContext, QueuedTask
 from almondspan_decisions.room import RoomTask, choose_victims
@@ -372,7 +373,7 @@
             task.shape, task.task_class, task.urgent, sequence=self.n_placed
         )
         policy = PLACEMENT_POLICIES[self.combination.placement]
-        views = [self._view(machine) for machine in self.machines]
+        views = share_harms(self._view(machine) for machine in self.machines)
         ranked = rank_agents(request, views, policy, self.rng)
         if ranked:
             self._begin(self.machines[int(ranked[0].agent_id)], task)
--- a/packages/decisions/almondspan_decisions/ladder.py
+++ b/packages/decisions/almondspan_decisions/ladder.py
@@ -153,6 +153,7 @@
     hot_slowdown: float = 1.25
     max_slowdown_heat: float = 1.9
     crest_load: float = 0.4
+    load_hold_s: float = 0.75
     cool_heat: float = 0.75
     floor_share: float = 0.05
     urgent_floor_share: float = 0.5
@@ -186,7 +187,9 @@
     return register
 
 
-def heat_of(observation: LadderObservation, options: LadderOptions) -> float:
+def heat_of(
+    observation: LadderObservation, load: float, options: LadderOptions
+) -> float:
     """Return the worst signal of the services over its limit.
 
     Slowdown counts at the crest alone: outside it, latency within the objective is
@@ -196,7 +199,7 @@
         observation.burn_rate / options.hot_burn_rate,
         observation.latency_ratio / options.hot_latency_ratio,
     )
-    if observation.load < options.crest_load:
+    if load < options.crest_load:
         return heat
     excess = (observation.slowdown - 1.0) / (options.hot_slowdown - 1.0)
     return max(heat, min(excess, options.max_slowdown_heat))
@@ -241,6 +244,8 @@
 class _SwingState:
     shares: list[float]
     evictions: _TokenBucket
+    load: float = 0.0
+    load_at_s: float = float("-inf")
     cut_at_s: float = float("-inf")
     raised_at_s: float = float("-inf")
     hot_at_floor_since_s: float | None = None
@@ -261,8 +266,9 @@
 
     def step(self, observation: LadderObservation) -> LadderDecision:
         """Return the decision for an observation later than all before."""
-        band = self._band(observation.load)
-        heat = heat_of(observation, self._options)
+        load = self._held_load(observation)
+        band = self._band(load)
+        heat = heat_of(observation, load, self._options)
         self._learn(observation.now_s, band, heat)
         share = self._state.shares[band]
         actions: list[LadderAction] = []
@@ -274,6 +280,15 @@
             self._level(observation, share, actions), share, tuple(actions)
         )
 
+    def _held_load(self, observation: LadderObservation) -> float:
+        """Follow the load up at once and down slowly, since single looks are noisy."""
+        state = self._state
+        elapsed_s = max(0.0, observation.now_s - state.load_at_s)
+        kept = math.exp(-elapsed_s / self._options.load_hold_s)
+        state.load_at_s = observation.now_s
+        state.load = max(observation.load, state.load * kept)
+        return state.load
+
     def _band(self, load: float) -> int:
         options = self._options
         band = int(max(0.0, load) / options.top_load * options.n_bands)
@@ -428,7 +443,7 @@
 
     def step(self, observation: LadderObservation) -> LadderDecision:
         """Return a stop for each task when hot."""
-        if heat_of(observation, self._options) < 1.0:
+        if heat_of(observation, observation.load, self._options) < 1.0:
             return LadderDecision(LadderLevel.NONE, 1.0)
         stops = tuple(
             EvictTask(task.task_id, task.attempt, checkpoint=False)
--- a/packages/decisions/almondspan_decisions/placement.py
+++ b/packages/decisions/almondspan_decisions/placement.py
@@ -18,7 +18,7 @@
 import random
 import zlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from almondspan_decisions.ids import (
@@ -37,6 +37,7 @@
     "PlacementRequest",
     "placement_policy",
     "rank_agents",
+    "share_harms",
 ]
 
 
@@ -105,6 +106,27 @@
     return register
 
 
+def share_harms(agents: Iterable[AgentView]) -> list[AgentView]:
+    """Give each agent the harms that all agents with the same services learned.
+
+    The harm of a class is the geometric mean over the workers that have met it.
+    """
+    views = list(agents)
+    logs: dict[tuple[ServiceName, ...], dict[TaskClass, list[float]]] = {}
+    for view in views:
+        by_class = logs.setdefault(view.services, {})
+        for task_class, harm in view.harms:
+            by_class.setdefault(task_class, []).append(math.log(max(1.0, harm)))
+    means = {
+        services: tuple(
+            (task_class, math.exp(sum(found) / len(found)))
+            for task_class, found in sorted(by_class.items())
+        )
+        for services, by_class in logs.items()
+    }
+    return [replace(view, harms=means[view.services]) for view in views]
+
+
 def rank_agents(
     request: PlacementRequest,
     agents: Iterable[AgentView],
--- a/tests/decisions/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -30,6 +30,7 @@
     AgentView,
     PlacementRequest,
     rank_agents,
+    share_harms,
 )
 from almondspan_decisions.queue_order import QUEUE_POLICIES, QueueContext, QueuedTask
 from almondspan_decisions.quotas import (
@@ -181,6 +182,22 @@
     assert [each.agent_id for each in ranked] == ["b", "a"]
 
 
+def test_harms_are_shared_between_like_agents() -> None:
+    search = (ServiceName("search"),)
+    views = share_harms(
+        [
+            agent("a", harms=((LONG, 2.0),)),
+            agent("b", harms=((LONG, 8.0), (SHORT, 1.0))),
+            agent("c"),
+            agent("d", services=search, harms=((SHORT, 3.0),)),
+        ]
+    )
+    assert [dict(view.harms).get(LONG) for view in views[:3]] == [
+        pytest.approx(4.0)
+    ] * 3
+    assert dict(views[3].harms) == {SHORT: pytest.approx(3.0)}
+
+
 def test_static_partition_leaves_serving_workers_out() -> None:
     request = PlacementRequest(Shape(1_000), LONG, False)
     agents = [agent("a"), agent("b", services=())]
