Add the interference model and nodes that share a process

Cause: colocation policies need a service and tasks that slow each other down, and one machine has no room for a process per stand-in.

--- a/packages/standins/almondspan_standins/runner.py
+++ b/packages/standins/almondspan_standins/runner.py
@@ -4,13 +4,17 @@
 import asyncio
 import random
 
+from almondspan_standins.colocation import Poller, slow_runner_by
+from almondspan_standins.interference import load_model
 from almondspan_standins.runner_app import RunnerApp, RunnerOptions
 from almondspan_standins.serving import (
     HttpServer,
-    Listening,
+    Part,
+    add_interference_argument,
     base_parser,
-    run_until_terminated,
+    serve,
 )
+from almondspan_standins.worker_app import Pressure
 
 __all__ = ["add_runner_arguments", "main", "make_runner"]
 
@@ -49,14 +53,19 @@
     runner = make_runner(options, options.seed)
     server = HttpServer(runner.app)
     runner.n_open_connections = lambda: server.n_connections
-    await server.start(options.host, options.port)
-    await run_until_terminated(Listening(server.address))
-    await server.close()
+    parts: list[Part] = []
+    if options.interference is not None and options.worker_url:
+        poller = Poller(options.worker_url, Pressure(()))
+        slow_runner_by(runner, load_model(options.interference), poller)
+        parts.append(poller)
+    await serve(server, parts, options)
 
 
 def main() -> None:
     """Serve until SIGTERM."""
     parser = base_parser("A stand-in of a runner.")
+    parser.add_argument("--worker-url", default="", help="the worker beside it")
+    add_interference_argument(parser)
     add_runner_arguments(parser)
     asyncio.run(_serve(parser.parse_args()))
 
--- a/packages/standins/almondspan_standins/runner_app.py
+++ b/packages/standins/almondspan_standins/runner_app.py
@@ -18,15 +18,23 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 
+from almondspan_decisions.ids import ServiceName
 from almondspan_standins.bodies import bill_body, clip_body
 from almondspan_standins.faults import CallFaults
 from almondspan_standins.serving import (
     JSON_TYPE,
     add_debug_routes,
     fault_middleware,
+    json_answer,
 )
 
-__all__ = ["RunnerApp", "RunnerDebug", "RunnerFaults", "RunnerOptions"]
+__all__ = [
+    "RunnerApp",
+    "RunnerDebug",
+    "RunnerFaults",
+    "RunnerOptions",
+    "RunnerPressure",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +82,12 @@
     faults: RunnerFaults
 
 
+class RunnerPressure(msgspec.Struct, frozen=True):
+    """The share of the slots that are busy."""
+
+    load_share: float
+
+
 class RunnerApp:
     """The HTTP handlers of one runner.
 
@@ -102,6 +116,7 @@
         self.app: Final = web.Application(middlewares=middlewares)
         self.app.router.add_get("/clip/{clip_id}", self._clip)
         self.app.router.add_post("/bill/{bill_id}", self._bill)
+        self.app.router.add_get("/debug/pressure", self._show_pressure)
         add_debug_routes(self.app, self.describe, RunnerFaults, self.set_faults)
 
     def describe(self) -> RunnerDebug:
@@ -120,6 +135,11 @@
             faults=self.faults,
         )
 
+    @property
+    def service(self) -> ServiceName:
+        """The service that the runner answers for."""
+        return ServiceName(self._options.service)
+
     def load_share(self) -> float:
         """Return the busy slots over all slots."""
         return self._n_busy / self._options.n_slots
@@ -185,6 +205,9 @@
             latency_ms *= options.straggler_factor
         return latency_ms * self.slowdown_of() / 1000.0
 
+    async def _show_pressure(self, request: web.Request) -> web.Response:
+        return json_answer(RunnerPressure(self.load_share()))
+
     async def _clip(self, request: web.Request) -> web.Response:
         body = clip_body(request.match_info["clip_id"])
         return web.Response(body=body, content_type="application/octet-stream")
--- a/packages/standins/almondspan_standins/serving.py
+++ b/packages/standins/almondspan_standins/serving.py
@@ -12,8 +12,9 @@
 import random
 import signal
 import ssl
-from collections.abc import Callable
-from typing import Any, Final, TypeVar
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, Final, Protocol, TypeVar
 
 import msgspec
 from aiohttp import web
@@ -25,12 +26,15 @@
     "JSON_TYPE",
     "HttpServer",
     "Listening",
+    "Part",
     "add_debug_routes",
+    "add_interference_argument",
     "base_parser",
     "fault_middleware",
     "json_answer",
     "read_json",
     "run_until_terminated",
+    "serve",
 ]
 
 JSON_TYPE: Final = "application/json"
@@ -40,6 +44,18 @@
 Body = TypeVar("Body")
 
 
+class Part(Protocol):
+    """What a program starts and closes beside its server."""
+
+    async def start(self) -> None:
+        """Begin."""
+        ...
+
+    async def close(self) -> None:
+        """End."""
+        ...
+
+
 class Listening(msgspec.Struct, frozen=True):
     """The line that a program prints when it is ready."""
 
@@ -152,6 +168,24 @@
     return parser
 
 
+def add_interference_argument(parser: argparse.ArgumentParser) -> None:
+    """Add the option that names a parameter file of an interference model."""
+    parser.add_argument("--interference", type=Path, help="a file as misc/interference")
+
+
+async def serve(
+    server: HttpServer, parts: Sequence[Part], options: argparse.Namespace
+) -> None:
+    """Run a program of one server and its parts until it is terminated."""
+    await server.start(options.host, options.port)
+    for part in parts:
+        await part.start()
+    await run_until_terminated(Listening(server.address))
+    for part in reversed(parts):
+        await part.close()
+    await server.close()
+
+
 async def run_until_terminated(ready: msgspec.Struct) -> None:
     """Print `ready` as one line of JSON and wait for SIGTERM or SIGINT."""
     ended = asyncio.Event()
--- a/packages/standins/almondspan_standins/worker_app.py
+++ b/packages/standins/almondspan_standins/worker_app.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from almondspan_decisions.ids import TaskId, WorkerId
+from almondspan_decisions.ids import TaskClass, TaskId, WorkerId
 from almondspan_platform.worker import StartAttempt
 from almondspan_platform.worker_messages import (
     AttemptRef,
@@ -47,7 +47,7 @@
 class Pressure(msgspec.Struct, frozen=True):
     """The classes that run, each with its share of the worker's processors."""
 
-    running: tuple[tuple[str, float], ...]
+    running: tuple[tuple[TaskClass, float], ...]
 
 
 class WorkerApp:
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -279,9 +279,7 @@
     def usage(self) -> WorkerUsage:
         """Return the usage of ``usage_lag_s`` ago."""
         self.advance()
-        wanted_s = self._now() - self._options.usage_lag_s
-        while len(self._usage) > 1 and self._usage[1].taken_s <= wanted_s:
-            self._usage.popleft()
+        self._sample_usage(self.running())
         sample = self._usage[0]
         n_millicores = sum(millicores for _, millicores in sample.by_task)
         lag_s = self._options.usage_lag_s
@@ -385,9 +383,17 @@
         for attempt in running:
             slowdown = self.slowdown_of(attempt.request.task_class)
             attempt.rate = attempt.share / slowdown
+        self._sample_usage(running)
+
+    def _sample_usage(self, running: list[_Attempt]) -> None:
+        """Note a change of the usage, and drop what is older than the lag."""
         by_task = tuple((one.request.task_id, one.used_millicores) for one in running)
         memory_mb = sum(one.request.shape.memory_mb for one in running)
-        self._usage.append(_UsageSample(self._advanced_s, memory_mb, by_task))
+        if (memory_mb, by_task) != (self._usage[-1].memory_mb, self._usage[-1].by_task):
+            self._usage.append(_UsageSample(self._advanced_s, memory_mb, by_task))
+        wanted_s = self._now() - self._options.usage_lag_s
+        while len(self._usage) > 1 and self._usage[1].taken_s <= wanted_s:
+            self._usage.popleft()
 
 
 def _no_slowdown(task_class: TaskClass) -> float:
--- a/tests/standins/test_programs.py
+++ b/tests/standins/test_programs.py
@@ -16,6 +16,7 @@
         pytest.param("store", "/debug", "n_calls", id="store"),
         pytest.param("worker", "/v1/info", "capacity", id="worker"),
         pytest.param("runner", "/debug", "n_over_slots", id="runner"),
+        pytest.param("node", "/debug", "n_tasks_in_two_places", id="node"),
     ],
 )
 def test_program_serves_until_terminated(module: str, page: str, key: str) -> None:
