Bound the rate of calls in one place and let settings set it

Cause: both adapters held the same steps of rate bound and deadline, and the registry's factories gave no way to set them. Change: HttpCaller takes the tokens; CallLimits passes through the factories; a call that the bound held back does not move to the next address; the contract tests share one way to open a rig. Measured: tests/platform and tests/standins pass. Conclusion: settings can bound each process's share of the store's rates.

--- a/packages/platform/almondspan_platform/etcd_json.py
+++ b/packages/platform/almondspan_platform/etcd_json.py
@@ -13,17 +13,21 @@
 otherwise a quiet watch is opened again after each limit.
 """
 
-import asyncio
 import math
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
-from typing import Final, TypeVar
+from typing import Final, TypeGuard, TypeVar
 
 import msgspec
 
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
-from almondspan_platform.registry import TlsSource, store_adapter
+from almondspan_platform.registry import (
+    DEFAULT_LIMITS,
+    CallLimits,
+    TlsSource,
+    store_adapter,
+)
 from almondspan_platform.store import (
     MAX_VALUE_BYTES,
     CasOutcome,
@@ -43,7 +47,6 @@
     WatchEvent,
     WatchLost,
 )
-from almondspan_platform.token_bucket import TokenBucket
 
 __all__ = ["EtcdJsonOptions", "EtcdJsonStore"]
 
@@ -59,21 +62,15 @@
 
     Attributes
     ----------
-    call_timeout_s : float
-        Deadline of a call, waiting for the rate bound included.
     try_timeout_s : float
         Time for one send of a call that may be repeated.
     watch_silence_s : float
         Time without any line after which a watch is lost.
-    calls_per_s, n_burst : float, int
-        The rate bound over all calls, opened watches included.
     """
 
-    call_timeout_s: float = 2.5
+    limits: CallLimits = field(default_factory=CallLimits)
     try_timeout_s: float = 1.0
     watch_silence_s: float = 15.0
-    calls_per_s: float = 200.0
-    n_burst: int = 100
     http: HttpOptions = field(default_factory=HttpOptions)
 
 
@@ -90,12 +87,15 @@
             raise ValueError("a store needs at least one address")
         self._addresses: Final = addresses
         self._options: Final = options
-        self._caller: Final = HttpCaller(options.http, tls)
-        self._bucket: Final = TokenBucket(options.calls_per_s, options.n_burst)
+        self._caller: Final = HttpCaller(options.limits, options.http, tls)
         self._address_index = 0
-        self.n_calls = 0
         self.n_failed = 0
 
+    @property
+    def n_sent(self) -> int:
+        """The calls that were sent, each repetition and each watch counted."""
+        return self._caller.n_calls
+
     async def start(self) -> None:
         """Open the client."""
         await self._caller.start()
@@ -179,10 +179,6 @@
         self, prefix: str, after: Revision
     ) -> AsyncIterator[WatchEvent | WatchLost]:
         """Yield changes under `prefix` later than `after`; ends with `WatchLost`."""
-        if not await self._bucket.acquire(self._deadline_s()):
-            yield WatchLost("the rate bound was reached")
-            return
-        self.n_calls += 1
         url = self._addresses[self._address_index] + "/v3/watch"
         request = msgspec.json.encode(_watch_request(prefix, after))
         silence_s = self._options.watch_silence_s
@@ -200,7 +196,7 @@
     ) -> Response | CallFailed:
         """Send a call that may be repeated, to one address after the other."""
         body = msgspec.json.encode(request)
-        deadline_s = self._deadline_s()
+        deadline_s = self._caller.deadline_s()
         try_timeout_s = self._options.try_timeout_s
         n_tries = max(N_MIN_TRIES, len(self._addresses))
         answer: bytes | CallFailed = CallFailed("no time to try", False)
@@ -215,13 +211,11 @@
     ) -> Response | CallFailed:
         """Send a call until it may have taken effect."""
         body = msgspec.json.encode(request)
-        deadline_s = self._deadline_s()
+        deadline_s = self._caller.deadline_s()
         answer: bytes | CallFailed = CallFailed("no time to try", False)
         for _ in self._addresses:
             answer = await self._send(path, body, deadline_s, math.inf)
-            if not isinstance(answer, CallFailed) or answer.may_have_applied:
-                break
-            if answer.status:
+            if not _is_retryable(answer) or answer.may_have_applied:
                 break
         return self._decode(answer, response_type)
 
@@ -229,13 +223,8 @@
         self, path: str, body: bytes, deadline_s: float, try_timeout_s: float
     ) -> bytes | CallFailed:
         """Send to the current address; after a failure the next one is current."""
-        if not await self._bucket.acquire(deadline_s):
-            return CallFailed("the rate bound was reached", may_have_applied=False)
-        left_s = deadline_s - asyncio.get_running_loop().time()
-        timeout_s = min(left_s, try_timeout_s)
         url = self._addresses[self._address_index] + path
-        self.n_calls += 1
-        answer = await self._caller.call("POST", url, body, timeout_s)
+        answer = await self._caller.call("POST", url, body, deadline_s, try_timeout_s)
         if _is_retryable(answer):
             self._use_next_address()
         return answer
@@ -252,21 +241,24 @@
             self.n_failed += 1
             return CallFailed(f"not understood: {error}", may_have_applied=True)
 
-    def _deadline_s(self) -> float:
-        return asyncio.get_running_loop().time() + self._options.call_timeout_s
-
     def _use_next_address(self) -> None:
         self._address_index = (self._address_index + 1) % len(self._addresses)
 
 
 @store_adapter("etcd_json")
-def _make_store(addresses: tuple[str, ...], tls: TlsSource | None = None) -> Store:
-    return EtcdJsonStore(addresses, tls=tls)
+def _make_store(
+    addresses: tuple[str, ...],
+    tls: TlsSource | None = None,
+    limits: CallLimits = DEFAULT_LIMITS,
+) -> Store:
+    return EtcdJsonStore(addresses, EtcdJsonOptions(limits), tls)
 
 
-def _is_retryable(answer: bytes | CallFailed) -> bool:
+def _is_retryable(answer: bytes | CallFailed) -> TypeGuard[CallFailed]:
     """Tell whether another address may answer what this one did not."""
-    return isinstance(answer, CallFailed) and not 400 <= answer.status < 500
+    if not isinstance(answer, CallFailed) or not answer.was_sent:
+        return False
+    return not 400 <= answer.status < 500
 
 
 def _item(kv: etcd.EtcdKeyValue) -> KeyValue:
--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -1,4 +1,4 @@
-"""HTTP calls with a deadline, and connections that are replaced once suspect.
+"""HTTP calls with a deadline and a rate bound, and replaced connections.
 
 A pooled connection may have gone silent for good while new ones work. When a call
 ends without an answer, the whole pool is retired: later calls open new connections,
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Final
@@ -16,7 +17,8 @@
 import aiohttp
 from aiohttp.client import _RequestContextManager
 
-from almondspan_platform.registry import TlsSource
+from almondspan_platform.registry import DEFAULT_LIMITS, CallLimits, TlsSource
+from almondspan_platform.token_bucket import TokenBucket
 
 __all__ = ["CallFailed", "HttpCaller", "HttpOptions"]
 
@@ -55,6 +57,7 @@
     may_have_applied: bool
     status: int = 0
     body: bytes = b""
+    was_sent: bool = True
 
 
 @dataclass(slots=True, eq=False)
@@ -67,12 +70,18 @@
     """Makes calls to any number of addresses over one pool of connections."""
 
     def __init__(
-        self, options: HttpOptions = HttpOptions(), tls: TlsSource | None = None
+        self,
+        limits: CallLimits = DEFAULT_LIMITS,
+        options: HttpOptions = HttpOptions(),
+        tls: TlsSource | None = None,
     ) -> None:
+        self._limits: Final = limits
         self._options: Final = options
         self._tls: Final = tls
+        self._bucket: Final = TokenBucket(limits.calls_per_s, limits.n_burst)
         self._pool: _Pool | None = None
         self._retired: set[_Pool] = set()
+        self.n_calls = 0
         self.n_pools_retired = 0
 
     async def start(self) -> None:
@@ -86,14 +95,32 @@
         for pool in pools:
             await pool.session.close()
 
+    def deadline_s(self) -> float:
+        """Return when a call that begins now must have ended."""
+        return asyncio.get_running_loop().time() + self._limits.timeout_s
+
     async def call(
-        self, method: str, url: str, body: bytes | None, timeout_s: float
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        deadline_s: float,
+        try_timeout_s: float = math.inf,
     ) -> bytes | CallFailed:
-        """Make one call and return the body of its answer (status 200)."""
-        pool = self._pool
-        if pool is None:
-            return CallFailed("the client is closed", may_have_applied=False)
-        pool.n_in_use += 1
+        """Send once and return the body of the answer (status 200).
+
+        Parameters
+        ----------
+        deadline_s : float
+            A time of the running loop, for the wait for the rate bound as well.
+        try_timeout_s : float
+            Time from the send until the answer is whole, in seconds.
+        """
+        pool = await self._enter(deadline_s)
+        if isinstance(pool, CallFailed):
+            return pool
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        timeout_s = min(left_s, try_timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._request(pool, method, url, body) as response:
@@ -112,11 +139,10 @@
         The last item is a `CallFailed`. The stream fails when no byte arrives for
         `silence_s`; time that the consumer takes does not count.
         """
-        pool = self._pool
-        if pool is None:
-            yield CallFailed("the client is closed", may_have_applied=False)
+        pool = await self._enter(self.deadline_s())
+        if isinstance(pool, CallFailed):
+            yield pool
             return
-        pool.n_in_use += 1
         response: aiohttp.ClientResponse | None = None
         try:
             async with asyncio.timeout(silence_s):
@@ -137,6 +163,16 @@
             await self._leave(pool)
         yield failure
 
+    async def _enter(self, deadline_s: float) -> _Pool | CallFailed:
+        """Take a token of the rate bound, and the pool for one call."""
+        if not await self._bucket.acquire(deadline_s):
+            return CallFailed("the rate bound was reached", False, was_sent=False)
+        if self._pool is None:
+            return CallFailed("the client is closed", False, was_sent=False)
+        self.n_calls += 1
+        self._pool.n_in_use += 1
+        return self._pool
+
     def _request(
         self, pool: _Pool, method: str, url: str, body: bytes | None
     ) -> "_RequestContextManager":
--- a/packages/platform/almondspan_platform/http_json.py
+++ b/packages/platform/almondspan_platform/http_json.py
@@ -7,7 +7,6 @@
 the caller would hold a refusal of an attempt that runs.
 """
 
-import asyncio
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeVar
 
@@ -15,8 +14,12 @@
 
 from almondspan_decisions.ids import TaskId
 from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
-from almondspan_platform.registry import TlsSource, worker_adapter
-from almondspan_platform.token_bucket import TokenBucket
+from almondspan_platform.registry import (
+    DEFAULT_LIMITS,
+    CallLimits,
+    TlsSource,
+    worker_adapter,
+)
 from almondspan_platform.worker import (
     StartAttempt,
     StartResult,
@@ -50,12 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpJsonWorkerOptions:
-    """Limits of one client; times in seconds."""
+    """Limits of one client; ``try_timeout_s`` is the time for one send."""
 
-    call_timeout_s: float = 2.0
+    limits: CallLimits = field(default_factory=CallLimits)
     try_timeout_s: float = 1.0
-    calls_per_s: float = 200.0
-    n_burst: int = 200
     http: HttpOptions = field(default_factory=_http_options)
 
 
@@ -70,11 +71,14 @@
     ) -> None:
         self._address: Final = address
         self._options: Final = options
-        self._caller: Final = HttpCaller(options.http, tls)
-        self._bucket: Final = TokenBucket(options.calls_per_s, options.n_burst)
-        self.n_calls = 0
+        self._caller: Final = HttpCaller(options.limits, options.http, tls)
         self.n_failed = 0
 
+    @property
+    def n_sent(self) -> int:
+        """The calls that were sent, each repetition counted."""
+        return self._caller.n_calls
+
     async def start(self) -> None:
         """Open the client."""
         await self._caller.start()
@@ -142,7 +146,7 @@
         self, method: str, path: str, request: Any, response_type: type[Response]
     ) -> Response | WorkerUnavailable:
         body = None if request is None else msgspec.json.encode(request)
-        deadline_s = asyncio.get_running_loop().time() + self._options.call_timeout_s
+        deadline_s = self._caller.deadline_s()
         may_have_applied = False
         reason = ""
         for _ in range(N_TRIES):
@@ -151,7 +155,8 @@
                 return self._decode(answer, response_type)
             reason = answer.reason
             may_have_applied |= answer.may_have_applied
-            if answer.status or (may_have_applied and path == START_PATH):
+            may_repeat = path != START_PATH or not may_have_applied
+            if answer.status or not answer.was_sent or not may_repeat:
                 break
         self.n_failed += 1
         return WorkerUnavailable(reason, may_have_applied)
@@ -159,13 +164,9 @@
     async def _send(
         self, method: str, path: str, body: bytes | None, deadline_s: float
     ) -> bytes | CallFailed:
-        if not await self._bucket.acquire(deadline_s):
-            return CallFailed("the rate bound was reached", may_have_applied=False)
-        left_s = deadline_s - asyncio.get_running_loop().time()
-        timeout_s = min(left_s, self._options.try_timeout_s)
-        self.n_calls += 1
         url = f"{self._address}/v1/{path}"
-        return await self._caller.call(method, url, body, timeout_s)
+        try_timeout_s = self._options.try_timeout_s
+        return await self._caller.call(method, url, body, deadline_s, try_timeout_s)
 
     def _decode(
         self, answer: bytes, response_type: type[Response]
@@ -178,5 +179,9 @@
 
 
 @worker_adapter("http_json")
-def _make_worker(address: str, tls: TlsSource | None = None) -> Worker:
-    return HttpJsonWorker(address, tls=tls)
+def _make_worker(
+    address: str,
+    tls: TlsSource | None = None,
+    limits: CallLimits = DEFAULT_LIMITS,
+) -> Worker:
+    return HttpJsonWorker(address, HttpJsonWorkerOptions(limits), tls)
--- a/packages/standins/almondspan_standins/rigs.py
+++ b/packages/standins/almondspan_standins/rigs.py
@@ -7,13 +7,15 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Final, Protocol
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Final, Protocol, TypeVar
 
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.shapes import Shape
 from almondspan_platform.etcd_json import EtcdJsonOptions, EtcdJsonStore
 from almondspan_platform.http_json import HttpJsonWorker, HttpJsonWorkerOptions
+from almondspan_platform.registry import CallLimits
 from almondspan_platform.store import Store
 from almondspan_platform.worker import Worker
 from almondspan_standins.memory_store import MemoryStore, MemoryStoreOptions
@@ -34,6 +36,7 @@
     "ShiftedClock",
     "StoreRig",
     "WorkerRig",
+    "opened",
 ]
 
 PATIENT_S: Final = 10.0
@@ -108,6 +111,29 @@
         ...
 
 
+class _Rig(Protocol):
+    async def start(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+AnyRig = TypeVar("AnyRig", bound=_Rig)
+
+
+@asynccontextmanager
+async def opened(
+    make_rig: Callable[[], AnyRig], limit_s: float
+) -> AsyncIterator[AnyRig]:
+    """Start a rig, and close it at the end; the body has `limit_s` to end."""
+    rig = make_rig()
+    await rig.start()
+    try:
+        async with asyncio.timeout(limit_s):
+            yield rig
+    finally:
+        await rig.close()
+
+
 class MemoryStoreRig:
     """Clients in the same process."""
 
@@ -162,11 +188,8 @@
 
     def make_client(self, call_timeout_s: float, silence_s: float) -> Store:
         """Return a client that is not started."""
-        options = EtcdJsonOptions(
-            call_timeout_s=call_timeout_s,
-            try_timeout_s=call_timeout_s,
-            watch_silence_s=silence_s,
-        )
+        limits = CallLimits(call_timeout_s)
+        options = EtcdJsonOptions(limits, call_timeout_s, silence_s)
         return EtcdJsonStore((self.server.address,), options)
 
 
@@ -221,7 +244,7 @@
 
     def make_client(self, call_timeout_s: float) -> Worker:
         """Return a client that is not started."""
-        options = HttpJsonWorkerOptions(call_timeout_s, call_timeout_s)
+        options = HttpJsonWorkerOptions(CallLimits(call_timeout_s), call_timeout_s)
         return HttpJsonWorker(self.server.address, options)
 
 
--- a/tests/platform/test_etcd_json.py
+++ b/tests/platform/test_etcd_json.py
@@ -9,6 +9,7 @@
 
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.etcd_json import EtcdJsonOptions, EtcdJsonStore
+from almondspan_platform.registry import CallLimits
 from almondspan_platform.store import (
     ABSENT_REVISION,
     Conflict,
@@ -252,7 +253,7 @@
         outcomes = [await call(store) for _ in range(3)]
         assert not any(isinstance(one, Unavailable) for one in outcomes)
         # The dead address is tried once and not for every call.
-        assert store.n_calls == 4
+        assert store.n_sent == 4
         await store.close()
         await rig.close()
 
@@ -278,7 +279,7 @@
     async def main() -> None:
         rig = HttpStoreRig()
         await rig.start()
-        options = EtcdJsonOptions(calls_per_s=0.001, n_burst=3)
+        options = EtcdJsonOptions(CallLimits(calls_per_s=0.001, n_burst=3))
         store = EtcdJsonStore((rig.server.address,), options)
         await store.start()
         assert isinstance(await store.get("k"), Found)
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -7,6 +7,7 @@
 
 from almondspan_platform.etcd_json import EtcdJsonOptions, EtcdJsonStore
 from almondspan_platform.http_calls import _LineSplitter
+from almondspan_platform.registry import CallLimits
 from almondspan_platform.store import ABSENT_REVISION, Found, Revision, WatchLost
 from almondspan_platform.token_bucket import TokenBucket
 from almondspan_standins.rigs import HttpStoreRig
@@ -71,7 +72,7 @@
         relay = Relay(int(rig.server.address.rpartition(":")[2]))
         address = await relay.start()
         options = EtcdJsonOptions(
-            call_timeout_s=10.0, try_timeout_s=0.3, watch_silence_s=0.3
+            CallLimits(10.0), try_timeout_s=0.3, watch_silence_s=0.3
         )
         store = EtcdJsonStore((address,), options)
         await store.start()
--- a/tests/platform/test_store_contract.py
+++ b/tests/platform/test_store_contract.py
@@ -1,8 +1,7 @@
 """The contract of `Store`, over every adapter, with faults in tables."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -24,7 +23,7 @@
     WatchLost,
 )
 from almondspan_standins.faults import StoreFaults
-from almondspan_standins.rigs import STORE_RIGS, StoreRig
+from almondspan_standins.rigs import STORE_RIGS, StoreRig, opened
 from almondspan_standins.store_core import CallKind
 
 BRIEF_S = 0.1
@@ -34,21 +33,9 @@
 every_adapter = pytest.mark.parametrize("adapter", sorted(STORE_RIGS))
 
 
-@asynccontextmanager
-async def open_rig(adapter: str) -> AsyncIterator[StoreRig]:
-    rig = STORE_RIGS[adapter]()
-    await rig.start()
-    try:
-        async with asyncio.timeout(TEST_LIMIT_S):
-            yield rig
-    finally:
-        rig.core.faults = StoreFaults()
-        await rig.close()
-
-
 def run(adapter: str, body: Body) -> None:
     async def main() -> None:
-        async with open_rig(adapter) as rig:
+        async with opened(STORE_RIGS[adapter], TEST_LIMIT_S) as rig:
             await body(rig)
 
     asyncio.run(main())
--- a/tests/platform/test_worker_contract.py
+++ b/tests/platform/test_worker_contract.py
@@ -1,8 +1,7 @@
 """The contract of `Worker`, over every adapter, with faults in tables."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -20,7 +19,7 @@
     WorkerUsage,
 )
 from almondspan_standins.faults import WorkerFaults
-from almondspan_standins.rigs import CAPACITY, WORKER_RIGS, WorkerRig
+from almondspan_standins.rigs import CAPACITY, WORKER_RIGS, WorkerRig, opened
 from almondspan_standins.worker_core import task_payload
 
 BRIEF_S = 0.1
@@ -33,21 +32,9 @@
 every_adapter = pytest.mark.parametrize("adapter", sorted(WORKER_RIGS))
 
 
-@asynccontextmanager
-async def open_rig(adapter: str) -> AsyncIterator[WorkerRig]:
-    rig = WORKER_RIGS[adapter]()
-    await rig.start()
-    try:
-        async with asyncio.timeout(TEST_LIMIT_S):
-            yield rig
-    finally:
-        rig.core.faults = WorkerFaults()
-        await rig.close()
-
-
 def run(adapter: str, body: Body) -> None:
     async def main() -> None:
-        async with open_rig(adapter) as rig:
+        async with opened(WORKER_RIGS[adapter], TEST_LIMIT_S) as rig:
             await body(rig)
 
     asyncio.run(main())
