Use the stand-ins' interference model in the trial

Cause: the trial had a model of its own. Change: parameters come from misc/interference; mixes use its classes.

--- a/misc/measure_trial.py
+++ b/misc/measure_trial.py
@@ -1,14 +1,12 @@
-"""Tries the pure policies in one process, against a known interference model.
+"""Tries the pure policies in one process, against the stand-ins' interference model.
 
 A trial is a small event loop over ten machines: runners with 8 slots and Poisson
 callers whose load swings, and batch tasks that progress at a rate. It covers what
 the policies see and do (queue order, placement, ladder) and nothing of the wire, the
 store or faults; `measure.py` runs the real processes. Its figures are trials.
 
-The model that is hidden from the policies: while batch tasks use the share ``u_c`` of
-a worker's processors by class, each call on it takes ``1 + sum(harm_c * u_c)`` times
-as long, and everything on the worker slows by demand over capacity when that is
-above 1.
+The interference model is the stand-ins' own with the parameters under
+``misc/interference``; the policies see lagging usage and latencies only.
 
     python misc/measure_trial.py --mix archive --seeds 3 [--policies a,b] [--json F]
 """
@@ -62,7 +60,10 @@
 from almondspan_decisions.room import RoomTask, choose_victims
 from almondspan_decisions.run_times import RunTimes
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_standins.interference import InterferenceModel as TrueInterference
+from almondspan_standins.interference import load_model
 
+INTERFERENCE: Final = Path(__file__).resolve().parent / "interference"
 PARAMS: Final = Path(__file__).resolve().parent / "measure_params"
 N_SLOTS: Final = 8
 STEP_S: Final = 0.25
@@ -123,6 +124,7 @@
     index: int
     capacity: Shape
     ladder: Any
+    truth: TrueInterference
     tasks: dict[TaskId, Task] = field(default_factory=dict)
     runners: list["Runner"] = field(default_factory=list)
     model: InterferenceModel = field(default_factory=InterferenceModel)
@@ -140,11 +142,15 @@
             shares[task.task_class] = shares.get(task.task_class, 0.0) + share
         return shares
 
-    def overload(self) -> float:
-        """Return demand over capacity, at least 1."""
-        batch = sum(self.class_shares().values())
-        n_busy = sum(runner.n_busy for runner in self.runners)
-        return max(1.0, batch + n_busy * 1000 / self.capacity.cpu_millicores)
+    def task_slowdown(self, task_class: TaskClass) -> float:
+        """Return the slowdown of a class by the services beside it."""
+        running = tuple(self.class_shares().items())
+        return math.prod(
+            self.truth.task_slowdown(
+                runner.service["name"], runner.n_busy / N_SLOTS, task_class, running
+            )
+            for runner in self.runners
+        )
 
 
 @dataclass(eq=False)
@@ -247,7 +253,8 @@
     def _machine(self, index: int) -> Machine:
         capacity = Shape(self.mix["cores"] * 1000, self.mix["memory_mb"])
         ladder = LADDER_POLICIES[self.combination.ladder](self.ladder_options)
-        return Machine(index, capacity, ladder)
+        truth = load_model(INTERFERENCE / f"{self.mix['name']}.toml")
+        return Machine(index, capacity, ladder, truth)
 
     def _place_runners(self) -> None:
         spread = 2 if self.combination.placement == "static_partition" else 1
@@ -328,9 +335,11 @@
         elapsed_s = self.now_s - self.batch_at_s
         self.batch_at_s = self.now_s
         for machine in self.machines:
-            overload = machine.overload()
+            slowdowns = {
+                each: machine.task_slowdown(each) for each in machine.class_shares()
+            }
             for task in list(machine.tasks.values()):
-                task.done_s += elapsed_s * task.share / overload
+                task.done_s += elapsed_s * task.share / slowdowns[task.task_class]
                 if task.done_s >= task.run_s:
                     self._end_task(machine, task)
 
@@ -472,16 +481,15 @@
 
     def _run_s(self, runner: Runner) -> float:
         service = runner.service
-        harms = self.mix["harm"][service["name"]]
-        slowdown = 1.0 + sum(
-            harms[task_class] * share
-            for task_class, share in runner.machine.class_shares().items()
+        running = tuple(runner.machine.class_shares().items())
+        slowdown = runner.machine.truth.service_slowdown(
+            service["name"], runner.n_busy / N_SLOTS, running
         )
         sigma = service["run_sigma"]
         run_ms = service["run_ms"] * self.call_rng.lognormvariate(
             -(sigma**2) / 2, sigma
         )
-        return run_ms / 1000 * slowdown * runner.machine.overload()
+        return run_ms / 1000 * slowdown
 
     def _on_call_ended(self, body: tuple[Runner, float, bool, float]) -> None:
         runner, arrived_s, is_crest, run_s = body
