--- /dev/null
+++ b/misc/soak.py
@@ -0,0 +1,72 @@
+"""Runs many randomised schedules of the task system and checks the invariants.
+
+Usage: ``soak.py [--seed N] [--schedules N] [--processes N] [--trace SEED]``. The seed
+gives the first schedule's seed. Ends with 1 when a schedule broke an invariant.
+"""
+
+import argparse
+import multiprocessing
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tests" / "tasks"))
+
+from sim_schedule import Result, run_schedule  # noqa: E402
+
+SEED_STRIDE: Final = 1_000_000
+"""Seeds of one run are apart from those of the next by this many."""
+
+
+def run_one(seed: int) -> Result:
+    result = run_schedule(seed)
+    if not result.violations:
+        result.trace = []
+    return result
+
+
+def parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--schedules", type=int, default=2_000)
+    parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--stop-at", type=int, default=10, help="violations to print")
+    parser.add_argument("--trace", type=int, help="run one schedule, print its trace")
+    return parser.parse_args()
+
+
+def print_trace(seed: int) -> int:
+    result = run_schedule(seed)
+    print("\n".join(result.trace))
+    print("\n".join(result.violations) or "no violation")
+    return 1 if result.violations else 0
+
+
+def main() -> int:
+    options = parse()
+    if options.trace is not None:
+        return print_trace(options.trace)
+    first = options.seed * SEED_STRIDE
+    seeds = range(first, first + options.schedules)
+    began_s = time.monotonic()
+    counts: Counter[str] = Counter()
+    broken: list[Result] = []
+    with multiprocessing.Pool(options.processes) as pool:
+        for result in pool.imap_unordered(run_one, seeds, chunksize=8):
+            counts.update(result.counts)
+            if result.violations:
+                broken.append(result)
+                if len(broken) <= options.stop_at:
+                    print(f"schedule {result.seed}: {result.violations[0]}", flush=True)
+    took_s = time.monotonic() - began_s
+    for name, count in sorted(counts.items()):
+        print(f"{name:24} {count}")
+    print(f"{options.schedules} schedules, {len(broken)} broken, {took_s:.0f} s")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/attempt_life.py
@@ -0,0 +1,136 @@
+"""The life of one attempt, as one state machine for both halves.
+
+The owner follows an attempt from ``QUEUED`` to ``COMMITTED`` and to its end; the
+keeper follows it from ``RESERVED`` on. A step that the table does not hold is a
+broken invariant and raises `ValueError`.
+"""
+
+from enum import Enum
+from typing import Final, Protocol
+
+from transitions import Machine
+
+__all__ = ["LIFE_TABLE", "AttemptPhase", "LifeStep", "WithPhase", "advance"]
+
+
+class AttemptPhase(Enum):
+    """Where an attempt stands."""
+
+    QUEUED = "queued"
+    RESERVED = "reserved"
+    COMMITTED = "committed"
+    CONFIRMING = "confirming"
+    """Its keeper has no live reservation and asks the shard before it starts."""
+    STARTING = "starting"
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    EVICTED = "evicted"
+    FINISHING = "finishing"
+    """It ended; its outcome is kept until the shard has committed it."""
+    CLOSED = "closed"
+
+
+class LifeStep(Enum):
+    """What moves an attempt on."""
+
+    RESERVE = "reserve"
+    COMMIT = "commit"
+    ASK = "ask"
+    CONFIRM = "confirm"
+    START = "start"
+    STARTED = "started"
+    CHECKPOINT = "checkpoint"
+    EVICT = "evict"
+    FINISH = "finish"
+    REFUSE = "refuse"
+    CLOSE = "close"
+
+
+P = AttemptPhase
+S = LifeStep
+
+LIFE_TABLE: Final[
+    tuple[tuple[LifeStep, tuple[AttemptPhase, ...], AttemptPhase], ...]
+] = (
+    (S.RESERVE, (P.QUEUED,), P.RESERVED),
+    (S.COMMIT, (P.QUEUED, P.RESERVED), P.COMMITTED),
+    (S.ASK, (P.QUEUED, P.RESERVED), P.CONFIRMING),
+    (S.START, (P.RESERVED, P.COMMITTED, P.CONFIRMING), P.STARTING),
+    (
+        S.STARTED,
+        (P.QUEUED, P.RESERVED, P.COMMITTED, P.CONFIRMING, P.STARTING, P.RUNNING),
+        P.RUNNING,
+    ),
+    (S.CHECKPOINT, (P.STARTING, P.RUNNING, P.CHECKPOINTING), P.CHECKPOINTING),
+    (
+        S.EVICT,
+        (P.QUEUED, P.COMMITTED, P.STARTING, P.RUNNING, P.CHECKPOINTING),
+        P.EVICTED,
+    ),
+    (
+        S.FINISH,
+        (
+            P.QUEUED,
+            P.RESERVED,
+            P.COMMITTED,
+            P.CONFIRMING,
+            P.STARTING,
+            P.RUNNING,
+            P.CHECKPOINTING,
+        ),
+        P.FINISHING,
+    ),
+    (S.REFUSE, (P.QUEUED, P.RESERVED, P.CONFIRMING, P.STARTING), P.FINISHING),
+    (S.CLOSE, tuple(phase for phase in P if phase is not P.CLOSED), P.CLOSED),
+)
+
+
+class WithPhase(Protocol):
+    """Anything that the machine may move."""
+
+    phase: AttemptPhase
+
+
+def _build_machine() -> Machine:
+    machine = Machine(
+        model=None,
+        states=[phase.value for phase in AttemptPhase],
+        initial=None,
+        auto_transitions=False,
+        model_attribute="phase",
+    )
+    for step, sources, target in LIFE_TABLE:
+        machine.add_transition(
+            step.value, [source.value for source in sources], target.value
+        )
+    return machine
+
+
+_MACHINE: Final = _build_machine()
+_NEXT: Final[dict[tuple[LifeStep, AttemptPhase], AttemptPhase]] = {}
+
+
+def _fill_next() -> None:
+    for step in LifeStep:
+        event = _MACHINE.events.get(step.value)
+        if event is None:
+            continue
+        for source, found in event.transitions.items():
+            _NEXT[step, AttemptPhase(source)] = AttemptPhase(found[0].dest)
+
+
+_fill_next()
+
+
+def advance(attempt: WithPhase, step: LifeStep) -> None:
+    """Move an attempt on by `step`.
+
+    Raises
+    ------
+    ValueError
+        When the table has no such step from the attempt's phase.
+    """
+    target = _NEXT.get((step, attempt.phase))
+    if target is None:
+        raise ValueError(f"no step {step.value} from {attempt.phase.value}")
+    attempt.phase = target
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/attempt_owner.py
@@ -0,0 +1,264 @@
+"""The owner's half of attempts: starts, renewals, reports, and lost attempts.
+
+An attempt that may have been started is given up only on evidence:
+
+1. its keeper reports that it ended, was evicted, or will never start; or
+2. the horizon has passed: ``horizon_s`` + the worker's lease + a margin since
+   ``Followed.evidence_s``.
+
+Renewals and acknowledgements are sent only after a commit that began after the
+question arrived, so an owner that was replaced without noticing answers neither.
+"""
+
+import random
+from functools import partial
+
+from almondspan_decisions.ids import AgentId, TaskId
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
+from almondspan_tasks.deltas import CloseCause
+from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.shard_book import Followed, ShardBook
+from almondspan_tasks.state import Assignment, Job
+from almondspan_wire.mail import Mailer
+from almondspan_wire.task_messages import (
+    AttemptRef,
+    AttemptReport,
+    AttemptStarted,
+    RenewAttempts,
+    RenewReply,
+    ReportAck,
+    StartTask,
+    StopTask,
+)
+
+__all__ = ["AttemptOwner"]
+
+
+class AttemptOwner:
+    """Follows the assigned attempts of one shard."""
+
+    def __init__(
+        self,
+        book: ShardBook,
+        mailer: Mailer,
+        options: OwnerOptions,
+        rng: random.Random,
+    ) -> None:
+        self._book = book
+        self._log = book.log
+        self._mailer = mailer
+        self._options = options
+        self._rng = rng
+
+    # Starting.
+
+    def start_committed(self, job: Job) -> None:
+        """Send the start of a fresh assignment once it is committed."""
+        task = job.task_id
+        attempt = job.attempt
+        self._log.after_commit(partial(self._send_first_start, job, task, attempt))
+
+    def _send_first_start(self, job: Job, task: TaskId, attempt: int) -> None:
+        if not job.holds(task, attempt):
+            return
+        followed = self._book.followed[job.spec.job_id]
+        followed.evidence_s = self._book.now_s()
+        self._send_start(job, followed)
+
+    def _send_start(self, job: Job, followed: Followed) -> None:
+        assignment = job.assignment
+        assert assignment is not None
+        stage = job.stage
+        followed.next_start_s = self._book.now_s() + self._options.start_retry_s
+        start = StartTask(
+            shard_id=self._log.shard_id,
+            epoch=self._log.epoch,
+            task_id=job.task_id,
+            attempt=assignment.attempt,
+            agent_id=assignment.agent_id,
+            reservation=assignment.reservation,
+            task_class=stage.task_class,
+            shape=stage.shape,
+            payload=stage.payload,
+            checkpoint=job.checkpoint,
+            idempotent=stage.idempotent,
+            checkpointable=stage.checkpointable,
+            urgent=job.spec.urgent,
+        )
+        self._mailer.send(followed.agent_id, start)
+
+    def on_started(self, sender: AgentId, body: AttemptStarted) -> None:
+        """Note that an attempt runs; its start need not be sent again."""
+        job = self._book.find(body.task_id)
+        if job is None or not job.holds(body.task_id, body.attempt):
+            return
+        followed = self._book.followed[job.spec.job_id]
+        followed.agent_id = sender
+        if followed.phase is AttemptPhase.COMMITTED:
+            advance(followed, LifeStep.STARTED)
+
+    def stop_attempt(self, job: Job, assignment: Assignment) -> None:
+        """Ask for a stop once the job's end is committed."""
+        followed = self._book.followed.get(job.spec.job_id)
+        agent_id = assignment.agent_id if followed is None else followed.agent_id
+        stop = StopTask(
+            self._log.shard_id, self._log.epoch, job.task_id, assignment.attempt
+        )
+        self._log.after_commit(partial(self._mailer.send, agent_id, stop))
+
+    # Renewals.
+
+    def on_renew(self, sender: AgentId, body: RenewAttempts) -> None:
+        """Answer after the next commit that begins from now on."""
+        self._log.after_commit(partial(self._answer_renewal, sender, body))
+
+    def _answer_renewal(self, sender: AgentId, body: RenewAttempts) -> None:
+        now_s = self._book.now_s()
+        assigned: list[AttemptRef] = []
+        unassigned: list[AttemptRef] = []
+        for ref in body.attempts:
+            job = self._book.find(ref.task_id)
+            if job is None:
+                unassigned.append(ref)
+                continue
+            if self._book.is_uncommitted(job.spec.job_id):
+                continue
+            if not self._is_held(job, ref, body):
+                unassigned.append(ref)
+                continue
+            followed = self._book.followed[job.spec.job_id]
+            followed.agent_id = sender
+            followed.evidence_s = now_s
+            assigned.append(ref)
+        reply = RenewReply(
+            self._log.shard_id,
+            self._log.epoch,
+            body.renewal_id,
+            tuple(assigned),
+            tuple(unassigned),
+        )
+        self._mailer.send(sender, reply)
+
+    def _is_held(self, job: Job, ref: AttemptRef, body: RenewAttempts) -> bool:
+        return (
+            job.holds(ref.task_id, ref.attempt)
+            and job.assignment is not None
+            and job.assignment.worker_id == body.worker_id
+        )
+
+    # Reports.
+
+    def on_report(self, sender: AgentId, body: AttemptReport) -> None:
+        """Decide what follows from an ended attempt; acknowledge once committed."""
+        job = self._book.find(body.task_id)
+        if job is not None and self._is_reporter(sender, job, body):
+            self._decide(job, body)
+        ack = ReportAck(self._log.shard_id, self._log.epoch, body.task_id, body.attempt)
+        self._log.after_commit(partial(self._ack, sender, ack), hurry=True)
+
+    def _is_reporter(self, sender: AgentId, job: Job, body: AttemptReport) -> bool:
+        """Tell whether the report is about the assigned attempt, and evidence."""
+        assignment = job.assignment
+        if assignment is None or not job.holds(body.task_id, body.attempt):
+            return False
+        if body.outcome.kind is OutcomeKind.NOT_RUN:
+            # Only the agent that would have started it can refuse it for good.
+            return sender == assignment.agent_id
+        return body.worker_id == assignment.worker_id
+
+    def _ack(self, sender: AgentId, ack: ReportAck) -> None:
+        job = self._book.find(ack.task_id)
+        if job is not None and job.holds(ack.task_id, ack.attempt):
+            return
+        if job is not None and self._book.is_uncommitted(job.spec.job_id):
+            # A later decision about the job is on its way; the keeper asks again.
+            return
+        self._mailer.send(sender, ack)
+
+    def _decide(self, job: Job, body: AttemptReport) -> None:
+        outcome = self._bounded(body.outcome)
+        if body.evicted:
+            self._decide_evicted(job, body)
+        elif outcome.kind is OutcomeKind.DONE:
+            self._decide_done(job, outcome, body.ran_s)
+        elif outcome.kind is OutcomeKind.NOT_RUN:
+            delay_s = self._backoff_s(1)
+            self._book.close_attempt(job, CloseCause.NEVER_RAN, delay_s=delay_s)
+        elif outcome.kind is OutcomeKind.INFEASIBLE:
+            self._book.end_job(job, outcome)
+        elif outcome.kind is OutcomeKind.UNKNOWN:
+            self._decide_lost(job, outcome.reason or "the worker lost the attempt")
+        else:
+            self._decide_failed(job, outcome, body.ran_s)
+
+    def _decide_evicted(self, job: Job, body: AttemptReport) -> None:
+        checkpoint = body.checkpoint if job.stage.checkpointable else b""
+        if not job.stage.idempotent and not checkpoint:
+            reason = "stopped without a checkpoint; a second start is not allowed"
+            self._book.end_job(job, Outcome(OutcomeKind.UNKNOWN, reason, b"", True))
+            return
+        self._book.close_attempt(job, CloseCause.EVICTED, body.ran_s, checkpoint)
+
+    def _decide_done(self, job: Job, outcome: Outcome, ran_s: float) -> None:
+        if job.stage_index + 1 < len(job.spec.stages):
+            self._book.advance_stage(job, ran_s)
+        else:
+            self._book.end_job(job, outcome)
+
+    def _decide_failed(self, job: Job, outcome: Outcome, ran_s: float) -> None:
+        assert job.assignment is not None
+        workers = {*job.failed_on, job.assignment.worker_id}
+        if not job.stage.idempotent:
+            self._book.end_job(job, outcome)
+        elif len(workers) >= self._options.quarantine_n_workers:
+            reason = f"failed on {len(workers)} workers: {outcome.reason}"
+            self._book.end_job(job, Outcome(OutcomeKind.FAILED, reason, outcome.result))
+        elif job.n_failures + 1 >= job.spec.max_attempts:
+            self._book.end_job(job, outcome)
+        else:
+            delay_s = self._backoff_s(job.n_failures + 1)
+            self._book.close_attempt(job, CloseCause.FAILED, ran_s, delay_s=delay_s)
+
+    def _decide_lost(self, job: Job, reason: str) -> None:
+        if not job.stage.idempotent:
+            self._book.end_job(job, Outcome(OutcomeKind.UNKNOWN, reason, b"", True))
+        elif job.n_failures + 1 >= job.spec.max_attempts:
+            reason = f"no attempt left: {reason}"
+            self._book.end_job(job, Outcome(OutcomeKind.FAILED, reason, b"", True))
+        else:
+            delay_s = self._backoff_s(job.n_failures + 1)
+            self._book.close_attempt(job, CloseCause.LOST, delay_s=delay_s)
+
+    def _bounded(self, outcome: Outcome) -> Outcome:
+        n_bytes = len(outcome.result)
+        if n_bytes <= self._options.max_result_bytes:
+            return outcome
+        reason = f"its result of {n_bytes} bytes is over the limit"
+        return Outcome(OutcomeKind.FAILED, reason, b"", True)
+
+    def _backoff_s(self, n_failures: int) -> float:
+        whole_s: float = self._options.backoff_s * 2.0 ** (n_failures - 1)
+        return min(whole_s, self._options.backoff_max_s) * (0.5 + self._rng.random())
+
+    # Time.
+
+    def tick(self) -> None:
+        """Repeat starts that were not answered and give up lost attempts."""
+        now_s = self._book.now_s()
+        for job_id, followed in list(self._book.followed.items()):
+            if self._book.is_uncommitted(job_id):
+                continue
+            job = self._book.jobs[job_id]
+            if now_s >= self._lost_at_s(job, followed):
+                self._decide_lost(job, "its worker has not been heard of")
+            elif (
+                followed.phase is AttemptPhase.COMMITTED
+                and now_s >= followed.next_start_s
+            ):
+                self._send_start(job, followed)
+
+    def _lost_at_s(self, job: Job, followed: Followed) -> float:
+        assert job.assignment is not None
+        wait_s: float = self._options.horizon_s + self._options.drift_margin_s
+        return followed.evidence_s + wait_s + job.assignment.worker_lease_s
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/head.py
@@ -0,0 +1,96 @@
+"""The head of a shard: the one key through which its state changes.
+
+The head holds the epoch, a sequence number that grows with each commit, the
+owner, the writer's nonce, references to chunks and the newest deltas. Chunks are
+written once under keys that name the epoch and a counter, before a head refers to
+them. The state is the snapshot chunks, then the delta chunks, then the tail.
+"""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+from almondspan_decisions.ids import AgentId, Epoch, RegionName, ShardId
+
+__all__ = [
+    "NO_OWNER",
+    "ChunkKind",
+    "ChunkRef",
+    "Head",
+    "chunk_epoch",
+    "chunk_key",
+    "chunk_prefix",
+    "decode_head",
+    "encode_head",
+    "head_key",
+]
+
+NO_OWNER: Final = AgentId("")
+"""The owner in the head of a shard that was handed over on purpose."""
+
+
+class ChunkKind(Enum):
+    """What a chunk holds."""
+
+    SNAPSHOT = "s"
+    DELTAS = "d"
+
+
+class ChunkRef(msgspec.Struct, frozen=True, array_like=True):
+    """A reference to a chunk, with the size that it must have."""
+
+    key: str
+    kind: ChunkKind
+    n_bytes: int
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """The value of the head key; ``tail`` holds encoded deltas, oldest first."""
+
+    epoch: Epoch
+    sequence: int
+    owner: AgentId
+    nonce: str
+    chunks: tuple[ChunkRef, ...] = ()
+    tail: tuple[bytes, ...] = ()
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(Head)
+
+
+def encode_head(head: Head) -> bytes:
+    """Return the bytes of a head."""
+    return _ENCODER.encode(head)
+
+
+def decode_head(data: bytes) -> Head:
+    """Return the head in `data`.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        When the bytes are no head.
+    """
+    return _DECODER.decode(data)
+
+
+def head_key(region: RegionName, shard_id: ShardId) -> str:
+    """Return the key of a shard's head."""
+    return f"shards/{region}/{shard_id}"
+
+
+def chunk_prefix(region: RegionName, shard_id: ShardId) -> str:
+    """Return the prefix of the keys of a shard's chunks."""
+    return f"chunks/{region}/{shard_id}/"
+
+
+def chunk_key(region: RegionName, shard_id: ShardId, epoch: Epoch, number: int) -> str:
+    """Return the key of one chunk, unique to the epoch and the number."""
+    return f"{chunk_prefix(region, shard_id)}{epoch:08d}-{number:06d}"
+
+
+def chunk_epoch(key: str) -> int:
+    """Return the epoch in a chunk's key."""
+    return int(key.rpartition("/")[2].partition("-")[0])
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/host.py
@@ -0,0 +1,212 @@
+"""All shards that one agent owns, and how it comes to own them.
+
+A nomination begins one task that watches the shard's head: an owner that hands
+over leaves it empty, a live one changes it every touch. When the head stays the
+same for ``silence_s`` on this process's clock, the nominee takes the shard over.
+A store that does not answer starts the wait anew, since the owner could not touch
+the head either. Safety does not depend on any of this: only the compare-and-swap
+of the head makes an owner.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import AgentId, Epoch, RegionName, ShardId
+from almondspan_platform.store import KeyValue, Store, Unavailable
+from almondspan_tasks.background import Background
+from almondspan_tasks.head import NO_OWNER, decode_head, head_key
+from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.owner import ShardOwner
+from almondspan_tasks.placing import FindAgents
+from almondspan_tasks.shard_log import LogEnd, ShardLog, TakeOver
+from almondspan_wire.codec import Message
+from almondspan_wire.mail import Mailer
+
+__all__ = ["HostCounters", "ShardHost"]
+
+
+@dataclass(slots=True)
+class HostCounters:
+    """Counts of takeovers and losses."""
+
+    n_taken: int = 0
+    n_released: int = 0
+    n_deposed: int = 0
+
+
+class ShardHost:
+    """Owns any number of shards of a region."""
+
+    def __init__(
+        self,
+        agent_id: AgentId,
+        store: Store,
+        mailer: Mailer,
+        find_candidates: FindAgents,
+        options: OwnerOptions,
+        rng: random.Random,
+        n_shards: int,
+        region: RegionName,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self.counters = HostCounters()
+        self._agent_id = agent_id
+        self._store = store
+        self._mailer = mailer
+        self._find_candidates = find_candidates
+        self._options = options
+        self._rng = rng
+        self._n_shards = n_shards
+        self._region = region
+        self._wall_clock = wall_clock
+        self._fleet = FleetConfig()
+        self._owners: dict[ShardId, ShardOwner] = {}
+        self._acquiring: dict[ShardId, asyncio.Task[None]] = {}
+        self._background = Background()
+        self._draining = False
+        self._all_ended = asyncio.Event()
+
+    async def start(self) -> None:
+        """Begin; shards come by nominations."""
+        self._draining = False
+
+    async def close(self) -> None:
+        """Stop at once; shards go to others after their silence."""
+        self._draining = True
+        await self._background.close()
+        for owner in list(self._owners.values()):
+            await owner.close()
+        self._owners.clear()
+
+    async def drain(self) -> None:
+        """Hand over every shard; returns when all are committed as released."""
+        self._draining = True
+        for task in self._acquiring.values():
+            task.cancel()
+        for owner in self._owners.values():
+            owner.release()
+        while self._owners:
+            self._all_ended.clear()
+            await self._all_ended.wait()
+
+    def nominate(self, shard_id: ShardId) -> None:
+        """Try to become the owner of a shard."""
+        is_busy = shard_id in self._owners or shard_id in self._acquiring
+        if self._draining or is_busy or not 0 <= shard_id < self._n_shards:
+            return
+        task = self._background.spawn(self._acquire(shard_id))
+        self._acquiring[shard_id] = task
+        task.add_done_callback(lambda _: self._acquiring.pop(shard_id, None))
+
+    def release(self, shard_id: ShardId, epoch: Epoch) -> None:
+        """Hand a shard over if it is owned under this epoch."""
+        owner = self._owners.get(shard_id)
+        if owner is not None and owner.log.epoch == epoch:
+            owner.release()
+
+    def owned(self) -> tuple[tuple[ShardId, Epoch], ...]:
+        """Return the owned shards with their epochs."""
+        return tuple(
+            (shard_id, owner.log.epoch)
+            for shard_id, owner in sorted(self._owners.items())
+        )
+
+    def owner(self, shard_id: ShardId) -> ShardOwner | None:
+        """Return the owner of a shard that this agent owns."""
+        return self._owners.get(shard_id)
+
+    def set_fleet(self, config: FleetConfig) -> None:
+        """Take over a configuration for quotas and policies."""
+        self._fleet = config
+        for owner in self._owners.values():
+            owner.set_fleet(config)
+
+    def on_mail(self, sender: str, body: Message) -> None:
+        """Pass mail on to the owner of the shard that it names."""
+        shard_id = getattr(body, "shard_id", None)
+        owner = None if shard_id is None else self._owners.get(shard_id)
+        if owner is not None:
+            owner.on_mail(sender, body)
+
+    # Acquiring.
+
+    async def _acquire(self, shard_id: ShardId) -> None:
+        loop = asyncio.get_running_loop()
+        seen: tuple[Epoch, int] | None = None
+        seen_s = 0.0
+        while True:
+            answer = await self._store.get(head_key(self._region, shard_id))
+            now_s = loop.time()
+            if isinstance(answer, Unavailable):
+                seen = None
+                await self._pause(self._options.store_retry_max_s)
+                continue
+            mark = _mark(answer.item)
+            if mark is None or (seen == mark and self._is_silent(seen_s, now_s)):
+                if await self._take_over(shard_id, answer.item):
+                    return
+                seen = None
+                await self._pause(self._options.store_retry_s)
+                continue
+            if seen is not None and seen != mark:
+                return
+            if seen is None:
+                seen, seen_s = mark, now_s
+            await self._pause(self._options.silence_s / 4)
+
+    def _is_silent(self, seen_s: float, now_s: float) -> bool:
+        return now_s - seen_s >= self._options.silence_s
+
+    async def _pause(self, typical_s: float) -> None:
+        await asyncio.sleep(typical_s * (0.5 + self._rng.random()))
+
+    async def _take_over(self, shard_id: ShardId, item: KeyValue | None) -> bool:
+        """Try once; True when there is nothing more to try."""
+        log = ShardLog(
+            shard_id,
+            self._region,
+            self._agent_id,
+            self._store,
+            self._options,
+            self._rng,
+        )
+        taken = await log.take_over(item)
+        if taken is not TakeOver.TAKEN:
+            return taken is TakeOver.LOST
+        owner = ShardOwner(
+            log,
+            self._mailer,
+            self._find_candidates,
+            self._options,
+            self._rng,
+            self._wall_clock,
+            self._on_end,
+        )
+        owner.set_fleet(self._fleet)
+        self._owners[shard_id] = owner
+        self.counters.n_taken += 1
+        await owner.start()
+        if self._draining:
+            owner.release()
+        return True
+
+    def _on_end(self, owner: ShardOwner, end: LogEnd) -> None:
+        self._owners.pop(owner.log.shard_id, None)
+        self.counters.n_released += end is LogEnd.RELEASED
+        self.counters.n_deposed += end is LogEnd.DEPOSED
+        if not self._owners:
+            self._all_ended.set()
+        self._background.spawn(owner.close())
+
+
+def _mark(item: KeyValue | None) -> tuple[Epoch, int] | None:
+    """Return the head's epoch and sequence; None when nobody owns the shard."""
+    if item is None:
+        return None
+    head = decode_head(item.value)
+    if head.owner == NO_OWNER:
+        return None
+    return head.epoch, head.sequence
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/job_owner.py
@@ -0,0 +1,229 @@
+"""The owner's half of what callers ask: jobs, orders and claims.
+
+Every change is answered after its commit. A question about a job is answered at
+once when everything known of the job is committed, else after the commit.
+"""
+
+from collections.abc import Callable
+from functools import partial
+
+from almondspan_decisions.ids import JobId, OrderName, TeamName
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.tasks import JobSpec
+from almondspan_tasks.attempt_owner import AttemptOwner
+from almondspan_tasks.deltas import ClaimDropped, ClaimMade, ClaimSettled
+from almondspan_tasks.desk import ClaimState, JobState, SubmitState
+from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.shard_book import ShardBook
+from almondspan_tasks.state import Job, spec_bytes
+from almondspan_wire.mail import Mailer
+from almondspan_wire.task_messages import (
+    CancelJobs,
+    ClaimAnswer,
+    ClaimRequest,
+    JobAnswer,
+    JobView,
+    OrderAnswer,
+    OrderQuery,
+    SettleAnswer,
+    SettleClaim,
+    StatusQuery,
+    SubmitAnswer,
+    SubmitJobs,
+    SubmitVerdict,
+)
+
+__all__ = ["JobOwner"]
+
+
+class JobOwner:
+    """Answers the desks of entries for one shard."""
+
+    def __init__(
+        self,
+        book: ShardBook,
+        attempts: AttemptOwner,
+        mailer: Mailer,
+        options: OwnerOptions,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._book = book
+        self._log = book.log
+        self._attempts = attempts
+        self._mailer = mailer
+        self._options = options
+        self._wall_clock = wall_clock
+
+    # Jobs.
+
+    def on_submit(self, sender: str, body: SubmitJobs) -> None:
+        """Take the jobs that are new; answer when they are committed."""
+        verdicts = tuple(self._submit(spec) for spec in body.jobs)
+        answer = SubmitAnswer(body.question_id, verdicts)
+        self._log.after_commit(partial(self._mailer.send, sender, answer), hurry=True)
+
+    def _submit(self, spec: JobSpec) -> SubmitVerdict:
+        known = self._book.jobs.get(spec.job_id)
+        if known is not None:
+            return self._submit_again(known, spec)
+        refusal = self._refusal(spec)
+        if refusal:
+            return _verdict(spec, SubmitState.REFUSED, refusal)
+        self._book.add_job(spec)
+        return _verdict(spec, SubmitState.ACCEPTED)
+
+    def _submit_again(self, known: Job, spec: JobSpec) -> SubmitVerdict:
+        if spec_bytes(known.spec) == spec_bytes(spec):
+            return _verdict(spec, SubmitState.ALREADY_KNOWN)
+        reason = "this id belongs to a job with another team or specification"
+        return _verdict(spec, SubmitState.CONFLICT, reason)
+
+    def _refusal(self, spec: JobSpec) -> str:
+        if not spec.stages:
+            return "a job needs at least one stage"
+        if spec.max_attempts < 1:
+            return "max_attempts must be at least 1"
+        if len(spec_bytes(spec)) > self._options.max_job_bytes:
+            return f"a job may hold at most {self._options.max_job_bytes} bytes"
+        if len(self._book.jobs) >= self._options.max_jobs:
+            return f"the shard holds its limit of {self._options.max_jobs} jobs"
+        return ""
+
+    def on_cancel(self, sender: str, body: CancelJobs) -> None:
+        """Cancel jobs in one commit and answer with what became of them."""
+        for job_id in body.job_ids:
+            job = self._of_team(body.team, job_id)
+            if job is not None and job.outcome is None:
+                self._cancel(job)
+        self._answer_jobs(sender, body.question_id, body.team, body.job_ids)
+
+    def _cancel(self, job: Job) -> None:
+        if job.assignment is not None:
+            self._attempts.stop_attempt(job, job.assignment)
+        reason = "cancelled"
+        if job.may_have_run:
+            reason = "cancelled; an attempt may have run"
+        self._book.end_job(
+            job, Outcome(OutcomeKind.CANCELLED, reason, b"", job.may_have_run)
+        )
+
+    def on_status(self, sender: str, body: StatusQuery) -> None:
+        """Answer with the committed state of jobs."""
+        self._answer_jobs(sender, body.question_id, body.team, body.job_ids)
+
+    def _answer_jobs(
+        self,
+        sender: str,
+        question_id: str,
+        team: TeamName,
+        job_ids: tuple[JobId, ...],
+    ) -> None:
+        views = tuple(self._view(team, job_id) for job_id in job_ids)
+        answer = JobAnswer(question_id, views)
+        if any(self._book.is_uncommitted(job_id) for job_id in job_ids):
+            self._log.after_commit(
+                partial(self._mailer.send, sender, answer), hurry=True
+            )
+        else:
+            self._mailer.send(sender, answer)
+
+    def on_order(self, sender: str, body: OrderQuery) -> None:
+        """Answer with one page of an order's jobs."""
+        jobs = [
+            job
+            for job in self._order_jobs(body.team, body.order_name)
+            if job.spec.job_id > body.after
+        ]
+        page = jobs[: self._options.page_jobs]
+        views = tuple(self._view_of(job) for job in page)
+        answer = OrderAnswer(body.question_id, views, len(page) < len(jobs))
+        # The page must not show what might still fail to be committed.
+        self._log.after_commit(partial(self._mailer.send, sender, answer), hurry=True)
+
+    def _order_jobs(self, team: TeamName, order_name: OrderName) -> list[Job]:
+        jobs = self._log.state.order_jobs(order_name)
+        return [job for job in jobs if job.spec.team == team]
+
+    def _of_team(self, team: TeamName, job_id: JobId) -> Job | None:
+        job = self._book.jobs.get(job_id)
+        if job is None or job.spec.team != team:
+            return None
+        return job
+
+    def _view(self, team: TeamName, job_id: JobId) -> JobView:
+        job = self._of_team(team, job_id)
+        if job is None:
+            return JobView(job_id, JobState.ABSENT.value)
+        return self._view_of(job)
+
+    def _view_of(self, job: Job) -> JobView:
+        spec = job.spec
+        waiting = self._book.waiting.get(spec.job_id)
+        if job.outcome is not None:
+            state = JobState.ENDED
+        elif job.assignment is not None:
+            state = JobState.RUNNING
+        else:
+            state = JobState.QUEUED
+        reason = "" if waiting is None else waiting.reason
+        if self._log.is_stalled and job.outcome is None:
+            reason = "the store does not answer"
+        return JobView(
+            job_id=spec.job_id,
+            state=state.value,
+            stage_index=job.stage_index,
+            n_stages=len(spec.stages),
+            n_attempts=job.n_attempts,
+            n_evictions=job.n_evictions,
+            waiting_reason=reason,
+            outcome=job.outcome,
+            order_name=spec.order_name,
+            record_name=spec.record_name,
+            ended_unix_s=job.ended_unix_s,
+        )
+
+    # Claims.
+
+    def on_claim(self, sender: str, body: ClaimRequest) -> None:
+        """Grant a request to the first nonce that claims it."""
+        answer = self._claim(body)
+        self._log.after_commit(partial(self._mailer.send, sender, answer), hurry=True)
+
+    def _claim(self, body: ClaimRequest) -> ClaimAnswer:
+        claims = self._log.state.claims
+        known = claims.get(body.request_id)
+        if known is not None and known.nonce != body.nonce:
+            return ClaimAnswer(body.question_id, ClaimState.TAKEN.value, known.outcome)
+        if known is None:
+            if len(claims) >= self._options.max_claims:
+                reason = f"the shard holds its limit of {len(claims)} claims"
+                return ClaimAnswer(
+                    body.question_id, ClaimState.UNAVAILABLE.value, None, reason
+                )
+            delta = ClaimMade(body.request_id, body.nonce, self._wall_clock())
+            self._log.append(delta)
+        return ClaimAnswer(body.question_id, ClaimState.GRANTED.value)
+
+    def on_settle(self, sender: str, body: SettleClaim) -> None:
+        """Record the outcome of a claimed request."""
+        known = self._log.state.claims.get(body.request_id)
+        if known is not None and known.outcome is None:
+            self._log.append(ClaimSettled(body.request_id, body.outcome))
+        answer = SettleAnswer(body.question_id, known is not None)
+        self._log.after_commit(partial(self._mailer.send, sender, answer), hurry=True)
+
+    def drop_outdated(self) -> None:
+        """Drop answers and claims that were kept for their stated time."""
+        self._book.drop_outdated()
+        limit = self._wall_clock() - self._options.claim_kept_s
+        outdated = [
+            request_id
+            for request_id, claim in self._log.state.claims.items()
+            if claim.claimed_unix_s < limit
+        ]
+        for request_id in outdated:
+            self._log.append(ClaimDropped(request_id))
+
+
+def _verdict(spec: JobSpec, state: SubmitState, reason: str = "") -> SubmitVerdict:
+    return SubmitVerdict(spec.job_id, state.value, reason)
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/options.py
@@ -0,0 +1,87 @@
+"""Settings of the three roles, with their defaults.
+
+``horizon_s`` is H: how long an attempt may run after the send time of its last
+answered renewal. Keepers and owners must be given the same value.
+"""
+
+from dataclasses import dataclass
+
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+
+__all__ = ["DeskOptions", "KeeperOptions", "OwnerOptions"]
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperOptions:
+    """Settings of an `AttemptKeeper`.
+
+    ``call_bound_s`` is the time after which a call to the worker has taken effect
+    or never will.
+    """
+
+    horizon_s: float = 60.0
+    renew_interval_s: float = 5.0
+    poll_interval_s: float = 0.5
+    report_interval_s: float = 2.0
+    call_bound_s: float = 2.0
+    retry_s: float = 0.5
+    drain_timeout_s: float = 30.0
+    rest_n_tasks: int = 5
+    rest_window_s: float = 300.0
+    rest_s: float = 60.0
+    headroom: Shape = EMPTY_SHAPE
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerOptions:
+    """Settings of a `ShardHost` and its owners.
+
+    ``drift_margin_s`` covers clock drift over the horizon, and the time that a
+    call to a worker may take to come into effect.
+    """
+
+    horizon_s: float = 60.0
+    drift_margin_s: float = 4.0
+    touch_s: float = 1.5
+    silence_s: float = 3.5
+    linger_s: float = 0.02
+    min_commit_interval_s: float = 0.25
+    tail_limit_bytes: int = 8_192
+    chunk_limit_bytes: int = 900_000
+    compact_n_chunks: int = 12
+    compact_min_bytes: int = 65_536
+    collect_interval_s: float = 300.0
+    store_retry_s: float = 0.25
+    store_retry_max_s: float = 2.0
+    tick_s: float = 0.25
+    n_placing: int = 8
+    n_candidates: int = 3
+    find_timeout_s: float = 2.0
+    reserve_timeout_s: float = 1.0
+    make_room_timeout_s: float = 3.0
+    reservation_ttl_s: float = 10.0
+    start_retry_s: float = 1.0
+    backoff_s: float = 1.0
+    backoff_max_s: float = 30.0
+    starts_per_s: float = 20.0
+    infeasible_n_checks: int = 4
+    infeasible_after_s: float = 10.0
+    infeasible_min_workers: int = 3
+    quarantine_n_workers: int = 3
+    answer_kept_s: float = 3_600.0
+    claim_kept_s: float = 86_400.0
+    max_jobs: int = 20_000
+    max_claims: int = 50_000
+    max_job_bytes: int = 262_144
+    max_result_bytes: int = 262_144
+    page_jobs: int = 500
+
+
+@dataclass(frozen=True, slots=True)
+class DeskOptions:
+    """Settings of a `ShardDesk`."""
+
+    timeout_s: float = 5.0
+    repeat_s: float = 0.5
+    batch_jobs: int = 64
+    batch_bytes: int = 1_000_000
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/owner.py
@@ -0,0 +1,137 @@
+"""The owner of one shard, from its takeover to its release or loss.
+
+It runs two tasks: the log's writer, and a tick that places waiting jobs, repeats
+starts, gives up lost attempts and drops outdated answers. Mail is handled as it
+arrives; see `attempt_owner`, `job_owner` and `placing` for each concern.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import AgentId
+from almondspan_tasks.attempt_owner import AttemptOwner
+from almondspan_tasks.background import Background
+from almondspan_tasks.job_owner import JobOwner
+from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.placing import FindAgents, Placer
+from almondspan_tasks.shard_book import ShardBook
+from almondspan_tasks.shard_log import LogEnd, ShardLog
+from almondspan_wire.codec import Message
+from almondspan_wire.mail import Mailer
+from almondspan_wire.task_messages import (
+    AttemptReport,
+    AttemptStarted,
+    CancelJobs,
+    ClaimRequest,
+    OrderQuery,
+    RenewAttempts,
+    ReserveReply,
+    SettleClaim,
+    StatusQuery,
+    SubmitJobs,
+)
+
+__all__ = ["ShardOwner"]
+
+_HOUSEKEEPING_TICKS: Final = 40
+"""Answers and claims are looked through once in this many ticks."""
+
+
+class ShardOwner:
+    """Decides for one shard that was taken over."""
+
+    def __init__(
+        self,
+        log: ShardLog,
+        mailer: Mailer,
+        find_agents: FindAgents,
+        options: OwnerOptions,
+        rng: random.Random,
+        wall_clock: Callable[[], float],
+        on_end: Callable[["ShardOwner", LogEnd], None],
+    ) -> None:
+        self.log = log
+        self.book = ShardBook(log, options, wall_clock)
+        self._options = options
+        self._on_end = on_end
+        self._attempts = AttemptOwner(self.book, mailer, options, rng)
+        self._jobs = JobOwner(self.book, self._attempts, mailer, options, wall_clock)
+        self._placer = Placer(
+            self.book,
+            self._attempts,
+            mailer,
+            find_agents,
+            options,
+            rng,
+            wall_clock,
+        )
+        self._is_open = False
+        self._background = Background()
+
+    async def start(self) -> None:
+        """Begin to commit and to decide; the log must have been taken over."""
+        self.book.rebuild()
+        self._is_open = True
+        self._background.spawn(self._write())
+        self._background.spawn(self._run_ticks())
+
+    async def close(self) -> None:
+        """Stop at once, without a hand-over."""
+        self._is_open = False
+        await self._background.close()
+        await self._placer.close()
+
+    def release(self) -> None:
+        """Commit what was decided and hand the shard over."""
+        self._is_open = False
+        self.log.release()
+
+    def set_fleet(self, config: FleetConfig) -> None:
+        """Take over a configuration."""
+        self._placer.set_fleet(config)
+
+    async def _write(self) -> None:
+        end = await self.log.run()
+        self._is_open = False
+        self._on_end(self, end)
+
+    async def _run_ticks(self) -> None:
+        n_ticks = 0
+        while self._is_open:
+            self._attempts.tick()
+            self._placer.tick()
+            n_ticks += 1
+            if n_ticks % _HOUSEKEEPING_TICKS == 0:
+                self._jobs.drop_outdated()
+            await asyncio.sleep(self._options.tick_s)
+
+    def on_mail(self, sender: str, body: Message) -> None:
+        """Handle mail to this shard; ignored once the shard is let go."""
+        if not self._is_open:
+            return
+        match body:
+            case RenewAttempts():
+                self._attempts.on_renew(AgentId(sender), body)
+            case AttemptReport():
+                self._attempts.on_report(AgentId(sender), body)
+                self._placer.tick()
+            case AttemptStarted():
+                self._attempts.on_started(AgentId(sender), body)
+            case ReserveReply():
+                self._placer.on_reserve_reply(AgentId(sender), body)
+            case SubmitJobs():
+                self._jobs.on_submit(sender, body)
+                self._placer.tick()
+            case CancelJobs():
+                self._jobs.on_cancel(sender, body)
+            case StatusQuery():
+                self._jobs.on_status(sender, body)
+            case OrderQuery():
+                self._jobs.on_order(sender, body)
+            case ClaimRequest():
+                self._jobs.on_claim(sender, body)
+            case SettleClaim():
+                self._jobs.on_settle(sender, body)
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/placing.py
@@ -0,0 +1,299 @@
+"""Finds an agent for each waiting job of a shard.
+
+Each round takes the ready jobs in the order of the queue policy, up to a number of
+placements at a time and a rate of starts. One placement is one task: it asks an
+entry for candidates, asks one after the other to reserve room, and assigns the
+attempt to the first that grants it. Jobs like one that found no room are held
+back together for a moment, so that a long queue asks no more than a short one.
+"""
+
+import asyncio
+import heapq
+import math
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import AgentId, JobId, TaskClass, TaskId, TeamName
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.queue_order import (
+    QUEUE_POLICIES,
+    QueueContext,
+    QueuedTask,
+    QueueKey,
+)
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
+from almondspan_tasks.attempt_owner import AttemptOwner
+from almondspan_tasks.background import Background
+from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.shard_book import ShardBook, Waiting
+from almondspan_tasks.state import Job
+from almondspan_wire.mail import Mailer
+from almondspan_wire.membership import CandidatesFound, FindCandidates, FoundAgent
+from almondspan_wire.task_messages import ReserveReply, ReserveRoom
+
+__all__ = ["FindAgents", "Placer"]
+
+FindAgents = Callable[[FindCandidates], Awaitable[CandidatesFound | None]]
+"""Asks an entry for candidates; None when no entry answered."""
+
+_DEFAULT_POLICY: Final = "urgent_first"
+_Kind = tuple[Shape, TaskClass, bool]
+_ReplyKey = tuple[TaskId, int, AgentId]
+
+
+class Placer:
+    """Places the waiting jobs of one shard."""
+
+    def __init__(
+        self,
+        book: ShardBook,
+        attempts: AttemptOwner,
+        mailer: Mailer,
+        find_agents: FindAgents,
+        options: OwnerOptions,
+        rng: random.Random,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._book = book
+        self._attempts = attempts
+        self._mailer = mailer
+        self._find_agents = find_agents
+        self._options = options
+        self._rng = rng
+        self._wall_clock = wall_clock
+        self._policy = QUEUE_POLICIES[_DEFAULT_POLICY]
+        self._quota: dict[TeamName, float] = {}
+        self._fleet = EMPTY_SHAPE
+        self._held_back_s: dict[_Kind, float] = {}
+        self._replies: dict[_ReplyKey, asyncio.Queue[ReserveReply]] = {}
+        self._placements = Background()
+        self._query_id = 0
+        self._tokens = options.starts_per_s
+        self._filled_s = 0.0
+
+    def set_fleet(self, config: FleetConfig) -> None:
+        """Take the queue policy and the teams' quotas from a configuration."""
+        name = config.policies.queue
+        self._policy = QUEUE_POLICIES.get(name, QUEUE_POLICIES[_DEFAULT_POLICY])
+        self._quota = {team.name: team.quota_share for team in config.teams}
+
+    async def close(self) -> None:
+        """Stop all placements; their reservations lapse."""
+        await self._placements.close()
+
+    # Choosing.
+
+    def tick(self) -> None:
+        """Begin placements for the jobs that come next."""
+        n_free = self._options.n_placing - len(self._placements)
+        if self._book.log.is_stalled or n_free <= 0 or not self._book.waiting:
+            return
+        self._fill_tokens()
+        n_free = min(n_free, int(self._tokens))
+        if n_free <= 0:
+            return
+        for _, job_id in heapq.nsmallest(n_free, self._ready()):
+            self._tokens -= 1.0
+            waiting = self._book.waiting[job_id]
+            waiting.is_placing = True
+            self._placements.spawn(self._place(job_id, waiting))
+
+    def _fill_tokens(self) -> None:
+        now_s = self._book.now_s()
+        rate = self._options.starts_per_s
+        self._tokens = min(rate, self._tokens + rate * (now_s - self._filled_s))
+        self._filled_s = now_s
+
+    def _ready(self) -> list[tuple[QueueKey, JobId]]:
+        now_s = self._book.now_s()
+        context = QueueContext(now_s, self._team_shares())
+        ready: list[tuple[QueueKey, JobId]] = []
+        for job_id, waiting in self._book.waiting.items():
+            if waiting.is_placing or waiting.ready_s > now_s:
+                continue
+            job = self._book.jobs[job_id]
+            if self._held_back_s.get(_kind(job), 0.0) > now_s:
+                waiting.reason = "no worker has room now"
+                continue
+            task = self._queued_task(job, waiting)
+            ready.append((self._policy(task, context), job_id))
+        return ready
+
+    def _queued_task(self, job: Job, waiting: Waiting) -> QueuedTask:
+        stage = job.stage
+        slack_s = math.inf
+        if job.spec.deadline_unix_s:
+            left_s = sum(
+                later.declared_run_s for later in job.spec.stages[job.stage_index :]
+            )
+            slack_s = job.spec.deadline_unix_s - self._wall_clock() - left_s
+        return QueuedTask(
+            task_id=job.task_id,
+            team=job.spec.team,
+            task_class=stage.task_class,
+            shape=stage.shape,
+            urgent=job.spec.urgent,
+            declared_run_s=stage.declared_run_s,
+            queued_s=waiting.queued_s,
+            attained_s=job.attained_s,
+            slack_s=slack_s,
+        )
+
+    def _team_shares(self) -> dict[TeamName, float]:
+        used: dict[TeamName, Shape] = {}
+        for job_id in self._book.followed:
+            job = self._book.jobs[job_id]
+            team = job.spec.team
+            used[team] = used.get(team, EMPTY_SHAPE) + job.stage.shape
+        return {
+            team: shape.dominant_share(self._fleet)
+            / max(1e-9, self._quota.get(team, 1))
+            for team, shape in used.items()
+        }
+
+    # Placing one job.
+
+    async def _place(self, job_id: JobId, waiting: Waiting) -> None:
+        try:
+            reason = await self._try_agents(job_id, waiting)
+        finally:
+            waiting.is_placing = False
+        if not reason:
+            return
+        waiting.reason = reason
+        if waiting.phase is AttemptPhase.QUEUED:
+            waiting.ready_s = self._book.now_s() + self._pause_s()
+
+    async def _try_agents(self, job_id: JobId, waiting: Waiting) -> str:
+        """Return why no agent was found; empty when the matter is settled."""
+        job = self._book.jobs[job_id]
+        found = await self._find(job)
+        if not self._still_waits(job_id, waiting):
+            return ""
+        if found is None:
+            return "no entry answers"
+        if not found.feasible:
+            return self._count_infeasible(job, waiting, found)
+        waiting.n_infeasible = 0
+        for agent in found.agents:
+            reply = await self._reserve(agent, job)
+            if not self._still_waits(job_id, waiting):
+                return ""
+            if reply is not None and reply.granted:
+                self._assign(job, waiting, agent, reply, found)
+                return ""
+        self._held_back_s[_kind(job)] = self._book.now_s() + self._pause_s()
+        return "no worker has room now"
+
+    def _pause_s(self) -> float:
+        return self._options.backoff_s * (0.3 + 0.7 * self._rng.random())
+
+    def _still_waits(self, job_id: JobId, waiting: Waiting) -> bool:
+        return self._book.waiting.get(job_id) is waiting
+
+    async def _find(self, job: Job) -> CandidatesFound | None:
+        self._query_id += 1
+        query = FindCandidates(
+            query_id=self._query_id,
+            shape=job.stage.shape,
+            task_class=job.stage.task_class,
+            n_wanted=self._options.n_candidates,
+            avoid=job.failed_on,
+            urgent=job.spec.urgent,
+        )
+        try:
+            async with asyncio.timeout(self._options.find_timeout_s):
+                return await self._find_agents(query)
+        except TimeoutError:
+            return None
+
+    def _count_infeasible(
+        self, job: Job, waiting: Waiting, found: CandidatesFound
+    ) -> str:
+        now_s = self._book.now_s()
+        if found.n_workers_known < self._options.infeasible_min_workers:
+            return "too few workers are known to tell whether it fits"
+        if waiting.n_infeasible == 0:
+            waiting.infeasible_since_s = now_s
+        waiting.n_infeasible += 1
+        is_sure = (
+            waiting.n_infeasible >= self._options.infeasible_n_checks
+            and now_s - waiting.infeasible_since_s >= self._options.infeasible_after_s
+        )
+        if is_sure:
+            reason = f"none of {found.n_workers_known} workers can hold it"
+            outcome = Outcome(OutcomeKind.INFEASIBLE, reason, b"", job.may_have_run)
+            self._book.end_job(job, outcome)
+            return ""
+        return "no known worker can hold it"
+
+    async def _reserve(self, agent: FoundAgent, job: Job) -> ReserveReply | None:
+        attempt = job.attempt + 1
+        key = (job.task_id, attempt, agent.agent_id)
+        replies: asyncio.Queue[ReserveReply] = asyncio.Queue()
+        self._replies[key] = replies
+        request = ReserveRoom(
+            shard_id=self._book.log.shard_id,
+            epoch=self._book.log.epoch,
+            task_id=job.task_id,
+            attempt=attempt,
+            shape=job.stage.shape,
+            ttl_s=self._options.reservation_ttl_s,
+            urgent=job.spec.urgent,
+        )
+        self._mailer.send(agent.agent_id, request)
+        try:
+            return await self._await_reply(replies)
+        finally:
+            del self._replies[key]
+
+    async def _await_reply(
+        self, replies: "asyncio.Queue[ReserveReply]"
+    ) -> ReserveReply | None:
+        limit_s = self._options.reserve_timeout_s
+        while True:
+            try:
+                async with asyncio.timeout(limit_s):
+                    reply = await replies.get()
+            except TimeoutError:
+                return None
+            if not reply.making_room:
+                return reply
+            limit_s = self._options.make_room_timeout_s
+
+    def on_reserve_reply(self, sender: AgentId, body: ReserveReply) -> None:
+        """Hand a reply to the placement that waits for it."""
+        replies = self._replies.get((body.task_id, body.attempt, sender))
+        if replies is not None:
+            replies.put_nowait(body)
+
+    def _assign(
+        self,
+        job: Job,
+        waiting: Waiting,
+        agent: FoundAgent,
+        reply: ReserveReply,
+        found: CandidatesFound,
+    ) -> None:
+        advance(waiting, LifeStep.RESERVE)
+        n_workers = max(1, found.n_workers_known)
+        self._fleet = Shape(
+            reply.capacity.cpu_millicores * n_workers,
+            reply.capacity.memory_mb * n_workers,
+            reply.capacity.n_accelerators * n_workers,
+        )
+        self._book.assign(
+            job,
+            reply.worker_id,
+            agent.agent_id,
+            reply.reservation,
+            reply.worker_lease_s,
+        )
+        self._attempts.start_committed(job)
+
+
+def _kind(job: Job) -> _Kind:
+    return (job.stage.shape, job.stage.task_class, job.spec.urgent)
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/resting.py
@@ -0,0 +1,61 @@
+"""Rests a worker on which many different tasks fail.
+
+Failures of distinct tasks are counted; a task that ends well clears them, since
+the worker is then not the cause. A rested worker is probed with one task at a
+time; each failing probe doubles the rest.
+"""
+
+from almondspan_decisions.ids import TaskId
+from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_tasks.options import KeeperOptions
+
+__all__ = ["RestingRule"]
+
+
+class RestingRule:
+    """Decides whether a worker takes new work."""
+
+    def __init__(self, options: KeeperOptions) -> None:
+        self.is_probing = False
+        self._options = options
+        self._failed_s: dict[TaskId, float] = {}
+        self._until_s = 0.0
+        self._n_rests = 0
+        self._by_hand = False
+
+    def set_by_hand(self, resting: bool) -> None:
+        """Rest the worker until told otherwise; ending a rest forgets failures."""
+        self._by_hand = resting
+        if not resting:
+            self._clear()
+
+    def is_resting(self, now_s: float) -> bool:
+        """Tell whether new work is refused."""
+        return self._by_hand or now_s < self._until_s
+
+    def note(self, now_s: float, task: TaskId, kind: OutcomeKind) -> None:
+        """Take an attempt's outcome into account."""
+        if kind is OutcomeKind.DONE:
+            self._clear()
+            return
+        if kind is not OutcomeKind.FAILED:
+            return
+        oldest_s = now_s - self._options.rest_window_s
+        self._failed_s = {
+            known: at for known, at in self._failed_s.items() if at >= oldest_s
+        }
+        self._failed_s[task] = now_s
+        if self.is_probing or len(self._failed_s) >= self._options.rest_n_tasks:
+            self._rest(now_s)
+
+    def _rest(self, now_s: float) -> None:
+        self._until_s = now_s + self._options.rest_s * 2 ** min(self._n_rests, 4)
+        self._n_rests += 1
+        self.is_probing = True
+        self._failed_s.clear()
+
+    def _clear(self) -> None:
+        self._failed_s.clear()
+        self._until_s = 0.0
+        self._n_rests = 0
+        self.is_probing = False
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/shard_book.py
@@ -0,0 +1,219 @@
+"""What an owner keeps in memory beside a shard's committed state.
+
+A `ShardBook` is the only place that appends deltas about jobs. With each it keeps
+three sets in step: jobs that wait for a placement, attempts that are followed, and
+jobs with deltas that are not committed yet. Nothing here is needed for safety
+after a takeover: `rebuild` makes it anew from the state.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from almondspan_decisions.ids import AgentId, JobId, TaskId, WorkerId
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.tasks import JobSpec, job_of_task
+from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
+from almondspan_tasks.deltas import (
+    AttemptAssigned,
+    AttemptClosed,
+    CloseCause,
+    Delta,
+    JobAdded,
+    JobDropped,
+    JobEnded,
+    StageAdvanced,
+)
+from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.shard_log import ShardLog
+from almondspan_tasks.state import Job
+
+__all__ = ["Followed", "ShardBook", "Waiting"]
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A job whose current stage waits for a placement."""
+
+    queued_s: float
+    ready_s: float
+    reason: str = "queued"
+    is_placing: bool = False
+    n_infeasible: int = 0
+    infeasible_since_s: float = 0.0
+    phase: AttemptPhase = AttemptPhase.QUEUED
+
+
+@dataclass(slots=True)
+class Followed:
+    """An assigned attempt.
+
+    ``evidence_s`` is the latest moment from which its keeper's lease may count:
+    the commit of the assignment, the takeover, or the last positive answer.
+    """
+
+    agent_id: AgentId
+    evidence_s: float
+    next_start_s: float
+    phase: AttemptPhase = AttemptPhase.COMMITTED
+
+
+@dataclass(slots=True)
+class BookCounters:
+    """Counts of what was decided."""
+
+    n_submitted: int = 0
+    n_assigned: int = 0
+    n_evicted: int = 0
+    n_lost: int = 0
+    n_ended: dict[OutcomeKind, int] = field(default_factory=dict)
+
+
+class ShardBook:
+    """Jobs of one shard: waiting, followed, ended."""
+
+    def __init__(
+        self,
+        log: ShardLog,
+        options: OwnerOptions,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self.log = log
+        self.waiting: dict[JobId, Waiting] = {}
+        self.followed: dict[JobId, Followed] = {}
+        self.ended: dict[JobId, float] = {}
+        self.counters = BookCounters()
+        self._options = options
+        self._wall_clock = wall_clock
+        self._n_uncommitted: dict[JobId, int] = {}
+
+    @property
+    def jobs(self) -> dict[JobId, Job]:
+        """Return the jobs of the state."""
+        return self.log.state.jobs
+
+    def now_s(self) -> float:
+        """Return the monotonic time of this process."""
+        return asyncio.get_running_loop().time()
+
+    def rebuild(self) -> None:
+        """Fill the sets from the state, right after a takeover."""
+        now_s = self.now_s()
+        for job_id, job in self.jobs.items():
+            if job.outcome is not None:
+                self.ended[job_id] = job.ended_unix_s
+            elif job.assignment is not None:
+                # An earlier owner's answers began before our compare-and-swap.
+                self.followed[job_id] = Followed(job.assignment.agent_id, now_s, now_s)
+            else:
+                self.waiting[job_id] = Waiting(now_s, now_s)
+
+    def is_uncommitted(self, job_id: JobId) -> bool:
+        """Tell whether a delta about the job is still to be committed."""
+        return job_id in self._n_uncommitted
+
+    def find(self, task: TaskId) -> Job | None:
+        """Return the job that a task belongs to."""
+        return self.jobs.get(job_of_task(task))
+
+    # Decisions.
+
+    def add_job(self, spec: JobSpec) -> None:
+        """Take a job."""
+        now_s = self.now_s()
+        self._append(spec.job_id, JobAdded(spec, self._wall_clock()))
+        self.waiting[spec.job_id] = Waiting(now_s, now_s)
+        self.counters.n_submitted += 1
+
+    def assign(
+        self,
+        job: Job,
+        worker_id: WorkerId,
+        agent_id: AgentId,
+        reservation: str,
+        worker_lease_s: float,
+    ) -> None:
+        """Assign the next attempt; its start may be sent after the commit."""
+        job_id = job.spec.job_id
+        waiting = self.waiting.pop(job_id)
+        advance(waiting, LifeStep.COMMIT)
+        delta = AttemptAssigned(
+            job_id,
+            job.attempt + 1,
+            worker_id,
+            agent_id,
+            reservation,
+            worker_lease_s,
+        )
+        self._append(job_id, delta)
+        now_s = self.now_s()
+        self.followed[job_id] = Followed(agent_id, now_s, now_s, waiting.phase)
+        self.counters.n_assigned += 1
+
+    def close_attempt(
+        self,
+        job: Job,
+        cause: CloseCause,
+        ran_s: float = 0.0,
+        checkpoint: bytes = b"",
+        delay_s: float = 0.0,
+    ) -> None:
+        """Give up the assigned attempt; the stage waits for the next one."""
+        job_id = job.spec.job_id
+        assignment = job.assignment
+        assert assignment is not None
+        followed = self.followed.pop(job_id)
+        step = LifeStep.EVICT if cause is CloseCause.EVICTED else LifeStep.CLOSE
+        advance(followed, step)
+        delta = AttemptClosed(
+            job_id,
+            assignment.attempt,
+            cause,
+            assignment.worker_id,
+            ran_s,
+            checkpoint,
+        )
+        self._append(job_id, delta)
+        now_s = self.now_s()
+        self.waiting[job_id] = Waiting(now_s, now_s + delay_s, cause.value)
+        self.counters.n_evicted += cause is CloseCause.EVICTED
+        self.counters.n_lost += cause is CloseCause.LOST
+
+    def advance_stage(self, job: Job, ran_s: float) -> None:
+        """Begin the next stage."""
+        job_id = job.spec.job_id
+        advance(self.followed.pop(job_id), LifeStep.FINISH)
+        self._append(job_id, StageAdvanced(job_id, ran_s))
+        now_s = self.now_s()
+        self.waiting[job_id] = Waiting(now_s, now_s)
+
+    def end_job(self, job: Job, outcome: Outcome) -> None:
+        """Give the job its outcome."""
+        job_id = job.spec.job_id
+        self.waiting.pop(job_id, None)
+        self.followed.pop(job_id, None)
+        ended_unix_s = self._wall_clock()
+        self._append(job_id, JobEnded(job_id, outcome, ended_unix_s))
+        self.ended[job_id] = ended_unix_s
+        n_ended = self.counters.n_ended
+        n_ended[outcome.kind] = n_ended.get(outcome.kind, 0) + 1
+
+    def drop_outdated(self) -> None:
+        """Drop the answers of jobs that ended long ago."""
+        limit = self._wall_clock() - self._options.answer_kept_s
+        outdated = [job_id for job_id, at in self.ended.items() if at < limit]
+        for job_id in outdated:
+            del self.ended[job_id]
+            self._append(job_id, JobDropped(job_id))
+
+    def _append(self, job_id: JobId, delta: Delta) -> None:
+        self.log.append(delta)
+        self._n_uncommitted[job_id] = self._n_uncommitted.get(job_id, 0) + 1
+        self.log.after_commit(lambda: self._committed(job_id))
+
+    def _committed(self, job_id: JobId) -> None:
+        n_left = self._n_uncommitted[job_id] - 1
+        if n_left:
+            self._n_uncommitted[job_id] = n_left
+        else:
+            del self._n_uncommitted[job_id]
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/shard_desk.py
@@ -0,0 +1,301 @@
+"""The entry's half: carries what callers ask to the owners of shards.
+
+Each question goes to the shard's owner and is repeated until it is answered or
+its time is up. Questions are idempotent at the owner, so a repetition after a
+lost answer, or to the next owner, changes nothing.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+from almondspan_decisions.ids import (
+    AgentId,
+    EntryId,
+    JobId,
+    OrderName,
+    RequestId,
+    ShardId,
+    TeamName,
+)
+from almondspan_decisions.outcomes import Outcome
+from almondspan_decisions.tasks import JobSpec, shard_of_job
+from almondspan_tasks.desk import (
+    Claim,
+    ClaimState,
+    DeskUnavailable,
+    JobState,
+    JobStatus,
+    OrderLedger,
+    SubmitResult,
+    SubmitState,
+)
+from almondspan_tasks.options import DeskOptions
+from almondspan_tasks.state import spec_bytes
+from almondspan_wire.codec import Message
+from almondspan_wire.mail import Mailer
+from almondspan_wire.task_messages import (
+    CancelJobs,
+    ClaimAnswer,
+    ClaimRequest,
+    JobAnswer,
+    JobView,
+    OrderAnswer,
+    OrderQuery,
+    SettleAnswer,
+    SettleClaim,
+    StatusQuery,
+    SubmitAnswer,
+    SubmitJobs,
+)
+
+__all__ = ["ShardDesk"]
+
+AnyAnswer = TypeVar("AnyAnswer", bound=Message)
+AnyItem = TypeVar("AnyItem")
+
+
+class ShardDesk:
+    """Implements `JobDesk` and `ClaimBook` over the owners of shards."""
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        mailer: Mailer,
+        owner_of: Callable[[ShardId], AgentId | None],
+        options: DeskOptions,
+        rng: random.Random,
+        n_shards: int,
+    ) -> None:
+        self._entry_id = entry_id
+        self._mailer = mailer
+        self._owner_of = owner_of
+        self._options = options
+        self._rng = rng
+        self._n_shards = n_shards
+        self._waiting: dict[str, asyncio.Future[Message]] = {}
+        self._is_open = False
+
+    async def start(self) -> None:
+        """Begin to take questions."""
+        self._is_open = True
+
+    async def close(self) -> None:
+        """End all questions as unavailable."""
+        self._is_open = False
+        for future in self._waiting.values():
+            future.cancel()
+
+    def on_mail(self, sender: str, body: Message) -> None:
+        """Hand an answer to the question that waits for it."""
+        question_id = getattr(body, "question_id", None)
+        future = self._waiting.get(question_id) if question_id else None
+        if future is not None and not future.done():
+            future.set_result(body)
+
+    # Jobs.
+
+    async def submit(
+        self, jobs: tuple[JobSpec, ...]
+    ) -> tuple[SubmitResult, ...] | DeskUnavailable:
+        """Submit jobs; answers when they are committed."""
+        batches = [
+            (shard_id, batch)
+            for shard_id, specs in self._by_shard(jobs, lambda spec: spec.job_id)
+            for batch in self._batches(specs)
+        ]
+        answers = await asyncio.gather(
+            *(self._submit_batch(shard_id, batch) for shard_id, batch in batches)
+        )
+        found: dict[JobId, SubmitResult] = {}
+        for answer in answers:
+            if answer is None:
+                return DeskUnavailable("no owner answered; a job may have been taken")
+            for verdict in answer.verdicts:
+                found[verdict.job_id] = SubmitResult(
+                    verdict.job_id, SubmitState(verdict.state), verdict.reason
+                )
+        return tuple(found[spec.job_id] for spec in jobs)
+
+    async def _submit_batch(
+        self, shard_id: ShardId, batch: list[JobSpec]
+    ) -> SubmitAnswer | None:
+        body = SubmitJobs(shard_id, self._new_question(), tuple(batch))
+        return await self._ask(shard_id, body.question_id, body, SubmitAnswer)
+
+    def _batches(self, specs: Sequence[JobSpec]) -> list[list[JobSpec]]:
+        batches: list[list[JobSpec]] = [[]]
+        n_bytes = 0
+        for spec in specs:
+            size = len(spec_bytes(spec))
+            is_full = (
+                len(batches[-1]) >= self._options.batch_jobs
+                or n_bytes + size > self._options.batch_bytes
+            )
+            if batches[-1] and is_full:
+                batches.append([])
+                n_bytes = 0
+            batches[-1].append(spec)
+            n_bytes += size
+        return batches
+
+    async def cancel(
+        self, team: TeamName, job_ids: tuple[JobId, ...]
+    ) -> tuple[JobStatus, ...] | DeskUnavailable:
+        """Cancel jobs of a team; answers when the cancellations are committed."""
+        return await self._ask_jobs(
+            job_ids,
+            lambda shard, question, ids: CancelJobs(shard, question, team, ids),
+        )
+
+    async def status(
+        self, team: TeamName, job_ids: tuple[JobId, ...]
+    ) -> tuple[JobStatus, ...] | DeskUnavailable:
+        """Return the state of jobs of a team."""
+        return await self._ask_jobs(
+            job_ids,
+            lambda shard, question, ids: StatusQuery(shard, question, team, ids),
+        )
+
+    async def _ask_jobs(
+        self,
+        job_ids: tuple[JobId, ...],
+        build: Callable[[ShardId, str, tuple[JobId, ...]], Message],
+    ) -> tuple[JobStatus, ...] | DeskUnavailable:
+        asked: list[asyncio.Task[JobAnswer | None]] = []
+        for shard_id, ids in self._by_shard(job_ids, lambda job_id: job_id):
+            question_id = self._new_question()
+            body = build(shard_id, question_id, tuple(ids))
+            work = self._ask(shard_id, question_id, body, JobAnswer)
+            asked.append(asyncio.create_task(work))
+        found: dict[JobId, JobStatus] = {}
+        for answer in await asyncio.gather(*asked):
+            if answer is None:
+                return DeskUnavailable("no owner answered")
+            for view in answer.jobs:
+                found[view.job_id] = _status(view)
+        return tuple(found[job_id] for job_id in job_ids)
+
+    async def order(
+        self, team: TeamName, order_name: OrderName
+    ) -> OrderLedger | DeskUnavailable:
+        """Return the ledger of an order of a team."""
+        parts = await asyncio.gather(
+            *(
+                self._shard_order(ShardId(number), team, order_name)
+                for number in range(self._n_shards)
+            )
+        )
+        jobs: list[JobStatus] = []
+        n_missing = 0
+        for part in parts:
+            if part is None:
+                n_missing += 1
+            else:
+                jobs += part
+        jobs.sort(key=lambda status: status.job_id)
+        return OrderLedger(order_name, tuple(jobs), n_missing)
+
+    async def _shard_order(
+        self, shard_id: ShardId, team: TeamName, order_name: OrderName
+    ) -> list[JobStatus] | None:
+        jobs: list[JobStatus] = []
+        after = JobId("")
+        while True:
+            question_id = self._new_question()
+            body = OrderQuery(shard_id, question_id, team, order_name, after)
+            answer = await self._ask(shard_id, question_id, body, OrderAnswer)
+            if answer is None:
+                return None
+            jobs += [_status(view) for view in answer.jobs]
+            if not answer.more or not answer.jobs:
+                return jobs
+            after = answer.jobs[-1].job_id
+
+    # Claims.
+
+    async def claim(self, request_id: RequestId, nonce: str) -> Claim:
+        """Claim a request; the same nonce always gets the same answer."""
+        shard_id = shard_of_job(JobId(request_id), self._n_shards)
+        question_id = self._new_question()
+        body = ClaimRequest(shard_id, question_id, request_id, nonce)
+        answer = await self._ask(shard_id, question_id, body, ClaimAnswer)
+        if answer is None:
+            return Claim(ClaimState.UNAVAILABLE, None, "no owner answered")
+        return Claim(ClaimState(answer.state), answer.outcome, answer.reason)
+
+    async def settle(self, request_id: RequestId, outcome: Outcome) -> bool:
+        """Record what became of a claimed request; False when not recorded."""
+        shard_id = shard_of_job(JobId(request_id), self._n_shards)
+        question_id = self._new_question()
+        body = SettleClaim(shard_id, question_id, request_id, outcome)
+        answer = await self._ask(shard_id, question_id, body, SettleAnswer)
+        return answer is not None and answer.recorded
+
+    # Asking.
+
+    def _new_question(self) -> str:
+        return f"{self._entry_id}:{self._rng.getrandbits(64):016x}"
+
+    def _by_shard(
+        self, items: Sequence[AnyItem], job_of: Callable[[AnyItem], JobId]
+    ) -> list[tuple[ShardId, list[AnyItem]]]:
+        groups: dict[ShardId, list[AnyItem]] = {}
+        for item in items:
+            shard_id = shard_of_job(job_of(item), self._n_shards)
+            groups.setdefault(shard_id, []).append(item)
+        return list(groups.items())
+
+    async def _ask(
+        self,
+        shard_id: ShardId,
+        question_id: str,
+        body: Message,
+        kind: type[AnyAnswer],
+    ) -> AnyAnswer | None:
+        """Repeat a question until its answer; None when time is up."""
+        if not self._is_open:
+            return None
+        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._waiting[question_id] = future
+        try:
+            async with asyncio.timeout(self._options.timeout_s):
+                answer = await self._repeat(shard_id, body, future)
+        except TimeoutError:
+            return None
+        except asyncio.CancelledError:
+            if self._is_open:
+                raise
+            return None
+        finally:
+            del self._waiting[question_id]
+        return answer if isinstance(answer, kind) else None
+
+    async def _repeat(
+        self, shard_id: ShardId, body: Message, future: asyncio.Future[Message]
+    ) -> Message:
+        while True:
+            owner = self._owner_of(shard_id)
+            if owner is not None:
+                self._mailer.send(owner, body)
+            pause_s = self._options.repeat_s * (0.8 + 0.4 * self._rng.random())
+            done, _ = await asyncio.wait({future}, timeout=pause_s)
+            if done:
+                return future.result()
+
+
+def _status(view: JobView) -> JobStatus:
+    return JobStatus(
+        job_id=view.job_id,
+        state=JobState(view.state),
+        stage_index=view.stage_index,
+        n_stages=view.n_stages,
+        n_attempts=view.n_attempts,
+        n_evictions=view.n_evictions,
+        waiting_reason=view.waiting_reason,
+        outcome=view.outcome,
+        order_name=view.order_name,
+        record_name=view.record_name,
+        ended_unix_s=view.ended_unix_s,
+    )
--- /dev/null
+++ b/tests/tasks/sim_checks.py
@@ -0,0 +1,169 @@
+"""Invariants of tasks, checked whenever a worker starts one or mail is sent."""
+
+import json
+from collections import Counter
+from typing import Any
+
+from almondspan_decisions.ids import TaskId, WorkerId
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.tasks import JobSpec, job_of_task
+from almondspan_platform.worker import StartAttempt, StartResult
+from almondspan_standins.worker_core import WorkerCore
+from almondspan_tasks.desk import JobState, JobStatus
+from almondspan_wire.task_messages import AttemptReport
+
+AttemptKey = tuple[TaskId, int]
+
+
+class Violation(AssertionError):
+    """An invariant does not hold."""
+
+
+class Checks:
+    """What must hold over all workers, attempts and answers."""
+
+    def __init__(self) -> None:
+        self.cores: dict[WorkerId, CheckedCore] = {}
+        self.violations: list[str] = []
+        self.started: set[AttemptKey] = set()
+        self.started_on: dict[AttemptKey, WorkerId] = {}
+        self.never_run: set[AttemptKey] = set()
+        self.specs: dict[str, JobSpec] = {}
+        self.ended: dict[str, Outcome] = {}
+        self.resumed: Counter[tuple[TaskId, bytes]] = Counter()
+        self.fresh_starts: Counter[TaskId] = Counter()
+        self.counts: Counter[str] = Counter()
+
+    def fail(self, text: str) -> None:
+        self.violations.append(text)
+
+    def before_start(self, worker_id: WorkerId, request: StartAttempt) -> None:
+        for core in self.cores.values():
+            core.advance()
+            for other in core.running():
+                if other.request.task_id == request.task_id and (
+                    core.worker_id != worker_id
+                    or other.request.attempt != request.attempt
+                ):
+                    self.fail(
+                        f"{request.task_id}#{request.attempt} starts on {worker_id} "
+                        f"while #{other.request.attempt} runs on {core.worker_id}"
+                    )
+
+    def on_started(self, worker_id: WorkerId, request: StartAttempt) -> None:
+        key = (request.task_id, request.attempt)
+        self.counts["starts"] += 1
+        if key in self.never_run:
+            self.fail(f"{key} starts although its agent refused it for good")
+        if key in self.started:
+            if not request.idempotent or self.started_on[key] != worker_id:
+                self.fail(f"{key} starts a second time")
+        self.started.add(key)
+        self.started_on[key] = worker_id
+        if not request.idempotent:
+            self._check_once(request)
+        self._check_stages(request)
+
+    def _check_once(self, request: StartAttempt) -> None:
+        if request.checkpoint:
+            resumed = (request.task_id, request.checkpoint)
+            self.resumed[resumed] += 1
+            self.counts["resumes"] += 1
+            if self.resumed[resumed] > 1:
+                self.fail(f"{request.task_id} resumes twice from one checkpoint")
+            return
+        self.fresh_starts[request.task_id] += 1
+        if self.fresh_starts[request.task_id] > 1:
+            self.fail(f"{request.task_id} is not idempotent and starts afresh twice")
+
+    def _check_stages(self, request: StartAttempt) -> None:
+        job_id, _, stage = request.task_id.rpartition("/")
+        if int(stage) and f"{job_id}/{int(stage) - 1}" not in self.done_tasks():
+            self.fail(f"{request.task_id} starts before the stage before it is done")
+
+    def done_tasks(self) -> set[str]:
+        return {
+            effect.task_id for core in self.cores.values() for effect in core.ledger
+        }
+
+    def on_report(self, body: AttemptReport) -> None:
+        if body.outcome.kind is OutcomeKind.NOT_RUN:
+            key = (body.task_id, body.attempt)
+            self.never_run.add(key)
+            if key in self.started:
+                self.fail(f"{key} is reported as never run and was started")
+
+    def on_status(self, status: JobStatus) -> None:
+        known = self.ended.get(status.job_id)
+        if status.state is JobState.ENDED:
+            assert status.outcome is not None
+            if known is None:
+                self.ended[status.job_id] = status.outcome
+                self._check_ended(status.job_id, status.outcome)
+            elif known != status.outcome:
+                self.fail(f"{status.job_id} ended as {known} and {status.outcome}")
+        elif known is not None:
+            self.fail(f"{status.job_id} had ended and is {status.state}")
+        elif status.state is JobState.ABSENT:
+            self.fail(f"{status.job_id} was accepted and is absent")
+
+    def _check_ended(self, job_id: str, outcome: Outcome) -> None:
+        spec = self.specs[job_id]
+        ran = any(job_of_task(task) == job_id for task, _ in self.started)
+        self.counts[outcome.kind.value] += 1
+        if outcome.kind is OutcomeKind.DONE:
+            for core in self.cores.values():
+                core.advance()
+            done = self.done_tasks()
+            for index in range(len(spec.stages)):
+                if f"{job_id}/{index}" not in done:
+                    self.fail(f"{job_id} ended as done without stage {index}")
+            payload = json.loads(spec.stages[-1].payload)
+            if json.loads(outcome.result)["record"] != payload["record"]:
+                self.fail(f"{job_id} ended with another job's result")
+        elif outcome.kind is OutcomeKind.UNKNOWN:
+            if all(stage.idempotent for stage in spec.stages):
+                self.fail(f"{job_id} is idempotent and ended as unknown")
+        elif outcome.kind is OutcomeKind.CANCELLED:
+            if ran and not outcome.may_have_run:
+                self.fail(f"{job_id} ran and its cancellation says it did not")
+        elif outcome.kind is OutcomeKind.NOT_RUN:
+            self.fail(f"{job_id} ended as not run")
+
+    def check_effects(self) -> None:
+        counts: Counter[str] = Counter()
+        for core in self.cores.values():
+            for effect in core.ledger:
+                counts[effect.task_id] += 1
+        for task, count in counts.items():
+            job_id, _, stage = task.rpartition("/")
+            if count > 1 and not self.specs[job_id].stages[int(stage)].idempotent:
+                self.fail(f"{task} is not idempotent and took effect {count} times")
+
+
+class CheckedCore(WorkerCore):
+    """A worker that checks each start; unlike its base it forgets what it may."""
+
+    def __init__(self, *args: Any, checks: Checks, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._checks = checks
+        checks.cores[self.worker_id] = self
+
+    def start_attempt(self, request: StartAttempt) -> StartResult:
+        self._forgotten.clear()
+        over = self.n_over_capacity
+        key = (request.task_id, request.attempt)
+        self.advance()
+        if key not in self._attempts:
+            self._checks.before_start(self.worker_id, request)
+        result = super().start_attempt(request)
+        if result is StartResult.STARTED:
+            self._checks.on_started(self.worker_id, request)
+        if self.n_over_capacity > over:
+            self._checks.fail(f"{key} does not fit on {self.worker_id}")
+        return result
+
+    def reboot(self) -> None:
+        """Lose everything that runs and everything that ended."""
+        self.advance()
+        self._attempts.clear()
