Give the colocator the last second's calls and the measured slowdown

Cause: the gate's mean and tail reach too far back for a control loop, and the colocator did not pass the slowdown that the ladder uses at the crest.

--- a/packages/daemon/almondspan_daemon/colocation.py
+++ b/packages/daemon/almondspan_daemon/colocation.py
@@ -304,9 +304,10 @@
     def _step(self) -> None:
         now_s = _now_s()
         signals = [view.signal() for view in self._services]
-        for signal in signals:
-            self._remember(now_s, signal)
-        observation = self._observe(now_s, signals)
+        samples = [_sample(now_s, signal) for signal in signals if signal.run_ms > 0.0]
+        for sample in samples:
+            self._aligner.add(sample)
+        observation = self._observe(now_s, signals, samples)
         decision = self._ladder.step(observation)
         self._note_change(now_s, decision)
         self._decision = decision
@@ -316,15 +317,11 @@
         for action in decision.actions:
             self._act(action, now_s)
 
-    def _remember(self, now_s: float, signal: ServiceSignal) -> None:
-        if signal.run_ms > 0.0:
-            busy_share = signal.n_busy / max(1, signal.n_slots)
-            self._aligner.add(
-                ServiceSample(now_s, signal.service, busy_share, signal.run_ms)
-            )
-
     def _observe(
-        self, now_s: float, signals: Sequence[ServiceSignal]
+        self,
+        now_s: float,
+        signals: Sequence[ServiceSignal],
+        samples: Sequence[ServiceSample],
     ) -> LadderObservation:
         harms = dict(self.harms())
         running = self._keeper.running()
@@ -337,6 +334,7 @@
             load=max((signal.load for signal in signals), default=0.0),
             burn_rate=max((signal.burn_rate for signal in signals), default=0.0),
             latency_ratio=max(map(_latency_ratio, signals), default=0.0),
+            slowdown=max(map(self._model.measured_slowdown, samples), default=1.0),
             usage_age_s=age_s,
             tasks=tasks,
         )
@@ -431,6 +429,11 @@
         return shares
 
 
+def _sample(now_s: float, signal: ServiceSignal) -> ServiceSample:
+    busy_share = signal.n_busy / max(1, signal.n_slots)
+    return ServiceSample(now_s, signal.service, busy_share, signal.run_ms)
+
+
 def _latency_ratio(signal: ServiceSignal) -> float:
     return signal.tail_ms / signal.objective_ms if signal.objective_ms > 0.0 else 0.0
 
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/colocation_views.py
@@ -0,0 +1,38 @@
+"""Runner gates as the colocator sees them."""
+
+from typing import Final
+
+from almondspan_daemon.colocation import ServiceSignal
+from almondspan_service.gate import RunnerGate
+
+__all__ = ["GateView"]
+
+RECENT_S: Final = 1.0
+"""The window of run times and tails."""
+
+BURN_S: Final = 5.0
+"""The window of the burn."""
+
+TAIL_SHARE: Final = 0.95
+
+
+class GateView:
+    """A `ServiceView` of a runner's gate."""
+
+    def __init__(self, gate: RunnerGate) -> None:
+        self._gate = gate
+
+    def signal(self) -> ServiceSignal:
+        """Return the service's state now."""
+        status = self._gate.status()
+        recent = self._gate.recent(RECENT_S, TAIL_SHARE)
+        return ServiceSignal(
+            service=status.service,
+            n_slots=status.n_slots,
+            n_busy=status.n_busy,
+            n_queued=status.n_queued,
+            burn_rate=self._gate.burn(BURN_S).burn_rate,
+            run_ms=recent.mean_run_ms,
+            tail_ms=recent.tail_ms,
+            objective_ms=self._gate.objective_ms(),
+        )
--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -25,7 +25,9 @@
 from almondspan_decisions.burn import BurnCounter, burn_rate
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId, EntryId, ServiceName
+from almondspan_decisions.latency_sketch import LatencySketch
 from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_decisions.recent_calls import RecentCalls, RecentSummary
 from almondspan_service.fair_queue import FairQueue
 from almondspan_service.gate_call import GateCall
 from almondspan_service.gate_options import GateOptions
@@ -111,6 +113,8 @@
             options.n_remembered_entries,
         )
         self._burn = BurnCounter()
+        self._recent = RecentCalls()
+        self._latencies = LatencySketch()
         self._tail = LatencyWindow(
             options.tail_period_s, options.tail_share, options.tail_least_calls
         )
@@ -189,6 +193,14 @@
         rate = burn_rate(counts, self._objective_share)
         return BurnSample(counts.n_calls, counts.n_missed, rate)
 
+    def recent(self, window_s: float, tail_share: float) -> RecentSummary:
+        """Return the calls of the last `window_s` seconds, at most three."""
+        return self._recent.summary(_now_s(), window_s, tail_share)
+
+    def latencies(self) -> LatencySketch:
+        """Return the latencies of all calls since the start, in milliseconds."""
+        return self._latencies
+
     def run_ms(self) -> float:
         """Return the mean time of recent calls on the runner, without their wait."""
         return self._run.mean_s * 1000.0
@@ -449,8 +461,11 @@
 
     def _count(self, call: GateCall) -> None:
         now_s = _now_s()
-        self._run.add(now_s - call.dispatched_s)
+        run_s = now_s - call.dispatched_s
+        self._run.add(run_s)
         latency_ms = (now_s - call.arrived_s) * 1000.0
+        self._recent.add(now_s, run_s * 1000.0, latency_ms)
+        self._latencies.add(latency_ms)
         self._burn.record(now_s, latency_ms > self._objective_ms)
         self._tail.add(now_s, latency_ms)
 
--- a/tests/decisions/test_learning.py
+++ b/tests/decisions/test_learning.py
@@ -14,6 +14,7 @@
     ServiceSample,
     merge_pairs,
 )
+from almondspan_decisions.recent_calls import RecentCalls, RecentSummary
 from almondspan_decisions.run_times import RunTimes
 
 SERVICE = ServiceName("listening")
@@ -116,3 +117,16 @@
         47.0, rel=0.05
     )
     assert run_times.remaining_s(QUIET, declared_s, 80.0) == 80.0
+
+
+def test_recent_calls_cover_the_window_and_forget_older_ones() -> None:
+    recent = RecentCalls()
+    assert recent.summary(0.0, 1.0, 0.95) == RecentSummary(0, 0.0, 0.0)
+    for n in range(100):
+        recent.add(n * 0.1, run_ms=10.0 if n < 90 else 20.0, latency_ms=float(n + 1))
+    last = recent.summary(9.95, 1.0, 0.95)
+    assert 8 <= last.n_calls <= 10
+    assert last.mean_run_ms == 20.0
+    assert last.tail_ms == pytest.approx(100.0, rel=0.02)
+    assert recent.summary(9.95, 100.0, 0.95).n_calls <= 30
+    assert recent.summary(20.0, 1.0, 0.95).n_calls == 0
