Let the queue learn run times, and count attained time by stage

Cause: the policy fair saw declared run times only, which are up to ten times wrong, and a late stage of a healthy job looked like a straggler. Change: a shard learns the run time of each class from stages that are done; a new stage starts with no attained time. Conclusion: order follows what was seen.

--- a/packages/decisions/almondspan_decisions/queue_order.py
+++ b/packages/decisions/almondspan_decisions/queue_order.py
@@ -45,7 +45,7 @@
 class QueuedTask:
     """A waiting task as a queue policy sees it.
 
-    ``attained_s`` is the time that earlier attempts of its job ran. ``slack_s`` is
+    ``attained_s`` is the time that earlier attempts of the task ran. ``slack_s`` is
     the time to its deadline less what it still declares, or infinity.
     """
 
--- a/packages/tasks/almondspan_tasks/attempt_owner.py
+++ b/packages/tasks/almondspan_tasks/attempt_owner.py
@@ -201,6 +201,7 @@
         self._book.close_attempt(job, CloseCause.EVICTED, body.ran_s, checkpoint)
 
     def _decide_done(self, job: Job, outcome: Outcome, ran_s: float) -> None:
+        self._book.note_run_time(job, ran_s)
         if job.stage_index + 1 < len(job.spec.stages):
             self._book.advance_stage(job, ran_s)
         else:
--- a/packages/tasks/almondspan_tasks/placing.py
+++ b/packages/tasks/almondspan_tasks/placing.py
@@ -109,7 +109,7 @@
 
     def _ready(self) -> list[tuple[QueueKey, JobId]]:
         now_s = self._book.now_s()
-        context = QueueContext(now_s, self._team_shares())
+        context = QueueContext(now_s, self._team_shares(), self._book.run_times)
         ready: list[tuple[QueueKey, JobId]] = []
         for job_id, waiting in self._book.waiting.items():
             if waiting.is_placing or waiting.ready_s > now_s:
--- a/packages/tasks/almondspan_tasks/shard_book.py
+++ b/packages/tasks/almondspan_tasks/shard_book.py
@@ -12,6 +12,7 @@
 
 from almondspan_decisions.ids import AgentId, JobId, TaskId, WorkerId
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.run_times import RunTimes
 from almondspan_decisions.tasks import JobSpec, job_of_task
 from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
 from almondspan_tasks.deltas import (
@@ -83,6 +84,7 @@
         self.followed: dict[JobId, Followed] = {}
         self.ended: dict[JobId, float] = {}
         self.counters = BookCounters()
+        self.run_times = RunTimes()
         self._options = options
         self._wall_clock = wall_clock
         self._n_uncommitted: dict[JobId, int] = {}
@@ -179,6 +181,10 @@
         self.counters.n_evicted += cause is CloseCause.EVICTED
         self.counters.n_lost += cause is CloseCause.LOST
 
+    def note_run_time(self, job: Job, ran_s: float) -> None:
+        """Learn the whole run time of a stage whose last attempt is done."""
+        self.run_times.observe(job.stage.task_class, job.attained_s + ran_s)
+
     def advance_stage(self, job: Job, ran_s: float) -> None:
         """Begin the next stage."""
         job_id = job.spec.job_id
--- a/packages/tasks/almondspan_tasks/state.py
+++ b/packages/tasks/almondspan_tasks/state.py
@@ -51,7 +51,8 @@
 
     ``attempt`` is the highest attempt number of the current stage that was ever
     assigned; numbers are never used twice. ``failed_on`` names the workers on
-    which the current stage failed.
+    which the current stage failed. ``attained_s`` is the time that earlier attempts
+    of the current stage ran.
     """
 
     spec: JobSpec
@@ -200,4 +201,4 @@
     job.checkpoint = b""
     job.n_failures = 0
     job.failed_on = ()
-    job.attained_s += delta.ran_s
+    job.attained_s = 0.0
