Name the outcomes and broken promises in the measurement

Cause: a count of violations alone does not say which promise broke. Change: outcomes by status and broken promises by name are printed.

--- a/misc/measure.py
+++ b/misc/measure.py
@@ -209,7 +209,8 @@
         except (aiohttp.ClientError, TimeoutError):
             return "unknown"
         if response.status != 200:
-            return response.headers.get("X-Outcome", "unknown")
+            outcome = response.headers.get("X-Outcome", "unknown")
+            return f"{outcome}-{response.status}"
         self.calls.n_wrong += body != clip_body(clip)
         return "done"
 
@@ -309,10 +310,14 @@
             "n_over_connections",
             "n_bills_repeated",
         )
-        n_by_standins = sum(page[name] for page in sums for name in counted)
-        n_twice = sum(count > 1 for count in effects.values())
-        n_places = observer.n_in_two_places
-        return int(n_by_standins + n_twice + n_places + self.calls.n_wrong)
+        found = Counter({name: sum(page[name] for page in sums) for name in counted})
+        found["effects_repeated"] = sum(count > 1 for count in effects.values())
+        found["seen_in_two_places"] = observer.n_in_two_places
+        found["calls_wrong"] = self.calls.n_wrong
+        broken = {name: count for name, count in found.items() if count}
+        if broken or set(self.calls.outcomes) != {"done"}:
+            print(f"  outcomes {dict(self.calls.outcomes)}, broken {broken}")
+        return found.total()
 
     def _lost_core_s(self, observer: Observer, effects: Counter[str]) -> float:
         """Return the work of stopped attempts, all of it when nothing is kept."""
--- a/misc/measure_fleet.py
+++ b/misc/measure_fleet.py
@@ -35,7 +35,6 @@
             memory_mb=mix["memory_mb"] // part,
             seed=seed,
             interference=interference,
-            log_level="warning",
         )
         super().__init__(shape)
         self.mix = mix
@@ -82,7 +81,8 @@
             args += ["--interference", str(path)]
         return args
 
-    def _agent_service(self, index: int) -> str:
+    def service_of(self, index: int) -> str:
+        """Return the service of a node's runner."""
         return self.services[index]
 
     def every_process(self) -> list[ManagedProcess]:
