Refuse claimed requests without saying they never ran; learn stopped runs

Cause: a request id that had run was told as not run when it came again during a store outage, because the claim could not be read. An unanswered claim blocked its own request for ever. A slow runner whose calls were all hedged looked fast, since stopped runs were not counted, and the median moved too slowly. Change: what is refused without a claim is told as not run only when the id was made up here; otherwise as unknown, with 503. The nonce of an unanswered claim is kept for one later call. The median is that of the last 31 runs, and long stopped runs count. A hedge waits for the 90th percentile and at least twice the median. Tables for every adaptive piece and for the routing policies.

--- a/packages/service/almondspan_service/call_spec.py
+++ b/packages/service/almondspan_service/call_spec.py
@@ -14,7 +14,8 @@
 class CallSpec:
     """What a caller asks; ``body_bytes`` is -1 when it is not known.
 
-    ``deadline_s`` is in the time of the event loop.
+    ``deadline_s`` is in the time of the event loop. ``fresh_id`` says that the
+    request id was made up for this call, so that no earlier call has it.
     """
 
     service: ServiceName
@@ -26,6 +27,7 @@
     idempotent: bool
     deadline_s: float
     body_bytes: int = 0
+    fresh_id: bool = False
 
     def left_ms(self) -> float:
         """Return the time to the deadline, in milliseconds; 0 when it passed."""
--- a/packages/service/almondspan_service/entry_call.py
+++ b/packages/service/almondspan_service/entry_call.py
@@ -75,31 +75,31 @@
         self._begun: AnswerHead | None = None
         self._result = b""
 
-    async def read_first(self) -> Outcome | None:
-        """Read the first part of the body; an outcome when that fails."""
+    async def read_first(self) -> str:
+        """Read the first part of the body; returns why that failed, or nothing."""
         if self._spec.body_bytes == 0:
-            return None
+            return ""
         try:
             async with asyncio.timeout_at(self._spec.deadline_s):
                 return await self._read_first()
         except TimeoutError:
-            return Outcome(OutcomeKind.NOT_RUN, "the request's body came too slowly")
+            return "the request's body came too slowly"
 
-    async def _read_first(self) -> Outcome | None:
+    async def _read_first(self) -> str:
         parts: list[bytes] = []
         n_bytes = 0
         self._first_is_all = False
         while n_bytes < REQUEST_WINDOW_BYTES:
             part = await self._body.read(REQUEST_WINDOW_BYTES - n_bytes)
             if isinstance(part, BodyBroken):
-                return Outcome(OutcomeKind.CANCELLED, part.reason)
+                return part.reason
             parts.append(part)
             n_bytes += len(part)
             if not part or n_bytes == self._spec.body_bytes:
                 self._first_is_all = True
                 break
         self._first = b"".join(parts)
-        return None
+        return ""
 
     async def run(self) -> Outcome:
         """Send the request and relay its answer; returns what the caller got."""
--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -112,7 +112,7 @@
         )
         self._burn = BurnCounter()
         self._tail = LatencyWindow(
-            options.tail_period_s, options.tail_share, options.tail_least_calls
+            options.tail_period_s, (options.tail_share,), options.tail_least_calls
         )
         self._run = RunEstimate(options.initial_run_s)
         self._objective_ms = options.objective_latency_ms
@@ -195,7 +195,8 @@
 
     def tail_ms(self) -> float:
         """Return a high quantile of recent whole latencies; 0 while unknown."""
-        return self._tail.quantile_ms(_now_s()) or 0.0
+        known_ms = self._tail.quantiles_ms(_now_s())
+        return known_ms[0] if known_ms else 0.0
 
     def objective_ms(self) -> float:
         """Return the latency that the service's objective allows."""
@@ -313,6 +314,8 @@
 
     def _after_run(self, call: GateCall, task: asyncio.Task[None]) -> None:
         """Free what a call held; also after a cancel before its first step."""
+        if not call.counted:
+            self._run.add_stopped(_now_s() - call.dispatched_s)
         self._over(call)
         self._release(call)
         if task.cancelled():
@@ -449,6 +452,7 @@
 
     def _count(self, call: GateCall) -> None:
         now_s = _now_s()
+        call.counted = True
         self._run.add(now_s - call.dispatched_s)
         latency_ms = (now_s - call.arrived_s) * 1000.0
         self._burn.record(now_s, latency_ms > self._objective_ms)
--- a/packages/service/almondspan_service/gate_call.py
+++ b/packages/service/almondspan_service/gate_call.py
@@ -76,6 +76,7 @@
         "answer_credit",
         "arrived_s",
         "body",
+        "counted",
         "deadline_s",
         "detached",
         "dispatched_s",
@@ -96,6 +97,7 @@
         self.body = RequestBody(opened.data, opened.end)
         self.answer_credit = Credit(opened.credit_bytes)
         self.has_slot = False
+        self.counted = False
         self.detached = False
         self.recover = False
         self.shed_timer: asyncio.TimerHandle | None = None
--- a/packages/service/almondspan_service/hedging.py
+++ b/packages/service/almondspan_service/hedging.py
@@ -1,16 +1,22 @@
 """When a second attempt is sent for a call whose first one is slow.
 
 The delay is a high quantile of the recent times until an answer began, learned per
-service. Only idempotent requests are hedged, only when another runner has a free
-slot, and each hedge is paid from the retry budget.
+service, and at least a multiple of their median: when all calls take about as long,
+hardly any is hedged. Only idempotent requests are hedged, only when another runner
+has a free slot, and each hedge is paid from the retry budget.
 """
 
+from typing import Final
+
 from almondspan_decisions.ids import ServiceName
 from almondspan_service.latency import LatencyWindow
 from almondspan_service.router_options import RouterOptions
 
 __all__ = ["HedgeDelays"]
 
+MEDIAN_MULTIPLE: Final = 2.0
+"""The least delay, in medians."""
+
 
 class HedgeDelays:
     """Learned delays by service."""
@@ -25,7 +31,7 @@
         if window is None:
             window = self._windows[service] = LatencyWindow(
                 self._options.hedge_period_s,
-                self._options.hedge_quantile,
+                (0.5, self._options.hedge_quantile),
                 self._options.hedge_least_calls,
             )
         window.add(now_s, latency_ms)
@@ -33,7 +39,9 @@
     def delay_s(self, service: ServiceName, now_s: float) -> float | None:
         """Return how long to wait before a hedge; None while not known."""
         window = self._windows.get(service)
-        quantile_ms = None if window is None else window.quantile_ms(now_s)
-        if quantile_ms is None:
+        known_ms = () if window is None else window.quantiles_ms(now_s)
+        if not known_ms:
             return None
-        return max(quantile_ms, self._options.hedge_least_ms) / 1000.0
+        median_ms, high_ms = known_ms
+        least_ms = max(median_ms * MEDIAN_MULTIPLE, self._options.hedge_least_ms)
+        return max(high_ms, least_ms) / 1000.0
--- a/packages/service/almondspan_service/http_edge.py
+++ b/packages/service/almondspan_service/http_edge.py
@@ -84,6 +84,7 @@
         idempotent=idempotent,
         deadline_s=now_s + min(timeout_ms, max_timeout_ms) / 1000.0,
         body_bytes=_body_bytes(request),
+        fresh_id=not headers.get(REQUEST_ID_HEADER),
     )
 
 
@@ -227,8 +228,10 @@
 
 @error_status(OutcomeKind.UNKNOWN)
 def unknown_status(outcome: Outcome) -> HTTPStatus:
-    """Tell the caller that no answer came in time."""
-    return HTTPStatus.GATEWAY_TIMEOUT
+    """Tell apart whether an answer is missing or nothing was sent this time."""
+    if outcome.may_have_run:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.SERVICE_UNAVAILABLE
 
 
 @error_status(OutcomeKind.CANCELLED)
--- a/packages/service/almondspan_service/latency.py
+++ b/packages/service/almondspan_service/latency.py
@@ -1,8 +1,8 @@
 """Quantiles of recent latencies in bounded memory.
 
 Latencies are counted in a sketch that is replaced after each period; the one before
-it is kept. A quantile covers both, so it reaches back from one to two periods. It is
-computed anew only after a while, since it is asked for with every call.
+it is kept. Quantiles cover both, so they reach back from one to two periods. They are
+computed anew only after a while, since they are asked for with every call.
 """
 
 from typing import Final
@@ -12,20 +12,22 @@
 __all__ = ["LatencyWindow"]
 
 REFRESH_S: Final = 0.5
-"""How long a computed quantile is used, in seconds."""
+"""How long computed quantiles are used, in seconds."""
 
 
 class LatencyWindow:
-    """Latencies of the last one to two periods, and one quantile of them."""
+    """Latencies of the last one to two periods, and some quantiles of them."""
 
-    def __init__(self, period_s: float, share: float, n_least: int) -> None:
+    def __init__(
+        self, period_s: float, shares: tuple[float, ...], n_least: int
+    ) -> None:
         self._period_s = period_s
-        self._share = share
+        self._shares = shares
         self._n_least = n_least
         self._begin_s = 0.0
         self._current = LatencySketch()
         self._previous = LatencySketch()
-        self._quantile_ms: float | None = None
+        self._quantiles_ms: tuple[float, ...] = ()
         self._computed_s = float("-inf")
 
     def add(self, now_s: float, latency_ms: float) -> None:
@@ -33,17 +35,19 @@
         self._turn(now_s)
         self._current.add(latency_ms)
 
-    def quantile_ms(self, now_s: float) -> float | None:
-        """Return the quantile; None while too few latencies are known."""
+    def quantiles_ms(self, now_s: float) -> tuple[float, ...]:
+        """Return the quantiles; none while too few latencies are known."""
         if now_s < self._computed_s + REFRESH_S:
-            return self._quantile_ms
+            return self._quantiles_ms
         self._turn(now_s)
         self._computed_s = now_s
         both = LatencySketch(self._previous.pairs())
         both.merge(self._current)
-        enough = both.n_values >= self._n_least
-        self._quantile_ms = both.quantile(self._share) if enough else None
-        return self._quantile_ms
+        if both.n_values >= self._n_least:
+            self._quantiles_ms = tuple(both.quantile(one) for one in self._shares)
+        else:
+            self._quantiles_ms = ()
+        return self._quantiles_ms
 
     def _turn(self, now_s: float) -> None:
         age_s = now_s - self._begin_s
--- a/packages/service/almondspan_service/router.py
+++ b/packages/service/almondspan_service/router.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import uuid
 from collections.abc import Coroutine
 from random import Random
 
@@ -19,6 +18,7 @@
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_service.call_spec import AnswerSink, BodyReader, CallSpec
 from almondspan_service.caller_shares import CallerShares
+from almondspan_service.claim_desk import ClaimDesk
 from almondspan_service.counters import RouterCounters
 from almondspan_service.dispatcher import Dispatcher, SendToAgent
 from almondspan_service.entry_call import EntryCall
@@ -66,6 +66,7 @@
         rng: Random,
     ) -> None:
         self._claims = claims
+        self._claim_desk = ClaimDesk(claims)
         self._options = options
         self.counters = RouterCounters()
         self._table = RunnerTable(entry_id, place, options, self.counters, rng)
@@ -141,10 +142,10 @@
         claim of its request id.
         """
         if self._draining:
-            return Outcome(OutcomeKind.NOT_RUN, "the entry drains")
+            return _refused(spec, "the entry drains")
         if not self._shares.admit(spec.caller):
             self.counters.n_refused_callers += 1
-            return Outcome(OutcomeKind.NOT_RUN, "the caller has too many calls")
+            return _refused(spec, "the caller has too many calls")
         self._idle.clear()
         try:
             ended = await self._carry(spec, body, sink)
@@ -161,14 +162,14 @@
     ) -> Outcome | Claim:
         call = EntryCall(spec, body, sink, self._dispatcher)
         broken = await call.read_first()
-        if broken is not None:
-            return broken
+        if broken:
+            return _refused(spec, broken)
         if not spec.idempotent:
-            claim = await self._claim(spec)
+            claim = await self._claim_desk.claim(spec)
             if claim.state is ClaimState.TAKEN:
                 return claim
             if claim.state is ClaimState.UNAVAILABLE:
-                return Outcome(OutcomeKind.NOT_RUN, f"no claim: {claim.reason}")
+                return _refused(spec, f"no claim: {claim.reason}")
         return await self._run(spec, call)
 
     async def _run(self, spec: CallSpec, call: EntryCall) -> Outcome:
@@ -181,13 +182,6 @@
             if not spec.idempotent:
                 self._start(self._settle(spec, call, outcome))
 
-    async def _claim(self, spec: CallSpec) -> Claim:
-        try:
-            async with asyncio.timeout_at(spec.deadline_s):
-                return await self._claims.claim(spec.request_id, uuid.uuid4().hex)
-        except TimeoutError:
-            return Claim(ClaimState.UNAVAILABLE, None, "the claim took too long")
-
     async def _settle(
         self, spec: CallSpec, call: EntryCall, outcome: Outcome | None
     ) -> None:
@@ -223,5 +217,16 @@
         return service.default_timeout_ms
 
 
+def _refused(spec: CallSpec, reason: str) -> Outcome:
+    """Return the outcome of a call that was not sent and holds no claim.
+
+    For a request id that the caller chose, an earlier call may have run it.
+    """
+    if spec.idempotent or spec.fresh_id:
+        return Outcome(OutcomeKind.NOT_RUN, reason)
+    reason = f"not sent this time: {reason}; an earlier request may have run"
+    return Outcome(OutcomeKind.UNKNOWN, reason)
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/service/almondspan_service/router_options.py
+++ b/packages/service/almondspan_service/router_options.py
@@ -36,7 +36,7 @@
     n_subset: int = 16
     max_in_flight: int = 4096
     slow_start_s: float = 10.0
-    hedge_quantile: float = 0.95
+    hedge_quantile: float = 0.9
     hedge_period_s: float = 15.0
     hedge_least_calls: int = 50
     hedge_least_ms: float = 2.0
--- a/packages/service/almondspan_service/run_estimate.py
+++ b/packages/service/almondspan_service/run_estimate.py
@@ -1,37 +1,56 @@
-"""How long calls run at a runner, estimated without keeping them.
+"""How long calls run at a runner, from its recent runs.
 
 The mean follows each run by a small share: it tells how fast a queue empties. The
-median moves up or down by a small ratio: it tells how long one more call takes, and
-a few very long runs do not move it.
+median of the last runs tells how long one more call takes; a few very long runs do
+not move it.
 """
 
+from bisect import bisect_left, insort
+from collections import deque
 from typing import Final
 
 __all__ = ["RunEstimate"]
 
-MEAN_SHARE: Final = 0.1
+MEAN_SHARE: Final = 0.05
 """Weight of the newest run in the mean."""
 
-MEDIAN_STEP: Final = 1.05
-"""Ratio by which one run moves the median."""
+N_LEAST: Final = 5
+"""Runs below which the median is the initial one."""
+
+N_RECENT: Final = 31
+"""Runs that the median is taken of."""
 
 
 class RunEstimate:
     """Mean and median of recent run times, in seconds."""
 
-    __slots__ = ("mean_s", "median_s")
+    __slots__ = ("_recent", "_sorted", "mean_s", "median_s")
 
     def __init__(self, initial_s: float) -> None:
         self.mean_s = initial_s
         self.median_s = initial_s
+        self._recent: deque[float] = deque()
+        self._sorted: list[float] = []
 
     def add(self, run_s: float) -> None:
         """Count one run."""
-        self.mean_s += MEAN_SHARE * (run_s - self.mean_s)
+        share = max(MEAN_SHARE, 1.0 / (len(self._recent) + 1))
+        self.mean_s += share * (run_s - self.mean_s)
+        if len(self._recent) == N_RECENT:
+            oldest_s = self._recent.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest_s)]
+        self._recent.append(run_s)
+        insort(self._sorted, run_s)
+        if len(self._sorted) >= N_LEAST:
+            self.median_s = self._sorted[len(self._sorted) // 2]
+
+    def add_stopped(self, run_s: float) -> None:
+        """Count a run that was stopped early, if it was already a long one.
+
+        Without these, a slow runner whose calls are all hedged would look fast.
+        """
         if run_s > self.median_s:
-            self.median_s *= MEDIAN_STEP
-        else:
-            self.median_s /= MEDIAN_STEP
+            self.add(run_s)
 
     def finish_s(self, n_ahead: int, n_slots: int) -> float:
         """Return when a call ends that comes after `n_ahead` queued ones."""
--- a/tests/service/service_clock.py
+++ b/tests/service/service_clock.py
@@ -35,4 +35,12 @@
     try:
         return loop.run_until_complete(work)
     finally:
+        loop.run_until_complete(_cancel_rest())
         loop.close()
+
+
+async def _cancel_rest() -> None:
+    rest = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in rest:
+        task.cancel()
+    await asyncio.gather(*rest, return_exceptions=True)
--- a/tests/service/service_path.py
+++ b/tests/service/service_path.py
@@ -19,6 +19,7 @@
 from almondspan_decisions.shapes import EMPTY_SHAPE
 from almondspan_service.call_spec import BodyBroken, CallSpec
 from almondspan_service.gate import RunnerGate
+from almondspan_service.gate_call import BodyAborted
 from almondspan_service.gate_options import GateOptions
 from almondspan_service.router import ServiceRouter
 from almondspan_service.router_options import RouterOptions
@@ -39,12 +40,16 @@
         self.holders: dict[RequestId, str] = {}
         self.settled: dict[RequestId, Outcome] = {}
         self.up = True
+        self.loses_answers = False
 
     async def claim(self, request_id: RequestId, nonce: str) -> Claim:
         await asyncio.sleep(0)
         if not self.up:
             return Claim(ClaimState.UNAVAILABLE, None, "the store is down")
-        if self.holders.setdefault(request_id, nonce) == nonce:
+        holder = self.holders.setdefault(request_id, nonce)
+        if self.loses_answers:
+            return Claim(ClaimState.UNAVAILABLE, None, "no answer")
+        if holder == nonce:
             return Claim(ClaimState.GRANTED)
         return Claim(ClaimState.TAKEN, self.settled.get(request_id))
 
@@ -115,6 +120,8 @@
         self.runs.append(dict(request.headers)["X-Request-Id"])
         try:
             answer = await self.serve(request)
+        except BodyAborted:
+            answer = RunnerFault(True, "the body broke off")
         except BaseException:
             self.n_busy -= 1
             raise
--- /dev/null
+++ b/tests/service/test_adaptive_routing.py
@@ -0,0 +1,214 @@
+"""What the router as a whole does with failing, slow, new and flapping runners."""
+
+import asyncio
+
+import pytest
+from service_clock import run_virtual
+from service_path import FakeRunner, ServicePath, echo
+
+from almondspan_decisions.fleet import FleetConfig, PolicyConfig
+from almondspan_decisions.ids import AgentId, CallerId
+from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_service.router_options import RouterOptions
+from almondspan_service.runner_client import RunnerFault
+
+A = AgentId("a")
+NAMES = ["a", "b", "c", "d"]
+
+
+def timed(run_s):
+    """Return an echo after `run_s()` seconds."""
+
+    async def serve(request):
+        await asyncio.sleep(run_s())
+        return await echo(request)
+
+    return serve
+
+
+async def offer(path: ServicePath, n_calls: int, gap_s: float = 0.01, **changes):
+    """Make calls at an even pace and return their outcomes."""
+    calls = []
+    for n in range(n_calls):
+        spec = path.spec(f"r{n}", **changes)
+        calls.append(asyncio.create_task(path.call(spec)))
+        await asyncio.sleep(gap_s)
+        if n % 50 == 49:
+            for agent_id in path.connected:
+                path.tell_status(agent_id)
+    return [outcome for outcome, _ in await asyncio.gather(*calls)]
+
+
+def test_a_failing_runner_is_ejected_and_comes_back() -> None:
+    async def run() -> None:
+        fails = True
+
+        async def serve(request):
+            await asyncio.sleep(0.01)
+            return RunnerFault(True, "reset") if fails else await echo(request)
+
+        runners = {name: FakeRunner(timed(lambda: 0.01)) for name in NAMES}
+        runners["a"] = FakeRunner(serve)
+        async with ServicePath(runners) as path:
+            outcomes = await offer(path, 200)
+            assert {one.kind for one in outcomes} == {OutcomeKind.DONE}
+            assert 5 <= len(runners["a"].runs) <= 15
+            assert path.router.counters.n_ejections >= 1
+            fails = False
+            await asyncio.sleep(10.0)
+            await offer(path, 3000)
+            n_before = len(runners["a"].runs)
+            await offer(path, 400)
+            assert len(runners["a"].runs) - n_before > 60
+
+    run_virtual(run())
+
+
+def test_not_all_runners_are_ejected() -> None:
+    async def run() -> None:
+        async def serve(request):
+            return RunnerFault(True, "reset")
+
+        async with ServicePath({name: FakeRunner(serve) for name in NAMES}) as path:
+            await offer(path, 200)
+            assert path.router.counters.n_ejections == 1
+
+    run_virtual(run())
+
+
+def test_a_slow_runner_gets_few_calls() -> None:
+    async def run() -> None:
+        runners = {name: FakeRunner(timed(lambda: 0.01)) for name in NAMES}
+        runners["a"] = FakeRunner(timed(lambda: 0.5))
+        async with ServicePath(runners) as path:
+            await offer(path, 500)
+            assert len(runners["a"].runs) < 40
+
+    run_virtual(run())
+
+
+def test_a_returning_runner_starts_slowly() -> None:
+    async def run() -> None:
+        runners = {name: FakeRunner(timed(lambda: 0.02)) for name in NAMES}
+        async with ServicePath(runners) as path:
+            await offer(path, 1200)
+            path.lose(A)
+            path.join(A)
+            n_before = len(runners["a"].runs)
+            await offer(path, 100, 0.002)
+            n_first = len(runners["a"].runs) - n_before
+            await offer(path, 1200)
+            n_before = len(runners["a"].runs)
+            await offer(path, 100, 0.002)
+            n_later = len(runners["a"].runs) - n_before
+            assert n_first < 10 < n_later
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("n_flaps", "used"),
+    [pytest.param(1, True, id="once"), pytest.param(4, False, id="flapping")],
+)
+def test_a_flapping_agent_is_left_out_for_a_while(n_flaps: int, used: bool) -> None:
+    async def run() -> None:
+        runners = {name: FakeRunner(timed(lambda: 0.02)) for name in NAMES}
+        async with ServicePath(runners) as path:
+            for _ in range(n_flaps):
+                path.lose(A)
+                await asyncio.sleep(0.5)
+                path.join(A)
+            await asyncio.sleep(10.0)
+            await offer(path, 200)
+            assert (len(runners["a"].runs) > 0) is used
+            await asyncio.sleep(60.0)
+            await offer(path, 200)
+            assert len(runners["a"].runs) > 0
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "longest_s", "n_runs"),
+    [
+        pytest.param(True, 0.3, 310, id="idempotent"),
+        pytest.param(False, 1.01, 300, id="claimed"),
+    ],
+)
+def test_hedges_cut_the_tail_of_idempotent_calls(idempotent, longest_s, n_runs):
+    async def run() -> None:
+        seen = set()
+
+        async def serve(request):
+            straggles = int(request.path[2:]) % 20 == 7 and request.path not in seen
+            seen.add(request.path)
+            await asyncio.sleep(1.0 if straggles else 0.02)
+            return await echo(request)
+
+        runners = {name: FakeRunner(serve) for name in NAMES}
+        async with ServicePath(runners) as path:
+            latencies_s = []
+            loop = asyncio.get_running_loop()
+            for n in range(300):
+                begun_s = loop.time()
+                outcome, _ = await path.call(path.spec(f"r{n}", idempotent))
+                assert outcome.kind is OutcomeKind.DONE
+                latencies_s.append(loop.time() - begun_s)
+            assert max(latencies_s[100:]) < longest_s
+            n_all = sum(len(runner.runs) for runner in runners.values())
+            assert n_runs <= n_all <= 320
+            assert (path.router.counters.n_hedges > 0) is idempotent
+
+    run_virtual(run())
+
+
+def test_retries_and_hedges_stay_in_their_budget() -> None:
+    async def run() -> None:
+        async def serve(request):
+            await asyncio.sleep(0.01)
+            return RunnerFault(True, "reset")
+
+        runners = {name: FakeRunner(serve) for name in NAMES}
+        async with ServicePath(runners) as path:
+            await offer(path, 1000)
+            n_all = sum(len(runner.runs) for runner in runners.values())
+            assert 1100 < n_all <= 1000 * 1.2 + 10
+
+    run_virtual(run())
+
+
+def test_one_callers_burst_at_the_entry_leaves_room_for_others() -> None:
+    async def run() -> None:
+        runners = {"a": FakeRunner(timed(lambda: 0.05))}
+        options = RouterOptions(max_in_flight=40)
+        async with ServicePath(runners, options) as path:
+            burst = [
+                asyncio.create_task(
+                    path.call(path.spec(f"b{n}", caller=CallerId("burst")))
+                )
+                for n in range(100)
+            ]
+            await asyncio.sleep(0.01)
+            outcome, _ = await path.call(path.spec("q", caller=CallerId("quiet")))
+            assert outcome.kind is OutcomeKind.DONE
+            kinds = [one.kind for one, _ in await asyncio.gather(*burst)]
+            assert kinds.count(OutcomeKind.NOT_RUN) == 80
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize("policy", ["random", "round_robin", "least_loaded"])
+def test_the_configured_policy_is_used(policy: str) -> None:
+    async def run() -> None:
+        runners = {name: FakeRunner() for name in NAMES}
+        async with ServicePath(runners) as path:
+            fleet = FleetConfig(policies=PolicyConfig(routing=policy))
+            path.router.set_fleet(fleet)
+            await offer(path, 40)
+            runs = sorted(len(runner.runs) for runner in runners.values())
+            if policy == "round_robin":
+                assert runs == [10, 10, 10, 10]
+            if policy == "least_loaded":
+                assert runs == [0, 0, 0, 40]
+
+    run_virtual(run())
--- a/tests/service/test_service_path.py
+++ b/tests/service/test_service_path.py
@@ -69,13 +69,31 @@
         runner = FakeRunner()
         async with ServicePath({"a": runner}) as path:
             path.claims.up = False
-            outcome, _ = await path.call(path.spec("pay", idempotent=False))
+            outcome, _ = await path.call(path.spec("pay", False, fresh_id=True))
             assert outcome.kind is OutcomeKind.NOT_RUN
+            outcome, _ = await path.call(path.spec("pay", False))
+            assert outcome.kind is OutcomeKind.UNKNOWN
+            assert not outcome.may_have_run
             assert runner.runs == []
 
     asyncio.run(run())
 
 
+def test_an_unanswered_claim_is_continued_by_one_call() -> None:
+    async def run() -> None:
+        runner = FakeRunner()
+        async with ServicePath({"a": runner}) as path:
+            path.claims.loses_answers = True
+            await path.call(path.spec("pay", False))
+            path.claims.loses_answers = False
+            again = [path.call(path.spec("pay", False)) for _ in range(3)]
+            ended = [one for one, _ in await asyncio.gather(*again)]
+            assert runner.runs == ["pay"]
+            assert sum(isinstance(one, Claim) for one in ended) == 2
+
+    asyncio.run(run())
+
+
 async def refuse(request):
     return RunnerFault(False, "refused")
 
--- a/tests/service/test_service_random.py
+++ b/tests/service/test_service_random.py
@@ -130,10 +130,22 @@
         await asyncio.sleep(self.rng.random())
         gate.resume()
 
+    async def claim_outage(self) -> None:
+        await asyncio.sleep(self.rng.random() * 10.0)
+        self.path.claims.up = False
+        await asyncio.sleep(self.rng.random())
+        self.path.claims.up = True
+
     async def run(self) -> None:
         async with self.path:
             calls = [self.call(n) for n in range(N_CALLS)]
-            await asyncio.gather(*calls, self.faults(), self.faults(), self.drains())
+            await asyncio.gather(
+                *calls,
+                self.faults(),
+                self.faults(),
+                self.drains(),
+                self.claim_outage(),
+            )
             assert self.path.router.n_in_flight() == 0
             await asyncio.sleep(60.0)
             self.check_rest()
