Keep a request's path from naming another host

Cause: the runner's address and the request's path were joined as references, so that a path with two leading slashes was sent to the host that it names, and dots in a path were resolved. A call without a path had no route. Change: the path is appended as it came; calls without a path have a route. Measured: the cases host, dots and no-path failed before. Conclusion: a caller reaches only the runner.

--- a/packages/service/almondspan_service/http_edge.py
+++ b/packages/service/almondspan_service/http_edge.py
@@ -106,9 +106,11 @@
 
 def _path(request: web.Request) -> str:
     """Return path and query as they were sent, without the route's prefix."""
-    _, _, rest = request.raw_path.lstrip("/").partition("/")
-    _, _, path = rest.partition("/")
-    return "/" + path
+    parts = request.rel_url.raw_path_qs.split("/", 3)
+    if len(parts) > 3:
+        return "/" + parts[3]
+    _, mark, query = parts[2].partition("?")
+    return "/" + mark + query
 
 
 def _request_headers(request: web.Request) -> Headers:
--- a/packages/service/almondspan_service/router.py
+++ b/packages/service/almondspan_service/router.py
@@ -40,7 +40,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-CALL_ROUTE = "/call/{service}/{path:.*}"
+CALL_ROUTES = ("/call/{service}", "/call/{service}/{path:.*}")
 
 
 class ServiceRouter:
@@ -106,8 +106,9 @@
         return self._dispatcher.n_open()
 
     def add_routes(self, app: web.Application) -> None:
-        """Register the route of calls for all methods."""
-        app.router.add_route("*", CALL_ROUTE, self._handle)
+        """Register the routes of calls for all methods."""
+        for route in CALL_ROUTES:
+            app.router.add_route("*", route, self._handle)
 
     def set_fleet(self, fleet: FleetConfig) -> None:
         """Take services and the routing policy from a configuration."""
--- a/packages/service/almondspan_service/runner_client.py
+++ b/packages/service/almondspan_service/runner_client.py
@@ -145,7 +145,7 @@
     """
 
     def __init__(self, url: str, n_connections: int, connect_timeout_s: float) -> None:
-        self._url = URL(url)
+        self._base = url.rstrip("/")
         self._n_connections = n_connections
         self._connect_timeout_s = connect_timeout_s
         self._session: aiohttp.ClientSession | None = None
@@ -171,7 +171,8 @@
     async def send(self, request: RunnerRequest) -> RunnerAnswer | RunnerFault:
         """Send a request once and return when the answer's headers are there."""
         assert self._session is not None
-        url = self._url.join(URL(request.path, encoded=True))
+        # A path is appended and not joined: it may begin like another host.
+        url = URL(self._base + request.path, encoded=True)
         headers = list(request.headers)
         if request.body_bytes > 0:
             headers.append(("Content-Length", str(request.body_bytes)))
--- a/tests/service/test_service_http.py
+++ b/tests/service/test_service_http.py
@@ -86,6 +86,19 @@
         pytest.param("GET", "/a?x=%20y", b"", b"GET /a?x=%20y school ", id="get"),
         pytest.param("GET", "/a%2Fb", b"", b"GET /a%2Fb school ", id="escaped"),
         pytest.param("POST", "/", b"hi", b"POST / school hi", id="post"),
+        pytest.param("GET", "", b"", b"GET / school ", id="no-path"),
+        pytest.param("GET", "?x=1", b"", b"GET /?x=1 school ", id="only-query"),
+        pytest.param(
+            "GET", "//127.0.0.2:9/x", b"", b"GET //127.0.0.2:9/x school ", id="host"
+        ),
+        pytest.param(
+            "GET",
+            "/http://127.0.0.2:9/",
+            b"",
+            b"GET /http://127.0.0.2:9/ school ",
+            id="address",
+        ),
+        pytest.param("GET", "/a/../b", b"", b"GET /a/../b school ", id="dots"),
         pytest.param("PUT", "/p", b"z" * 300_000, None, id="large"),
         pytest.param("POST", "/stream", b"z" * 3_000_000, None, id="stream"),
     ],
