Receive all frames at hand at once

Cause: a channel set a timer and waited twice for every frame. Change: one read takes what has arrived, and frames are cut out of it. A peer is silent when nothing at all arrives within the limit, as before for whole frames.

--- a/packages/wire/almondspan_wire/channel.py
+++ b/packages/wire/almondspan_wire/channel.py
@@ -37,6 +37,9 @@
 ]
 
 _LENGTH: Final = struct.Struct(">I")
+READ_BYTES: Final = 64 * 1024
+"""The most that is received at once."""
+
 BUFFER_LIMIT_BYTES: Final = 256 * 1024
 """`send` waits while more than this is buffered."""
 
@@ -107,6 +110,8 @@
         self._closed: ChannelClosed | None = None
         self._last_sent_s = 0.0
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._received = bytearray()
+        self._n_taken = 0
         self.n_bytes_sent = 0
         self.n_bytes_received = 0
         self.n_posts_dropped = 0
@@ -171,22 +176,45 @@
         return self._closed
 
     async def _read_frame(self) -> bytes | None:
+        """Return the next frame; None when the channel has ended."""
+        while self._closed is None:
+            frame = self._take_frame()
+            if frame is not None:
+                return frame
+            await self._fill()
+        return None
+
+    def _take_frame(self) -> bytes | None:
+        """Take a whole frame out of what was received; None when there is none."""
+        begin = self._n_taken + _LENGTH.size
+        if len(self._received) < begin:
+            return None
+        (n_bytes,) = _LENGTH.unpack_from(self._received, self._n_taken)
+        if n_bytes > MAX_FRAME_BYTES:
+            self._end(CloseCause.MALFORMED, f"frame of {n_bytes} bytes")
+            return None
+        if len(self._received) < begin + n_bytes:
+            return None
+        self._n_taken = begin + n_bytes
+        return bytes(self._received[begin : self._n_taken])
+
+    async def _fill(self) -> None:
+        """Receive more; everything at hand at once, since frames are small."""
+        del self._received[: self._n_taken]
+        self._n_taken = 0
         try:
             async with asyncio.timeout(self._options.silence_s):
-                head = await self._reader.readexactly(_LENGTH.size)
-                (n_bytes,) = _LENGTH.unpack(head)
-                if n_bytes > MAX_FRAME_BYTES:
-                    self._end(CloseCause.MALFORMED, f"frame of {n_bytes} bytes")
-                    return None
-                data = await self._reader.readexactly(n_bytes)
+                data = await self._reader.read(READ_BYTES)
         except TimeoutError:
             self._end(CloseCause.SILENT, "nothing arrived within the limit")
-            return None
-        except (asyncio.IncompleteReadError, OSError) as error:
+            return
+        except OSError as error:
             self._end(CloseCause.CLOSED_BY_PEER, str(error))
-            return None
-        self.n_bytes_received += n_bytes + _LENGTH.size
-        return data
+            return
+        if not data:
+            self._end(CloseCause.CLOSED_BY_PEER, "the peer has closed")
+        self._received += data
+        self.n_bytes_received += len(data)
 
     async def close(self) -> None:
         """Close the connection and stop the heartbeats."""
