Split the gate into admission, relay, outbox and meter

Change: the relay of answers, the making of messages and the measuring have modules of their own; an answer is kept before its last part is sent. Conclusion: no change in behaviour but for the order of keeping.

--- /dev/null
+++ b/packages/service/almondspan_service/answer_relay.py
@@ -0,0 +1,147 @@
+"""Relays a runner's answer to the entry that opened the call.
+
+A small answer of known length is read whole and goes in one message. Any other one
+goes in parts, as far as the entry has granted credit. The answer to a call that is
+not idempotent is kept, if it is not too large, for an entry whose channel is lost.
+"""
+
+from collections.abc import Callable
+
+from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_service.gate_call import GateCall
+from almondspan_service.gate_options import GateOptions
+from almondspan_service.gate_outbox import GateOutbox
+from almondspan_service.ledger import CallKey, CallLedger
+from almondspan_service.runner_client import RunnerAnswer, RunnerFault
+from almondspan_wire.service_messages import AnswerData
+
+__all__ = ["AnswerRelay"]
+
+CallHook = Callable[[GateCall], None]
+
+
+class AnswerRelay:
+    """Relays the answers of one runner.
+
+    Parameters
+    ----------
+    outbox : sends messages to entries.
+    ledger : keeps answers.
+    options : limits.
+    on_answer : called when an answer has come, whole or its head.
+    on_read : called when the runner is done with a call.
+    """
+
+    def __init__(
+        self,
+        outbox: GateOutbox,
+        ledger: CallLedger,
+        options: GateOptions,
+        on_answer: CallHook,
+        on_read: CallHook,
+    ) -> None:
+        self._outbox = outbox
+        self._ledger = ledger
+        self._options = options
+        self._on_answer = on_answer
+        self._on_read = on_read
+
+    async def relay(self, call: GateCall, answer: RunnerAnswer) -> None:
+        """Relay an answer to its end."""
+        if 0 <= answer.body_bytes <= self._options.whole_answer_bytes:
+            await self._relay_whole(call, answer)
+        else:
+            await self._relay_parts(call, answer)
+
+    def send_kept(self, key: CallKey) -> None:
+        """Send the kept answer of a call that is over, or that there is none."""
+        kept = self._ledger.kept_answer(key)
+        if kept is not None:
+            self._outbox.post(key.entry_id, kept)
+            return
+        reason = "it ran and its answer is lost"
+        self._outbox.notify_end(key, OutcomeKind.UNKNOWN, reason)
+
+    async def _relay_whole(self, call: GateCall, answer: RunnerAnswer) -> None:
+        body = await _read_whole(answer)
+        if isinstance(body, RunnerFault):
+            await self._broke_off(call, body)
+            return
+        self._on_answer(call)
+        self._on_read(call)
+        head = self._outbox.head(call.key, answer, body, end=True)
+        if not call.opened.idempotent:
+            self._ledger.keep_answer(call.key, head)
+        await self._outbox.send_last(call, head)
+
+    async def _relay_parts(self, call: GateCall, answer: RunnerAnswer) -> None:
+        self._on_answer(call)
+        head = self._outbox.head(call.key, answer, b"", end=False)
+        await self._outbox.send(call, head)
+        kept = None if call.opened.idempotent else bytearray()
+        sequence = 0
+        n_bytes = 0
+        end = False
+        while not end:
+            part = await self._read_part(call, answer)
+            if isinstance(part, RunnerFault):
+                await self._broke_off(call, part)
+                return
+            n_bytes += len(part)
+            end = not part or n_bytes == answer.body_bytes
+            kept = self._keep(kept, part)
+            if end:
+                self._on_read(call)
+                self._keep_whole(call, answer, kept)
+            await self._outbox.send(call, _data(call.key, sequence, part, end))
+            sequence += 1
+        if call.recover:
+            self.send_kept(call.key)
+
+    async def _read_part(
+        self, call: GateCall, answer: RunnerAnswer
+    ) -> bytes | RunnerFault:
+        """Read as much as the entry takes; any amount when the entry is lost."""
+        n_wanted = self._options.chunk_bytes
+        n_granted = await call.answer_credit.take(n_wanted)
+        part = await answer.read(n_granted or n_wanted)
+        if isinstance(part, bytes) and n_granted > len(part):
+            call.answer_credit.grant(n_granted - len(part))
+        return part
+
+    def _keep(self, kept: bytearray | None, part: bytes) -> bytearray | None:
+        if kept is None or len(kept) + len(part) > self._options.kept_answer_bytes:
+            return None
+        kept += part
+        return kept
+
+    def _keep_whole(
+        self, call: GateCall, answer: RunnerAnswer, kept: bytearray | None
+    ) -> None:
+        if kept is not None:
+            head = self._outbox.head(call.key, answer, bytes(kept), end=True)
+            self._ledger.keep_answer(call.key, head)
+
+    async def _broke_off(self, call: GateCall, fault: RunnerFault) -> None:
+        self._on_read(call)
+        await self._outbox.end(call, OutcomeKind.UNKNOWN, fault.reason, True)
+
+
+async def _read_whole(answer: RunnerAnswer) -> bytes | RunnerFault:
+    """Read a body of known length; one of another length is a fault."""
+    n_bytes = answer.body_bytes
+    parts: list[bytes] = []
+    n_read = 0
+    while n_read < n_bytes:
+        part = await answer.read(n_bytes - n_read)
+        if isinstance(part, RunnerFault):
+            return part
+        if not part:
+            return RunnerFault(True, "the answer is too short")
+        parts.append(part)
+        n_read += len(part)
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+def _data(key: CallKey, sequence: int, data: bytes, end: bool) -> AnswerData:
+    return AnswerData(key.incarnation, key.call_id, sequence, data, end)
--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -17,24 +17,22 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Callable
 from functools import partial
 from random import Random
 
-from almondspan_decisions.burn import BurnCounter, burn_rate
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId, EntryId, ServiceName
 from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_service.answer_relay import AnswerRelay
 from almondspan_service.fair_queue import FairQueue
 from almondspan_service.gate_call import GateCall
+from almondspan_service.gate_meter import BurnSample, GateMeter
 from almondspan_service.gate_options import GateOptions
-from almondspan_service.latency import LatencyWindow
+from almondspan_service.gate_outbox import GateOutbox, RunnerLoad, SendToEntry
 from almondspan_service.ledger import CallKey, CallLedger, CallState
-from almondspan_service.run_estimate import RunEstimate
 from almondspan_service.runner_client import (
     HttpRunnerClient,
-    RunnerAnswer,
     RunnerClient,
     RunnerFault,
 )
@@ -42,10 +40,7 @@
 from almondspan_wire.membership import RunnerStatus
 from almondspan_wire.service_messages import (
     AnswerCredit,
-    AnswerData,
-    AnswerHead,
     CallCancel,
-    CallEnded,
     CallOpen,
     CallRecover,
     RequestCredit,
@@ -57,18 +52,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class BurnSample:
-    """Calls of a window against the service's objective."""
-
-    n_calls: int
-    n_missed: int
-    burn_rate: float
-
-
-SendToEntry = Callable[[EntryId, Message], Awaitable[bool]]
-
-
 class RunnerGate:
     """Admits calls to one runner.
 
@@ -95,7 +78,6 @@
     ) -> None:
         self._agent_id = agent_id
         self._service = service
-        self._send = send
         self._options = options
         self._rng = rng
         self._client = client or HttpRunnerClient(
@@ -110,18 +92,15 @@
             options.n_kept_answers,
             options.n_remembered_entries,
         )
-        self._burn = BurnCounter()
-        self._tail = LatencyWindow(
-            options.tail_period_s, (options.tail_share,), options.tail_least_calls
+        self._meter = GateMeter(options)
+        self._outbox = GateOutbox(send, self._load)
+        self._relay = AnswerRelay(
+            self._outbox, self._ledger, options, self._on_answer, self._free_slot
         )
-        self._run = RunEstimate(options.initial_run_s)
-        self._objective_ms = options.objective_latency_ms
-        self._objective_share = options.objective_share
         self._n_busy = 0
         self._draining = False
         self._idle = asyncio.Event()
         self._idle.set()
-        self._notices: set[asyncio.Task[bool]] = set()
         self._handlers: dict[type[Message], Callable[[EntryId, Message], bool]] = {
             CallOpen: self._on_open,
             CallCancel: self._on_cancel,
@@ -142,7 +121,8 @@
         tasks = [call.task for call in self._calls.values() if call.task is not None]
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, *self._notices, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._outbox.finish()
         await self._client.close()
 
     async def drain(self) -> None:
@@ -167,40 +147,38 @@
 
     def set_fleet(self, fleet: FleetConfig) -> None:
         """Take the service's objective from a configuration."""
-        for service in fleet.services:
-            if service.name == self._service:
-                self._objective_ms = service.objective_latency_ms
-                self._objective_share = service.objective_share
+        self._meter.set_fleet(fleet, self._service)
 
     def status(self) -> RunnerStatus:
         """Return the runner's load."""
+        burn = self._meter.burn(_now_s(), self._options.burn_window_s)
         return RunnerStatus(
             service=self._service,
             n_slots=self._options.n_slots,
             n_busy=self._n_busy,
             n_queued=len(self._queue),
-            latency_ms=self._run.median_s * 1000.0,
-            burn_rate=self.burn(self._options.burn_window_s).burn_rate,
+            latency_ms=self._meter.run_ms(),
+            burn_rate=burn.burn_rate,
         )
 
+    def _load(self) -> RunnerLoad:
+        return RunnerLoad(self._n_busy, len(self._queue), self._meter.run_ms())
+
     def burn(self, window_s: float) -> BurnSample:
         """Return the calls of the last `window_s` seconds against the objective."""
-        counts = self._burn.counts(_now_s(), window_s)
-        rate = burn_rate(counts, self._objective_share)
-        return BurnSample(counts.n_calls, counts.n_missed, rate)
+        return self._meter.burn(_now_s(), window_s)
 
     def run_ms(self) -> float:
         """Return the mean time of recent calls on the runner, without their wait."""
-        return self._run.mean_s * 1000.0
+        return self._meter.run.mean_s * 1000.0
 
     def tail_ms(self) -> float:
         """Return a high quantile of recent whole latencies; 0 while unknown."""
-        known_ms = self._tail.quantiles_ms(_now_s())
-        return known_ms[0] if known_ms else 0.0
+        return self._meter.tail_ms(_now_s())
 
     def objective_ms(self) -> float:
         """Return the latency that the service's objective allows."""
-        return self._objective_ms
+        return self._meter.objective_ms
 
     def on_message(self, entry_id: EntryId, message: Message) -> bool:
         """Handle a message of an entry; False when it is not one of the gate's."""
@@ -247,9 +225,9 @@
 
     def _answer_again(self, key: CallKey, state: CallState) -> None:
         if state is CallState.REFUSED:
-            self._notify_end(key, OutcomeKind.NOT_RUN, "refused before")
+            self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "refused before")
         elif state is CallState.FORGOTTEN:
-            self._notify_end(key, OutcomeKind.UNKNOWN, "no record is left of it")
+            self._outbox.notify_end(key, OutcomeKind.UNKNOWN, "no record is left of it")
 
     def _refusal(self, call: GateCall) -> str:
         """Return why a call is not admitted, or an empty string."""
@@ -258,7 +236,7 @@
         if self._n_busy < self._options.n_slots:
             return "" if call.opened.timeout_ms > 0 else "the deadline has passed"
         n_ahead = self._queue.n_ahead(call.opened.caller)
-        finish_s = self._run.finish_s(n_ahead, self._options.n_slots)
+        finish_s = self._meter.run.finish_s(n_ahead, self._options.n_slots)
         if finish_s * 1000.0 > call.opened.timeout_ms:
             return "it cannot end before its deadline"
         return ""
@@ -281,10 +259,10 @@
             call.shed_timer.cancel()
         self._release(call)
         if not call.detached:
-            self._notify_end(call.key, OutcomeKind.NOT_RUN, reason)
+            self._outbox.notify_end(call.key, OutcomeKind.NOT_RUN, reason)
 
     def _watch_deadline(self, call: GateCall) -> None:
-        latest_s = call.deadline_s - self._run.median_s
+        latest_s = call.deadline_s - self._meter.run.median_s
         call.shed_timer = asyncio.get_running_loop().call_at(
             latest_s, self._refuse, call, "it waited too long"
         )
@@ -310,26 +288,29 @@
             async with asyncio.timeout_at(self._limit_s(call)):
                 await self._serve(call)
         except TimeoutError:
-            await self._end(call, OutcomeKind.UNKNOWN, "its deadline passed")
+            self._free_slot(call)
+            await self._outbox.end(call, OutcomeKind.UNKNOWN, "its deadline passed")
 
     def _after_run(self, call: GateCall, task: asyncio.Task[None]) -> None:
         """Free what a call held; also after a cancel before its first step."""
         if not call.counted:
-            self._run.add_stopped(_now_s() - call.dispatched_s)
-        self._over(call)
+            self._meter.run.add_stopped(_now_s() - call.dispatched_s)
+        self._free_slot(call)
         self._release(call)
         if task.cancelled():
-            self._notify_end(call.key, OutcomeKind.CANCELLED, "stopped while it ran")
+            self._outbox.notify_end(
+                call.key, OutcomeKind.CANCELLED, "stopped while it ran"
+            )
         elif error := task.exception():
             _LOGGER.error("a call ended with an error", exc_info=error)
-            self._notify_end(call.key, OutcomeKind.UNKNOWN, "the gate failed")
+            self._outbox.notify_end(call.key, OutcomeKind.UNKNOWN, "the gate failed")
 
     def _limit_s(self, call: GateCall) -> float:
         if call.opened.idempotent:
             return call.deadline_s
         return call.dispatched_s + self._options.run_limit_s
 
-    def _over(self, call: GateCall) -> None:
+    def _free_slot(self, call: GateCall) -> None:
         """Free the slot of a call that the runner is done with."""
         if not call.has_slot:
             return
@@ -344,119 +325,35 @@
         body = opened.data if opened.end else self._request_body(call)
         answer = await self._client.send(call.runner_request(body, _now_s()))
         if isinstance(answer, RunnerFault):
-            await self._end_fault(call, answer)
+            await self._on_fault(call, answer)
             return
         try:
-            await self._relay(call, answer)
+            await self._relay.relay(call, answer)
         finally:
             answer.close()
 
     async def _request_body(self, call: GateCall) -> AsyncIterator[bytes]:
         while part := await call.body.read():
             yield part
-            await self._send_for(call, self._request_credit(call, len(part)))
-
-    def _request_credit(self, call: GateCall, n_bytes: int) -> RequestCredit:
-        return RequestCredit(call.key.incarnation, call.key.call_id, n_bytes)
-
-    async def _end_fault(self, call: GateCall, fault: RunnerFault) -> None:
-        if fault.may_have_run:
-            await self._end(call, OutcomeKind.UNKNOWN, fault.reason, True)
-            return
-        self._ledger.record(call.key, CallState.REFUSED)
-        await self._end(call, OutcomeKind.NOT_RUN, fault.reason, True)
-
-    async def _relay(self, call: GateCall, answer: RunnerAnswer) -> None:
-        """Relay an answer; a small one of known length goes in one message."""
-        if 0 <= answer.body_bytes <= self._options.whole_answer_bytes:
-            body = await _read_whole(answer)
-            if isinstance(body, RunnerFault):
-                await self._end(call, OutcomeKind.UNKNOWN, body.reason, True)
-                return
-            self._count(call)
-            self._over(call)
-            await self._send_whole(call, answer, body)
-            return
-        self._count(call)
-        await self._relay_parts(call, answer)
-
-    async def _send_whole(
-        self, call: GateCall, answer: RunnerAnswer, body: bytes
-    ) -> None:
-        head = self._head(call, answer, body, end=True)
-        if not call.opened.idempotent:
-            self._ledger.keep_answer(call.key, head)
-        if call.recover or not call.detached:
-            await self._send(call.key.entry_id, head)
-
-    async def _relay_parts(self, call: GateCall, answer: RunnerAnswer) -> None:
-        head = self._head(call, answer, b"", end=False)
-        await self._send_for(call, head)
-        kept: bytearray | None = None if call.opened.idempotent else bytearray()
-        sequence = 0
-        n_bytes = 0
-        while True:
-            n_taken = await call.answer_credit.take(self._options.chunk_bytes)
-            part = await answer.read(n_taken or self._options.chunk_bytes)
-            if isinstance(part, RunnerFault):
-                await self._end(call, OutcomeKind.UNKNOWN, part.reason, True)
-                return
-            n_bytes += len(part)
-            kept = self._keep(kept, part)
-            end = not part or n_bytes == answer.body_bytes
-            if n_taken > len(part):
-                call.answer_credit.grant(n_taken - len(part))
-            if end:
-                self._over(call)
-            await self._send_for(call, self._part(call, sequence, part, end))
-            sequence += 1
-            if end:
-                await self._finish_parts(call, answer, kept)
-                return
-
-    def _keep(self, kept: bytearray | None, part: bytes) -> bytearray | None:
-        if kept is None or len(kept) + len(part) > self._options.kept_answer_bytes:
-            return None
-        kept += part
-        return kept
-
-    async def _finish_parts(
-        self, call: GateCall, answer: RunnerAnswer, kept: bytearray | None
-    ) -> None:
-        if kept is not None:
-            head = self._head(call, answer, bytes(kept), end=True)
-            self._ledger.keep_answer(call.key, head)
-        if call.recover:
-            await self._send_recovered(call.key)
-
-    def _head(
-        self, call: GateCall, answer: RunnerAnswer, data: bytes, end: bool
-    ) -> AnswerHead:
-        return AnswerHead(
-            call.key.incarnation,
-            call.key.call_id,
-            answer.status,
-            answer.headers,
-            len(data) if end else answer.body_bytes,
-            data,
-            end,
-            self._n_busy,
-            len(self._queue),
-            self._run.median_s * 1000.0,
-        )
-
-    def _part(
-        self, call: GateCall, sequence: int, data: bytes, end: bool
-    ) -> AnswerData:
-        return AnswerData(call.key.incarnation, call.key.call_id, sequence, data, end)
-
-    def _count(self, call: GateCall) -> None:
+            key = call.key
+            credit = RequestCredit(key.incarnation, key.call_id, len(part))
+            await self._outbox.send(call, credit)
+
+    async def _on_fault(self, call: GateCall, fault: RunnerFault) -> None:
+        """End a call that the runner did not answer."""
+        kind = OutcomeKind.UNKNOWN
+        if not fault.may_have_run:
+            kind = OutcomeKind.NOT_RUN
+            self._ledger.record(call.key, CallState.REFUSED)
+        self._free_slot(call)
+        await self._outbox.end(call, kind, fault.reason, True)
+
+    def _on_answer(self, call: GateCall) -> None:
+        """Measure a call whose answer has come."""
         now_s = _now_s()
         call.counted = True
-        self._run.add(now_s - call.dispatched_s)
-        latency_ms = (now_s - call.arrived_s) * 1000.0
-        self._burn.record(now_s, latency_ms > self._objective_ms)
-        self._tail.add(now_s, latency_ms)
+        run_s = now_s - call.dispatched_s
+        self._meter.answered(now_s, run_s, now_s - call.arrived_s)
 
     # Messages about calls that are held or over.
 
@@ -487,7 +384,9 @@
         state = self._ledger.state(key)
         if state is CallState.NEW:
             self._ledger.record(key, CallState.REFUSED)
-            self._notify_end(key, OutcomeKind.NOT_RUN, "withdrawn before it came")
+            self._outbox.notify_end(
+                key, OutcomeKind.NOT_RUN, "withdrawn before it came"
+            )
         elif state is CallState.QUEUED and call is not None:
             self._refuse(call, "withdrawn")
         elif call is not None and call.task is not None:
@@ -508,78 +407,16 @@
         state = self._ledger.state(key)
         if state is CallState.NEW:
             self._ledger.record(key, CallState.REFUSED)
-            self._notify_end(key, OutcomeKind.NOT_RUN, "it never came")
+            self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "it never came")
         elif state is CallState.REFUSED:
-            self._notify_end(key, OutcomeKind.NOT_RUN, "refused before")
+            self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "refused before")
         elif state is CallState.QUEUED and call is not None:
             self._refuse(call, "withdrawn")
         elif state is CallState.RUNNING and call is not None:
             call.detach()
             call.recover = True
         else:
-            self._post(self._send_recovered(key))
-
-    async def _send_recovered(self, key: CallKey) -> bool:
-        kept = self._ledger.kept_answer(key)
-        if kept is not None:
-            return await self._send(key.entry_id, kept)
-        reason = "it ran and its answer is lost"
-        return await self._send(
-            key.entry_id, self._ended(key, OutcomeKind.UNKNOWN, reason)
-        )
-
-    # Sending.
-
-    async def _send_for(self, call: GateCall, message: Message) -> None:
-        if not call.detached:
-            await self._send(call.key.entry_id, message)
-
-    async def _end(
-        self, call: GateCall, kind: OutcomeKind, reason: str, fault: bool = False
-    ) -> None:
-        self._over(call)
-        if call.recover or not call.detached:
-            ended = self._ended(call.key, kind, reason, fault)
-            await self._send(call.key.entry_id, ended)
-
-    def _notify_end(self, key: CallKey, kind: OutcomeKind, reason: str) -> None:
-        self._post(self._send(key.entry_id, self._ended(key, kind, reason)))
-
-    def _post(self, sending: Awaitable[bool]) -> None:
-        """Send without waiting, since the caller reads a channel."""
-        task = asyncio.ensure_future(sending)
-        self._notices.add(task)
-        task.add_done_callback(self._notices.discard)
-
-    def _ended(
-        self, key: CallKey, kind: OutcomeKind, reason: str, fault: bool = False
-    ) -> CallEnded:
-        return CallEnded(
-            key.incarnation,
-            key.call_id,
-            kind,
-            reason,
-            self._n_busy,
-            len(self._queue),
-            self._run.median_s * 1000.0,
-            fault,
-        )
-
-
-async def _read_whole(answer: RunnerAnswer) -> bytes | RunnerFault:
-    """Read a body of known length; one of another length is a fault."""
-    n_bytes = answer.body_bytes
-    parts: list[bytes] = []
-    n_read = 0
-    while n_read < n_bytes:
-        part = await answer.read(n_bytes - n_read)
-        if isinstance(part, RunnerFault):
-            return part
-        if not part:
-            return RunnerFault(True, "the answer is too short")
-        parts.append(part)
-        n_read += len(part)
-    return parts[0] if len(parts) == 1 else b"".join(parts)
+            self._relay.send_kept(key)
 
 
 def _now_s() -> float:
--- /dev/null
+++ b/packages/service/almondspan_service/gate_meter.py
@@ -0,0 +1,63 @@
+"""Measures the calls of one runner: run times, latencies and burn."""
+
+from dataclasses import dataclass
+
+from almondspan_decisions.burn import BurnCounter, burn_rate
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import ServiceName
+from almondspan_service.gate_options import GateOptions
+from almondspan_service.latency import LatencyWindow
+from almondspan_service.run_estimate import RunEstimate
+
+__all__ = ["BurnSample", "GateMeter"]
+
+
+@dataclass(frozen=True, slots=True)
+class BurnSample:
+    """Calls of a window against the service's objective."""
+
+    n_calls: int
+    n_missed: int
+    burn_rate: float
+
+
+class GateMeter:
+    """Run times and latencies of recent calls, in bounded memory."""
+
+    def __init__(self, options: GateOptions) -> None:
+        self.run = RunEstimate(options.initial_run_s)
+        self.objective_ms = options.objective_latency_ms
+        self._objective_share = options.objective_share
+        self._burn = BurnCounter()
+        self._tail = LatencyWindow(
+            options.tail_period_s, (options.tail_share,), options.tail_least_calls
+        )
+
+    def set_fleet(self, fleet: FleetConfig, service: ServiceName) -> None:
+        """Take the service's objective from a configuration."""
+        for known in fleet.services:
+            if known.name == service:
+                self.objective_ms = known.objective_latency_ms
+                self._objective_share = known.objective_share
+
+    def answered(self, now_s: float, run_s: float, latency_s: float) -> None:
+        """Count a call whose answer has come."""
+        latency_ms = latency_s * 1000.0
+        self.run.add(run_s)
+        self._burn.record(now_s, latency_ms > self.objective_ms)
+        self._tail.add(now_s, latency_ms)
+
+    def burn(self, now_s: float, window_s: float) -> BurnSample:
+        """Return the calls of the last `window_s` seconds against the objective."""
+        counts = self._burn.counts(now_s, window_s)
+        rate = burn_rate(counts, self._objective_share)
+        return BurnSample(counts.n_calls, counts.n_missed, rate)
+
+    def tail_ms(self, now_s: float) -> float:
+        """Return a high quantile of recent latencies; 0 while unknown."""
+        known_ms = self._tail.quantiles_ms(now_s)
+        return known_ms[0] if known_ms else 0.0
+
+    def run_ms(self) -> float:
+        """Return the median of recent run times, in milliseconds."""
+        return self.run.median_s * 1000.0
