--- a/packages/service/almondspan_service/http_edge.py
+++ b/packages/service/almondspan_service/http_edge.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-import uuid
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -20,8 +20,8 @@
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_service.call_spec import BodyBroken, CallSpec
 from almondspan_service.entry_call import outcome_of_status
-from almondspan_service.runner_client import forwarded_headers
-from almondspan_wire.service_messages import AnswerHead, Headers
+from almondspan_service.runner_client import HOP_BY_HOP, forwarded_headers
+from almondspan_wire.service_messages import AnswerHead
 
 __all__ = [
     "BadRequest",
@@ -38,14 +38,18 @@
 TIMEOUT_HEADER: Final = "X-Timeout-Ms"
 IDEMPOTENT_HEADER: Final = "X-Idempotent"
 
-OWN_HEADERS: Final = frozenset(
-    {"x-request-id", "x-caller", "x-timeout-ms", "x-idempotent"}
-)
+NOT_FORWARDED: Final = HOP_BY_HOP | {
+    "x-request-id",
+    "x-caller",
+    "x-timeout-ms",
+    "x-idempotent",
+}
 IDEMPOTENT_METHODS: Final = frozenset(
     {"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"}
 )
 IDEMPOTENT_VALUES: Final = {"true": True, "false": False}
 MAX_ID_CHARS: Final = 200
+ID_BYTES: Final = 16
 RETRY_AFTER_S: Final = 1
 
 
@@ -61,7 +65,7 @@
 ) -> CallSpec | BadRequest:
     """Return the call that a request asks for."""
     headers = request.headers
-    request_id = headers.get(REQUEST_ID_HEADER) or str(uuid.uuid4())
+    request_id = headers.get(REQUEST_ID_HEADER) or _new_id()
     caller = headers.get(CALLER_HEADER) or request.remote or ""
     if len(request_id) > MAX_ID_CHARS or len(caller) > MAX_ID_CHARS:
         return BadRequest(f"an id is longer than {MAX_ID_CHARS} characters")
@@ -80,13 +84,18 @@
         caller=CallerId(caller),
         method=request.method,
         path=_path(request),
-        headers=_request_headers(request),
+        headers=forwarded_headers(headers, NOT_FORWARDED),
         idempotent=idempotent,
         deadline_s=now_s + min(timeout_ms, max_timeout_ms) / 1000.0,
         body_bytes=_body_bytes(request),
+        fresh_id=not headers.get(REQUEST_ID_HEADER),
     )
 
 
+def _new_id() -> str:
+    return os.urandom(ID_BYTES).hex()
+
+
 def _timeout_ms(value: str | None, default_ms: float) -> float | None:
     if value is None:
         return default_ms
@@ -105,17 +114,11 @@
 
 def _path(request: web.Request) -> str:
     """Return path and query as they were sent, without the route's prefix."""
-    _, _, rest = request.raw_path.lstrip("/").partition("/")
-    _, _, path = rest.partition("/")
-    return "/" + path
-
-
-def _request_headers(request: web.Request) -> Headers:
-    return tuple(
-        (name, value)
-        for name, value in forwarded_headers(request.headers)
-        if name.lower() not in OWN_HEADERS
-    )
+    parts = request.rel_url.raw_path_qs.split("/", 3)
+    if len(parts) > 3:
+        return "/" + parts[3]
+    _, mark, query = parts[2].partition("?")
+    return "/" + mark + query
 
 
 def _body_bytes(request: web.Request) -> int:
@@ -227,8 +230,10 @@
 
 @error_status(OutcomeKind.UNKNOWN)
 def unknown_status(outcome: Outcome) -> HTTPStatus:
-    """Tell the caller that no answer came in time."""
-    return HTTPStatus.GATEWAY_TIMEOUT
+    """Tell apart whether an answer is missing or nothing was sent this time."""
+    if outcome.may_have_run:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.SERVICE_UNAVAILABLE
 
 
 @error_status(OutcomeKind.CANCELLED)
