Count calls that were not done as missed, not as ten seconds

Cause: one failed call in a hundred made every p99 the timeout. Change: latencies are of calls that were done; the others count as missed.

--- a/misc/measure.py
+++ b/misc/measure.py
@@ -68,7 +68,10 @@
 
 @dataclass
 class Calls:
-    """What the callers saw."""
+    """What the callers saw; latencies are of the calls that were done.
+
+    A call that was not done counts as one that missed its objective.
+    """
 
     latencies: LatencySketch = field(default_factory=LatencySketch)
     crest: LatencySketch = field(default_factory=LatencySketch)
@@ -223,7 +226,7 @@
         is_crest = self.swings.is_crest(due_s)
         calls.n_crest += is_crest
         if outcome != "done":
-            latency_ms = 1000 * CALL_TIMEOUT_S
+            return
         calls.latencies.add(latency_ms)
         if is_crest:
             calls.crest.add(latency_ms)
