Keep the slot of a broken-off call until its runner has surely stopped

Cause: the gate freed the slot of a withdrawn or late call at once, while a runner that goes on after its connection was closed still worked on it; hedges made this common. Change: the slot stays taken until four mean run times after the dispatch; a drain waits for it. Conclusion: the time is a bound in probability only; the certain way, reading the answer to its end, contradicts the cancelling of an absent caller's work.

--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -20,6 +20,7 @@
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from random import Random
+from typing import Final
 
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId, EntryId, ServiceName
@@ -51,6 +52,9 @@
 
 __all__ = ["BurnSample", "GateOptions", "RunnerGate"]
 
+STOPPED_AFTER_RUNS: Final = 4.0
+"""A run that was broken off has ended this many mean run times after its dispatch."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -258,7 +262,10 @@
 
     def _release(self, call: GateCall) -> None:
         self._calls.pop(call.key, None)
-        if not self._calls:
+        self._note_idle()
+
+    def _note_idle(self) -> None:
+        if not self._calls and self._n_busy == 0:
             self._idle.set()
 
     def _refuse(self, call: GateCall, reason: str) -> None:
@@ -298,14 +305,14 @@
             async with asyncio.timeout_at(self._limit_s(call)):
                 await self._serve(call)
         except TimeoutError:
-            self._free_slot(call)
+            self._free_slot_when_stopped(call)
             await self._outbox.end(call, OutcomeKind.UNKNOWN, "its deadline passed")
 
     def _after_run(self, call: GateCall, task: asyncio.Task[None]) -> None:
         """Free what a call held; also after a cancel before its first step."""
         if not call.counted:
             self._meter.run.add_stopped(_now_s() - call.dispatched_s)
-        self._free_slot(call)
+        self._free_slot_when_stopped(call)
         self._release(call)
         if task.cancelled():
             self._outbox.notify_end(
@@ -320,12 +327,27 @@
             return call.deadline_s
         return call.dispatched_s + self._options.run_limit_s
 
+    def _free_slot_when_stopped(self, call: GateCall) -> None:
+        """Free the slot of a call that was broken off, once the runner has stopped.
+
+        A runner may go on with a request whose connection was closed. It is given
+        the time that nearly all runs take, counted from the dispatch.
+        """
+        if not call.has_slot:
+            return
+        until_s = call.dispatched_s + STOPPED_AFTER_RUNS * self._meter.run.mean_s
+        if until_s <= _now_s():
+            self._free_slot(call)
+        else:
+            asyncio.get_running_loop().call_at(until_s, self._free_slot, call)
+
     def _free_slot(self, call: GateCall) -> None:
         """Free the slot of a call that the runner is done with."""
         if not call.has_slot:
             return
         call.has_slot = False
         self._n_busy -= 1
+        self._note_idle()
         if self._ledger.state(call.key) is CallState.RUNNING:
             self._ledger.record(call.key, CallState.ENDED)
         self._dispatch()
