--- a/misc/measure_fleet.py
+++ b/misc/measure_fleet.py
@@ -85,6 +85,12 @@
         """Return the service of a node's runner."""
         return self.services[index]
 
+    async def close(self) -> None:
+        """Kill every process, since draining is not measured, and clean up."""
+        running = [process for process in self.every_process() if process.is_running]
+        await asyncio.gather(*(process.kill() for process in running))
+        await super().close()
+
     def every_process(self) -> list[ManagedProcess]:
         """Return all processes, the latest first."""
         store = [] if self.store is None else [self.store]
