--- /dev/null
+++ b/packages/daemon/almondspan_daemon/entry_role.py
@@ -0,0 +1,228 @@
+"""The entry: a thin process behind the platform's balancer.
+
+It serves callers (`ServiceRouter`) and operators (`AdminApi`), knows the agents of
+its region (`AgentDirectory`), carries their mail, nominates owners of shards and
+relays the configuration. It keeps nothing that another entry does not also learn.
+
+Phases: `start` opens the store's client, listens and registers; `drain` leaves the
+list of entries and waits for calls in flight; `close` ends everything.
+"""
+
+import asyncio
+import logging
+import random
+from typing import Final
+
+from aiohttp import web
+
+from almondspan_admin.api import AdminApi, AdminOptions
+from almondspan_admin.holder import ConfigHolder
+from almondspan_admin.relay import ConfigRelay, RelayOptions
+from almondspan_daemon.agent_directory import AgentDirectory
+from almondspan_daemon.capacity_index import CapacityIndex
+from almondspan_daemon.config_pusher import ConfigPusher
+from almondspan_daemon.entry_registration import EntryRegistration
+from almondspan_daemon.fleet_view import EntryFleetView
+from almondspan_daemon.health import add_health_routes
+from almondspan_daemon.metrics import Metrics
+from almondspan_daemon.platform_clients import make_store
+from almondspan_daemon.post_office import EntryPost
+from almondspan_daemon.settings import EntrySettings
+from almondspan_daemon.shard_map import ShardMap
+from almondspan_daemon.supervisor import Supervisor
+from almondspan_daemon.web_server import WebServer
+from almondspan_decisions.ids import EntryId, PlaceName, RegionName
+from almondspan_service.router import RouterOptions, ServiceRouter
+from almondspan_tasks.options import DeskOptions
+from almondspan_tasks.shard_desk import ShardDesk
+from almondspan_wire.channel import ChannelOptions, StreamChannel
+from almondspan_wire.membership import (
+    ConfigPush,
+    EntryAddress,
+    EntryList,
+)
+
+__all__ = ["EntryRole"]
+
+DRAIN_NOTICE_S: Final = 1.0
+"""Time for the balancer to see that the entry is not ready any more."""
+
+_log = logging.getLogger(__name__)
+
+
+class EntryRole:
+    """One entry process."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        process_id: str,
+        supervisor: Supervisor,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._supervisor = supervisor
+        self._rng = rng
+        self.entry_id = EntryId(process_id)
+        self._metrics = Metrics(process_id, "entry")
+        self._store = make_store(settings)
+        self._holder = ConfigHolder()
+        self._directory = AgentDirectory(
+            self.entry_id,
+            ChannelOptions(settings.streams.heartbeat_s, settings.streams.silence_s),
+            self._greet,
+        )
+        self._shard_map = ShardMap(settings.shards.n_shards, self._directory.post)
+        self._index = CapacityIndex(self._directory.post, rng)
+        self._post = EntryPost(
+            self.entry_id, self._directory.post, self._shard_map.owner_of
+        )
+        self._desk = ShardDesk(
+            self.entry_id,
+            self._post,
+            self._shard_map.owner_of,
+            DeskOptions(),
+            rng,
+            settings.shards.n_shards,
+        )
+        self._router = ServiceRouter(
+            self.entry_id,
+            PlaceName(settings.process.place),
+            self._directory.send,
+            self._desk,
+            RouterOptions(),
+            rng,
+        )
+        self._pusher = ConfigPusher(self._directory.agents, self._directory.post, rng)
+        self._relay = ConfigRelay(self._store, self._on_config, RelayOptions(), rng)
+        self._view = EntryFleetView(
+            settings.shards.n_shards, self._shard_map.owners, self._directory.post
+        )
+        self._registration: EntryRegistration | None = None
+        self._servers: list[WebServer] = []
+        self._is_draining = False
+        self.http_port = 0
+        self.admin_port = 0
+        self.agent_port = 0
+
+    async def start(self) -> None:
+        """Start every part; returns when the entry listens."""
+        await self._store.start()
+        self._post.add_handler(self._desk)
+        for listener in (
+            self._shard_map,
+            self._index,
+            self._pusher,
+            self._view,
+            self._router,
+            self._post,
+        ):
+            self._directory.add_listener(listener)
+        await self._desk.start()
+        await self._router.start()
+        await self._relay.start()
+        await self._listen()
+        self._spawn_loops()
+        _log.info(
+            "entry started",
+            extra={
+                "http_port": self.http_port,
+                "admin_port": self.admin_port,
+                "agent_port": self.agent_port,
+            },
+        )
+
+    async def _listen(self) -> None:
+        host = self._settings.process.host
+        ports = self._settings.entry
+        self.agent_port = await self._directory.start(host, ports.agent_port, None)
+        callers = web.Application()
+        self._router.add_routes(callers)
+        self.http_port = await self._serve(callers, ports.http_port)
+        self.admin_port = await self._serve(self._admin_app(), ports.admin_port)
+
+    async def _serve(self, app: web.Application, port: int) -> int:
+        server = WebServer(app)
+        self._servers.append(server)
+        return await server.start(self._settings.process.host, port, None)
+
+    def _admin_app(self) -> web.Application:
+        admin = self._settings.admin
+        app = web.Application(client_max_size=admin.max_body_bytes)
+        options = AdminOptions(
+            bootstrap_token_sha256=admin.bootstrap_token_sha256,
+            max_body_bytes=admin.max_body_bytes,
+            max_requests_per_s=admin.max_requests_per_s,
+        )
+        AdminApi(self._desk, self._relay, self._view, options).add_routes(app)
+        add_health_routes(app, self._metrics, self._not_ready_reason)
+        self._add_metrics()
+        return app
+
+    def _add_metrics(self) -> None:
+        gauge, counter = self._metrics.gauge, self._metrics.counter
+        directory, post, shards = self._directory, self._post, self._shard_map
+        gauge("entry.agents", lambda: len(directory.agents), "Agents connected.")
+        gauge("entry.shards_owned", lambda: len(shards.owners()), "Shards with owner.")
+        gauge("entry.calls_in_flight", self._router.n_in_flight, "Calls in flight.")
+        gauge("entry.config_revision", lambda: self._holder.revision, "Revision held.")
+        counter("entry.mail_carried", lambda: post.n_carried, "Mail passed on.")
+        counter("entry.undeliverable", lambda: post.n_undeliverable, "Mail dropped.")
+        counter("entry.nominations", lambda: shards.n_nominations, "Nominations.")
+        counter("entry.agents_left", lambda: directory.n_left, "Agents that left.")
+        counter("entry.restarts", lambda: self._supervisor.n_restarts, "Restarts.")
+
+    def _spawn_loops(self) -> None:
+        process = self._settings.process
+        own = EntryAddress(
+            self.entry_id, process.host, self.agent_port, PlaceName(process.place)
+        )
+        self._registration = EntryRegistration(
+            self._store, RegionName(process.region), own, self._on_entries, self._rng
+        )
+        self._supervisor.spawn("register", self._registration.keep_registered)
+        self._supervisor.spawn("follow-entries", self._registration.follow_entries)
+        self._supervisor.spawn("shard-map", self._shard_map.run)
+        self._supervisor.spawn("config-pusher", self._pusher.run)
+
+    async def drain(self) -> None:
+        """Leave the list of entries and wait for calls in flight."""
+        self._is_draining = True
+        _log.info("draining")
+        self._supervisor.stop("register")
+        if self._registration is not None:
+            await self._registration.close()
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        await self._router.drain()
+
+    async def close(self) -> None:
+        """Close every part in the reverse order of its start."""
+        for server in reversed(self._servers):
+            await server.close()
+        await self._directory.close()
+        await self._relay.close()
+        await self._router.close()
+        await self._desk.close()
+        await self._store.close()
+        self._metrics.close()
+
+    def _greet(self, channel: StreamChannel) -> None:
+        if self._registration is not None:
+            channel.post(self._registration.entry_list())
+
+    def _on_entries(self, entries: EntryList) -> None:
+        self._directory.post_all(entries)
+
+    def _on_config(self, push: ConfigPush) -> None:
+        if not self._holder.accept(push):
+            return
+        self._index.set_fleet(self._holder.fleet)
+        self._router.set_fleet(self._holder.fleet)
+        self._pusher.set_config(push)
+
+    def _not_ready_reason(self) -> str:
+        if self._is_draining:
+            return "draining"
+        if not self._directory.agents:
+            return "no agent is connected"
+        return ""
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/gate_set.py
@@ -0,0 +1,104 @@
+"""The runner gates of one agent, addressed as one.
+
+`CallOpen` names its service. Every later message names only the call: it goes to
+the gate that knows the call. A message about a call that no gate knows goes to all
+of them, so that none runs the call should its `CallOpen` still arrive.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import EntryId
+from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_service.gate import RunnerGate
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import RunnerStatus
+from almondspan_wire.service_messages import (
+    AnswerCredit,
+    CallCancel,
+    CallEnded,
+    CallOpen,
+    CallRecover,
+    RequestData,
+)
+
+__all__ = ["GateSet"]
+
+_LaterMessage = AnswerCredit | CallCancel | CallRecover | RequestData
+
+
+class GateSet:
+    """All gates of an agent."""
+
+    def __init__(
+        self,
+        gates: Sequence[RunnerGate],
+        post: Callable[[EntryId, Message], bool],
+    ) -> None:
+        self._gates = tuple(gates)
+        self._by_service = {gate.service: gate for gate in gates}
+        self._post = post
+
+    async def start(self) -> None:
+        """Start every gate."""
+        for gate in self._gates:
+            await gate.start()
+
+    async def close(self) -> None:
+        """Close every gate."""
+        for gate in self._gates:
+            await gate.close()
+
+    async def drain(self) -> None:
+        """Refuse new calls everywhere and wait for those in flight."""
+        await asyncio.gather(*(gate.drain() for gate in self._gates))
+
+    def resume(self) -> None:
+        """Take calls again after a drain."""
+        for gate in self._gates:
+            gate.resume()
+
+    def set_fleet(self, fleet: FleetConfig) -> None:
+        """Hand a configuration to every gate."""
+        for gate in self._gates:
+            gate.set_fleet(fleet)
+
+    def entry_left(self, entry_id: EntryId) -> None:
+        """Settle the calls of an entry whose channel was lost."""
+        for gate in self._gates:
+            gate.entry_left(entry_id)
+
+    def statuses(self) -> tuple[RunnerStatus, ...]:
+        """Return the load of every runner."""
+        return tuple(gate.status() for gate in self._gates)
+
+    def on_message(self, entry_id: EntryId, body: Message) -> bool:
+        """Handle a message of an entry; False when it is not about a call."""
+        if isinstance(body, CallOpen):
+            self._open(entry_id, body)
+            return True
+        if not isinstance(body, _LaterMessage):
+            return False
+        for gate in self._gates:
+            if gate.knows(entry_id, body.incarnation, body.call_id):
+                return gate.on_message(entry_id, body)
+        for gate in self._gates:
+            gate.on_message(entry_id, body)
+        return True
+
+    def _open(self, entry_id: EntryId, body: CallOpen) -> None:
+        gate = self._by_service.get(body.service)
+        if gate is not None:
+            gate.on_message(entry_id, body)
+            return
+        refusal = CallEnded(
+            body.incarnation,
+            body.call_id,
+            OutcomeKind.NOT_RUN,
+            f"no runner of {body.service} stands beside this agent",
+            n_busy=0,
+            n_queued=0,
+            latency_ms=0.0,
+        )
+        self._post(entry_id, refusal)
--- a/packages/daemon/almondspan_daemon/post_office.py
+++ b/packages/daemon/almondspan_daemon/post_office.py
@@ -3,8 +3,9 @@
 The entry's `EntryPost` delivers mail for the entry itself, passes mail for an agent
 to that agent, and mail for ``shard:<id>`` to the shard's owner. The agent's
 `AgentPost` delivers mail for itself and for shards that it owns, and hands the
-rest to an entry. Mail that can't be carried is dropped and counted: whoever sent
-it repeats it.
+rest to an entry. Mail for the agent itself is offered to its keeper and to its
+host, each of which takes the messages that it knows. Mail that can't be carried is
+dropped and counted: whoever sent it repeats it.
 """
 
 import asyncio
@@ -137,8 +138,7 @@
         self._deliver(mail.sender, mail.to, body)
 
     def _deliver(self, sender: str, to: str, body: Message) -> None:
-        handler = self._host if shard_of_address(to) is not None else self._keeper
-        if handler is None:
-            self.n_undeliverable += 1
-            return
-        handler.on_mail(sender, body)
+        if self._host is not None:
+            self._host.on_mail(sender, body)
+        if self._keeper is not None and shard_of_address(to) is None:
+            self._keeper.on_mail(sender, body)
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -9,7 +9,8 @@
 fails at its end; ``"infeasible"``: ends as infeasible at once; ``"refuse"``: the
 worker refuses it) and ``use_share`` (the processors used over those declared). An
 attempt that reaches its end adds its effect to the ledger; the worker never forgets
-which attempts it has started.
+which attempts it has started. With ``run_s_by_class`` one payload serves all stages
+of a job: the task's class gives the run time and names the effect.
 """
 
 from collections import deque
@@ -45,6 +46,7 @@
     record: str = ""
     fail: bool | str = False
     use_share: float = 1.0
+    run_s_by_class: dict[str, float] = {}
 
 
 class _Checkpoint(msgspec.Struct, frozen=True):
@@ -213,7 +215,7 @@
         key = (request.task_id, request.attempt)
         if key in self._attempts or key in self._forgotten:
             return StartResult.ALREADY_KNOWN
-        payload = _read_payload(request.payload)
+        payload = _read_payload(request.payload, request.task_class)
         if payload.fail == "refuse":
             return StartResult.REFUSED
         if any(one.request.task_id == request.task_id for one in self.running()):
@@ -400,13 +402,18 @@
     return 1.0
 
 
-def _read_payload(payload: bytes) -> _Payload:
-    if not payload:
+def _read_payload(data: bytes, task_class: TaskClass) -> _Payload:
+    if not data:
         return _Payload()
     try:
-        return msgspec.json.decode(payload, type=_Payload)
+        payload = msgspec.json.decode(data, type=_Payload)
     except msgspec.DecodeError:
         return _Payload(fail=True)
+    if payload.run_s_by_class:
+        # One payload serves all stages of a job: each is its class's effect.
+        run_s = payload.run_s_by_class.get(task_class, 0.0)
+        return msgspec.structs.replace(payload, run_s=run_s, effect=str(task_class))
+    return payload
 
 
 def _read_checkpoint(checkpoint: bytes) -> _Checkpoint:
--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -223,6 +223,10 @@
         except TimeoutError:
             return
 
+    def resume(self) -> None:
+        """Take new work again after a drain."""
+        self._draining = False
+
     async def _wait_until_empty(self) -> None:
         while len(self._books):
             self._changed.clear()
