--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -62,7 +62,7 @@
     runner_url : the runner's address (``http://ip:port``).
     send : sends a message to an entry; False when its channel is lost.
     options : limits and times.
-    rng : randomness.
+    rng : randomness; none of the gate's decisions needs it so far.
     client : speaks with the runner; by default HTTP to `runner_url`.
     """
 
@@ -76,10 +76,8 @@
         rng: Random,
         client: RunnerClient | None = None,
     ) -> None:
-        self._agent_id = agent_id
         self._service = service
         self._options = options
-        self._rng = rng
         self._client = client or HttpRunnerClient(
             runner_url, options.n_connections, options.connect_timeout_s
         )
@@ -384,9 +382,7 @@
         state = self._ledger.state(key)
         if state is CallState.NEW:
             self._ledger.record(key, CallState.REFUSED)
-            self._outbox.notify_end(
-                key, OutcomeKind.NOT_RUN, "withdrawn before it came"
-            )
+            self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "withdrawn early")
         elif state is CallState.QUEUED and call is not None:
             self._refuse(call, "withdrawn")
         elif call is not None and call.task is not None:
