Report the services' burn as a table, data and a page

Cause: operators ask how fast each service spends its error budget, what the colocation did meanwhile, and which task classes slow it. Measured: tests/admin and tests/operator pass; the plots were looked at as an image.

--- a/packages/admin/almondspan_admin/fleet_view.py
+++ b/packages/admin/almondspan_admin/fleet_view.py
@@ -17,10 +17,12 @@
 
 __all__ = [
     "SILENT_AFTER_S",
+    "AlertBurn",
     "AgentSummary",
     "ChangeResult",
     "FleetView",
     "InterferingPair",
+    "LatencyBucket",
     "RunnerSummary",
     "ServiceBurn",
     "ShardSummary",
@@ -82,6 +84,20 @@
     window_s: float
     burn_rate: float
     n_calls: int
+    n_missed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AlertBurn:
+    """A rule over two windows: it fires when both burn at the threshold."""
+
+    severity: str
+    short_s: float
+    long_s: float
+    threshold: float
+    short_burn_rate: float
+    long_burn_rate: float
+    firing: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,12 +109,21 @@
     n_observations: int
 
 
+@dataclass(frozen=True, slots=True)
+class LatencyBucket:
+    """Calls of about one latency."""
+
+    latency_ms: float
+    n_calls: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceBurn:
     """The burn of a service over all processes that answered.
 
-    ``budget_spent_share`` is of the longest window. ``n_missing`` counts processes
-    that gave no figures; the figures are whole only when it is 0.
+    ``budget_spent_share`` is of the longest window: 1 when as many calls missed
+    the objective as it allows. ``n_missing`` counts processes that gave no
+    figures; the figures are whole only when it is 0.
     """
 
     service: ServiceName
@@ -107,8 +132,10 @@
     p50_ms: float
     p99_ms: float
     budget_spent_share: float
+    p999_ms: float = 0.0
     windows: tuple[WindowBurn, ...] = ()
-    alert: str = ""
+    alerts: tuple[AlertBurn, ...] = ()
+    latencies: tuple[LatencyBucket, ...] = ()
     n_throttles: int = 0
     n_checkpoints: int = 0
     n_evictions: int = 0
--- a/packages/operator/almondspan/answers.py
+++ b/packages/operator/almondspan/answers.py
@@ -14,6 +14,7 @@
     "Accepted",
     "Agent",
     "Agents",
+    "Alert",
     "Burn",
     "Config",
     "ConfigDiff",
@@ -24,6 +25,7 @@
     "Fault",
     "Job",
     "Jobs",
+    "Latency",
     "Ledger",
     "Loss",
     "OrderTerms",
@@ -223,6 +225,7 @@
     window_s: float
     burn_rate: float
     n_calls: int
+    n_missed: int = 0
 
 
 class Pair(msgspec.Struct, frozen=True):
@@ -233,6 +236,25 @@
     n_observations: int
 
 
+class Alert(msgspec.Struct, frozen=True):
+    """A rule over two windows with its threshold."""
+
+    severity: str
+    short_s: float
+    long_s: float
+    threshold: float
+    short_burn_rate: float
+    long_burn_rate: float
+    firing: bool
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Calls of about one latency."""
+
+    latency_ms: float
+    n_calls: int
+
+
 class Service(msgspec.Struct, frozen=True):
     """The burn of a service."""
 
@@ -242,8 +264,10 @@
     p50_ms: float
     p99_ms: float
     budget_spent_share: float
+    p999_ms: float = 0.0
     windows: tuple[Window, ...] = ()
-    alert: str = ""
+    alerts: tuple[Alert, ...] = ()
+    latencies: tuple[Latency, ...] = ()
     n_throttles: int = 0
     n_checkpoints: int = 0
     n_evictions: int = 0
--- /dev/null
+++ b/packages/operator/almondspan/burn_commands.py
@@ -0,0 +1,116 @@
+"""The burn report: on the terminal, as data, and as a page with plots."""
+
+from almondspan.answers import Alert, Burn, Service
+from almondspan.client import AdminClient, NoAnswer, Refused
+from almondspan.exit_codes import ExitCode
+from almondspan.files import write_text
+from almondspan.results import Result, failure
+from almondspan.tables import format_duration, format_share, format_table
+from almondspan.texts import (
+    BURN_ALERT_HEADERS,
+    BURN_NO_SERVICE,
+    BURN_PAGE_WRITTEN,
+    BURN_WINDOW_HEADERS,
+    NO_PLOTS,
+)
+
+__all__ = ["report_burn"]
+
+N_SHOWN_PAIRS = 5
+
+
+async def report_burn(client: AdminClient, html: str) -> Result:
+    """Report how fast each service spends its error budget.
+
+    With a path in `html`, a self-contained page is written there as well.
+    """
+    found = await client.get("/v1/burn", Burn)
+    if isinstance(found, Refused | NoAnswer):
+        return failure(found)
+    lines: list[str] = []
+    for service in found.services:
+        lines += [*_service_lines(service), ""]
+    if not lines:
+        lines = [BURN_NO_SERVICE]
+    if html:
+        error = _write_page(html, found)
+        if error is not None:
+            return error
+        lines.append(BURN_PAGE_WRITTEN.format(file=html))
+    is_fine = not any(_needs_attention(one) for one in found.services)
+    code = ExitCode.DONE if is_fine else ExitCode.ATTENTION
+    return Result(code, "\n".join(lines).rstrip("\n"), found)
+
+
+def _needs_attention(service: Service) -> bool:
+    return service.n_missing > 0 or any(alert.firing for alert in service.alerts)
+
+
+def _write_page(path: str, burn: Burn) -> Result | None:
+    try:
+        # The plotting library is large and only this command needs it.
+        from almondspan.burn_page import burn_page
+    except ImportError as error:
+        data = {"error": {"kind": "usage", "reason": str(error)}}
+        return Result(ExitCode.USAGE, NO_PLOTS.format(error=error), data)
+    return write_text(path, burn_page(burn))
+
+
+def _service_lines(service: Service) -> list[str]:
+    firing = [alert for alert in service.alerts if alert.firing]
+    alerts = ", ".join(sorted({alert.severity for alert in firing})) or "none"
+    lines = [
+        f"{service.service}: {format_share(service.objective_share)} of the calls "
+        f"within {service.objective_latency_ms:g} ms; alerts: {alerts}",
+        f"  p50 {service.p50_ms:.1f} ms, p99 {service.p99_ms:.1f} ms, "
+        f"p99.9 {service.p999_ms:.1f} ms; "
+        f"budget spent {format_share(service.budget_spent_share)}",
+    ]
+    lines += _indented(_window_table(service))
+    lines += _indented(_alert_table(service.alerts))
+    pairs = ", ".join(
+        f"{one.task_class} {one.slowdown:.2f} times ({one.n_observations} observations)"
+        for one in service.pairs[:N_SHOWN_PAIRS]
+    )
+    return [
+        *lines,
+        f"  colocation: {service.n_throttles} throttles, "
+        f"{service.n_checkpoints} checkpoints, {service.n_evictions} evictions",
+        f"  slowed most by: {pairs or 'nothing known'}",
+        f"  figures of {service.n_reporting} processes, {service.n_missing} missing",
+    ]
+
+
+def _window_table(service: Service) -> str:
+    if not service.windows:
+        return ""
+    rows = [
+        (
+            format_duration(one.window_s),
+            f"{one.burn_rate:.2f}" if one.n_calls else "-",
+            one.n_calls,
+            one.n_missed,
+        )
+        for one in service.windows
+    ]
+    return format_table(BURN_WINDOW_HEADERS, rows)
+
+
+def _alert_table(alerts: tuple[Alert, ...]) -> str:
+    if not alerts:
+        return ""
+    rows = [
+        (
+            one.severity,
+            f"{format_duration(one.short_s)} and {format_duration(one.long_s)}",
+            f"{one.threshold:g}",
+            f"{one.short_burn_rate:.2f} and {one.long_burn_rate:.2f}",
+            "FIRING" if one.firing else "quiet",
+        )
+        for one in alerts
+    ]
+    return format_table(BURN_ALERT_HEADERS, rows)
+
+
+def _indented(text: str) -> list[str]:
+    return [f"    {line}" for line in text.splitlines()]
--- a/packages/operator/almondspan/command.py
+++ b/packages/operator/almondspan/command.py
@@ -18,18 +18,19 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import Final, TypeVar
 
 import fire
 import msgspec
 from fire import decorators
 from fire.core import FireExit
 
-from almondspan import config_commands, fleet_commands, job_commands
+from almondspan import burn_commands, config_commands, fleet_commands, job_commands
 from almondspan.client import AdminClient, Connection
 from almondspan.config_commands import ConfigFile, check_config, edited_revision
 from almondspan.exit_codes import ExitCode
 from almondspan.faults import FileFaults
+from almondspan.files import read_text, usage_fault
 from almondspan.job_files import parse_jobs
 from almondspan.results import Result
 from almondspan.texts import (
@@ -141,7 +142,7 @@
         if number is None:
             number = edited_revision(config.text)
         if number is None:
-            return self._end(_usage(NO_EXPECTED))
+            return self._end(usage_fault(NO_EXPECTED))
         return self._ask(
             functools.partial(
                 config_commands.submit_config,
@@ -190,12 +191,18 @@
             functools.partial(job_commands.report_order, name=name, ordered=ordered)
         )
 
-    def burn(self) -> _Pending:
+    @_typed_text
+    def burn(self, html: str = "") -> _Pending:
         """Report how fast each service spends its error budget.
 
         Ends with 7 when an alert fires or a process gave no figures.
+
+        Parameters
+        ----------
+        html
+            A file to write as a page with plots.
         """
-        return self._ask(fleet_commands.report_burn)
+        return self._ask(functools.partial(burn_commands.report_burn, html=html))
 
 
 class _Fleet(_Group):
@@ -256,7 +263,7 @@
         name the TEAM; others ask for their own.
         """
         if not job_ids:
-            return self._end(_usage("which jobs? almondspan status JOB [JOB ...]"))
+            return self._end(usage_fault("which jobs? almondspan status JOB [JOB ...]"))
         return self._ask(
             functools.partial(job_commands.job_status, team=team, job_ids=job_ids)
         )
@@ -268,7 +275,7 @@
         Operators name the TEAM; others cancel their own.
         """
         if not job_ids:
-            return self._end(_usage("which jobs? almondspan cancel JOB [JOB ...]"))
+            return self._end(usage_fault("which jobs? almondspan cancel JOB [JOB ...]"))
         return self._ask(
             functools.partial(job_commands.cancel_jobs, team=team, job_ids=job_ids)
         )
@@ -302,7 +309,9 @@
             What the first step printed.
         """
         if kind not in ("worker", "place"):
-            return self._end(_usage("lost what? almondspan lost worker|place NAME"))
+            return self._end(
+                usage_fault("lost what? almondspan lost worker|place NAME")
+            )
         return self._ask(
             functools.partial(
                 fleet_commands.declare_loss, kind=kind, name=name, token=token
@@ -371,7 +380,7 @@
     try:
         await client.start()
     except OSError as error:
-        return _usage(f"the certificates cannot be read: {error}")
+        return usage_fault(f"the certificates cannot be read: {error}")
     try:
         return await action(client)
     finally:
@@ -382,23 +391,23 @@
     entries = flags.entries or os.environ.get(ENTRIES_VARIABLE, "")
     addresses = tuple(one.strip().rstrip("/") for one in entries.split(",") if one)
     if not addresses:
-        return _usage(NO_ENTRIES)
+        return usage_fault(NO_ENTRIES)
     wrong = [one for one in addresses if not re.match(r"https?://\S+:\d+$", one)]
     if wrong:
-        return _usage(f"{wrong[0]} is no address as http://127.0.0.1:8081")
+        return usage_fault(f"{wrong[0]} is no address as http://127.0.0.1:8081")
     token = os.environ.get(TOKEN_VARIABLE, "")
     if flags.token_file:
         try:
             token = Path(flags.token_file).read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as error:
-            return _usage(f"--token_file: {error}")
+            return usage_fault(f"--token_file: {error}")
     token = token.strip()
     if not token or not token.isascii() or not token.isprintable():
-        return _usage(NO_TOKEN)
+        return usage_fault(NO_TOKEN)
     try:
         timeout_s = float(flags.timeout_s)
     except ValueError:
-        return _usage(f"--timeout_s = {flags.timeout_s}; allowed: seconds")
+        return usage_fault(f"--timeout_s = {flags.timeout_s}; allowed: seconds")
     return Connection(
         addresses=addresses,
         token=token,
@@ -409,22 +418,13 @@
     )
 
 
-def _read_text(file: str) -> str | Result:
-    try:
-        if file == "-":
-            return sys.stdin.read()
-        return Path(file).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return _usage(f"{file}: {error}")
-
-
 def _read_config(file: str) -> ConfigFile | Result:
-    text = _read_text(file)
+    text = read_text(file)
     return text if isinstance(text, Result) else check_config(file, text)
 
 
 def _read_jobs(file: str) -> tuple[JobSpec, ...] | Result:
-    text = _read_text(file)
+    text = read_text(file)
     if isinstance(text, Result):
         return text
     jobs = parse_jobs(text)
@@ -439,7 +439,7 @@
         return None
     if text.isascii() and text.isdigit() and len(text) <= 9:
         return int(text)
-    return _usage(f"--{flag} = {text}; allowed: a whole number")
+    return usage_fault(f"--{flag} = {text}; allowed: a whole number")
 
 
 def _author(given: str) -> str:
@@ -447,10 +447,5 @@
     return re.sub(r"[^a-z0-9._-]", "-", name.lower()).strip("._-")[:64]
 
 
-def _usage(text: str) -> Result:
-    data: dict[str, Any] = {"error": {"kind": "usage", "reason": text}}
-    return Result(ExitCode.USAGE, text, data)
-
-
 if __name__ == "__main__":
     main()
--- a/packages/operator/almondspan/fleet_commands.py
+++ b/packages/operator/almondspan/fleet_commands.py
@@ -1,10 +1,10 @@
-"""Commands about the fleet: agents, shards, draining, losses, burn."""
+"""Commands about the fleet: agents, shards, draining, losses."""
 
-from almondspan.answers import Agent, Agents, Burn, Drained, Loss, Service, Shards
+from almondspan.answers import Agent, Agents, Drained, Loss, Shards
 from almondspan.client import AdminClient, NoAnswer, Refused, path_of
 from almondspan.exit_codes import ExitCode
 from almondspan.results import Result, failure
-from almondspan.tables import format_share, format_table
+from almondspan.tables import format_table
 from almondspan.texts import (
     AGENT_HEADERS,
     DRAINING,
@@ -13,9 +13,7 @@
     SHARD_HEADERS,
 )
 
-__all__ = ["declare_loss", "drain", "list_agents", "list_shards", "report_burn"]
-
-N_SHOWN_PAIRS = 3
+__all__ = ["declare_loss", "drain", "list_agents", "list_shards"]
 
 
 async def list_agents(client: AdminClient) -> Result:
@@ -83,36 +81,3 @@
         return Result(ExitCode.DONE, text, found)
     next_step = LOSS_NEXT.format(kind=kind, name=name, token=found.token)
     return Result(ExitCode.DONE, "\n".join([*found.consequence, next_step]), found)
-
-
-async def report_burn(client: AdminClient) -> Result:
-    """Report how fast each service spends its error budget."""
-    found = await client.get("/v1/burn", Burn)
-    if isinstance(found, Refused | NoAnswer):
-        return failure(found)
-    lines: list[str] = []
-    for service in found.services:
-        lines += _service_lines(service)
-    is_fine = not any(one.alert or one.n_missing for one in found.services)
-    code = ExitCode.DONE if is_fine else ExitCode.ATTENTION
-    return Result(code, "\n".join(lines) or "no service is configured", found)
-
-
-def _service_lines(service: Service) -> list[str]:
-    windows = ", ".join(
-        f"{one.window_s:g} s {one.burn_rate:.2f}" for one in service.windows
-    )
-    pairs = ", ".join(
-        f"{one.task_class} {one.slowdown:.2f}x" for one in service.pairs[:N_SHOWN_PAIRS]
-    )
-    return [
-        f"{service.service}: {format_share(service.objective_share)} "
-        f"within {service.objective_latency_ms:g} ms; alert: {service.alert or 'none'}",
-        f"  p50 {service.p50_ms:.1f} ms, p99 {service.p99_ms:.1f} ms, "
-        f"budget spent {format_share(service.budget_spent_share)}",
-        f"  burn: {windows or 'no evidence'}",
-        f"  colocation: {service.n_throttles} throttles, "
-        f"{service.n_checkpoints} checkpoints, {service.n_evictions} evictions",
-        f"  interfering: {pairs or 'none'}",
-        f"  from {service.n_reporting} processes, {service.n_missing} missing",
-    ]
--- a/packages/operator/almondspan/job_commands.py
+++ b/packages/operator/almondspan/job_commands.py
@@ -7,7 +7,12 @@
 from almondspan.exit_codes import ExitCode
 from almondspan.order_report import OrderReport, RecordNote, Verdict, make_report
 from almondspan.results import Result, failure
-from almondspan.tables import format_share, format_table, format_time
+from almondspan.tables import (
+    format_duration,
+    format_share,
+    format_table,
+    format_time,
+)
 from almondspan.texts import JOB_HEADERS, SUBMITTED
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_decisions.tasks import JobSpec
@@ -187,9 +192,8 @@
 def _deadline_text(report: OrderReport) -> str:
     left_s = report.deadline_unix_s - report.now_unix_s
     direction = "left" if left_s >= 0 else "past"
-    return (
-        f"{format_time(report.deadline_unix_s)} ({_duration(abs(left_s))} {direction})"
-    )
+    distance = f"{format_duration(abs(left_s))} {direction}"
+    return f"{format_time(report.deadline_unix_s)} ({distance})"
 
 
 def _forecast_text(report: OrderReport) -> str:
@@ -233,12 +237,3 @@
     if len(notes) > N_SHOWN_NOTES:
         lines.append(f"  and {len(notes) - N_SHOWN_NOTES} more; --json names all")
     return lines
-
-
-def _duration(seconds: float) -> str:
-    minutes, s = divmod(int(seconds), 60)
-    hours, minutes = divmod(minutes, 60)
-    days, hours = divmod(hours, 24)
-    if days:
-        return f"{days} d {hours} h"
-    return f"{hours} h {minutes} min" if hours else f"{minutes} min {s} s"
--- a/packages/operator/almondspan/tables.py
+++ b/packages/operator/almondspan/tables.py
@@ -1,25 +1,30 @@
 """Tables of plain text for terminals."""
 
+import re
 from collections.abc import Iterable, Sequence
 from datetime import UTC, datetime
+from typing import Final
 
-__all__ = ["format_share", "format_table", "format_time"]
+__all__ = ["format_duration", "format_share", "format_table", "format_time"]
+
+
+_NUMBER: Final = re.compile(r"-?\d+(\.\d+)?")
 
 
 def format_table(headers: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
     """Return a table with aligned columns; numbers stand to the right."""
-    given = [list(row) for row in rows]
-    cells = [[str(cell) for cell in row] for row in given]
+    cells = [[str(cell) for cell in row] for row in rows]
+    columns = [[row[at] for row in cells] for at in range(len(headers))]
     widths = [
-        max([len(header), *(len(row[column]) for row in cells)])
-        for column, header in enumerate(headers)
+        max(map(len, [header, *column]))
+        for header, column in zip(headers, columns, strict=True)
     ]
-    right = [
-        bool(given) and all(isinstance(row[column], int | float) for row in given)
-        for column in range(len(headers))
-    ]
-    lines = [list(headers), *cells]
-    return "\n".join(_line(line, widths, right) for line in lines)
+    right = [bool(column) and all(map(_is_number, column)) for column in columns]
+    return "\n".join(_line(line, widths, right) for line in [list(headers), *cells])
+
+
+def _is_number(cell: str) -> bool:
+    return cell == "-" or _NUMBER.fullmatch(cell) is not None
 
 
 def _line(cells: Sequence[str], widths: Sequence[int], right: Sequence[bool]) -> str:
@@ -40,3 +45,17 @@
 def format_share(share: float) -> str:
     """Return a share as a percentage."""
     return f"{100 * share:.1f}%"
+
+
+def format_duration(seconds: float) -> str:
+    """Return a duration in its two largest units, as ``2 h 5 min``."""
+    if seconds < 60:
+        return f"{seconds:g} s" if seconds < 10 else f"{seconds:.0f} s"
+    minutes, s = divmod(int(seconds), 60)
+    hours, minutes = divmod(minutes, 60)
+    days, hours = divmod(hours, 24)
+    if days:
+        return f"{days} d {hours} h" if hours else f"{days} d"
+    if hours:
+        return f"{hours} h {minutes} min" if minutes else f"{hours} h"
+    return f"{minutes} min {s} s" if s else f"{minutes} min"
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -5,6 +5,10 @@
 __all__ = [
     "AGENT_HEADERS",
     "ALREADY_IN_FORCE",
+    "BURN_ALERT_HEADERS",
+    "BURN_NO_SERVICE",
+    "BURN_PAGE_WRITTEN",
+    "BURN_WINDOW_HEADERS",
     "CONFIG_ACCEPTED",
     "CONFIG_HEADER",
     "CONFIG_OK",
@@ -20,6 +24,7 @@
     "NO_DIFFERENCE",
     "NO_ENTRIES",
     "NO_EXPECTED",
+    "NO_PLOTS",
     "NO_TOKEN",
     "PLAN_USAGE",
     "REFUSED",
@@ -96,5 +101,10 @@
     "SILENT S",
     "STATE",
 )
+BURN_WINDOW_HEADERS: Final = ("WINDOW", "BURN", "CALLS", "MISSED")
+BURN_ALERT_HEADERS: Final = ("ALERT", "WINDOWS", "THRESHOLD", "BURN", "STATE")
+BURN_NO_SERVICE: Final = "no service is configured"
+BURN_PAGE_WRITTEN: Final = "the page is in {file}"
+NO_PLOTS: Final = "the page needs matplotlib: pip install 'almondspan[plots]' ({error})"
 SHARD_HEADERS: Final = ("SHARD", "OWNER", "EPOCH")
 HISTORY_HEADERS: Final = ("REVISION", "AUTHOR", "SUBMITTED", "BYTES")
