--- a/packages/decisions/almondspan_decisions/ladder.py
+++ b/packages/decisions/almondspan_decisions/ladder.py
@@ -86,7 +86,8 @@
 
     ``load`` is the busy and queued requests over the slots, ``burn_rate`` how many
     times faster than allowed the error budget is spent, and ``latency_ratio`` the
-    recent tail latency over the objective; each is the worst of the services.
+    recent tail latency over the objective. ``slowdown`` is the mean time on the
+    runner over what it is without batch work. Each is the worst of the services.
     ``usage_age_s`` is the age of the last usage report, infinite without one.
     """
 
@@ -94,6 +95,7 @@
     load: float
     burn_rate: float
     latency_ratio: float
+    slowdown: float = 1.0
     usage_age_s: float = 0.0
     tasks: tuple[LadderTask, ...] = ()
 
@@ -148,6 +150,10 @@
 
     hot_burn_rate: float = 4.0
     hot_latency_ratio: float = 0.8
+    hot_slowdown: float = 1.25
+    max_slowdown_heat: float = 1.9
+    crest_load: float = 0.4
+    load_hold_s: float = 0.75
     cool_heat: float = 0.75
     floor_share: float = 0.05
     urgent_floor_share: float = 0.5
@@ -181,12 +187,22 @@
     return register
 
 
-def heat_of(observation: LadderObservation, options: LadderOptions) -> float:
-    """Return the worst signal of the services over its limit."""
-    return max(
+def heat_of(
+    observation: LadderObservation, load: float, options: LadderOptions
+) -> float:
+    """Return the worst signal of the services over its limit.
+
+    Slowdown counts at the crest alone: outside it, latency within the objective is
+    enough.
+    """
+    heat = max(
         observation.burn_rate / options.hot_burn_rate,
         observation.latency_ratio / options.hot_latency_ratio,
     )
+    if load < options.crest_load:
+        return heat
+    excess = (observation.slowdown - 1.0) / (options.hot_slowdown - 1.0)
+    return max(heat, min(excess, options.max_slowdown_heat))
 
 
 def eviction_cost(task: LadderTask) -> tuple[bool, float, str]:
@@ -228,6 +244,8 @@
 class _SwingState:
     shares: list[float]
     evictions: _TokenBucket
+    load: float = 0.0
+    load_at_s: float = float("-inf")
     cut_at_s: float = float("-inf")
     raised_at_s: float = float("-inf")
     hot_at_floor_since_s: float | None = None
@@ -248,8 +266,9 @@
 
     def step(self, observation: LadderObservation) -> LadderDecision:
         """Return the decision for an observation later than all before."""
-        band = self._band(observation.load)
-        heat = heat_of(observation, self._options)
+        load = self._held_load(observation)
+        band = self._band(load)
+        heat = heat_of(observation, load, self._options)
         self._learn(observation.now_s, band, heat)
         share = self._state.shares[band]
         actions: list[LadderAction] = []
@@ -261,6 +280,15 @@
             self._level(observation, share, actions), share, tuple(actions)
         )
 
+    def _held_load(self, observation: LadderObservation) -> float:
+        """Follow the load up at once and down slowly, since single looks are noisy."""
+        state = self._state
+        elapsed_s = max(0.0, observation.now_s - state.load_at_s)
+        kept = math.exp(-elapsed_s / self._options.load_hold_s)
+        state.load_at_s = observation.now_s
+        state.load = max(observation.load, state.load * kept)
+        return state.load
+
     def _band(self, load: float) -> int:
         options = self._options
         band = int(max(0.0, load) / options.top_load * options.n_bands)
@@ -415,7 +443,7 @@
 
     def step(self, observation: LadderObservation) -> LadderDecision:
         """Return a stop for each task when hot."""
-        if heat_of(observation, self._options) < 1.0:
+        if heat_of(observation, observation.load, self._options) < 1.0:
             return LadderDecision(LadderLevel.NONE, 1.0)
         stops = tuple(
             EvictTask(task.task_id, task.attempt, checkpoint=False)
