--- a/packages/operator/almondspan/burn_page.py
+++ b/packages/operator/almondspan/burn_page.py
@@ -2,7 +2,7 @@
 
 Each service has its figures as a table and three plots: the burn of each window
 against the thresholds, the share of calls slower than each latency, and the task
-classes that slow it. The plots are drawn by matplotlib as SVG and stand inside the page.
+classes that slow it. Matplotlib draws the plots as SVG, which stands inside the page.
 """
 
 import html
