--- a/tests/admin/admin_api.py
+++ b/tests/admin/admin_api.py
@@ -194,7 +194,9 @@
     )
     app = web.Application()
     api.add_routes(app)
-    async with TestClient(TestServer(app)) as client:
+    server = TestServer(app)
+    await server.start_server(access_log=None)
+    async with TestClient(server) as client:
         running = Api(relay, desk, fleet, core, store, api, client)
         if toml:
             body = {"expected_revision": 0, "toml": toml}
