Ask every entry, and know at once what another has accepted

Cause: a short time limit asked one entry only; an error of a balancer counted as nothing changed although an entry may have acted; an order or team accepted by one entry was unknown to the next for seconds; a token could leave the machine plain. Change: every entry is asked at least once; answers that are none of the API's tell that the request may have taken effect; a request that a newer configuration might allow looks at the store first, at most once a second; plain addresses beyond this machine are refused unless allowed; both sides of a conflict in a module of its own. Conclusion: operators may use any entry.

--- a/packages/admin/almondspan_admin/api.py
+++ b/packages/admin/almondspan_admin/api.py
@@ -19,7 +19,6 @@
 from almondspan_admin import config_routes, fleet_routes, job_routes
 from almondspan_admin.auth import Identity, identify
 from almondspan_admin.fleet_view import FleetView
-from almondspan_admin.holder import ConfigHolder
 from almondspan_admin.rate import RateLimiter
 from almondspan_admin.relay import ConfigRelay
 from almondspan_admin.routes import (
@@ -31,6 +30,7 @@
     Route,
     refuse,
 )
+from almondspan_decisions.fleet import FleetConfig
 from almondspan_tasks.desk import JobDesk
 
 __all__ = ["AdminApi", "AdminCounters", "AdminOptions"]
@@ -84,11 +84,7 @@
         options: AdminOptions | None = None,
     ) -> None:
         self._options = options or AdminOptions()
-        self._relay = relay
-        self._holder = ConfigHolder()
-        self._context = ApiContext(
-            desk, relay, fleet_view, self._holder, self._options.wall_clock
-        )
+        self._context = ApiContext(desk, relay, fleet_view, self._options.wall_clock)
         self._limiter = RateLimiter()
         self._openapi = (
             resources.files("almondspan_admin").joinpath("openapi.json").read_bytes()
@@ -114,7 +110,10 @@
 
     async def _answer(self, entry: Route, request: web.Request) -> Reply:
         self.counters.n_requests += 1
-        identity = self._identify(request)
+        identity = self._identify(request, self._context.fleet())
+        if identity is None:
+            fleet = await self._context.fresh_fleet()
+            identity = self._identify(request, fleet)
         refused = self._admit(entry, identity)
         if refused is not None:
             return refused
@@ -132,13 +131,9 @@
         call = ApiCall(identity, request.match_info, body)
         return await entry.handler(self._context, call)
 
-    def _identify(self, request: web.Request) -> Identity | None:
-        push = self._relay.current()
-        if push is not None and push.revision > self._holder.revision:
-            self._holder.accept(push)
+    def _identify(self, request: web.Request, fleet: FleetConfig) -> Identity | None:
         header = request.headers.get("Authorization", "")
-        digest = self._options.bootstrap_token_sha256
-        return identify(header, self._holder.fleet, digest)
+        return identify(header, fleet, self._options.bootstrap_token_sha256)
 
     def _admit(self, entry: Route, identity: Identity | None) -> Reply | None:
         """Return why the caller is refused, or None."""
--- a/packages/admin/almondspan_admin/config_routes.py
+++ b/packages/admin/almondspan_admin/config_routes.py
@@ -34,7 +34,8 @@
 
 @route("GET", "/v1/config", Access.OPERATOR, ConfigBody)
 async def get_config(context: ApiContext, call: ApiCall) -> Reply:
-    """Return the configuration that this entry holds."""
+    """Return the configuration in force, or while the store is down the held one."""
+    await context.relay.refresh()
     push = context.relay.current()
     if push is None:
         return Reply(ConfigBody(revision=0, toml=""))
@@ -126,7 +127,7 @@
     parsed = parse_fleet(call.read(ConfigTextBody).toml)
     if isinstance(parsed, ConfigFaults):
         return _reply(ConfigRefused(parsed))
-    fleet = context.holder.fleet
+    fleet = await context.fresh_fleet()
     return Reply(ConfigDiffBody(fleet.revision, diff_fleets(fleet, parsed)))
 
 
--- a/packages/admin/almondspan_admin/job_routes.py
+++ b/packages/admin/almondspan_admin/job_routes.py
@@ -19,7 +19,7 @@
     unscoped_job_id,
 )
 from almondspan_admin.routes import Access, ApiCall, ApiContext, Reply, refuse, route
-from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.fleet import FleetConfig, OrderConfig
 from almondspan_decisions.ids import JobId, OrderName, TeamName
 from almondspan_decisions.orders import record_job_id
 from almondspan_tasks.desk import DeskUnavailable, JobStatus
@@ -31,10 +31,11 @@
 async def submit_jobs(context: ApiContext, call: ApiCall) -> Reply:
     """Submit a batch of jobs; the answer comes when they are committed."""
     jobs = call.read(JobsBody).jobs
+    fleet = context.fleet()
+    if any(_find_order(job, fleet) is None for job in jobs if job.order_name):
+        fleet = await context.fresh_fleet()
     for job in jobs:
-        refused = _refuse_team(call, job.team) or _refuse_order(
-            job, context.holder.fleet
-        )
+        refused = _refuse_team(call, job.team) or _refuse_order(job, fleet)
         if refused is not None:
             return refused
     if len({(job.team, job.job_id) for job in jobs}) < len(jobs):
@@ -86,7 +87,8 @@
 async def order_ledger(context: ApiContext, call: ApiCall) -> Reply:
     """Return the ledger of a hand-back order beside its terms."""
     name = call.path["order_name"]
-    orders = {order.name: order for order in context.holder.fleet.orders}
+    fleet = await context.fresh_fleet()
+    orders = {order.name: order for order in fleet.orders}
     order = orders.get(OrderName(name))
     visible = order is not None and _refuse_team(call, order.team) is None
     if order is None or not visible:
@@ -112,13 +114,19 @@
     return refuse(HTTPStatus.FORBIDDEN, "forbidden", reason)
 
 
+def _find_order(job: JobBody, fleet: FleetConfig) -> OrderConfig | None:
+    for order in fleet.orders:
+        if order.name == job.order_name and order.team == job.team:
+            return order
+    return None
+
+
 def _refuse_order(job: JobBody, fleet: FleetConfig) -> Reply | None:
     """Refuse what would let a record be handed back twice or go uncounted."""
     if not job.order_name:
         return None
-    orders = {order.name: order for order in fleet.orders}
-    order = orders.get(OrderName(job.order_name))
-    if order is None or order.team != job.team:
+    order = _find_order(job, fleet)
+    if order is None:
         reason = f"job {job.job_id}: no order {job.order_name} of team {job.team}"
         return refuse(HTTPStatus.UNPROCESSABLE_ENTITY, "unknown_order", reason)
     wanted = record_job_id(order.name, job.record_name)
--- a/packages/admin/almondspan_admin/relay.py
+++ b/packages/admin/almondspan_admin/relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -34,10 +35,12 @@
 class RelayOptions:
     """How often the relay reads, and how it submits.
 
+    ``refresh_s`` is the least time between reads that requests ask for.
     ``policies`` are the names that a submitted configuration may give.
     """
 
     reread_s: float = 4.0
+    refresh_s: float = 1.0
     retry_s: float = 1.0
     submit: SubmitOptions = field(default_factory=SubmitOptions)
     policies: KnownPolicies | None = None
@@ -71,6 +74,7 @@
         self._rng = rng or random.Random(0)
         self._push: ConfigPush | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._refreshed_s = -math.inf
         self.n_older_refused = 0
         self.n_watches_lost = 0
 
@@ -106,6 +110,17 @@
         self._on_change(push)
         return True
 
+    async def refresh(self) -> None:
+        """Read now, for a request that a newer configuration might allow.
+
+        At most one read in ``refresh_s``, whoever asks; an unavailable store
+        leaves the copy as it is.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._refreshed_s >= self._options.refresh_s:
+            self._refreshed_s = now_s
+            await self._keys.read()
+
     async def submit(self, submission: ConfigSubmission) -> SubmitOutcome:
         """Replace the configuration if it is at the expected revision."""
         refused = check_submission(submission, self._options.policies)
--- a/packages/admin/almondspan_admin/routes.py
+++ b/packages/admin/almondspan_admin/routes.py
@@ -18,6 +18,7 @@
 from almondspan_admin.holder import ConfigHolder
 from almondspan_admin.messages import ErrorBody
 from almondspan_admin.relay import ConfigRelay
+from almondspan_decisions.fleet import FleetConfig
 from almondspan_tasks.desk import JobDesk
 
 __all__ = [
@@ -48,8 +49,23 @@
     desk: JobDesk
     relay: ConfigRelay
     fleet_view: FleetView
-    holder: ConfigHolder
     wall_clock: Callable[[], float]
+    holder: ConfigHolder = field(default_factory=ConfigHolder)
+
+    def fleet(self) -> FleetConfig:
+        """Return the configuration that this entry holds."""
+        push = self.relay.current()
+        if push is not None and push.revision > self.holder.revision:
+            self.holder.accept(push)
+        return self.holder.fleet
+
+    async def fresh_fleet(self) -> FleetConfig:
+        """Return the configuration after a look at the store.
+
+        Another entry may have accepted a newer one a moment ago.
+        """
+        await self.relay.refresh()
+        return self.fleet()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/operator/almondspan/client.py
+++ b/packages/operator/almondspan/client.py
@@ -32,7 +32,7 @@
     """Where the entries are, and how to speak to them.
 
     ``addresses`` are URLs. ``ca``, ``cert`` and ``key`` are paths of PEM files, or
-    empty. ``timeout_s`` bounds each command's request with all its repetitions.
+    empty. Every entry is asked at least once; after ``timeout_s`` none is asked again.
     """
 
     addresses: tuple[str, ...]
@@ -117,10 +117,11 @@
             may_have_applied |= found.may_have_applied and method != "GET"
             n_asked += 1
             self._first = (self._first + 1) % len(self._connection.addresses)
+            if n_asked % len(self._connection.addresses) > 0:
+                continue
             if loop.time() + RETRY_S >= ends_s:
                 return NoAnswer(found.reason, may_have_applied)
-            if n_asked % len(self._connection.addresses) == 0:
-                await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(RETRY_S)
 
     async def _ask_once(
         self, method: str, path: str, body: bytes | None, answer: type[Answer]
@@ -147,9 +148,12 @@
         if status == HTTPStatus.OK:
             return msgspec.json.decode(data, type=answer)
         refusal = msgspec.json.decode(data, type=Refusal)
-    except msgspec.MsgspecError as error:
-        reason = f"{address} is no administration API: {status}, {error}"
-        return NoAnswer(reason, may_have_applied=False)
+    except msgspec.MsgspecError:
+        # A balancer or a broken entry answered; a request that got through to an
+        # entry first may have taken effect.
+        is_client_error = 400 <= status < 500
+        reason = f"{address}: status {status}, no answer of an administration API"
+        return NoAnswer(reason, may_have_applied=not is_client_error)
     if status == HTTPStatus.TOO_MANY_REQUESTS:
         return NoAnswer(f"{address}: {refusal.reason}", may_have_applied=False)
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
--- a/packages/operator/almondspan/command.py
+++ b/packages/operator/almondspan/command.py
@@ -11,6 +11,7 @@
 import contextlib
 import functools
 import hashlib
+import ipaddress
 import os
 import re
 import secrets
@@ -19,6 +20,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final, TypeVar
+from urllib.parse import urlsplit
 
 import fire
 import msgspec
@@ -38,6 +40,7 @@
     NO_ENTRIES,
     NO_EXPECTED,
     NO_TOKEN,
+    PLAIN_REFUSED,
     TOKEN_MADE,
 )
 from almondspan_decisions.tasks import JobSpec
@@ -49,6 +52,7 @@
 CA_VARIABLE: Final = "ALMONDSPAN_CA"
 CERT_VARIABLE: Final = "ALMONDSPAN_CERT"
 KEY_VARIABLE: Final = "ALMONDSPAN_KEY"
+ALLOW_PLAIN_VARIABLE: Final = "ALMONDSPAN_ALLOW_PLAIN"
 TOKEN_BYTES: Final = 32
 
 # Fire's help lists every public attribute of a command, its own mark included.
@@ -395,6 +399,10 @@
     wrong = [one for one in addresses if not re.match(r"https?://\S+:\d+$", one)]
     if wrong:
         return usage_fault(f"{wrong[0]} is no address as http://127.0.0.1:8081")
+    if not os.environ.get(ALLOW_PLAIN_VARIABLE):
+        for address in addresses:
+            if not _is_safe(address):
+                return usage_fault(PLAIN_REFUSED.format(address=address))
     token = os.environ.get(TOKEN_VARIABLE, "")
     if flags.token_file:
         try:
@@ -418,6 +426,17 @@
     )
 
 
+def _is_safe(address: str) -> bool:
+    """Tell whether a token sent to `address` stays on this machine or encrypted."""
+    url = urlsplit(address)
+    if url.scheme == "https" or url.hostname == "localhost":
+        return True
+    try:
+        return ipaddress.ip_address(url.hostname or "").is_loopback
+    except ValueError:
+        return False
+
+
 def _read_config(file: str) -> ConfigFile | Result:
     text = read_text(file)
     return text if isinstance(text, Result) else check_config(file, text)
--- a/packages/operator/almondspan/config_commands.py
+++ b/packages/operator/almondspan/config_commands.py
@@ -12,22 +12,24 @@
     ConfigStatus,
 )
 from almondspan.client import AdminClient, NoAnswer, Refused, path_of
+from almondspan.config_conflict import (
+    difference_lines,
+    explain_conflict,
+    read_fleet,
+)
 from almondspan.exit_codes import ExitCode
 from almondspan.results import Result, failure
 from almondspan.tables import format_share, format_table, format_time
 from almondspan.texts import (
-    ALREADY_IN_FORCE,
     CONFIG_ACCEPTED,
     CONFIG_HEADER,
     CONFIG_OK,
-    CONFLICT_NEXT,
-    CONFLICT_TITLE,
     FILE_FAULT,
     HISTORY_HEADERS,
     NO_DIFFERENCE,
 )
 from almondspan_decisions.fleet import FleetConfig
-from almondspan_decisions.fleet_diff import Difference, clashing_keys, diff_fleets
+from almondspan_decisions.fleet_diff import diff_fleets
 from almondspan_decisions.fleet_document import ConfigFaults, parse_fleet
 
 __all__ = [
@@ -96,8 +98,11 @@
     found = await client.get("/v1/config", Config)
     if isinstance(found, Refused | NoAnswer):
         return failure(found)
-    differences = diff_fleets(_fleet_of(found.toml), config.fleet)
-    text = "\n".join([f"to revision {found.revision}:", *_lines(differences)])
+    fleet = read_fleet(found)
+    if isinstance(fleet, Result):
+        return fleet
+    differences = diff_fleets(fleet, config.fleet)
+    text = "\n".join([f"to revision {found.revision}:", *difference_lines(differences)])
     if not differences:
         text = NO_DIFFERENCE.format(revision=found.revision)
     return Result(
@@ -121,56 +126,7 @@
         return Result(ExitCode.DONE, text, found)
     if isinstance(found, NoAnswer) or found.refusal.kind != "conflict":
         return failure(found)
-    return await _explain_conflict(client, config, expected, found)
-
-
-async def _explain_conflict(
-    client: AdminClient, config: ConfigFile, expected: int, refused: Refused
-) -> Result:
-    """Tell both sides' changes since the revision that was edited."""
-    current = refused.refusal.current
-    if current is None:
-        return failure(refused)
-    theirs = _fleet_of(current.toml)
-    if not diff_fleets(theirs, config.fleet):
-        text = ALREADY_IN_FORCE.format(revision=current.revision)
-        return Result(ExitCode.DONE, text, {"revision": current.revision})
-    base = FleetConfig()
-    base_is_known = expected == 0
-    if expected > 0:
-        found = await client.get(path_of("config", "history", str(expected)), Config)
-        if isinstance(found, Config):
-            base = _fleet_of(found.toml)
-            base_is_known = True
-    lines = [
-        CONFLICT_TITLE.format(
-            expected=expected,
-            revision=current.revision,
-            author=current.author,
-            time=format_time(current.submitted_unix_s),
-        )
-    ]
-    their_changes: tuple[Difference, ...] = ()
-    our_changes = diff_fleets(theirs, config.fleet)
-    clashes: tuple[str, ...] = ()
-    if base_is_known:
-        their_changes = diff_fleets(base, theirs)
-        our_changes = diff_fleets(base, config.fleet)
-        clashes = clashing_keys(our_changes, their_changes)
-        lines += [f"their changes since revision {expected}:", *_lines(their_changes)]
-        lines += [f"your changes since revision {expected}:", *_lines(our_changes)]
-        lines += [f"both changed, differently: {', '.join(clashes) or 'nothing'}"]
-    else:
-        lines += [f"revision {expected} is not kept; yours against theirs:"]
-        lines += _lines(our_changes)
-    lines += [CONFLICT_NEXT.format(revision=current.revision)]
-    data = {
-        "error": refused.refusal,
-        "their_changes": their_changes,
-        "your_changes": our_changes,
-        "clashes": clashes,
-    }
-    return Result(ExitCode.CONFLICT, "\n".join(lines), data)
+    return await explain_conflict(client, config.fleet, expected, found)
 
 
 async def config_history(client: AdminClient) -> Result:
@@ -201,12 +157,3 @@
     is_everywhere = all(one.revision >= found.revision for one in found.shares)
     code = ExitCode.DONE if is_everywhere else ExitCode.ATTENTION
     return Result(code, "\n".join(lines), found)
-
-
-def _fleet_of(text: str) -> FleetConfig:
-    parsed = parse_fleet(text, strict=False)
-    return FleetConfig() if isinstance(parsed, ConfigFaults) else parsed
-
-
-def _lines(differences: tuple[Difference, ...]) -> list[str]:
-    return [f"  {one}" for one in differences] or ["  none"]
--- /dev/null
+++ b/packages/operator/almondspan/config_conflict.py
@@ -0,0 +1,118 @@
+"""Tells both sides of a conflict between two operators.
+
+The base is the revision that the loser edited. What the winner changed since the
+base, and what the loser would have changed, stand side by side, with the keys that
+both changed to different values.
+"""
+
+from dataclasses import dataclass
+
+from almondspan.answers import Config
+from almondspan.client import AdminClient, NoAnswer, Refused, path_of
+from almondspan.exit_codes import ExitCode
+from almondspan.results import Result, failure
+from almondspan.tables import format_time
+from almondspan.texts import (
+    ALREADY_IN_FORCE,
+    CONFLICT_BASE_GONE,
+    CONFLICT_CLASHES,
+    CONFLICT_NEXT,
+    CONFLICT_OURS,
+    CONFLICT_THEIRS,
+    CONFLICT_TITLE,
+    UNREADABLE_REVISION,
+)
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.fleet_diff import Difference, clashing_keys, diff_fleets
+from almondspan_decisions.fleet_document import ConfigFaults, parse_fleet
+
+__all__ = ["difference_lines", "explain_conflict", "read_fleet"]
+
+
+@dataclass(frozen=True, slots=True)
+class _Sides:
+    """Both sides' changes; without a base, theirs are not known."""
+
+    theirs: tuple[Difference, ...]
+    ours: tuple[Difference, ...]
+    clashes: tuple[str, ...]
+    has_base: bool
+
+
+async def explain_conflict(
+    client: AdminClient, ours: FleetConfig, expected: int, refused: Refused
+) -> Result:
+    """Return the result of a submission that came second."""
+    current = refused.refusal.current
+    if current is None:
+        return failure(refused)
+    theirs = read_fleet(current)
+    if isinstance(theirs, Result):
+        return theirs
+    if not diff_fleets(theirs, ours):
+        text = ALREADY_IN_FORCE.format(revision=current.revision)
+        return Result(ExitCode.DONE, text, {"revision": current.revision})
+    sides = _sides(await _read_base(client, expected), ours, theirs)
+    data = {
+        "error": refused.refusal,
+        "their_changes": sides.theirs,
+        "your_changes": sides.ours,
+        "clashes": sides.clashes,
+    }
+    return Result(ExitCode.CONFLICT, _text(sides, current, expected), data)
+
+
+def _sides(base: FleetConfig | None, ours: FleetConfig, theirs: FleetConfig) -> _Sides:
+    if base is None:
+        return _Sides((), diff_fleets(theirs, ours), (), has_base=False)
+    our_changes = diff_fleets(base, ours)
+    their_changes = diff_fleets(base, theirs)
+    clashes = clashing_keys(our_changes, their_changes)
+    return _Sides(their_changes, our_changes, clashes, has_base=True)
+
+
+def _text(sides: _Sides, current: Config, expected: int) -> str:
+    lines = [
+        CONFLICT_TITLE.format(
+            expected=expected,
+            revision=current.revision,
+            author=current.author,
+            time=format_time(current.submitted_unix_s),
+        )
+    ]
+    if sides.has_base:
+        lines += [CONFLICT_THEIRS.format(expected=expected)]
+        lines += difference_lines(sides.theirs)
+        lines += [CONFLICT_OURS.format(expected=expected)]
+        lines += difference_lines(sides.ours)
+        clashes = ", ".join(sides.clashes) or "nothing"
+        lines += [CONFLICT_CLASHES.format(clashes=clashes)]
+    else:
+        lines += [CONFLICT_BASE_GONE.format(expected=expected)]
+        lines += difference_lines(sides.ours)
+    return "\n".join([*lines, CONFLICT_NEXT.format(revision=current.revision)])
+
+
+async def _read_base(client: AdminClient, revision: int) -> FleetConfig | None:
+    """Return the revision that was edited, or None when it cannot be had."""
+    if revision == 0:
+        return FleetConfig()
+    found = await client.get(path_of("config", "history", str(revision)), Config)
+    if isinstance(found, Refused | NoAnswer):
+        return None
+    fleet = read_fleet(found)
+    return None if isinstance(fleet, Result) else fleet
+
+
+def read_fleet(config: Config) -> FleetConfig | Result:
+    """Return the fleet in a revision, or the result when it cannot be read."""
+    parsed = parse_fleet(config.toml, strict=False)
+    if not isinstance(parsed, ConfigFaults):
+        return parsed
+    text = UNREADABLE_REVISION.format(revision=config.revision, fault=parsed.faults[0])
+    return Result(ExitCode.REFUSED, text, {"faults": parsed.faults})
+
+
+def difference_lines(differences: tuple[Difference, ...]) -> list[str]:
+    """Return one line for each difference."""
+    return [f"  {one}" for one in differences] or ["  none"]
--- a/packages/operator/almondspan/job_commands.py
+++ b/packages/operator/almondspan/job_commands.py
@@ -13,7 +13,7 @@
     format_table,
     format_time,
 )
-from almondspan.texts import JOB_HEADERS, SUBMITTED
+from almondspan.texts import JOB_CONFLICT, JOB_HEADERS, MORE_NOTES, SUBMITTED
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_decisions.tasks import JobSpec
 
@@ -92,9 +92,12 @@
             n_refused=len(refused),
         )
     ]
-    lines += [
-        f"  {one.job_id}: {one.state}: {one.reason}" for one in conflicts + refused
-    ]
+    named = conflicts + refused
+    lines += [f"  {one.job_id}: {one.reason}" for one in named[:N_SHOWN_NOTES]]
+    if len(named) > N_SHOWN_NOTES:
+        lines.append(MORE_NOTES.format(n_more=len(named) - N_SHOWN_NOTES))
+    if conflicts:
+        lines.append(JOB_CONFLICT)
     code = ExitCode.DONE
     if refused:
         code = ExitCode.REFUSED
@@ -235,5 +238,5 @@
     for note in notes[:N_SHOWN_NOTES]:
         lines.append(f"  {note.record_name}: {note.state}: {note.reason}")
     if len(notes) > N_SHOWN_NOTES:
-        lines.append(f"  and {len(notes) - N_SHOWN_NOTES} more; --json names all")
+        lines.append(MORE_NOTES.format(n_more=len(notes) - N_SHOWN_NOTES))
     return lines
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -12,26 +12,34 @@
     "CONFIG_ACCEPTED",
     "CONFIG_HEADER",
     "CONFIG_OK",
+    "CONFLICT_BASE_GONE",
+    "CONFLICT_CLASHES",
     "CONFLICT_NEXT",
+    "CONFLICT_OURS",
+    "CONFLICT_THEIRS",
     "CONFLICT_TITLE",
     "DRAINING",
     "FILE_FAULT",
     "HISTORY_HEADERS",
+    "JOB_CONFLICT",
     "JOB_HEADERS",
     "LOSS_DECLARED",
     "LOSS_NEXT",
+    "MORE_NOTES",
     "NO_ANSWER",
     "NO_DIFFERENCE",
     "NO_ENTRIES",
     "NO_EXPECTED",
     "NO_PLOTS",
     "NO_TOKEN",
+    "PLAIN_REFUSED",
     "PLAN_USAGE",
     "REFUSED",
     "SHARD_HEADERS",
     "SUBMITTED",
     "TOKEN_MADE",
     "UNKNOWN_RESULT",
+    "UNREADABLE_REVISION",
 ]
 
 PLAN_USAGE: Final = """\
@@ -68,6 +76,10 @@
     "conflict: you edited revision {expected}; revision {revision} is in force, "
     "by {author} at {time}. Nothing was changed."
 )
+CONFLICT_THEIRS: Final = "their changes since revision {expected}:"
+CONFLICT_OURS: Final = "your changes since revision {expected}:"
+CONFLICT_CLASHES: Final = "both changed, differently: {clashes}"
+CONFLICT_BASE_GONE: Final = "revision {expected} is not kept; yours against theirs:"
 CONFLICT_NEXT: Final = (
     "next: take their changes into your plan, then submit with --expected {revision}"
 )
@@ -76,6 +88,17 @@
     "{n_accepted} accepted, {n_known} known already, {n_conflicts} conflicts, "
     "{n_refused} refused"
 )
+MORE_NOTES: Final = "  and {n_more} more; --json names all"
+JOB_CONFLICT: Final = (
+    "a job in conflict goes on as it was first submitted; the file differs from that"
+)
+PLAIN_REFUSED: Final = (
+    "{address} would carry the token without encryption beyond this machine; use an "
+    "https address, or set ALMONDSPAN_ALLOW_PLAIN=1"
+)
+UNREADABLE_REVISION: Final = (
+    "revision {revision} cannot be read by this release of almondspan: {fault}"
+)
 DRAINING: Final = (
     "{agent_id} drains: it takes no new work and leaves when its work has ended"
 )
--- a/tests/admin/test_authorisation.py
+++ b/tests/admin/test_authorisation.py
@@ -139,3 +139,16 @@
     asyncio.run(run())
     assert "operator-token" not in caplog.text
     assert "wrong-secret" not in caplog.text
+
+
+def test_what_another_entry_accepted_counts_at_once():
+    """A team, order or text just accepted elsewhere is known when it is needed."""
+
+    async def run():
+        async with running_api() as here, running_api(toml="") as there:
+            there.relay._keys._store = here.store
+            order = await there.call("GET", "/v1/orders/return-2026", "archive-token")
+            shown = await there.call("GET", "/v1/config", "operator-token")
+            return order[0], shown[1]["revision"]
+
+    assert asyncio.run(run()) == (200, 1)
--- a/tests/operator/test_command_line.py
+++ b/tests/operator/test_command_line.py
@@ -4,6 +4,7 @@
 
 import pytest
 from admin_api import token_digest
+from served_api import run_command
 
 from almondspan import Plan
 
@@ -130,3 +131,42 @@
         file.write_text(shown.partition("\n")[2])
         unsaid = fleet.run("config", "submit", str(file))
     assert (unsaid.code, "--expected" in unsaid.err) == (2, True)
+
+
+@pytest.mark.parametrize(
+    ("variables", "flags", "text"),
+    [
+        pytest.param({}, [], "no entry is named", id="no entry"),
+        pytest.param({"ENTRIES": "127.0.0.1:1"}, [], "is no address", id="no scheme"),
+        pytest.param({"ENTRIES": "http://127.0.0.1:1"}, [], "no token", id="no token"),
+        pytest.param(
+            {"ENTRIES": "http://10.0.0.7:1", "TOKEN": "t"},
+            [],
+            "without encryption",
+            id="plain beyond this machine",
+        ),
+        pytest.param(
+            {"ENTRIES": "http://127.0.0.1:1", "TOKEN": "t"},
+            ["--timeout_s", "soon"],
+            "allowed: seconds",
+            id="no number",
+        ),
+        pytest.param(
+            {"ENTRIES": "http://127.0.0.1:1"},
+            ["--token_file", "/nowhere"],
+            "/nowhere",
+            id="no token file",
+        ),
+        pytest.param(
+            {"ENTRIES": "https://127.0.0.1:1", "TOKEN": "t", "CA": "/nowhere"},
+            [],
+            "certificates cannot be read",
+            id="no certificate",
+        ),
+    ],
+)
+def test_connection_at_fault(variables, flags, text):
+    named = {f"ALMONDSPAN_{name}": value for name, value in variables.items()}
+    ended = run_command("fleet", "agents", *flags, **named)
+    assert (ended.code, ended.out) == (2, "")
+    assert text in ended.err
