Let an entry learn the configuration from agents

Cause: an entry that starts during an outage of the store knows no team. Change: when an agent's status names a higher revision than the entry holds, the entry asks that agent for it; ConfigHolder keeps the message it accepted.

--- a/packages/admin/almondspan_admin/holder.py
+++ b/packages/admin/almondspan_admin/holder.py
@@ -14,12 +14,15 @@
     ----------
     fleet : FleetConfig
         The configuration in force; empty before the first one is accepted.
+    push : ConfigPush or None
+        The message that brought it, for an entry that asks for it.
     n_refused_old, n_refused_faulty : int
         Counts of pushes refused since they were not newer, or not readable.
     """
 
     def __init__(self) -> None:
         self.fleet = FleetConfig()
+        self.push: ConfigPush | None = None
         self.n_refused_old = 0
         self.n_refused_faulty = 0
 
@@ -38,4 +41,5 @@
             self.n_refused_faulty += 1
             return False
         self.fleet = parsed.at_revision(push.revision)
+        self.push = push
         return True
--- /dev/null
+++ b/tests/admin/test_config_learner.py
@@ -0,0 +1,71 @@
+"""An entry that starts during an outage learns the configuration from an agent."""
+
+import asyncio
+
+from admin_api import FLEET
+from virtual_time import run_virtual
+
+from almondspan_admin.config_learner import ConfigAsk, ConfigLearner
+from almondspan_admin.holder import ConfigHolder
+from almondspan_admin.relay import ConfigRelay
+from almondspan_decisions.ids import AgentId
+from almondspan_decisions.shapes import EMPTY_SHAPE
+from almondspan_standins.faults import StoreFaults
+from almondspan_standins.memory_store import MemoryStore
+from almondspan_standins.store_core import StoreCore
+from almondspan_wire.membership import AgentStatus, ConfigPush
+
+
+def status(revision):
+    return AgentStatus(1, EMPTY_SHAPE, 0, False, revision)
+
+
+async def learn(reports):
+    """Report revisions, 1 s apart; agents that answer send what they hold."""
+    core = StoreCore(asyncio.get_running_loop().time)
+    core.faults = StoreFaults(outage=True)
+    pushed = []
+    relay = ConfigRelay(MemoryStore(core), pushed.append)
+    asked = []
+
+    def post(agent_id, body):
+        assert isinstance(body, ConfigAsk)
+        asked.append(agent_id)
+        revision, answers = next(
+            (revision, answers)
+            for name, revision, answers in reports
+            if name == agent_id
+        )
+        holder = ConfigHolder()
+        holder.accept(ConfigPush(revision=revision, toml=FLEET.encode()))
+        if answers:
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.1, learner.on_message, agent_id, holder.push)
+        return True
+
+    learner = ConfigLearner(relay, post)
+    await relay.start()
+    for name, revision, _ in reports:
+        learner.on_status(AgentId(name), status(revision))
+        await asyncio.sleep(1)
+    await relay.close()
+    return asked, [push.revision for push in pushed]
+
+
+def test_one_agent_is_asked():
+    reports = [("a", 4, True), ("b", 4, True), ("c", 3, True)]
+    assert run_virtual(learn(reports)) == (["a"], [4])
+
+
+def test_another_agent_is_asked_when_the_first_is_silent():
+    reports = [("a", 4, False), ("b", 4, True), ("c", 4, True), ("d", 4, True)]
+    assert run_virtual(learn(reports)) == (["a", "c"], [4])
+
+
+def test_a_newer_revision_is_asked_for():
+    reports = [("a", 1, True), ("b", 1, True), ("c", 2, True)]
+    assert run_virtual(learn(reports)) == (["a", "c"], [1, 2])
+
+
+def test_an_agent_without_configuration_is_not_asked():
+    assert run_virtual(learn([("a", 0, True)])) == ([], [])
