Refuse text that is nested too deeply

Cause: a configuration, job file or settings file of thousands of nested lists ended in an error instead of a fault.

--- a/packages/daemon/almondspan_daemon/settings.py
+++ b/packages/daemon/almondspan_daemon/settings.py
@@ -114,6 +114,8 @@
         return SettingsFault(str(path), "(file)", cause, "a readable TOML file")
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return SettingsFault(str(path), "(file)", str(error), "TOML in UTF-8")
+    except RecursionError:
+        return SettingsFault(str(path), "(file)", "nested too deeply", "tables")
 
 
 def _model_of(
--- a/packages/decisions/almondspan_decisions/fleet_document.py
+++ b/packages/decisions/almondspan_decisions/fleet_document.py
@@ -96,6 +96,8 @@
         document = tomllib.loads(decoded)
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         return ConfigFaults((ConfigFault("(text)", str(error), "TOML in UTF-8"),))
+    except RecursionError:
+        return ConfigFaults((ConfigFault("(text)", "nested too deeply", "tables"),))
     reader = _Reader(strict)
     config = reader.read(document)
     faults = {fault.key: fault for fault in reader.faults}
--- a/packages/operator/almondspan/job_files.py
+++ b/packages/operator/almondspan/job_files.py
@@ -107,6 +107,8 @@
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return FileFaults((FileFault("(text)", str(error), "TOML"),))
+    except RecursionError:
+        return FileFaults((FileFault("(text)", "nested too deeply", "tables"),))
     reader = _Reader()
     if "order" in document:
         jobs = reader.read_order(document)
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -237,6 +237,9 @@
             "at least one",
             id="agent without work",
         ),
+        pytest.param(
+            "a = " + "[" * 5000, "(file)", "nested too deeply", "tables", id="deep"
+        ),
         pytest.param("[process", "(file)", "Expected", "TOML", id="no TOML"),
     ],
 )
--- a/tests/decisions/test_fleet_document.py
+++ b/tests/decisions/test_fleet_document.py
@@ -60,6 +60,9 @@
     ("text", "key", "value", "allowed"),
     [
         pytest.param("[[", "(text)", "", "TOML", id="no TOML"),
+        pytest.param(
+            "a = " + "[" * 5000, "(text)", "nested too deeply", "tables", id="deep"
+        ),
         pytest.param(b"\xff", "(text)", "utf-8", "UTF-8", id="no text"),
         pytest.param(
             TEXT + "[polices]",
--- a/tests/operator/test_plan.py
+++ b/tests/operator/test_plan.py
@@ -183,6 +183,7 @@
     [
         pytest.param("", "(text)", "[[jobs]]", id="empty"),
         pytest.param("[", "(text)", "TOML", id="no TOML"),
+        pytest.param("a = " + "[" * 5000, "(text)", "tables", id="deep"),
         pytest.param("jobs = 1", "jobs", "tables", id="no tables"),
         pytest.param("[[job]]", "job", "jobs", id="unknown section"),
         pytest.param("[[jobs]]\nurgent = 1", "jobs.0.urgent", "true", id="flag"),
