Mend what a first run of every command showed

Cause: against a whole fleet, a command's time limit was not kept while the store was down, a done job said that it may have run, a silent agent showed as ready, and hundreds of waiting records filled the report. Change: each request gets only the time that is left; waiting records are grouped by their reason; silent agents say so; the first configuration is explained.

--- a/packages/admin/almondspan_admin/config_routes.py
+++ b/packages/admin/almondspan_admin/config_routes.py
@@ -78,7 +78,7 @@
             return refuse(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 "store_unavailable",
-                reason,
+                f"the store does not answer: {reason}",
                 may_have_applied=may_have_applied,
             )
 
--- a/packages/admin/almondspan_admin/loss.py
+++ b/packages/admin/almondspan_admin/loss.py
@@ -58,7 +58,8 @@
     ]
     alive = sorted(a.worker_id for a in agents if a.silent_s <= SILENT_AFTER_S)
     if alive:
-        lines.append(f"WARNING: these workers answer now: {', '.join(alive)}")
+        names = ", ".join(alive)
+        lines.append(f"WARNING: heard of within the last {SILENT_AFTER_S:g} s: {names}")
     return tuple(lines)
 
 
--- a/packages/operator/almondspan/client.py
+++ b/packages/operator/almondspan/client.py
@@ -23,6 +23,8 @@
 
 RETRY_S: Final = 0.5
 CONNECT_TIMEOUT_S: Final = 2.0
+LEAST_ANSWER_S: Final = 1.0
+"""How long an entry may take even when the command's time is over, in seconds."""
 
 Answer = TypeVar("Answer", bound=msgspec.Struct)
 
@@ -80,13 +82,8 @@
             When a certificate file cannot be read.
         """
         headers = {"Authorization": f"Bearer {self._connection.token}"}
-        timeout = aiohttp.ClientTimeout(
-            total=self._connection.answer_timeout_s, connect=CONNECT_TIMEOUT_S
-        )
         connector = aiohttp.TCPConnector(ssl=_ssl_context(self._connection))
-        self._session = aiohttp.ClientSession(
-            headers=headers, timeout=timeout, connector=connector
-        )
+        self._session = aiohttp.ClientSession(headers=headers, connector=connector)
 
     async def close(self) -> None:
         """Release every connection."""
@@ -111,7 +108,8 @@
         may_have_applied = False
         n_asked = 0
         while True:
-            found = await self._ask_once(method, path, body, answer)
+            left_s = max(LEAST_ANSWER_S, ends_s - loop.time())
+            found = await self._ask_once(method, path, body, answer, left_s)
             if not isinstance(found, NoAnswer):
                 return found
             may_have_applied |= found.may_have_applied and method != "GET"
@@ -124,13 +122,22 @@
             await asyncio.sleep(RETRY_S)
 
     async def _ask_once(
-        self, method: str, path: str, body: bytes | None, answer: type[Answer]
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        answer: type[Answer],
+        left_s: float,
     ) -> Answer | Refused | NoAnswer:
         assert self._session is not None
         address = self._connection.addresses[self._first]
+        timeout = aiohttp.ClientTimeout(
+            total=min(left_s, self._connection.answer_timeout_s),
+            connect=CONNECT_TIMEOUT_S,
+        )
         try:
             async with self._session.request(
-                method, address + path, data=body
+                method, address + path, data=body, timeout=timeout
             ) as response:
                 data = await response.read()
                 return _read(address, response.status, data, answer)
--- a/packages/operator/almondspan/config_commands.py
+++ b/packages/operator/almondspan/config_commands.py
@@ -22,7 +22,10 @@
 from almondspan.tables import format_share, format_table, format_time
 from almondspan.texts import (
     CONFIG_ACCEPTED,
+    CONFIG_AGENTS,
     CONFIG_HEADER,
+    CONFIG_IN_FORCE,
+    CONFIG_NONE,
     CONFIG_OK,
     FILE_FAULT,
     HISTORY_HEADERS,
@@ -146,9 +149,12 @@
     found = await client.get("/v1/config/status", ConfigStatus)
     if isinstance(found, Refused | NoAnswer):
         return failure(found)
+    in_force = CONFIG_IN_FORCE.format(revision=found.revision)
+    if found.revision == 0:
+        in_force = CONFIG_NONE
     lines = [
-        f"revision {found.revision} is in force; "
-        f"{found.n_agents} agents are known, {found.n_silent} silent"
+        in_force,
+        CONFIG_AGENTS.format(n_agents=found.n_agents, n_silent=found.n_silent),
     ]
     lines += [
         f"  revision {one.revision}: {one.n_agents} agents, {format_share(one.share)}"
--- a/packages/operator/almondspan/fleet_commands.py
+++ b/packages/operator/almondspan/fleet_commands.py
@@ -1,5 +1,7 @@
 """Commands about the fleet: agents, shards, draining, losses."""
 
+from typing import Final
+
 from almondspan.answers import Agent, Agents, Drained, Loss, Shards
 from almondspan.client import AdminClient, NoAnswer, Refused, path_of
 from almondspan.exit_codes import ExitCode
@@ -15,6 +17,9 @@
 
 __all__ = ["declare_loss", "drain", "list_agents", "list_shards"]
 
+SILENT_AFTER_S: Final = 10.0
+"""An agent that told nothing for longer is shown as silent, in seconds."""
+
 
 async def list_agents(client: AdminClient) -> Result:
     """List the agents."""
@@ -41,6 +46,8 @@
 
 def _agent_state(agent: Agent) -> str:
     states = []
+    if agent.silent_s > SILENT_AFTER_S:
+        states.append("SILENT")
     if agent.draining:
         states.append("draining")
     if agent.resting:
--- a/packages/operator/almondspan/job_commands.py
+++ b/packages/operator/almondspan/job_commands.py
@@ -22,6 +22,7 @@
 N_JOBS_PER_REQUEST = 200
 MAX_REQUEST_BYTES = 400_000
 N_SHOWN_NOTES = 20
+N_SHOWN_NAMES = 3
 
 GOOD_VERDICTS = frozenset({Verdict.COMPLETE, Verdict.ON_TIME, Verdict.NO_FORECAST})
 
@@ -158,7 +159,7 @@
     text = job.outcome.kind.value
     if job.outcome.reason:
         text += f": {job.outcome.reason}"
-    if job.outcome.may_have_run:
+    if job.outcome.may_have_run and job.outcome.kind is not OutcomeKind.DONE:
         text += " (may have run)"
     return text
 
@@ -188,7 +189,7 @@
     ]
     lines = [f"{label + ':':<10} {text}" for label, text in rows]
     lines += _notes("problems", report.problems)
-    lines += _notes("waiting", report.waiting)
+    lines += _waiting_lines(report.waiting)
     return "\n".join(lines)
 
 
@@ -231,6 +232,19 @@
     return "the records are not the ordered ones: see missing and not_ordered"
 
 
+def _waiting_lines(notes: tuple[RecordNote, ...]) -> list[str]:
+    """Return one line for each reason, since many records wait for the same."""
+    by_reason: dict[str, list[str]] = {}
+    for note in notes:
+        by_reason.setdefault(note.reason, []).append(note.record_name)
+    lines = []
+    for reason, names in sorted(by_reason.items(), key=lambda item: -len(item[1])):
+        more = ", ..." if len(names) > N_SHOWN_NAMES else ""
+        shown = ", ".join(names[:N_SHOWN_NAMES])
+        lines.append(f"waiting ({len(names)}): {reason}: {shown}{more}")
+    return lines
+
+
 def _notes(title: str, notes: tuple[RecordNote, ...]) -> list[str]:
     if not notes:
         return []
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -10,7 +10,10 @@
     "BURN_PAGE_WRITTEN",
     "BURN_WINDOW_HEADERS",
     "CONFIG_ACCEPTED",
+    "CONFIG_AGENTS",
     "CONFIG_HEADER",
+    "CONFIG_IN_FORCE",
+    "CONFIG_NONE",
     "CONFIG_OK",
     "CONFLICT_BASE_GONE",
     "CONFLICT_CLASHES",
@@ -68,6 +71,12 @@
 )
 
 CONFIG_HEADER: Final = "# revision {revision}"
+CONFIG_IN_FORCE: Final = "revision {revision} is in force"
+CONFIG_NONE: Final = (
+    "no configuration is in force yet; submit the first with --expected 0 and the "
+    "bootstrap token"
+)
+CONFIG_AGENTS: Final = "{n_agents} agents are known, {n_silent} silent"
 CONFIG_OK: Final = "{file}: in order ({n_teams} teams, {n_orders} orders)"
 CONFIG_ACCEPTED: Final = "accepted as revision {revision}"
 ALREADY_IN_FORCE: Final = "revision {revision} already holds exactly this"
@@ -126,7 +135,7 @@
 )
 BURN_WINDOW_HEADERS: Final = ("WINDOW", "BURN", "CALLS", "MISSED")
 BURN_ALERT_HEADERS: Final = ("ALERT", "WINDOWS", "THRESHOLD", "BURN", "STATE")
-BURN_NO_SERVICE: Final = "no service is configured"
+BURN_NO_SERVICE: Final = "no service is configured, or this entry has no figures"
 BURN_PAGE_WRITTEN: Final = "the page is in {file}"
 NO_PLOTS: Final = "the page needs matplotlib: pip install 'almondspan[plots]' ({error})"
 SHARD_HEADERS: Final = ("SHARD", "OWNER", "EPOCH")
