--- a/packages/operator/almondspan/client.py
+++ b/packages/operator/almondspan/client.py
@@ -23,6 +23,8 @@
 
 RETRY_S: Final = 0.5
 CONNECT_TIMEOUT_S: Final = 2.0
+LEAST_ANSWER_S: Final = 1.0
+"""How long an entry may take even when the command's time is over, in seconds."""
 
 Answer = TypeVar("Answer", bound=msgspec.Struct)
 
@@ -32,7 +34,7 @@
     """Where the entries are, and how to speak to them.
 
     ``addresses`` are URLs. ``ca``, ``cert`` and ``key`` are paths of PEM files, or
-    empty. ``timeout_s`` bounds each command's request with all its repetitions.
+    empty. Every entry is asked at least once; after ``timeout_s`` none is asked again.
     """
 
     addresses: tuple[str, ...]
@@ -80,13 +82,8 @@
             When a certificate file cannot be read.
         """
         headers = {"Authorization": f"Bearer {self._connection.token}"}
-        timeout = aiohttp.ClientTimeout(
-            total=self._connection.answer_timeout_s, connect=CONNECT_TIMEOUT_S
-        )
         connector = aiohttp.TCPConnector(ssl=_ssl_context(self._connection))
-        self._session = aiohttp.ClientSession(
-            headers=headers, timeout=timeout, connector=connector
-        )
+        self._session = aiohttp.ClientSession(headers=headers, connector=connector)
 
     async def close(self) -> None:
         """Release every connection."""
@@ -111,25 +108,36 @@
         may_have_applied = False
         n_asked = 0
         while True:
-            found = await self._ask_once(method, path, body, answer)
+            left_s = max(LEAST_ANSWER_S, ends_s - loop.time())
+            found = await self._ask_once(method, path, body, answer, left_s)
             if not isinstance(found, NoAnswer):
                 return found
             may_have_applied |= found.may_have_applied and method != "GET"
             n_asked += 1
             self._first = (self._first + 1) % len(self._connection.addresses)
+            if n_asked % len(self._connection.addresses) > 0:
+                continue
             if loop.time() + RETRY_S >= ends_s:
                 return NoAnswer(found.reason, may_have_applied)
-            if n_asked % len(self._connection.addresses) == 0:
-                await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(RETRY_S)
 
     async def _ask_once(
-        self, method: str, path: str, body: bytes | None, answer: type[Answer]
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        answer: type[Answer],
+        left_s: float,
     ) -> Answer | Refused | NoAnswer:
         assert self._session is not None
         address = self._connection.addresses[self._first]
+        timeout = aiohttp.ClientTimeout(
+            total=min(left_s, self._connection.answer_timeout_s),
+            connect=CONNECT_TIMEOUT_S,
+        )
         try:
             async with self._session.request(
-                method, address + path, data=body
+                method, address + path, data=body, timeout=timeout
             ) as response:
                 data = await response.read()
                 return _read(address, response.status, data, answer)
@@ -147,9 +155,12 @@
         if status == HTTPStatus.OK:
             return msgspec.json.decode(data, type=answer)
         refusal = msgspec.json.decode(data, type=Refusal)
-    except msgspec.MsgspecError as error:
-        reason = f"{address} is no administration API: {status}, {error}"
-        return NoAnswer(reason, may_have_applied=False)
+    except msgspec.MsgspecError:
+        # A balancer or a broken entry answered; a request that got through to an
+        # entry first may have taken effect.
+        is_client_error = 400 <= status < 500
+        reason = f"{address}: status {status}, no answer of an administration API"
+        return NoAnswer(reason, may_have_applied=not is_client_error)
     if status == HTTPStatus.TOO_MANY_REQUESTS:
         return NoAnswer(f"{address}: {refusal.reason}", may_have_applied=False)
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
