--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -23,7 +23,9 @@
 
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId, EntryId, ServiceName
+from almondspan_decisions.latency_sketch import LatencySketch
 from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_decisions.recent_calls import RecentSummary
 from almondspan_service.answer_relay import AnswerRelay
 from almondspan_service.fair_queue import FairQueue
 from almondspan_service.gate_call import GateCall
@@ -166,6 +168,14 @@
         """Return the calls of the last `window_s` seconds against the objective."""
         return self._meter.burn(_now_s(), window_s)
 
+    def recent(self, window_s: float, tail_share: float) -> RecentSummary:
+        """Return the calls of the last `window_s` seconds, at most three."""
+        return self._meter.recent.summary(_now_s(), window_s, tail_share)
+
+    def latencies(self) -> LatencySketch:
+        """Return the latencies of all calls since the start, in milliseconds."""
+        return self._meter.latencies
+
     def run_ms(self) -> float:
         """Return the mean time of recent calls on the runner, without their wait."""
         return self._meter.run.mean_s * 1000.0
--- a/packages/service/almondspan_service/gate_meter.py
+++ b/packages/service/almondspan_service/gate_meter.py
@@ -5,6 +5,8 @@
 from almondspan_decisions.burn import BurnCounter, burn_rate
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import ServiceName
+from almondspan_decisions.latency_sketch import LatencySketch
+from almondspan_decisions.recent_calls import RecentCalls
 from almondspan_service.gate_options import GateOptions
 from almondspan_service.latency import LatencyWindow
 from almondspan_service.run_estimate import RunEstimate
@@ -22,10 +24,15 @@
 
 
 class GateMeter:
-    """Run times and latencies of recent calls, in bounded memory."""
+    """Run times and latencies of recent calls, in bounded memory.
+
+    ``latencies`` counts all calls since the start, in milliseconds.
+    """
 
     def __init__(self, options: GateOptions) -> None:
         self.run = RunEstimate(options.initial_run_s)
+        self.recent = RecentCalls()
+        self.latencies = LatencySketch()
         self.objective_ms = options.objective_latency_ms
         self._objective_share = options.objective_share
         self._burn = BurnCounter()
@@ -44,6 +51,8 @@
         """Count a call whose answer has come."""
         latency_ms = latency_s * 1000.0
         self.run.add(run_s)
+        self.recent.add(now_s, run_s * 1000.0, latency_ms)
+        self.latencies.add(latency_ms)
         self._burn.record(now_s, latency_ms > self.objective_ms)
         self._tail.add(now_s, latency_ms)
 
