--- a/packages/platform/almondspan_platform/etcd_json.py
+++ b/packages/platform/almondspan_platform/etcd_json.py
@@ -202,7 +202,7 @@
         answer: bytes | CallFailed = CallFailed("no time to try", False)
         for _ in range(n_tries):
             answer = await self._send(path, body, deadline_s, try_timeout_s)
-            if not _is_retryable(answer):
+            if not _is_retryable(answer) or self._caller.is_over(deadline_s):
                 break
         return self._decode(answer, response_type)
 
@@ -217,6 +217,8 @@
             answer = await self._send(path, body, deadline_s, math.inf)
             if not _is_retryable(answer) or answer.may_have_applied:
                 break
+            if self._caller.is_over(deadline_s):
+                break
         return self._decode(answer, response_type)
 
     async def _send(
--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -99,6 +99,10 @@
         """Return when a call that begins now must have ended."""
         return asyncio.get_running_loop().time() + self._limits.timeout_s
 
+    def is_over(self, deadline_s: float) -> bool:
+        """Tell whether a deadline has passed."""
+        return asyncio.get_running_loop().time() >= deadline_s
+
     async def call(
         self,
         method: str,
--- a/packages/platform/almondspan_platform/http_json.py
+++ b/packages/platform/almondspan_platform/http_json.py
@@ -155,8 +155,9 @@
                 return self._decode(answer, response_type)
             reason = answer.reason
             may_have_applied |= answer.may_have_applied
-            may_repeat = path != START_PATH or not may_have_applied
-            if answer.status or not answer.was_sent or not may_repeat:
+            is_settled = bool(answer.status) or not answer.was_sent
+            is_unsafe = path == START_PATH and may_have_applied
+            if is_settled or is_unsafe or self._caller.is_over(deadline_s):
                 break
         self.n_failed += 1
         return WorkerUnavailable(reason, may_have_applied)
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -6,7 +6,7 @@
 import pytest
 
 from almondspan_platform.etcd_json import EtcdJsonOptions, EtcdJsonStore
-from almondspan_platform.http_calls import _LineSplitter
+from almondspan_platform.http_calls import CallFailed, HttpCaller, _LineSplitter
 from almondspan_platform.registry import CallLimits
 from almondspan_platform.store import ABSENT_REVISION, Found, Revision, WatchLost
 from almondspan_platform.token_bucket import TokenBucket
@@ -96,6 +96,41 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(b"", id="nothing"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Le", id="part-of-head"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", id="part"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+            id="no-last-chunk",
+        ),
+        pytest.param(b"SSH-2.0-x\r\n", id="not-http"),
+    ],
+)
+def test_answer_that_is_not_whole_is_none(answer: bytes) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        caller = HttpCaller()
+        await caller.start()
+        url = f"http://127.0.0.1:{port}/"
+        outcome = await caller.call("POST", url, b"{}", caller.deadline_s())
+        assert isinstance(outcome, CallFailed)
+        assert outcome.may_have_applied
+        await caller.close()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_token_bucket_spaces_its_tokens() -> None:
     async def main() -> list[float]:
         loop = asyncio.get_running_loop()
