Close the gaps that mutants of the adapters found

Change: tests of writes sent to one address only, refused leases, starts sent once, answers lost and then refused, idle buckets, tickets of sessions, work that stands still during a checkpoint, abandoned watches.

--- a/tests/platform/test_etcd_json.py
+++ b/tests/platform/test_etcd_json.py
@@ -1,7 +1,7 @@
 """The adapter ``etcd_json``: its published form, addresses, rate and bad answers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 
 import msgspec
 import pytest
@@ -25,6 +25,7 @@
     WatchEvent,
     WatchLost,
 )
+from almondspan_standins.faults import StoreFaults
 from almondspan_standins.rigs import HttpStoreRig
 from almondspan_standins.serving import HttpServer
 from almondspan_standins.store_core import CallKind
@@ -216,6 +217,27 @@
     assert len(requests) == 1
 
 
+@pytest.mark.parametrize(
+    ("status", "answer", "outcome"),
+    [
+        pytest.param(404, NOT_FOUND, LeaseLapsed, id="no-such-lease"),
+        pytest.param(404, b'{"error":"x","code":12}', Unavailable, id="no-such-call"),
+        pytest.param(404, b"404 page not found", Unavailable, id="no-such-page"),
+        pytest.param(503, NOT_FOUND, Unavailable, id="unavailable"),
+    ],
+)
+@pytest.mark.parametrize(
+    "call",
+    [
+        pytest.param(lambda store: store.keep_lease(LeaseId(1)), id="keep"),
+        pytest.param(lambda store: store.revoke_lease(LeaseId(1)), id="revoke"),
+    ],
+)
+def test_refused_lease(call: Call, status: int, answer: bytes, outcome: type) -> None:
+    got, _ = asyncio.run(call_scripted(status, answer, call))
+    assert isinstance(got, outcome)
+
+
 @pytest.mark.parametrize(
     ("status", "answer"),
     [
@@ -267,7 +289,8 @@
         store = EtcdJsonStore((DEAD, rig.server.address))
         await store.start()
         assert isinstance(await anext(store.watch("k", Revision(1))), WatchLost)
-        await store.compare_and_swap("k", ABSENT_REVISION, b"")
+        writer = await rig.client()
+        await writer.compare_and_swap("k", ABSENT_REVISION, b"")
         assert isinstance(await anext(store.watch("k", Revision(1))), WatchEvent)
         await store.close()
         await rig.close()
@@ -275,6 +298,46 @@
     asyncio.run(main())
 
 
+def test_write_without_answer_is_sent_to_no_other_address() -> None:
+    async def main() -> None:
+        rig = HttpStoreRig()
+        await rig.start()
+        rig.core.faults = StoreFaults(lose_answer_share=1.0)
+        store = EtcdJsonStore((rig.server.address, rig.server.address))
+        await store.start()
+        outcome = await store.compare_and_swap("k", ABSENT_REVISION, b"")
+        assert isinstance(outcome, Unavailable)
+        assert outcome.may_have_applied
+        assert rig.core.n_calls[CallKind.WRITE] == store.n_sent == 1
+        await store.get("k")
+        assert rig.core.n_calls[CallKind.GET] == 2
+        await store.close()
+        await rig.close()
+
+    asyncio.run(main())
+
+
+def test_abandoned_watch_is_closed() -> None:
+    async def main() -> None:
+        rig = HttpStoreRig()
+        await rig.start()
+        store = await rig.client()
+        watch = store.watch("k", Revision(1))
+        await store.compare_and_swap("k", ABSENT_REVISION, b"")
+        await anext(watch)
+        assert rig.core.n_watches_open == 1
+        assert isinstance(watch, AsyncGenerator)
+        await watch.aclose()
+        for _ in range(1000):
+            if rig.core.n_watches_open == 0:
+                break
+            await asyncio.sleep(0.01)
+        assert rig.core.n_watches_open == 0
+        await rig.close()
+
+    asyncio.run(main())
+
+
 def test_rate_bound_holds_for_all_calls_together() -> None:
     async def main() -> None:
         rig = HttpStoreRig()
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -164,6 +164,18 @@
     run_in_virtual_time(main())
 
 
+def test_idle_token_bucket_holds_no_more_than_its_burst() -> None:
+    async def main() -> None:
+        bucket = TokenBucket(rate_per_s=10.0, n_burst=3)
+        loop = asyncio.get_running_loop()
+        assert await bucket.acquire(loop.time())
+        await asyncio.sleep(1000.0)
+        granted = [await bucket.acquire(loop.time()) for _ in range(5)]
+        assert granted == [True, True, True, False, False]
+
+    run_in_virtual_time(main())
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_lines_are_whole_however_they_are_cut(seed: int) -> None:
     rng = random.Random(seed)
--- a/tests/platform/test_tls.py
+++ b/tests/platform/test_tls.py
@@ -216,6 +216,24 @@
     asyncio.run(main())
 
 
+def test_no_session_is_offered_for_resumption(tmp_path: Path) -> None:
+    async def main() -> None:
+        identity = TlsIdentity(OURS.write(tmp_path))
+        await identity.start()
+        async with echo_server(identity) as port:
+            reader, writer = await asyncio.open_connection(
+                LOOPBACK, port, ssl=identity.client_context()
+            )
+            writer.write(b"x\n")
+            assert await reader.readline() == b"x\n"
+            session = writer.get_extra_info("ssl_object").session
+            assert session is None or not session.has_ticket
+            writer.close()
+        await identity.close()
+
+    asyncio.run(main())
+
+
 def test_replaced_files_hold_for_new_connections(tmp_path: Path) -> None:
     async def main() -> None:
         folder = tmp_path / "server"
--- a/tests/standins/test_worker_core.py
+++ b/tests/standins/test_worker_core.py
@@ -1,5 +1,7 @@
 """The worker's core over random sequences of calls, with its invariants."""
 
+from dataclasses import replace
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -105,6 +107,43 @@
             assert self.ran_s[task_id] >= RUN_S - 1e-6
 
 
+def test_work_stands_still_during_a_checkpoint() -> None:
+    now_s = 0.0
+    core = WorkerCore(
+        WorkerId("w"), Shape(1, 1, 0), lambda: now_s, WorkerOptions(100.0, 1.0, 2.0)
+    )
+    key = (TaskId("job/0"), 1)
+    checkpoint = b""
+    for attempt in (1, 2):
+        request = StartAttempt(
+            TaskId("job/0"),
+            attempt,
+            TaskClass("cut"),
+            Shape(1, 1, 0),
+            task_payload(10.0, "cut", "r"),
+            checkpoint,
+            ShardId(0),
+            1,
+            True,
+        )
+        core.start_attempt(request)
+        now_s += 4.0
+        core.checkpoint(key)
+        now_s += 1.9
+        assert core.list_attempts()[0].state is not AttemptState.ENDED
+        now_s += 0.1
+        checkpoint = core.list_attempts()[0].checkpoint
+        key = (TaskId("job/0"), 2)
+        core.forget(((TaskId("job/0"), attempt),))
+    core.start_attempt(replace(request, attempt=3, checkpoint=checkpoint))
+    now_s += 1.9
+    core.advance()
+    assert core.ledger == []
+    now_s += 0.1
+    core.advance()
+    assert len(core.ledger) == 1
+
+
 TestWorkerCore = WorkerMachine.TestCase
 TestWorkerCore.settings = settings(
     max_examples=100, stateful_step_count=60, deadline=None, derandomize=True
