Bound the store stand-in's rates and count its peaks

Cause: the platform's store takes several hundred writes and about two thousand reads a second; a stand-in without bounds hides a system that asks for more. Change: StoreRates makes calls beyond wait and then refuses them with etcd's own answer; /debug shows the most calls of each kind in one second.

--- a/misc/bench_standins.py
+++ b/misc/bench_standins.py
@@ -86,7 +86,11 @@
 def main() -> None:
     key = {"key": "YQ=="}
     fast = ["--median-ms", "0.1", "--straggler-share", "0"]
-    measure("store", [], lambda url: post(f"{url}/v3/kv/range", key))
+    measure(
+        "store",
+        ["--reads-per-s", "1000000"],
+        lambda url: post(f"{url}/v3/kv/range", key),
+    )
     measure("worker", [], lambda url: get(f"{url}/v1/attempts"))
     measure("runner", fast, lambda url: get(f"{url}/clip/a"))
     nodes = ["--n-nodes", str(N_NODES), *fast]
--- a/packages/platform/almondspan_platform/etcd_messages.py
+++ b/packages/platform/almondspan_platform/etcd_messages.py
@@ -10,8 +10,8 @@
 
 __all__ = [
     "ALL_KEYS",
+    "CODE_EXHAUSTED",
     "CODE_NOT_FOUND",
-    "CODE_OUT_OF_RANGE",
     "Compare",
     "DeleteRangeRequest",
     "ErrorBody",
@@ -44,7 +44,7 @@
 """A 64-bit integer: sent as a string, read as either."""
 
 CODE_NOT_FOUND: Final = 5
-CODE_OUT_OF_RANGE: Final = 11
+CODE_EXHAUSTED: Final = 8
 ALL_KEYS: Final = b"\0"
 
 
--- a/packages/standins/almondspan_standins/store_app.py
+++ b/packages/standins/almondspan_standins/store_app.py
@@ -7,10 +7,12 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.store import (
@@ -20,6 +22,7 @@
     Revision,
     Swapped,
 )
+from almondspan_platform.token_bucket import TokenBucket
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.serving import (
     JSON_TYPE,
@@ -30,18 +33,40 @@
 )
 from almondspan_standins.store_core import Change, Compacted, LeaseUnknown, StoreCore
 
-__all__ = ["StoreApp", "StoreDebug"]
+__all__ = ["StoreApp", "StoreDebug", "StoreRates"]
 
 PROGRESS_S: Final = 2.0
 
+BURST_S: Final = 0.25
+"""The time whose calls may come all at once."""
+
+READ_PATHS: Final = frozenset({"/v3/kv/range", "/v3/watch"})
+LEASE_NOT_FOUND: Final = "etcdserver: requested lease not found"
+STATUS_OF_CODE: Final = {etcd.CODE_NOT_FOUND: 404, etcd.CODE_EXHAUSTED: 429}
+
 Answer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRates:
+    """The calls a second that the store takes; those beyond wait, then are refused.
+
+    A call waits for at most ``wait_s`` seconds. Writes are transactions and leases,
+    reads are ranges and opened watches.
+    """
+
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+    wait_s: float = 1.0
+
+
 class StoreDebug(msgspec.Struct, frozen=True):
     """What the store counts; a waiting watch is one call of kind ``watch``."""
 
     revision: int
     n_calls: dict[str, int]
+    n_peak_per_s: dict[str, int]
+    n_refused: int
     n_watches_open: int
     faults: StoreFaults
 
@@ -50,13 +75,22 @@
     """The HTTP handlers of one store."""
 
     def __init__(
-        self, core: StoreCore, rng: random.Random, progress_s: float = PROGRESS_S
+        self,
+        core: StoreCore,
+        rng: random.Random,
+        progress_s: float = PROGRESS_S,
+        rates: StoreRates = StoreRates(),
     ) -> None:
         self._core: Final = core
+        self._rates: Final = rates
+        self._writes: Final = _bucket(rates.writes_per_s)
+        self._reads: Final = _bucket(rates.reads_per_s)
         self._progress_s: Final = progress_s
         self._now: Final = asyncio.get_running_loop().time
         faults = fault_middleware(lambda: core.faults, rng)
-        self.app: Final = web.Application(middlewares=[faults], client_max_size=2**22)
+        self.app: Final = web.Application(
+            middlewares=[faults, self._bound_rate()], client_max_size=2**22
+        )
         routes: dict[str, Answer] = {
             "/v3/kv/range": self._range,
             "/v3/kv/txn": self._txn,
@@ -74,11 +108,32 @@
         """Return the counters."""
         core = self._core
         n_calls = {kind.value: n for kind, n in core.n_calls.items()}
-        return StoreDebug(core.revision, n_calls, core.n_watches_open, core.faults)
+        return StoreDebug(
+            revision=core.revision,
+            n_calls=n_calls,
+            n_peak_per_s={kind.value: n for kind, n in core.n_peak_per_s.items()},
+            n_refused=self._writes.n_refused + self._reads.n_refused,
+            n_watches_open=core.n_watches_open,
+            faults=core.faults,
+        )
 
     def _set_faults(self, faults: StoreFaults) -> None:
         self._core.faults = faults
 
+    def _bound_rate(self) -> Middleware:
+        @web.middleware
+        async def bound(request: web.Request, handler: Handler) -> web.StreamResponse:
+            if request.path.startswith("/debug"):
+                return await handler(request)
+            is_read = request.path in READ_PATHS
+            bucket = self._reads if is_read else self._writes
+            await request.read()
+            if not await bucket.acquire(self._now() + self._rates.wait_s):
+                return _error(etcd.CODE_EXHAUSTED, "etcdserver: too many requests")
+            return await handler(request)
+
+        return bound
+
     def _header(self) -> etcd.ResponseHeader:
         return etcd.ResponseHeader("1", "1", str(self._core.revision), "1")
 
@@ -103,7 +158,7 @@
             lease_id or None,
         )
         if isinstance(outcome, LeaseUnknown):
-            return _error("etcdserver: requested lease not found")
+            return _error(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
         if isinstance(outcome, Swapped):
             done = etcd.PutResponse(self._header())
             response = etcd.ResponseOp(response_put=done)
@@ -135,7 +190,7 @@
         body = await read_json(request, etcd.LeaseRevokeRequest)
         lease_id = LeaseId(int(body.ID))
         if not self._core.holds_lease(lease_id):
-            return _error("etcdserver: requested lease not found")
+            return _error(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
         self._core.revoke_lease(lease_id)
         return json_answer(etcd.PutResponse(self._header()))
 
@@ -267,6 +322,9 @@
     return compare, body.success[0]
 
 
-def _error(reason: str) -> web.Response:
-    body = etcd.ErrorBody(reason, etcd.CODE_NOT_FOUND, reason)
-    return json_answer(body, status=404)
+def _error(code: int, reason: str) -> web.Response:
+    return json_answer(etcd.ErrorBody(reason, code, reason), STATUS_OF_CODE[code])
+
+
+def _bucket(rate_per_s: float) -> TokenBucket:
+    return TokenBucket(rate_per_s, max(round(rate_per_s * BURST_S), 1))
--- a/packages/standins/almondspan_standins/store_core.py
+++ b/packages/standins/almondspan_standins/store_core.py
@@ -102,6 +102,9 @@
         self._faults = StoreFaults()
         self.revision = FIRST_REVISION
         self.n_calls: Counter[CallKind] = Counter()
+        self.n_peak_per_s: Counter[CallKind] = Counter()
+        self._n_in_second: Counter[CallKind] = Counter()
+        self._counted_second = 0
         self.n_watches_open = 0
 
     @property
@@ -116,13 +119,13 @@
 
     def get(self, key: str) -> KeyValue | None:
         """Read one key."""
-        self.n_calls[CallKind.GET] += 1
+        self._count(CallKind.GET)
         self.collect_lapsed()
         return self._items.get(key)
 
     def get_range(self, prefix: str) -> RangeFound:
         """Read the keys that begin with `prefix`, sorted."""
-        self.n_calls[CallKind.RANGE] += 1
+        self._count(CallKind.RANGE)
         self.collect_lapsed()
         items = []
         keys = self._sorted_keys
@@ -140,7 +143,7 @@
         lease_id: LeaseId | None = None,
     ) -> Swapped | Conflict | LeaseUnknown:
         """Write or delete (`value` None) a key that is at revision `expected`."""
-        self.n_calls[CallKind.WRITE] += 1
+        self._count(CallKind.WRITE)
         self.collect_lapsed()
         held = self._items.get(key)
         if (held.revision if held else ABSENT_REVISION) != expected:
@@ -160,7 +163,7 @@
 
     def grant_lease(self, ttl_s: float) -> LeaseGranted:
         """Grant a lease that begins now."""
-        self.n_calls[CallKind.LEASE] += 1
+        self._count(CallKind.LEASE)
         lease_id = LeaseId(self._next_lease)
         self._next_lease += 1
         lapses_s = self._now() + ttl_s
@@ -175,7 +178,7 @@
 
     def keep_lease(self, lease_id: LeaseId) -> LeaseGranted | LeaseLapsed:
         """Begin a lease's time anew."""
-        self.n_calls[CallKind.LEASE] += 1
+        self._count(CallKind.LEASE)
         self.collect_lapsed()
         lease = self._leases.get(lease_id)
         if lease is None:
@@ -185,7 +188,7 @@
 
     def revoke_lease(self, lease_id: LeaseId) -> LeaseLapsed:
         """End a lease and delete its keys."""
-        self.n_calls[CallKind.LEASE] += 1
+        self._count(CallKind.LEASE)
         self.collect_lapsed()
         self._end_leases([lease_id] if lease_id in self._leases else [])
         return LeaseLapsed()
@@ -227,7 +230,7 @@
     @contextmanager
     def watching(self, listener: Callable[[], None]) -> Iterator[None]:
         """Call `listener` after each change, and count a waiting watch."""
-        self.n_calls[CallKind.WATCH] += 1
+        self._count(CallKind.WATCH)
         self.n_watches_open += 1
         self._listeners.add(listener)
         try:
@@ -236,6 +239,16 @@
             self._listeners.discard(listener)
             self.n_watches_open -= 1
 
+    def _count(self, kind: CallKind) -> None:
+        """Count a call, and the most calls of its kind in one second of the clock."""
+        self.n_calls[kind] += 1
+        second = int(self._now())
+        if second != self._counted_second:
+            self._counted_second = second
+            self._n_in_second.clear()
+        self._n_in_second[kind] += 1
+        self.n_peak_per_s[kind] = max(self.n_peak_per_s[kind], self._n_in_second[kind])
+
     def _end_leases(self, lease_ids: list[LeaseId]) -> None:
         keys = [key for one in lease_ids for key in sorted(self._leases.pop(one).keys)]
         if not keys:
--- a/tests/platform/test_etcd_json.py
+++ b/tests/platform/test_etcd_json.py
@@ -1,6 +1,7 @@
 """The adapter ``etcd_json``: its published form, addresses, rate and bad answers."""
 
 import asyncio
+import random
 from collections.abc import AsyncGenerator, Awaitable, Callable
 
 import msgspec
@@ -28,7 +29,8 @@
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.rigs import HttpStoreRig
 from almondspan_standins.serving import HttpServer
-from almondspan_standins.store_core import CallKind
+from almondspan_standins.store_app import StoreApp, StoreRates
+from almondspan_standins.store_core import CallKind, StoreCore
 
 DEAD = "http://127.0.0.1:9"
 Call = Callable[[EtcdJsonStore], Awaitable[object]]
@@ -360,6 +362,39 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("rates", "call"),
+    [
+        pytest.param(
+            StoreRates(writes_per_s=0.001, wait_s=0.05),
+            lambda store: store.compare_and_swap("k", ABSENT_REVISION, b""),
+            id="writes",
+        ),
+        pytest.param(
+            StoreRates(reads_per_s=0.001, wait_s=0.05),
+            lambda store: store.get("k"),
+            id="reads",
+        ),
+    ],
+)
+def test_store_that_is_asked_too_much_refuses(rates: StoreRates, call: Call) -> None:
+    async def main() -> None:
+        core = StoreCore(asyncio.get_running_loop().time)
+        app = StoreApp(core, random.Random(1), rates=rates)
+        server = HttpServer(app.app, shutdown_timeout_s=0.02)
+        await server.start()
+        store = EtcdJsonStore((server.address,))
+        await store.start()
+        assert not isinstance(await call(store), Unavailable)
+        assert await call(store) == Unavailable("status 429")
+        assert app.describe().n_refused == 1
+        assert sum(core.n_calls.values()) == 1
+        await store.close()
+        await server.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("prefix", "end"),
     [
--- a/tests/standins/test_store_core.py
+++ b/tests/standins/test_store_core.py
@@ -14,7 +14,13 @@
     Revision,
     Swapped,
 )
-from almondspan_standins.store_core import Change, Compacted, LeaseUnknown, StoreCore
+from almondspan_standins.store_core import (
+    CallKind,
+    Change,
+    Compacted,
+    LeaseUnknown,
+    StoreCore,
+)
 
 KEYS = st.sampled_from(["a", "a/1", "a/2", "b"])
 VALUES = st.one_of(st.none(), st.binary(max_size=2))
@@ -121,6 +127,17 @@
 )
 
 
+def test_peak_rate_is_of_one_second() -> None:
+    now_s = 0.0
+    core = StoreCore(lambda: now_s)
+    for n_calls in (2, 5, 3):
+        for _ in range(n_calls):
+            core.get("a")
+        now_s += 1.0
+    assert core.n_peak_per_s == {CallKind.GET: 5}
+    assert core.n_calls == {CallKind.GET: 10}
+
+
 def test_long_history_is_compacted() -> None:
     core = StoreCore(lambda: 0.0, n_history=3)
     start = core.revision
