Split the stand-ins' worker and store by job

Change: payloads, attempts, usage and the witness of double runs stand in modules of their own, as do the conversions to etcd's messages. Conclusion: no behaviour changed.

--- a/packages/standins/almondspan_standins/store_app.py
+++ b/packages/standins/almondspan_standins/store_app.py
@@ -16,13 +16,20 @@
 
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.store import (
-    KeyValue,
     LeaseId,
     LeaseLapsed,
     Revision,
     Swapped,
 )
 from almondspan_platform.token_bucket import TokenBucket
+from almondspan_standins.etcd_answers import (
+    LEASE_NOT_FOUND,
+    error_answer,
+    event_of_change,
+    only_change,
+    prefix_of_range,
+    range_response,
+)
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.serving import (
     JSON_TYPE,
@@ -41,8 +48,6 @@
 """The time whose calls may come all at once."""
 
 READ_PATHS: Final = frozenset({"/v3/kv/range", "/v3/watch"})
-LEASE_NOT_FOUND: Final = "etcdserver: requested lease not found"
-STATUS_OF_CODE: Final = {etcd.CODE_NOT_FOUND: 404, etcd.CODE_EXHAUSTED: 429}
 
 Answer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -129,7 +134,9 @@
             bucket = self._reads if is_read else self._writes
             await request.read()
             if not await bucket.acquire(self._now() + self._rates.wait_s):
-                return _error(etcd.CODE_EXHAUSTED, "etcdserver: too many requests")
+                return error_answer(
+                    etcd.CODE_EXHAUSTED, "etcdserver: too many requests"
+                )
             return await handler(request)
 
         return bound
@@ -140,15 +147,17 @@
     async def _range(self, request: web.Request) -> web.Response:
         body = await read_json(request, etcd.RangeRequest)
         if body.range_end:
-            items = self._core.get_range(_prefix(body.key, body.range_end)).items
+            items = self._core.get_range(
+                prefix_of_range(body.key, body.range_end)
+            ).items
         else:
             item = self._core.get(body.key.decode())
             items = () if item is None else (item,)
-        return json_answer(_range_response(self._header(), items))
+        return json_answer(range_response(self._header(), items))
 
     async def _txn(self, request: web.Request) -> web.Response:
         body = await read_json(request, etcd.TxnRequest)
-        compare, change = _only_change(body)
+        compare, change = only_change(body)
         put = change.request_put
         lease_id = LeaseId(int(put.lease)) if put is not None else LeaseId(0)
         outcome = self._core.compare_and_swap(
@@ -158,7 +167,7 @@
             lease_id or None,
         )
         if isinstance(outcome, LeaseUnknown):
-            return _error(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
+            return error_answer(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
         if isinstance(outcome, Swapped):
             done = etcd.PutResponse(self._header())
             response = etcd.ResponseOp(response_put=done)
@@ -166,7 +175,7 @@
                 response = etcd.ResponseOp(response_delete_range=done)
             return json_answer(etcd.TxnResponse(self._header(), True, (response,)))
         items = () if outcome.item is None else (outcome.item,)
-        read = _range_response(self._header(), items)
+        read = range_response(self._header(), items)
         response = etcd.ResponseOp(response_range=read)
         return json_answer(etcd.TxnResponse(self._header(), False, (response,)))
 
@@ -190,7 +199,7 @@
         body = await read_json(request, etcd.LeaseRevokeRequest)
         lease_id = LeaseId(int(body.ID))
         if not self._core.holds_lease(lease_id):
-            return _error(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
+            return error_answer(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
         self._core.revoke_lease(lease_id)
         return json_answer(etcd.PutResponse(self._header()))
 
@@ -218,7 +227,7 @@
         A stream that has once gone silent stays so: it stands for a connection
         that something on its way no longer knows.
         """
-        prefix = _prefix(body.key, body.range_end)
+        prefix = prefix_of_range(body.key, body.range_end)
         after = Revision(int(body.start_revision) - 1)
         await _send_line(response, etcd.WatchResponse(self._header(), created=True))
         sent_s = self._now()
@@ -270,7 +279,7 @@
 
     def _events(self, changes: list[Change]) -> etcd.WatchResponse:
         return etcd.WatchResponse(
-            self._header(), events=tuple(_event(change) for change in changes)
+            self._header(), events=tuple(event_of_change(change) for change in changes)
         )
 
 
@@ -283,48 +292,5 @@
     return request.transport is None or request.transport.is_closing()
 
 
-def _event(change: Change) -> etcd.EtcdEvent:
-    if change.item is not None:
-        return etcd.EtcdEvent(_kv(change.item))
-    revision = str(change.revision)
-    kv = etcd.EtcdKeyValue(change.key.encode(), mod_revision=revision)
-    return etcd.EtcdEvent(kv, "DELETE")
-
-
-def _kv(item: KeyValue) -> etcd.EtcdKeyValue:
-    return etcd.EtcdKeyValue(
-        item.key.encode(), mod_revision=str(item.revision), value=item.value
-    )
-
-
-def _range_response(
-    header: etcd.ResponseHeader, items: tuple[KeyValue, ...]
-) -> etcd.RangeResponse:
-    kvs = tuple(_kv(item) for item in items)
-    return etcd.RangeResponse(header, kvs, count=str(len(kvs)))
-
-
-def _prefix(key: bytes, range_end: bytes) -> str:
-    """Return the prefix that a range stands for."""
-    prefix = b"" if key == etcd.ALL_KEYS else key
-    if range_end != etcd.range_end_of_prefix(prefix):
-        raise web.HTTPBadRequest(text="only ranges of a prefix are served")
-    return prefix.decode()
-
-
-def _only_change(body: etcd.TxnRequest) -> tuple[etcd.Compare, etcd.RequestOp]:
-    """Return the one condition and the one change of a transaction."""
-    if len(body.compare) != 1 or len(body.success) != 1:
-        raise web.HTTPBadRequest(text="only one condition and one change are served")
-    compare = body.compare[0]
-    if compare.target != "MOD" or compare.result != "EQUAL":
-        raise web.HTTPBadRequest(text="only an equal revision is served")
-    return compare, body.success[0]
-
-
-def _error(code: int, reason: str) -> web.Response:
-    return json_answer(etcd.ErrorBody(reason, code, reason), STATUS_OF_CODE[code])
-
-
 def _bucket(rate_per_s: float) -> TokenBucket:
     return TokenBucket(rate_per_s, max(round(rate_per_s * BURST_S), 1))
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -5,17 +5,12 @@
 end of a checkpoint. Between events every attempt progresses at a constant rate: the
 share that it is throttled to, over the slowdown that its neighbours cause.
 
-A payload is JSON: ``run_s``, ``effect``, ``record`` and optionally ``fail`` (true:
-fails at its end; ``"infeasible"``: ends as infeasible at once; ``"refuse"``: the
-worker refuses it) and ``use_share`` (the processors used over those declared). An
-attempt that reaches its end adds its effect to the ledger; the worker never forgets
-which attempts it has started.
+An attempt that reaches its end adds its effect to the ledger. The worker never
+forgets which attempts it has started, so that a late start can't run one again.
 """
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Final
 
 import msgspec
@@ -32,37 +27,23 @@
     WorkerUsage,
 )
 from almondspan_standins.faults import WorkerFaults
+from almondspan_standins.task_witness import TaskWitness
+from almondspan_standins.usage_log import UsageLog
+from almondspan_standins.worker_attempt import Attempt, AttemptEnd, AttemptKey
+from almondspan_standins.worker_payload import (
+    Payload,
+    Progress,
+    WorkResult,
+    read_payload,
+    read_progress,
+    task_payload,
+)
 
 __all__ = ["Effect", "TaskWitness", "WorkerCore", "WorkerOptions", "task_payload"]
 
-AttemptKey = tuple[TaskId, int]
 SlowdownOf = Callable[[TaskClass], float]
 
 
-class _Payload(msgspec.Struct, frozen=True):
-    run_s: float = 0.0
-    effect: str = ""
-    record: str = ""
-    fail: bool | str = False
-    use_share: float = 1.0
-
-
-class _Checkpoint(msgspec.Struct, frozen=True):
-    done_s: float = 0.0
-
-
-class _Result(msgspec.Struct, frozen=True):
-    record: str
-    effect: str
-
-
-def task_payload(
-    run_s: float, effect: str, record: str, fail: bool | str = False
-) -> bytes:
-    """Return the payload of a task for this worker."""
-    return msgspec.json.encode(_Payload(run_s, effect, record, fail))
-
-
 @dataclass(frozen=True, slots=True)
 class WorkerOptions:
     """Times of a worker, in seconds."""
@@ -82,91 +63,6 @@
     attempt: int
 
 
-class _End(Enum):
-    FINISHED = "finished"
-    LAPSED = "lease lapsed"
-    CHECKPOINTED = "checkpointed"
-    STOPPED = "stopped"
-
-
-@dataclass(slots=True)
-class _Attempt:
-    request: StartAttempt
-    payload: _Payload
-    started_s: float
-    lease_until_s: float
-    done_s: float
-    checkpoint: bytes
-    share: float = 1.0
-    rate: float = 1.0
-    checkpoint_ends_s: float | None = None
-    ended_s: float | None = None
-    outcome: Outcome | None = None
-    is_evicted: bool = False
-
-    @property
-    def key(self) -> AttemptKey:
-        return (self.request.task_id, self.request.attempt)
-
-    @property
-    def state(self) -> AttemptState:
-        if self.ended_s is not None:
-            return AttemptState.ENDED
-        if self.checkpoint_ends_s is not None:
-            return AttemptState.CHECKPOINTING
-        return AttemptState.RUNNING
-
-    @property
-    def used_millicores(self) -> int:
-        declared = self.request.shape.cpu_millicores
-        return round(declared * self.share * self.payload.use_share)
-
-    def next_event(self, now_s: float) -> tuple[float, _End]:
-        """Return when and how the attempt ends if nothing else happens."""
-        ends = [(self.lease_until_s, _End.LAPSED)]
-        if self.checkpoint_ends_s is not None:
-            ends.append((self.checkpoint_ends_s, _End.CHECKPOINTED))
-        elif self.rate > 0:
-            left_s = max(self.payload.run_s - self.done_s, 0.0) / self.rate
-            ends.append((now_s + left_s, _End.FINISHED))
-        return min(ends, key=lambda end: end[0])
-
-
-@dataclass(frozen=True, slots=True)
-class _UsageSample:
-    taken_s: float
-    memory_mb: int
-    by_task: tuple[tuple[TaskId, int], ...]
-
-
-class TaskWitness:
-    """Counts tasks that run in two places at once, over the workers that share it."""
-
-    def __init__(self) -> None:
-        self._places: dict[TaskId, set[tuple[WorkerId, int]]] = {}
-        self._cores: dict[WorkerId, WorkerCore] = {}
-        self.n_in_two_places = 0
-
-    def add_worker(self, core: "WorkerCore") -> None:
-        """Take a worker into account."""
-        self._cores[core.worker_id] = core
-
-    def on_started(self, worker_id: WorkerId, key: AttemptKey) -> None:
-        """Note a start; the other workers are brought up to the present first."""
-        places = self._places.setdefault(key[0], set())
-        for other, _ in tuple(places):
-            self._cores[other].advance()
-        self.n_in_two_places += bool(places)
-        self._places.setdefault(key[0], set()).add((worker_id, key[1]))
-
-    def on_ended(self, worker_id: WorkerId, key: AttemptKey) -> None:
-        """Note the end of an attempt."""
-        places = self._places.get(key[0], set())
-        places.discard((worker_id, key[1]))
-        if not places:
-            self._places.pop(key[0], None)
-
-
 class WorkerCore:
     """A worker's state; `now` returns a monotonic time in seconds."""
 
@@ -183,9 +79,9 @@
         self._now: Final = now
         self._options: Final = options
         self._witness: Final = witness
-        self._attempts: dict[AttemptKey, _Attempt] = {}
+        self._attempts: dict[AttemptKey, Attempt] = {}
         self._forgotten: set[AttemptKey] = set()
-        self._usage: deque[_UsageSample] = deque([_UsageSample(now(), 0, ())])
+        self._usage: Final = UsageLog(now(), options.usage_lag_s)
         self._advanced_s = now()
         self.slowdown_of: SlowdownOf = _no_slowdown
         self.faults = WorkerFaults()
@@ -205,7 +101,7 @@
         """Return every attempt that was not forgotten."""
         self.advance()
         now_s = self._now()
-        return tuple(_describe(attempt, now_s) for attempt in self._attempts.values())
+        return tuple(attempt.describe(now_s) for attempt in self._attempts.values())
 
     def start_attempt(self, request: StartAttempt) -> StartResult:
         """Start an attempt unless it is known or does not fit."""
@@ -213,7 +109,7 @@
         key = (request.task_id, request.attempt)
         if key in self._attempts or key in self._forgotten:
             return StartResult.ALREADY_KNOWN
-        payload = _read_payload(request.payload)
+        payload = read_payload(request.payload)
         if payload.fail == "refuse":
             return StartResult.REFUSED
         if any(one.request.task_id == request.task_id for one in self.running()):
@@ -263,7 +159,7 @@
         attempt = self._attempts.get(key)
         if attempt is None or attempt.state is AttemptState.ENDED:
             return False
-        self._end(attempt, _End.STOPPED)
+        self._end(attempt, AttemptEnd.STOPPED)
         return True
 
     def forget(self, keys: tuple[AttemptKey, ...]) -> bool:
@@ -279,13 +175,9 @@
     def usage(self) -> WorkerUsage:
         """Return the usage of ``usage_lag_s`` ago."""
         self.advance()
-        self._sample_usage(self.running())
-        sample = self._usage[0]
-        n_millicores = sum(millicores for _, millicores in sample.by_task)
-        lag_s = self._options.usage_lag_s
-        return WorkerUsage(lag_s, n_millicores, sample.memory_mb, sample.by_task)
+        return self._usage.read(self._now())
 
-    def running(self) -> list[_Attempt]:
+    def running(self) -> list[Attempt]:
         """Return the attempts that hold a part of the capacity."""
         return [one for one in self._attempts.values() if one.ended_s is None]
 
@@ -334,14 +226,14 @@
                 attempt.done_s = min(done_s, attempt.payload.run_s)
         self._advanced_s = max(at_s, self._advanced_s)
 
-    def _begin(self, request: StartAttempt, payload: _Payload) -> None:
+    def _begin(self, request: StartAttempt, payload: Payload) -> None:
         now_s = self._now()
-        attempt = _Attempt(
+        attempt = Attempt(
             request=request,
             payload=payload,
             started_s=now_s,
             lease_until_s=now_s + self._options.lease_s,
-            done_s=_read_checkpoint(request.checkpoint).done_s,
+            done_s=read_progress(request.checkpoint).done_s,
             checkpoint=request.checkpoint,
         )
         self._attempts[attempt.key] = attempt
@@ -349,12 +241,12 @@
         if self._witness is not None:
             self._witness.on_started(self.worker_id, attempt.key)
         if payload.fail == "infeasible":
-            self._end(attempt, _End.FINISHED)
+            self._end(attempt, AttemptEnd.FINISHED)
         self._on_load_changed()
 
-    def _end(self, attempt: _Attempt, end: _End) -> None:
+    def _end(self, attempt: Attempt, end: AttemptEnd) -> None:
         attempt.ended_s = self._advanced_s
-        if end is _End.FINISHED:
+        if end is AttemptEnd.FINISHED:
             attempt.outcome = self._finish(attempt)
         else:
             attempt.is_evicted = True
@@ -362,20 +254,20 @@
             attempt.outcome = Outcome(
                 OutcomeKind.UNKNOWN, reason=end.value, may_have_run=True
             )
-        if end is _End.CHECKPOINTED:
-            attempt.checkpoint = msgspec.json.encode(_Checkpoint(attempt.done_s))
+        if end is AttemptEnd.CHECKPOINTED:
+            attempt.checkpoint = msgspec.json.encode(Progress(attempt.done_s))
         if self._witness is not None:
             self._witness.on_ended(self.worker_id, attempt.key)
         self._on_load_changed()
 
-    def _finish(self, attempt: _Attempt) -> Outcome:
+    def _finish(self, attempt: Attempt) -> Outcome:
         payload = attempt.payload
         if payload.fail == "infeasible":
             return Outcome(OutcomeKind.INFEASIBLE, reason="it can never run")
         if payload.fail or self.faults.fail_all:
             return Outcome(OutcomeKind.FAILED, "the task failed", may_have_run=True)
         self.ledger.append(Effect(payload.record, payload.effect, *attempt.key))
-        result = msgspec.json.encode(_Result(payload.record, payload.effect))
+        result = msgspec.json.encode(WorkResult(payload.record, payload.effect))
         return Outcome(OutcomeKind.DONE, result=result, may_have_run=True)
 
     def _on_load_changed(self) -> None:
@@ -383,52 +275,10 @@
         for attempt in running:
             slowdown = self.slowdown_of(attempt.request.task_class)
             attempt.rate = attempt.share / slowdown
-        self._sample_usage(running)
-
-    def _sample_usage(self, running: list[_Attempt]) -> None:
-        """Note a change of the usage, and drop what is older than the lag."""
         by_task = tuple((one.request.task_id, one.used_millicores) for one in running)
         memory_mb = sum(one.request.shape.memory_mb for one in running)
-        if (memory_mb, by_task) != (self._usage[-1].memory_mb, self._usage[-1].by_task):
-            self._usage.append(_UsageSample(self._advanced_s, memory_mb, by_task))
-        wanted_s = self._now() - self._options.usage_lag_s
-        while len(self._usage) > 1 and self._usage[1].taken_s <= wanted_s:
-            self._usage.popleft()
+        self._usage.add(self._advanced_s, memory_mb, by_task)
 
 
 def _no_slowdown(task_class: TaskClass) -> float:
     return 1.0
-
-
-def _read_payload(payload: bytes) -> _Payload:
-    if not payload:
-        return _Payload()
-    try:
-        return msgspec.json.decode(payload, type=_Payload)
-    except msgspec.DecodeError:
-        return _Payload(fail=True)
-
-
-def _read_checkpoint(checkpoint: bytes) -> _Checkpoint:
-    if not checkpoint:
-        return _Checkpoint()
-    return msgspec.json.decode(checkpoint, type=_Checkpoint)
-
-
-def _describe(attempt: _Attempt, now_s: float) -> WorkerAttempt:
-    request = attempt.request
-    until_s = now_s if attempt.ended_s is None else attempt.ended_s
-    return WorkerAttempt(
-        task_id=request.task_id,
-        attempt=request.attempt,
-        state=attempt.state,
-        task_class=request.task_class,
-        shape=request.shape,
-        shard_id=request.shard_id,
-        epoch=request.epoch,
-        idempotent=request.idempotent,
-        ran_s=until_s - attempt.started_s,
-        outcome=attempt.outcome,
-        evicted=attempt.is_evicted,
-        checkpoint=attempt.checkpoint if attempt.is_evicted else b"",
-    )
--- /dev/null
+++ b/packages/standins/almondspan_standins/worker_payload.py
@@ -0,0 +1,70 @@
+"""What a task tells a stand-in worker, and what an attempt leaves behind.
+
+A payload is JSON: ``run_s``, ``effect``, ``record`` and optionally ``fail`` (true:
+fails at its end; ``"infeasible"``: ends as infeasible at once; ``"refuse"``: the
+worker refuses it) and ``use_share`` (the processors used over those declared).
+"""
+
+import msgspec
+
+__all__ = [
+    "Payload",
+    "Progress",
+    "WorkResult",
+    "read_payload",
+    "read_progress",
+    "task_payload",
+]
+
+
+class Payload(msgspec.Struct, frozen=True):
+    """The work of a task; ``run_s`` is its time on an idle worker."""
+
+    run_s: float = 0.0
+    effect: str = ""
+    record: str = ""
+    fail: bool | str = False
+    use_share: float = 1.0
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """A checkpoint: the part of ``run_s`` that is done."""
+
+    done_s: float = 0.0
+
+
+class WorkResult(msgspec.Struct, frozen=True):
+    """The result of an attempt that reached its end."""
+
+    record: str
+    effect: str
+
+
+def task_payload(
+    run_s: float, effect: str, record: str, fail: bool | str = False
+) -> bytes:
+    """Return the payload of a task for this worker."""
+    return msgspec.json.encode(Payload(run_s, effect, record, fail))
+
+
+def read_payload(payload: bytes) -> Payload:
+    """Return the payload; one that is no payload fails at once."""
+    if not payload:
+        return Payload()
+    try:
+        return msgspec.json.decode(payload, type=Payload)
+    except msgspec.DecodeError:
+        return Payload(fail=True)
+
+
+def read_progress(checkpoint: bytes) -> Progress:
+    """Return the progress that a checkpoint holds.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        When no worker has made this checkpoint.
+    """
+    if not checkpoint:
+        return Progress()
+    return msgspec.json.decode(checkpoint, type=Progress)
