Ask the shard before refusing a start without a reservation

Cause: a late copy of a start, for an attempt that had run and was acknowledged, was refused as never run; an attempt that was not idempotent resumed twice from one checkpoint when the worker's lease lapsed; two agents of one worker both admitted. Change: a refusal waits for the shard's confirmation like a start does; work that is not idempotent resumes only from a new checkpoint; a keeper that finds attempts of another agent stops admitting for a horizon. Conclusion: one capacity race is left, looked at next.

--- a/packages/tasks/almondspan_tasks/attempt_owner.py
+++ b/packages/tasks/almondspan_tasks/attempt_owner.py
@@ -194,8 +194,10 @@
 
     def _decide_evicted(self, job: Job, body: AttemptReport) -> None:
         checkpoint = body.checkpoint if job.stage.checkpointable else b""
-        if not job.stage.idempotent and not checkpoint:
-            reason = "stopped without a checkpoint; a second start is not allowed"
+        is_new = checkpoint not in (b"", job.checkpoint)
+        if not job.stage.idempotent and not is_new:
+            # Its last part may have run and would run again.
+            reason = "stopped without a new checkpoint; no second start is allowed"
             self._book.end_job(job, Outcome(OutcomeKind.UNKNOWN, reason, b"", True))
             return
         self._book.close_attempt(job, CloseCause.EVICTED, body.ran_s, checkpoint)
--- a/packages/tasks/almondspan_tasks/held.py
+++ b/packages/tasks/almondspan_tasks/held.py
@@ -48,7 +48,8 @@
     renewal was answered yet. Only answers to renewals from ``first_renewal_id`` on
     count for it. ``doubt_until_s`` is set while the answer to its start is lost.
     ``n_list`` is the number of the last list call that had begun when it was
-    found running: only a later list can show that it is gone.
+    found running: only a later list can show that it is gone. ``refusal`` says why
+    it will be refused for good once its shard has confirmed the assignment.
     """
 
     shard_id: ShardId
@@ -62,6 +63,7 @@
     phase: AttemptPhase = AttemptPhase.QUEUED
     reservation: str = ""
     expires_s: float = 0.0
+    refusal: str = ""
     makes_room: bool = False
     lease_until_s: float = 0.0
     first_renewal_id: int = 0
@@ -82,7 +84,7 @@
     @property
     def takes_room(self) -> bool:
         """Tell whether it counts against the worker's capacity."""
-        return self.phase in _WITH_ROOM
+        return self.phase in _WITH_ROOM and not self.refusal
 
     @property
     def is_on_worker(self) -> bool:
--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -116,6 +116,7 @@
         self._n_list = 0
         self._listed_s = 0.0
         self._next_renew_s = 0.0
+        self._shared_until_s = 0.0
         self._background = Background()
         self._changed = asyncio.Event()
 
@@ -301,6 +302,8 @@
             return "the books are not rebuilt"
         if self._draining:
             return "draining"
+        if self._now_s() < self._shared_until_s:
+            return "another agent admits work to this worker"
         if self.is_resting:
             return "resting"
         if self._resting.is_probing and self.n_tasks() > 0:
@@ -396,14 +399,13 @@
             return
         held = Held(body.shard_id, body.task_id, body.attempt, body.shape)
         self._describe(held, body)
-        refusal = self._refusal()
-        if not refusal and not self._books.fits(body.shape, body.urgent):
-            refusal = "no room"
+        held.refusal = self._refusal()
+        if not held.refusal and not self._books.fits(body.shape, body.urgent):
+            held.refusal = "no room"
         self._books.add(held)
-        if refusal:
-            self._refuse(held, refusal)
-        else:
-            self._ask_first(held)
+        # This may be a late copy for an attempt that ran and was acknowledged, so
+        # even a refusal waits until the shard has confirmed the assignment.
+        self._ask_first(held)
 
     def _describe(self, held: Held, body: StartTask) -> None:
         held.start = body
@@ -463,6 +465,8 @@
             return "the worker does not answer"
         if not self._has_time(held):
             return "too little of its lease is left"
+        if self._now_s() < self._shared_until_s:
+            return "another agent admits work to this worker"
         if not self._books.is_within_capacity():
             return "no room"
         return ""
@@ -546,7 +550,11 @@
 
     def _extend(self, held: Held, until_s: float) -> None:
         held.lease_until_s = max(held.lease_until_s, until_s)
-        if held.phase is AttemptPhase.CONFIRMING and self._has_time(held):
+        if held.phase is not AttemptPhase.CONFIRMING:
+            return
+        if held.refusal:
+            self._refuse(held, held.refusal)
+        elif self._has_time(held):
             self._begin_start(held)
 
     # Reports.
@@ -685,6 +693,10 @@
         self.counters.n_adopted += 1
         if found.state is not AttemptState.ENDED:
             self._send_renewals([held])
+            if self._is_ready:
+                # Nothing that was on its way before can arrive any more, so another
+                # agent of this worker is at work; two must not both admit.
+                self._shared_until_s = self._now_s() + self._options.horizon_s
         return held
 
     def _note_ended(self, held: Held, found: WorkerAttempt) -> None:
@@ -758,10 +770,9 @@
 
     def _tick(self, held: Held, now_s: float) -> None:
         match held.phase:
-            case AttemptPhase.RESERVED if now_s >= held.expires_s:
-                self._drop(held)
-            case AttemptPhase.CONFIRMING if now_s >= held.expires_s:
-                self._refuse(held, "its shard did not confirm it in time")
+            case AttemptPhase.RESERVED | AttemptPhase.CONFIRMING:
+                if now_s >= held.expires_s:
+                    self._drop(held)
             case AttemptPhase.RUNNING if 0.0 < held.lease_until_s <= now_s:
                 self.counters.n_expired += 1
                 self._begin_evict(held)
