Settle a keeper's books again after a pause

Cause: a paused agent that woke while the start of its replacement was on its way admitted work over the worker's capacity. Change: a keeper that notices a gap in its ticks lists, waits for the bound of a call and lists again before it admits.

--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -84,6 +84,7 @@
     n_expired: int = 0
     n_stale_epochs: int = 0
     n_reports: int = 0
+    n_pauses: int = 0
 
 
 class AttemptKeeper:
@@ -107,7 +108,8 @@
         self._books.headroom = options.headroom
         self._worker_id = WorkerId("")
         self._worker_lease_s = 0.0
-        self._is_ready = False
+        self._ready = asyncio.Event()
+        self._ticked_s = 0.0
         self._draining = False
         self._resting = RestingRule(options)
         self._epochs: dict[ShardId, Epoch] = {}
@@ -136,7 +138,7 @@
 
     def free(self) -> Shape:
         """Return what would be admitted now; empty until the books are whole."""
-        return self._books.free() if self._is_ready else EMPTY_SHAPE
+        return self._books.free() if self.is_ready else EMPTY_SHAPE
 
     def n_tasks(self) -> int:
         """Return the number of attempts that take room."""
@@ -176,7 +178,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the books are whole."""
-        return self._is_ready
+        return self._ready.is_set()
 
     @property
     def is_draining(self) -> bool:
@@ -231,6 +233,7 @@
 
     def on_mail(self, sender: str, body: Message) -> None:
         """Handle mail from the owners of shards."""
+        self._note_pause()
         match body:
             case ReserveRoom():
                 self._on_reserve(sender, body)
@@ -298,7 +301,7 @@
         return held
 
     def _refusal(self) -> str:
-        if not self._is_ready:
+        if not self.is_ready:
             return "the books are not rebuilt"
         if self._draining:
             return "draining"
@@ -393,7 +396,7 @@
             self._ask_first(held)
 
     def _start_without_reservation(self, body: StartTask) -> None:
-        if body.agent_id != self._agent_id or not self._is_ready:
+        if body.agent_id != self._agent_id or not self.is_ready:
             # Only the agent of the assignment may start or refuse it; after a
             # restart the shard waits for the horizon instead.
             return
@@ -435,6 +438,8 @@
         self._background.spawn(self._start_on_worker(held))
 
     async def _start_on_worker(self, held: Held) -> None:
+        self._note_pause()
+        await self._ready.wait()
         await self._refresh_list()
         if held.phase is not AttemptPhase.STARTING:
             return
@@ -608,10 +613,7 @@
 
     async def _run(self) -> None:
         await self._learn_worker()
-        await self._list_until_answered()
-        await asyncio.sleep(self._options.call_bound_s)
-        await self._list_until_answered()
-        self._is_ready = True
+        await self._settle()
         self._background.spawn(self._run_ticks())
         self._background.spawn(self._run_worker_leases())
         while True:
@@ -619,6 +621,23 @@
             if len(self._books) or not self._is_list_fresh():
                 await self._list()
 
+    async def _settle(self) -> None:
+        """Make the books whole, whatever another agent may have sent before."""
+        await self._list_until_answered()
+        await asyncio.sleep(self._options.call_bound_s)
+        await self._list_until_answered()
+        self._ticked_s = self._now_s()
+        self._ready.set()
+
+    def _note_pause(self) -> None:
+        """Settle again after a pause, in which another agent may have been here."""
+        gap_s = self._now_s() - self._ticked_s
+        limit_s = self._options.poll_interval_s + self._options.call_bound_s / 2
+        if self.is_ready and gap_s > limit_s:
+            self.counters.n_pauses += 1
+            self._ready.clear()
+            self._background.spawn(self._settle())
+
     async def _learn_worker(self) -> None:
         while True:
             info = await self._worker.info()
@@ -693,7 +712,7 @@
         self.counters.n_adopted += 1
         if found.state is not AttemptState.ENDED:
             self._send_renewals([held])
-            if self._is_ready:
+            if self.is_ready:
                 # Nothing that was on its way before can arrive any more, so another
                 # agent of this worker is at work; two must not both admit.
                 self._shared_until_s = self._now_s() + self._options.horizon_s
@@ -746,7 +765,9 @@
 
     async def _run_ticks(self) -> None:
         while True:
+            self._note_pause()
             now_s = self._now_s()
+            self._ticked_s = now_s
             for held in self._books.all():
                 self._tick(held, now_s)
             if now_s >= self._next_renew_s:
--- a/tests/tasks/sim_checks.py
+++ b/tests/tasks/sim_checks.py
@@ -23,9 +23,7 @@
 class Checks:
     """What must hold over all workers, attempts and answers."""
 
-    def __init__(
-        self, note: Callable[[str], None], now: Callable[[], float]
-    ) -> None:
+    def __init__(self, note: Callable[[str], None], now: Callable[[], float]) -> None:
         self.note = note
         self.now = now
         self.is_shared: Callable[[WorkerId], bool] = lambda worker_id: False
@@ -166,7 +164,9 @@
         if key not in self._attempts:
             self._checks.before_start(self.worker_id, request)
         result = super().start_attempt(request)
-        self._checks.note(f"{request.task_id}#{request.attempt} {result} {self.worker_id}")
+        self._checks.note(
+            f"{request.task_id}#{request.attempt} {result} {self.worker_id}"
+        )
         if result is StartResult.STARTED:
             self._checks.on_started(self.worker_id, request)
         if self.n_over_capacity > over and self._checks.is_shared(self.worker_id):
