--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -84,6 +84,7 @@
     n_expired: int = 0
     n_stale_epochs: int = 0
     n_reports: int = 0
+    n_pauses: int = 0
 
 
 class AttemptKeeper:
@@ -107,7 +108,8 @@
         self._books.headroom = options.headroom
         self._worker_id = WorkerId("")
         self._worker_lease_s = 0.0
-        self._is_ready = False
+        self._ready = asyncio.Event()
+        self._ticked_s = 0.0
         self._draining = False
         self._resting = RestingRule(options)
         self._epochs: dict[ShardId, Epoch] = {}
@@ -116,6 +118,7 @@
         self._n_list = 0
         self._listed_s = 0.0
         self._next_renew_s = 0.0
+        self._shared_until_s = 0.0
         self._background = Background()
         self._changed = asyncio.Event()
 
@@ -135,7 +138,7 @@
 
     def free(self) -> Shape:
         """Return what would be admitted now; empty until the books are whole."""
-        return self._books.free() if self._is_ready else EMPTY_SHAPE
+        return self._books.free() if self.is_ready else EMPTY_SHAPE
 
     def n_tasks(self) -> int:
         """Return the number of attempts that take room."""
@@ -175,7 +178,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the books are whole."""
-        return self._is_ready
+        return self._ready.is_set()
 
     @property
     def is_draining(self) -> bool:
@@ -234,6 +237,7 @@
 
     def on_mail(self, sender: str, body: Message) -> None:
         """Handle mail from the owners of shards."""
+        self._note_pause()
         match body:
             case ReserveRoom():
                 self._on_reserve(sender, body)
@@ -301,10 +305,12 @@
         return held
 
     def _refusal(self) -> str:
-        if not self._is_ready:
+        if not self.is_ready:
             return "the books are not rebuilt"
         if self._draining:
             return "draining"
+        if self._now_s() < self._shared_until_s:
+            return "another agent admits work to this worker"
         if self.is_resting:
             return "resting"
         if self._resting.is_probing and self.n_tasks() > 0:
@@ -394,20 +400,19 @@
             self._ask_first(held)
 
     def _start_without_reservation(self, body: StartTask) -> None:
-        if body.agent_id != self._agent_id or not self._is_ready:
+        if body.agent_id != self._agent_id or not self.is_ready:
             # Only the agent of the assignment may start or refuse it; after a
             # restart the shard waits for the horizon instead.
             return
         held = Held(body.shard_id, body.task_id, body.attempt, body.shape)
         self._describe(held, body)
-        refusal = self._refusal()
-        if not refusal and not self._books.fits(body.shape, body.urgent):
-            refusal = "no room"
+        held.refusal = self._refusal()
+        if not held.refusal and not self._books.fits(body.shape, body.urgent):
+            held.refusal = "no room"
         self._books.add(held)
-        if refusal:
-            self._refuse(held, refusal)
-        else:
-            self._ask_first(held)
+        # This may be a late copy for an attempt that ran and was acknowledged, so
+        # even a refusal waits until the shard has confirmed the assignment.
+        self._ask_first(held)
 
     def _describe(self, held: Held, body: StartTask) -> None:
         held.start = body
@@ -437,6 +442,8 @@
         self._background.spawn(self._start_on_worker(held))
 
     async def _start_on_worker(self, held: Held) -> None:
+        self._note_pause()
+        await self._ready.wait()
         await self._refresh_list()
         if held.phase is not AttemptPhase.STARTING:
             return
@@ -467,6 +474,8 @@
             return "the worker does not answer"
         if not self._has_time(held):
             return "too little of its lease is left"
+        if self._now_s() < self._shared_until_s:
+            return "another agent admits work to this worker"
         if not self._books.is_within_capacity():
             return "no room"
         return ""
@@ -550,7 +559,11 @@
 
     def _extend(self, held: Held, until_s: float) -> None:
         held.lease_until_s = max(held.lease_until_s, until_s)
-        if held.phase is AttemptPhase.CONFIRMING and self._has_time(held):
+        if held.phase is not AttemptPhase.CONFIRMING:
+            return
+        if held.refusal:
+            self._refuse(held, held.refusal)
+        elif self._has_time(held):
             self._begin_start(held)
 
     # Reports.
@@ -604,10 +617,7 @@
 
     async def _run(self) -> None:
         await self._learn_worker()
-        await self._list_until_answered()
-        await asyncio.sleep(self._options.call_bound_s)
-        await self._list_until_answered()
-        self._is_ready = True
+        await self._settle()
         self._background.spawn(self._run_ticks())
         self._background.spawn(self._run_worker_leases())
         while True:
@@ -615,6 +625,23 @@
             if len(self._books) or not self._is_list_fresh():
                 await self._list()
 
+    async def _settle(self) -> None:
+        """Make the books whole, whatever another agent may have sent before."""
+        await self._list_until_answered()
+        await asyncio.sleep(self._options.call_bound_s)
+        await self._list_until_answered()
+        self._ticked_s = self._now_s()
+        self._ready.set()
+
+    def _note_pause(self) -> None:
+        """Settle again after a pause, in which another agent may have been here."""
+        gap_s = self._now_s() - self._ticked_s
+        limit_s = self._options.poll_interval_s + self._options.call_bound_s / 2
+        if self.is_ready and gap_s > limit_s:
+            self.counters.n_pauses += 1
+            self._ready.clear()
+            self._background.spawn(self._settle())
+
     async def _learn_worker(self) -> None:
         while True:
             info = await self._worker.info()
@@ -689,6 +716,10 @@
         self.counters.n_adopted += 1
         if found.state is not AttemptState.ENDED:
             self._send_renewals([held])
+            if self.is_ready:
+                # Nothing that was on its way before can arrive any more, so another
+                # agent of this worker is at work; two must not both admit.
+                self._shared_until_s = self._now_s() + self._options.horizon_s
         return held
 
     def _note_ended(self, held: Held, found: WorkerAttempt) -> None:
@@ -738,7 +769,9 @@
 
     async def _run_ticks(self) -> None:
         while True:
+            self._note_pause()
             now_s = self._now_s()
+            self._ticked_s = now_s
             for held in self._books.all():
                 self._tick(held, now_s)
             if now_s >= self._next_renew_s:
@@ -762,10 +795,9 @@
 
     def _tick(self, held: Held, now_s: float) -> None:
         match held.phase:
-            case AttemptPhase.RESERVED if now_s >= held.expires_s:
-                self._drop(held)
-            case AttemptPhase.CONFIRMING if now_s >= held.expires_s:
-                self._refuse(held, "its shard did not confirm it in time")
+            case AttemptPhase.RESERVED | AttemptPhase.CONFIRMING:
+                if now_s >= held.expires_s:
+                    self._drop(held)
             case AttemptPhase.RUNNING if 0.0 < held.lease_until_s <= now_s:
                 self.counters.n_expired += 1
                 self._begin_evict(held)
