Shorten the platform's tests and share a relay and an authority

Cause: each test spelled out how it is run, and the relay and the authority in two tests serve trials of the whole system as well.

--- /dev/null
+++ b/packages/standins/almondspan_standins/relay.py
@@ -0,0 +1,83 @@
+"""A network between a client and a server: it can fall silent or be cut.
+
+A `Relay` listens on a loopback port and forwards each connection to a server. What
+is set holds for the connections that are open then; later ones work, as when
+something on the way has lost track of the old ones.
+"""
+
+import asyncio
+from typing import Final
+
+__all__ = ["Relay"]
+
+CHUNK_BYTES: Final = 65_536
+LOOPBACK: Final = "127.0.0.1"
+
+
+class Relay:
+    """Forwards connections to one port of this machine."""
+
+    def __init__(self, port: int) -> None:
+        self._port: Final = port
+        self._forwarding: asyncio.Event = asyncio.Event()
+        self._forwarding.set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self.n_accepted = 0
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen; ``port`` is then where."""
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def silence(self) -> None:
+        """Forward nothing more on the connections that are open now."""
+        self._forwarding.clear()
+        self._forwarding = asyncio.Event()
+        self._forwarding.set()
+
+    def cut(self) -> None:
+        """Reset the connections that are open now, on both sides."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.n_accepted += 1
+        forwarding = self._forwarding
+        there, back = await asyncio.open_connection(LOOPBACK, self._port)
+        self._writers |= {writer, back}
+        for source, sink in ((reader, back), (there, writer)):
+            task = asyncio.create_task(self._forward(source, sink, forwarding))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _forward(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        forwarding: asyncio.Event,
+    ) -> None:
+        try:
+            while data := await source.read(CHUNK_BYTES):
+                await forwarding.wait()
+                sink.write(data)
+                await sink.drain()
+        except OSError:
+            pass
+        finally:
+            sink.close()
+            self._writers.discard(sink)
--- a/tests/platform/test_etcd_json.py
+++ b/tests/platform/test_etcd_json.py
@@ -53,6 +53,11 @@
         return web.Response(status=self.status, body=self.body)
 
 
+@pytest.fixture
+def rig() -> type[HttpStoreRig]:
+    return HttpStoreRig
+
+
 async def call_scripted(
     status: int, body: bytes, call: Call
 ) -> tuple[object, list[tuple[str, object]]]:
@@ -183,10 +188,10 @@
         ),
     ],
 )
-def test_published_form(
+async def test_published_form(
     call: Call, path: str, sent: object, answer: bytes, outcome: object
 ) -> None:
-    got, requests = asyncio.run(call_scripted(200, answer, call))
+    got, requests = await call_scripted(200, answer, call)
     assert got == outcome
     assert requests == [(path, sent)]
 
@@ -235,8 +240,10 @@
         pytest.param(lambda store: store.revoke_lease(LeaseId(1)), id="revoke"),
     ],
 )
-def test_refused_lease(call: Call, status: int, answer: bytes, outcome: type) -> None:
-    got, _ = asyncio.run(call_scripted(status, answer, call))
+async def test_refused_lease(
+    call: Call, status: int, answer: bytes, outcome: type
+) -> None:
+    got, _ = await call_scripted(status, answer, call)
     assert isinstance(got, outcome)
 
 
@@ -268,98 +275,72 @@
         ),
     ],
 )
-def test_next_address_serves_after_a_dead_one(call: Call) -> None:
-    async def main() -> None:
-        rig = HttpStoreRig()
-        await rig.start()
-        store = EtcdJsonStore((DEAD, rig.server.address))
-        await store.start()
-        outcomes = [await call(store) for _ in range(3)]
-        assert not any(isinstance(one, Unavailable) for one in outcomes)
-        # The dead address is tried once and not for every call.
-        assert store.n_sent == 4
-        await store.close()
-        await rig.close()
+async def test_next_address_serves_after_a_dead_one(
+    rig: HttpStoreRig, call: Call
+) -> None:
+    store = EtcdJsonStore((DEAD, rig.server.address))
+    await store.start()
+    outcomes = [await call(store) for _ in range(3)]
+    assert not any(isinstance(one, Unavailable) for one in outcomes)
+    # The dead address is tried once and not for every call.
+    assert store.n_sent == 4
+    await store.close()
 
-    asyncio.run(main())
 
+async def test_watch_moves_to_the_next_address(rig: HttpStoreRig) -> None:
+    store = EtcdJsonStore((DEAD, rig.server.address))
+    await store.start()
+    assert isinstance(await anext(store.watch("k", Revision(1))), WatchLost)
+    writer = await rig.client()
+    await writer.compare_and_swap("k", ABSENT_REVISION, b"")
+    assert isinstance(await anext(store.watch("k", Revision(1))), WatchEvent)
+    await store.close()
 
-def test_watch_moves_to_the_next_address() -> None:
-    async def main() -> None:
-        rig = HttpStoreRig()
-        await rig.start()
-        store = EtcdJsonStore((DEAD, rig.server.address))
-        await store.start()
-        assert isinstance(await anext(store.watch("k", Revision(1))), WatchLost)
-        writer = await rig.client()
-        await writer.compare_and_swap("k", ABSENT_REVISION, b"")
-        assert isinstance(await anext(store.watch("k", Revision(1))), WatchEvent)
-        await store.close()
-        await rig.close()
-
-    asyncio.run(main())
-
-
-def test_write_without_answer_is_sent_to_no_other_address() -> None:
-    async def main() -> None:
-        rig = HttpStoreRig()
-        await rig.start()
-        rig.core.faults = StoreFaults(lose_answer_share=1.0)
-        store = EtcdJsonStore((rig.server.address, rig.server.address))
-        await store.start()
-        outcome = await store.compare_and_swap("k", ABSENT_REVISION, b"")
-        assert isinstance(outcome, Unavailable)
-        assert outcome.may_have_applied
-        assert rig.core.n_calls[CallKind.WRITE] == store.n_sent == 1
-        await store.get("k")
-        assert rig.core.n_calls[CallKind.GET] == 2
-        await store.close()
-        await rig.close()
-
-    asyncio.run(main())
-
-
-def test_abandoned_watch_is_closed() -> None:
-    async def main() -> None:
-        rig = HttpStoreRig()
-        await rig.start()
-        store = await rig.client()
-        watch = store.watch("k", Revision(1))
-        await store.compare_and_swap("k", ABSENT_REVISION, b"")
-        await anext(watch)
-        assert rig.core.n_watches_open == 1
-        assert isinstance(watch, AsyncGenerator)
-        await watch.aclose()
-        for _ in range(1000):
-            if rig.core.n_watches_open == 0:
-                break
-            await asyncio.sleep(0.01)
-        assert rig.core.n_watches_open == 0
-        await rig.close()
-
-    asyncio.run(main())
-
-
-def test_rate_bound_holds_for_all_calls_together() -> None:
-    async def main() -> None:
-        rig = HttpStoreRig()
-        await rig.start()
-        options = EtcdJsonOptions(CallLimits(calls_per_s=0.001, n_burst=3))
-        store = EtcdJsonStore((rig.server.address,), options)
-        await store.start()
-        assert isinstance(await store.get("k"), Found)
-        assert isinstance(await store.grant_lease(5.0), LeaseGranted)
-        swapped = await store.compare_and_swap("k", ABSENT_REVISION, b"")
-        assert isinstance(swapped, Swapped)
-        bounded = await store.compare_and_swap("k", swapped.revision, b"")
-        assert bounded == Unavailable("the rate bound was reached")
-        assert isinstance(await anext(store.watch("k", Revision(1))), WatchLost)
-        assert sum(rig.core.n_calls.values()) == 3
-        assert rig.core.n_calls[CallKind.WRITE] == 1
-        await store.close()
-        await rig.close()
 
-    asyncio.run(main())
+async def test_write_without_answer_is_sent_to_no_other_address(
+    rig: HttpStoreRig,
+) -> None:
+    rig.core.faults = StoreFaults(lose_answer_share=1.0)
+    store = EtcdJsonStore((rig.server.address, rig.server.address))
+    await store.start()
+    outcome = await store.compare_and_swap("k", ABSENT_REVISION, b"")
+    assert isinstance(outcome, Unavailable)
+    assert outcome.may_have_applied
+    assert rig.core.n_calls[CallKind.WRITE] == store.n_sent == 1
+    await store.get("k")
+    assert rig.core.n_calls[CallKind.GET] == 2
+    await store.close()
+
+
+async def test_abandoned_watch_is_closed(rig: HttpStoreRig) -> None:
+    store = await rig.client()
+    watch = store.watch("k", Revision(1))
+    await store.compare_and_swap("k", ABSENT_REVISION, b"")
+    await anext(watch)
+    assert rig.core.n_watches_open == 1
+    assert isinstance(watch, AsyncGenerator)
+    await watch.aclose()
+    for _ in range(1000):
+        if rig.core.n_watches_open == 0:
+            break
+        await asyncio.sleep(0.01)
+    assert rig.core.n_watches_open == 0
+
+
+async def test_rate_bound_holds_for_all_calls_together(rig: HttpStoreRig) -> None:
+    options = EtcdJsonOptions(CallLimits(calls_per_s=0.001, n_burst=3))
+    store = EtcdJsonStore((rig.server.address,), options)
+    await store.start()
+    assert isinstance(await store.get("k"), Found)
+    assert isinstance(await store.grant_lease(5.0), LeaseGranted)
+    swapped = await store.compare_and_swap("k", ABSENT_REVISION, b"")
+    assert isinstance(swapped, Swapped)
+    bounded = await store.compare_and_swap("k", swapped.revision, b"")
+    assert bounded == Unavailable("the rate bound was reached")
+    assert isinstance(await anext(store.watch("k", Revision(1))), WatchLost)
+    assert sum(rig.core.n_calls.values()) == 3
+    assert rig.core.n_calls[CallKind.WRITE] == 1
+    await store.close()
 
 
 @pytest.mark.parametrize(
@@ -377,22 +358,21 @@
         ),
     ],
 )
-def test_store_that_is_asked_too_much_refuses(rates: StoreRates, call: Call) -> None:
-    async def main() -> None:
-        core = StoreCore(asyncio.get_running_loop().time)
-        app = StoreApp(core, random.Random(1), rates=rates)
-        server = HttpServer(app.app, shutdown_timeout_s=0.02)
-        await server.start()
-        store = EtcdJsonStore((server.address,))
-        await store.start()
-        assert not isinstance(await call(store), Unavailable)
-        assert await call(store) == Unavailable("status 429")
-        assert app.describe().n_refused == 1
-        assert sum(core.n_calls.values()) == 1
-        await store.close()
-        await server.close()
-
-    asyncio.run(main())
+async def test_store_that_is_asked_too_much_refuses(
+    rates: StoreRates, call: Call
+) -> None:
+    core = StoreCore(asyncio.get_running_loop().time)
+    app = StoreApp(core, random.Random(1), rates=rates)
+    server = HttpServer(app.app, shutdown_timeout_s=0.02)
+    await server.start()
+    store = EtcdJsonStore((server.address,))
+    await store.start()
+    assert not isinstance(await call(store), Unavailable)
+    assert await call(store) == Unavailable("status 429")
+    assert app.describe().n_refused == 1
+    assert sum(core.n_calls.values()) == 1
+    await store.close()
+    await server.close()
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -10,90 +10,42 @@
 from almondspan_platform.registry import CallLimits
 from almondspan_platform.store import ABSENT_REVISION, Found, Revision, WatchLost
 from almondspan_platform.token_bucket import TokenBucket
+from almondspan_standins.relay import Relay
 from almondspan_standins.rigs import HttpStoreRig
 from almondspan_standins.virtual_time import run_in_virtual_time
 
 
-class Relay:
-    """Passes bytes between a client and a server; old connections can go silent."""
-
-    def __init__(self, port: int) -> None:
-        self._port = port
-        self._forwarding: asyncio.Event = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
-        self.n_accepted = 0
-
-    async def start(self) -> str:
-        self._forwarding.set()
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return f"http://127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._server is not None:
-            self._server.close()
-
-    def silence(self) -> None:
-        """Forward nothing more on the connections that are open now."""
-        self._forwarding.clear()
-        self._forwarding = asyncio.Event()
-        self._forwarding.set()
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.n_accepted += 1
-        forwarding = self._forwarding
-        there, back = await asyncio.open_connection("127.0.0.1", self._port)
-        for source, sink in ((reader, back), (there, writer)):
-            task = asyncio.create_task(self._pump(source, sink, forwarding))
-            self._tasks.add(task)
-
-    async def _pump(
-        self,
-        source: asyncio.StreamReader,
-        sink: asyncio.StreamWriter,
-        forwarding: asyncio.Event,
-    ) -> None:
-        while data := await source.read(65536):
-            await forwarding.wait()
-            sink.write(data)
-            await sink.drain()
-        sink.close()
-
-
-def test_silent_connections_are_replaced() -> None:
-    async def main() -> None:
-        rig = HttpStoreRig()
-        await rig.start()
-        relay = Relay(int(rig.server.address.rpartition(":")[2]))
-        address = await relay.start()
-        options = EtcdJsonOptions(
-            CallLimits(10.0), try_timeout_s=0.3, watch_silence_s=0.3
-        )
-        store = EtcdJsonStore((address,), options)
-        await store.start()
-        await asyncio.gather(*(store.get("k") for _ in range(4)))
-        n_before = relay.n_accepted
-        assert n_before == 4
-        relay.silence()
-        # One silent connection is enough to leave the others unused.
-        for _ in range(3):
-            assert await store.get("k") == Found(None)
-        assert relay.n_accepted == n_before + 1
-        await store.compare_and_swap("k", ABSENT_REVISION, b"")
-        watch = store.watch("k", Revision(1))
-        await anext(watch)
-        relay.silence()
-        assert isinstance(await anext(watch), WatchLost)
-        await store.close()
-        await relay.close()
-        await rig.close()
-
-    asyncio.run(main())
+@pytest.fixture
+def rig() -> type[HttpStoreRig]:
+    return HttpStoreRig
+
+
+async def test_silent_connections_are_replaced(rig: HttpStoreRig) -> None:
+    relay = Relay(int(rig.server.address.rpartition(":")[2]))
+    await relay.start()
+    address = f"http://127.0.0.1:{relay.port}"
+    options = EtcdJsonOptions(CallLimits(10.0), try_timeout_s=0.3, watch_silence_s=0.3)
+    store = EtcdJsonStore((address,), options)
+    await store.start()
+    await asyncio.gather(*(store.get("k") for _ in range(4)))
+    n_before = relay.n_accepted
+    assert n_before == 4
+    relay.silence()
+    # One silent connection is enough to leave the others unused.
+    for _ in range(3):
+        assert await store.get("k") == Found(None)
+    assert relay.n_accepted == n_before + 1
+    await store.compare_and_swap("k", ABSENT_REVISION, b"")
+    watch = store.watch("k", Revision(1))
+    await anext(watch)
+    relay.silence()
+    assert isinstance(await anext(watch), WatchLost)
+    # A cut is noticed at once, and a read is repeated over a new connection.
+    await store.get("k")
+    relay.cut()
+    assert isinstance(await store.get("k"), Found)
+    await store.close()
+    await relay.close()
 
 
 @pytest.mark.parametrize(
@@ -109,26 +61,23 @@
         pytest.param(b"SSH-2.0-x\r\n", id="not-http"),
     ],
 )
-def test_answer_that_is_not_whole_is_none(answer: bytes) -> None:
+async def test_answer_that_is_not_whole_is_none(answer: bytes) -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(answer)
         await writer.drain()
         writer.close()
 
-    async def main() -> None:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        caller = HttpCaller()
-        await caller.start()
-        url = f"http://127.0.0.1:{port}/"
-        outcome = await caller.call("POST", url, b"{}", caller.deadline_s())
-        assert isinstance(outcome, CallFailed)
-        assert outcome.may_have_applied
-        await caller.close()
-        server.close()
-
-    asyncio.run(main())
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    caller = HttpCaller()
+    await caller.start()
+    url = f"http://127.0.0.1:{port}/"
+    outcome = await caller.call("POST", url, b"{}", caller.deadline_s())
+    assert isinstance(outcome, CallFailed)
+    assert outcome.may_have_applied
+    await caller.close()
+    server.close()
 
 
 def test_token_bucket_spaces_its_tokens() -> None:
--- a/tests/platform/test_http_json.py
+++ b/tests/platform/test_http_json.py
@@ -50,21 +50,18 @@
         pytest.param(lambda one: one.stop(TASK, 1), 1, 1, id="refused-at-last"),
     ],
 )
-def test_lost_answers(
+async def test_lost_answers(
     call: Callable[[Worker], Awaitable[object]], n_accepts: int, n_requests: int
 ) -> None:
-    async def main() -> None:
-        server = HangUpServer(n_accepts)
-        worker = HttpJsonWorker(await server.start())
-        await worker.start()
-        outcome = await call(worker)
-        assert isinstance(outcome, WorkerUnavailable)
-        assert outcome.may_have_applied
-        assert server.n_requests == n_requests
-        await worker.close()
-        server.close()
-
-    asyncio.run(main())
+    server = HangUpServer(n_accepts)
+    worker = HttpJsonWorker(await server.start())
+    await worker.start()
+    outcome = await call(worker)
+    assert isinstance(outcome, WorkerUnavailable)
+    assert outcome.may_have_applied
+    assert server.n_requests == n_requests
+    await worker.close()
+    server.close()
 
 
 @pytest.mark.parametrize(
@@ -74,16 +71,13 @@
         pytest.param(lambda one: one.stop(TASK, 1), id="stop"),
     ],
 )
-def test_no_connection_means_not_applied(
+async def test_no_connection_means_not_applied(
     call: Callable[[Worker], Awaitable[object]],
 ) -> None:
-    async def main() -> None:
-        worker = HttpJsonWorker("http://127.0.0.1:9")
-        await worker.start()
-        outcome = await call(worker)
-        assert isinstance(outcome, WorkerUnavailable)
-        assert not outcome.may_have_applied
-        assert worker.n_sent == 2
-        await worker.close()
-
-    asyncio.run(main())
+    worker = HttpJsonWorker("http://127.0.0.1:9")
+    await worker.start()
+    outcome = await call(worker)
+    assert isinstance(outcome, WorkerUnavailable)
+    assert not outcome.may_have_applied
+    assert worker.n_sent == 2
+    await worker.close()
--- a/tests/platform/test_tls.py
+++ b/tests/platform/test_tls.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import ipaddress
 import random
 import ssl
 from collections.abc import AsyncIterator, Callable
@@ -11,13 +10,11 @@
 
 import pytest
 from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
 
 from almondspan_platform.etcd_json import EtcdJsonStore
 from almondspan_platform.store import ABSENT_REVISION, Found, Swapped, Unavailable
 from almondspan_platform.tls import TlsCheck, TlsFiles, TlsIdentity, TlsOptions
+from almondspan_standins.certificates import Authority
 from almondspan_standins.serving import HttpServer
 from almondspan_standins.store_app import StoreApp
 from almondspan_standins.store_core import StoreCore
@@ -25,72 +22,8 @@
 
 LOOPBACK = "127.0.0.1"
 NOW = datetime.datetime.now(datetime.UTC)
-DAY = datetime.timedelta(days=1)
-
-
-class Authority:
-    """Signs certificates for tests."""
-
-    def __init__(self, name: str) -> None:
-        self._key = ec.generate_private_key(ec.SECP256R1())
-        self._name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        self.certificate = (
-            self._builder(self._name, self._key, NOW + DAY)
-            .add_extension(x509.BasicConstraints(ca=True, path_length=0), True)
-            .sign(self._key, hashes.SHA256())
-        )
-
-    def _builder(
-        self,
-        subject: x509.Name,
-        key: ec.EllipticCurvePrivateKey,
-        until: datetime.datetime,
-    ) -> x509.CertificateBuilder:
-        return (
-            x509.CertificateBuilder()
-            .subject_name(subject)
-            .issuer_name(self._name)
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(NOW - 2 * DAY)
-            .not_valid_after(until)
-        )
-
-    def write(
-        self,
-        folder: Path,
-        address: str = LOOPBACK,
-        until: datetime.datetime = NOW + DAY,
-        trusted: "Authority | None" = None,
-    ) -> TlsFiles:
-        """Write a new identity whose peers `trusted` (or this authority) signs."""
-        folder.mkdir(exist_ok=True)
-        key = ec.generate_private_key(ec.SECP256R1())
-        name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "process")])
-        names = [x509.IPAddress(ipaddress.ip_address(address))]
-        certificate = (
-            self._builder(name, key, until)
-            .add_extension(x509.SubjectAlternativeName(names), False)
-            .sign(self._key, hashes.SHA256())
-        )
-        files = TlsFiles(folder / "cert.pem", folder / "key.pem", folder / "ca.pem")
-        files.certificate.write_bytes(pem(certificate))
-        files.key.write_bytes(
-            key.private_bytes(
-                serialization.Encoding.PEM,
-                serialization.PrivateFormat.PKCS8,
-                serialization.NoEncryption(),
-            )
-        )
-        files.authority.write_bytes(pem((trusted or self).certificate))
-        return files
-
-
-def pem(certificate: x509.Certificate) -> bytes:
-    return certificate.public_bytes(serialization.Encoding.PEM)
-
-
-OURS, THEIRS = Authority("ours"), Authority("theirs")
+EXPIRED = -datetime.timedelta(days=1)
+OURS, THEIRS = Authority("ours", NOW), Authority("theirs", NOW)
 
 
 async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -161,35 +94,32 @@
             id="server-of-another-address",
         ),
         pytest.param(
-            lambda path: OURS.write(path, until=NOW - DAY),
+            lambda path: OURS.write(path, lifetime=EXPIRED),
             OURS.write,
             False,
             id="server-expired",
         ),
         pytest.param(
             OURS.write,
-            lambda path: OURS.write(path, until=NOW - DAY),
+            lambda path: OURS.write(path, lifetime=EXPIRED),
             False,
             id="client-expired",
         ),
     ],
 )
-def test_handshake(
+async def test_handshake(
     tmp_path: Path, server: Write, client: Write, connects: bool
 ) -> None:
-    async def main() -> None:
-        server_files = server(tmp_path / "server")
-        here = TlsIdentity(server_files)
-        there = TlsIdentity(client(tmp_path / "client"))
-        await here.start()
-        await there.start()
-        async with echo_server(here) as port:
-            serial = await peer_serial(port, there.client_context())
-        assert serial == (serial_of(server_files) if connects else "")
-        await there.close()
-        await here.close()
-
-    asyncio.run(main())
+    server_files = server(tmp_path / "server")
+    here = TlsIdentity(server_files)
+    there = TlsIdentity(client(tmp_path / "client"))
+    await here.start()
+    await there.start()
+    async with echo_server(here) as port:
+        serial = await peer_serial(port, there.client_context())
+    assert serial == (serial_of(server_files) if connects else "")
+    await there.close()
+    await here.close()
 
 
 @pytest.mark.parametrize(
@@ -201,70 +131,59 @@
         ),
     ],
 )
-def test_client_without_certificate(
+async def test_client_without_certificate(
     tmp_path: Path, options: TlsOptions, connects: bool
 ) -> None:
-    async def main() -> None:
-        files = OURS.write(tmp_path)
-        identity = TlsIdentity(files, options)
-        await identity.start()
-        bare = ssl.create_default_context(cafile=str(files.authority))
-        async with echo_server(identity) as port:
-            assert bool(await peer_serial(port, bare)) is connects
-        await identity.close()
-
-    asyncio.run(main())
-
-
-def test_no_session_is_offered_for_resumption(tmp_path: Path) -> None:
-    async def main() -> None:
-        identity = TlsIdentity(OURS.write(tmp_path))
-        await identity.start()
-        async with echo_server(identity) as port:
-            reader, writer = await asyncio.open_connection(
-                LOOPBACK, port, ssl=identity.client_context()
-            )
-            writer.write(b"x\n")
-            assert await reader.readline() == b"x\n"
-            session = writer.get_extra_info("ssl_object").session
-            assert session is None or not session.has_ticket
-            writer.close()
-        await identity.close()
-
-    asyncio.run(main())
-
-
-def test_replaced_files_hold_for_new_connections(tmp_path: Path) -> None:
-    async def main() -> None:
-        folder = tmp_path / "server"
-        here = TlsIdentity(OURS.write(folder))
-        there = TlsIdentity(OURS.write(tmp_path / "client"))
-        await here.start()
-        await there.start()
-        old_context = there.client_context()
-        async with echo_server(here) as port:
-            reader, writer = await asyncio.open_connection(
-                LOOPBACK, port, ssl=old_context
-            )
-            assert here.check() is TlsCheck.UNCHANGED
-            replaced = OURS.write(folder)
-            assert here.check() is TlsCheck.RELOADED
-            assert await peer_serial(port, old_context) == serial_of(replaced)
-            writer.write(b"still open\n")
-            assert await reader.readline() == b"still open\n"
-            writer.close()
-            # With the authority replaced, what it does not sign is refused.
-            THEIRS.write(folder)
-            THEIRS.write(tmp_path / "client")
-            assert here.check() is TlsCheck.RELOADED
-            assert await peer_serial(port, old_context) == ""
-            assert there.check() is TlsCheck.RELOADED
-            assert await peer_serial(port, old_context) == ""
-            assert await peer_serial(port, there.client_context()) != ""
-        await there.close()
-        await here.close()
-
-    asyncio.run(main())
+    files = OURS.write(tmp_path)
+    identity = TlsIdentity(files, options)
+    await identity.start()
+    bare = ssl.create_default_context(cafile=str(files.authority))
+    async with echo_server(identity) as port:
+        assert bool(await peer_serial(port, bare)) is connects
+    await identity.close()
+
+
+async def test_no_session_is_offered_for_resumption(tmp_path: Path) -> None:
+    identity = TlsIdentity(OURS.write(tmp_path))
+    await identity.start()
+    async with echo_server(identity) as port:
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, port, ssl=identity.client_context()
+        )
+        writer.write(b"x\n")
+        assert await reader.readline() == b"x\n"
+        session = writer.get_extra_info("ssl_object").session
+        assert session is None or not session.has_ticket
+        writer.close()
+    await identity.close()
+
+
+async def test_replaced_files_hold_for_new_connections(tmp_path: Path) -> None:
+    folder = tmp_path / "server"
+    here = TlsIdentity(OURS.write(folder))
+    there = TlsIdentity(OURS.write(tmp_path / "client"))
+    await here.start()
+    await there.start()
+    old_context = there.client_context()
+    async with echo_server(here) as port:
+        reader, writer = await asyncio.open_connection(LOOPBACK, port, ssl=old_context)
+        assert here.check() is TlsCheck.UNCHANGED
+        replaced = OURS.write(folder)
+        assert here.check() is TlsCheck.RELOADED
+        assert await peer_serial(port, old_context) == serial_of(replaced)
+        writer.write(b"still open\n")
+        assert await reader.readline() == b"still open\n"
+        writer.close()
+        # With the authority replaced, what it does not sign is refused.
+        THEIRS.write(folder)
+        THEIRS.write(tmp_path / "client")
+        assert here.check() is TlsCheck.RELOADED
+        assert await peer_serial(port, old_context) == ""
+        assert there.check() is TlsCheck.RELOADED
+        assert await peer_serial(port, old_context) == ""
+        assert await peer_serial(port, there.client_context()) != ""
+    await there.close()
+    await here.close()
 
 
 @pytest.mark.parametrize(
@@ -272,7 +191,7 @@
     [
         pytest.param(lambda files: files.key.unlink(), id="key-missing"),
         pytest.param(
-            lambda files: files.certificate.write_bytes(pem(THEIRS.certificate)),
+            lambda files: files.certificate.write_bytes(files.authority.read_bytes()),
             id="key-of-another-certificate",
         ),
         pytest.param(lambda files: files.certificate.write_bytes(b""), id="empty"),
@@ -280,29 +199,26 @@
         pytest.param(lambda files: files.authority.unlink(), id="authority-missing"),
     ],
 )
-def test_unusable_files_leave_the_old_ones_in_force(
+async def test_unusable_files_leave_the_old_ones_in_force(
     tmp_path: Path, spoil: Callable[[TlsFiles], None]
 ) -> None:
-    async def main() -> None:
-        files = OURS.write(tmp_path)
-        before = serial_of(files)
-        identity = TlsIdentity(files)
-        await identity.start()
-        async with echo_server(identity) as port:
-            spoil(files)
-            assert identity.check() is TlsCheck.UNUSABLE
-            assert identity.check() is TlsCheck.UNUSABLE
-            assert await peer_serial(port, identity.client_context()) == before
-            after = serial_of(OURS.write(tmp_path))
-            assert identity.check() is TlsCheck.RELOADED
-            assert await peer_serial(port, identity.client_context()) == after
-        assert (identity.n_reloads, identity.n_unusable) == (1, 2)
-        with pytest.raises(ValueError, match=r"\.pem"):
-            spoil(files)
-            await TlsIdentity(files).start()
-        await identity.close()
-
-    asyncio.run(main())
+    files = OURS.write(tmp_path)
+    before = serial_of(files)
+    identity = TlsIdentity(files)
+    await identity.start()
+    async with echo_server(identity) as port:
+        spoil(files)
+        assert identity.check() is TlsCheck.UNUSABLE
+        assert identity.check() is TlsCheck.UNUSABLE
+        assert await peer_serial(port, identity.client_context()) == before
+        after = serial_of(OURS.write(tmp_path))
+        assert identity.check() is TlsCheck.RELOADED
+        assert await peer_serial(port, identity.client_context()) == after
+    assert (identity.n_reloads, identity.n_unusable) == (1, 2)
+    with pytest.raises(ValueError, match=r"\.pem"):
+        spoil(files)
+        await TlsIdentity(files).start()
+    await identity.close()
 
 
 def test_files_are_checked_each_interval(tmp_path: Path) -> None:
@@ -321,32 +237,29 @@
     run_in_virtual_time(main())
 
 
-def test_store_adapter_over_tls(tmp_path: Path) -> None:
-    async def main() -> None:
-        here = TlsIdentity(OURS.write(tmp_path / "server"))
-        there = TlsIdentity(OURS.write(tmp_path / "client"))
-        await here.start()
-        await there.start()
-        core = StoreCore(asyncio.get_running_loop().time)
-        app = StoreApp(core, random.Random(1)).app
-        server = HttpServer(app, here.server_context(), shutdown_timeout_s=0.02)
-        await server.start()
-        store = EtcdJsonStore((server.address,), tls=there.client_context)
-        stranger = EtcdJsonStore((server.address,))
-        await store.start()
-        await stranger.start()
-        swapped = await store.compare_and_swap("k", ABSENT_REVISION, b"1")
-        assert isinstance(swapped, Swapped)
-        refused = await stranger.compare_and_swap("k", swapped.revision, b"2")
-        assert isinstance(refused, Unavailable)
-        for folder, identity in (("server", here), ("client", there)):
-            THEIRS.write(tmp_path / folder)
-            assert identity.check() is TlsCheck.RELOADED
-        found = await store.get("k")
-        assert isinstance(found, Found)
-        assert found.item is not None
-        assert found.item.value == b"1"
-        for part in (stranger, store, server, there, here):
-            await part.close()
-
-    asyncio.run(main())
+async def test_store_adapter_over_tls(tmp_path: Path) -> None:
+    here = TlsIdentity(OURS.write(tmp_path / "server"))
+    there = TlsIdentity(OURS.write(tmp_path / "client"))
+    await here.start()
+    await there.start()
+    core = StoreCore(asyncio.get_running_loop().time)
+    app = StoreApp(core, random.Random(1)).app
+    server = HttpServer(app, here.server_context(), shutdown_timeout_s=0.02)
+    await server.start()
+    store = EtcdJsonStore((server.address,), tls=there.client_context)
+    stranger = EtcdJsonStore((server.address,))
+    await store.start()
+    await stranger.start()
+    swapped = await store.compare_and_swap("k", ABSENT_REVISION, b"1")
+    assert isinstance(swapped, Swapped)
+    refused = await stranger.compare_and_swap("k", swapped.revision, b"2")
+    assert isinstance(refused, Unavailable)
+    for folder, identity in (("server", here), ("client", there)):
+        THEIRS.write(tmp_path / folder)
+        assert identity.check() is TlsCheck.RELOADED
+    found = await store.get("k")
+    assert isinstance(found, Found)
+    assert found.item is not None
+    assert found.item.value == b"1"
+    for part in (stranger, store, server, there, here):
+        await part.close()
--- a/tests/platform/test_worker_contract.py
+++ b/tests/platform/test_worker_contract.py
@@ -1,6 +1,5 @@
 """The contract of `Worker`, over every adapter, with faults in tables."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -19,25 +18,18 @@
     WorkerUsage,
 )
 from almondspan_standins.faults import WorkerFaults
-from almondspan_standins.rigs import CAPACITY, WORKER_RIGS, WorkerRig, opened
+from almondspan_standins.rigs import CAPACITY, WORKER_RIGS, WorkerRig
 from almondspan_standins.worker_core import task_payload
 
 BRIEF_S = 0.1
-TEST_LIMIT_S = 20.0
 RUN_S = 10.0
 LEASE_S = 5.0
 TASK = TaskId("job/0")
-Body = Callable[[WorkerRig], Awaitable[None]]
 
-every_adapter = pytest.mark.parametrize("adapter", sorted(WORKER_RIGS))
 
-
-def run(adapter: str, body: Body) -> None:
-    async def main() -> None:
-        async with opened(WORKER_RIGS[adapter], TEST_LIMIT_S) as rig:
-            await body(rig)
-
-    asyncio.run(main())
+@pytest.fixture(params=list(WORKER_RIGS))
+def rig(request: pytest.FixtureRequest) -> Callable[[], WorkerRig]:
+    return WORKER_RIGS[request.param]
 
 
 def request(
@@ -78,72 +70,55 @@
         await worker.renew(keys)
 
 
-@every_adapter
-def test_info(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        info = await (await rig.client()).info()
-        assert info == WorkerInfo(rig.core.worker_id, CAPACITY, LEASE_S)
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_repeated_start_runs_once(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        first, *others = [await worker.start_attempt(request()) for _ in range(3)]
-        assert first is StartResult.STARTED
-        assert set(others) == {StartResult.ALREADY_KNOWN}
-        await run_for(rig, worker, RUN_S + 1)
-        assert await worker.start_attempt(request()) is StartResult.ALREADY_KNOWN
-        assert await worker.forget(((TASK, 1),)) is True
-        assert await listed(worker) == []
-        assert await worker.start_attempt(request()) is StartResult.ALREADY_KNOWN
-        assert rig.core.n_started == len(rig.core.ledger) == 1
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_list_returns_what_was_started(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        asked = request()
-        await worker.start_attempt(asked)
-        (one,) = await listed(worker)
-        assert (one.task_id, one.attempt) == (asked.task_id, asked.attempt)
-        assert one.state is AttemptState.RUNNING
-        assert one.shape == asked.shape
-        assert (one.shard_id, one.epoch) == (asked.shard_id, asked.epoch)
-        assert (one.task_class, one.idempotent) == (asked.task_class, True)
-        assert one.outcome is None
-        await run_for(rig, worker, RUN_S + 1)
-        (one,) = await listed(worker)
-        assert one.state is AttemptState.ENDED
-        assert one.outcome is not None
-        assert one.outcome.kind is OutcomeKind.DONE
-        assert one.outcome.result == b'{"record":"record-1","effect":"transcribe"}'
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_answer_lost_after_a_start(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        rig.core.faults = WorkerFaults(lose_answer_share=1.0)
-        outcome = await worker.start_attempt(request())
-        assert isinstance(outcome, WorkerUnavailable)
-        assert outcome.may_have_applied
-        rig.core.faults = WorkerFaults()
-        assert len(await listed(worker)) == 1
-        assert await worker.start_attempt(request()) is StartResult.ALREADY_KNOWN
-        assert rig.core.n_started == 1
-
-    run(adapter, body)
-
-
-@every_adapter
+async def test_info(rig: WorkerRig) -> None:
+    info = await (await rig.client()).info()
+    assert info == WorkerInfo(rig.core.worker_id, CAPACITY, LEASE_S)
+
+
+async def test_repeated_start_runs_once(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    first, *others = [await worker.start_attempt(request()) for _ in range(3)]
+    assert first is StartResult.STARTED
+    assert set(others) == {StartResult.ALREADY_KNOWN}
+    await run_for(rig, worker, RUN_S + 1)
+    assert await worker.start_attempt(request()) is StartResult.ALREADY_KNOWN
+    assert await worker.forget(((TASK, 1),)) is True
+    assert await listed(worker) == []
+    assert await worker.start_attempt(request()) is StartResult.ALREADY_KNOWN
+    assert rig.core.n_started == len(rig.core.ledger) == 1
+
+
+async def test_list_returns_what_was_started(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    asked = request()
+    await worker.start_attempt(asked)
+    (one,) = await listed(worker)
+    assert (one.task_id, one.attempt) == (asked.task_id, asked.attempt)
+    assert one.state is AttemptState.RUNNING
+    assert one.shape == asked.shape
+    assert (one.shard_id, one.epoch) == (asked.shard_id, asked.epoch)
+    assert (one.task_class, one.idempotent) == (asked.task_class, True)
+    assert one.outcome is None
+    await run_for(rig, worker, RUN_S + 1)
+    (one,) = await listed(worker)
+    assert one.state is AttemptState.ENDED
+    assert one.outcome is not None
+    assert one.outcome.kind is OutcomeKind.DONE
+    assert one.outcome.result == b'{"record":"record-1","effect":"transcribe"}'
+
+
+async def test_answer_lost_after_a_start(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    rig.core.faults = WorkerFaults(lose_answer_share=1.0)
+    outcome = await worker.start_attempt(request())
+    assert isinstance(outcome, WorkerUnavailable)
+    assert outcome.may_have_applied
+    rig.core.faults = WorkerFaults()
+    assert len(await listed(worker)) == 1
+    assert await worker.start_attempt(request()) is StartResult.ALREADY_KNOWN
+    assert rig.core.n_started == 1
+
+
 @pytest.mark.parametrize(
     ("second", "n_over_capacity", "n_duplicate_running"),
     [
@@ -154,46 +129,38 @@
         pytest.param(request(task_id=TaskId("j/1"), fail="refuse"), 0, 0, id="refuse"),
     ],
 )
-def test_refused_start_leaves_nothing(
-    adapter: str, second: StartAttempt, n_over_capacity: int, n_duplicate_running: int
+async def test_refused_start_leaves_nothing(
+    rig: WorkerRig, second: StartAttempt, n_over_capacity: int, n_duplicate_running: int
 ) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        await worker.start_attempt(request())
-        assert await worker.start_attempt(second) is StartResult.REFUSED
-        assert len(await listed(worker)) == 1
-        assert rig.core.n_over_capacity == n_over_capacity
-        assert rig.core.n_duplicate_running == n_duplicate_running
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_lapsed_lease_stops_the_attempt(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        other = TaskId("job/1")
-        await worker.start_attempt(request(run_s=4 * LEASE_S))
-        await worker.start_attempt(request(task_id=other, run_s=4 * LEASE_S))
-        rig.skip(LEASE_S - 1)
-        assert await worker.renew(((TASK, 1),)) == ()
-        rig.skip(LEASE_S - 1)
-        assert await worker.renew(((TASK, 1), (other, 1))) == ((other, 1),)
-        kept, lapsed = await listed(worker)
-        assert kept.state is AttemptState.RUNNING
-        assert lapsed.state is AttemptState.ENDED
-        assert lapsed.evicted
-        assert lapsed.outcome is not None
-        assert lapsed.outcome.kind is OutcomeKind.UNKNOWN
-        rig.skip(4 * LEASE_S)
-        kept, lapsed = await listed(worker)
-        assert kept.evicted
-        assert rig.core.ledger == []
-
-    run(adapter, body)
-
-
-@every_adapter
+    worker = await rig.client()
+    await worker.start_attempt(request())
+    assert await worker.start_attempt(second) is StartResult.REFUSED
+    assert len(await listed(worker)) == 1
+    assert rig.core.n_over_capacity == n_over_capacity
+    assert rig.core.n_duplicate_running == n_duplicate_running
+
+
+async def test_lapsed_lease_stops_the_attempt(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    other = TaskId("job/1")
+    await worker.start_attempt(request(run_s=4 * LEASE_S))
+    await worker.start_attempt(request(task_id=other, run_s=4 * LEASE_S))
+    rig.skip(LEASE_S - 1)
+    assert await worker.renew(((TASK, 1),)) == ()
+    rig.skip(LEASE_S - 1)
+    assert await worker.renew(((TASK, 1), (other, 1))) == ((other, 1),)
+    kept, lapsed = await listed(worker)
+    assert kept.state is AttemptState.RUNNING
+    assert lapsed.state is AttemptState.ENDED
+    assert lapsed.evicted
+    assert lapsed.outcome is not None
+    assert lapsed.outcome.kind is OutcomeKind.UNKNOWN
+    rig.skip(4 * LEASE_S)
+    kept, lapsed = await listed(worker)
+    assert kept.evicted
+    assert rig.core.ledger == []
+
+
 @pytest.mark.parametrize(
     ("ran_s", "left_s"),
     [
@@ -201,86 +168,66 @@
         pytest.param(0.0, 10.0, id="nothing"),
     ],
 )
-def test_checkpointed_work_resumes_with_the_rest(
-    adapter: str, ran_s: float, left_s: float
+async def test_checkpointed_work_resumes_with_the_rest(
+    rig: WorkerRig, ran_s: float, left_s: float
 ) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        await worker.start_attempt(request())
-        await run_for(rig, worker, ran_s)
-        assert await worker.checkpoint(TASK, 1) is True
-        (one,) = await listed(worker)
-        assert one.state is AttemptState.CHECKPOINTING
-        rig.skip(1.0)
-        (one,) = await listed(worker)
-        assert one.state is AttemptState.ENDED
-        assert one.evicted
-        await worker.start_attempt(request(attempt=2, checkpoint=one.checkpoint))
-        await run_for(rig, worker, left_s - 1.0)
-        assert rig.core.ledger == []
-        await run_for(rig, worker, 2.0)
-        assert [effect.attempt for effect in rig.core.ledger] == [2]
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_stopped_work_keeps_its_earlier_checkpoint(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        earlier = b'{"done_s":2.0}'
-        await worker.start_attempt(request(checkpoint=earlier))
-        assert await worker.stop(TASK, 1) is True
-        assert await worker.stop(TASK, 1) is False
-        (one,) = await listed(worker)
-        assert one.evicted
-        assert one.checkpoint == earlier
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_throttled_work_is_slower(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        await worker.start_attempt(request())
-        assert await worker.throttle(TASK, 1, 0.5) is True
-        await run_for(rig, worker, RUN_S + 1)
-        assert rig.core.ledger == []
-        await run_for(rig, worker, RUN_S)
-        assert len(rig.core.ledger) == 1
-        assert await worker.throttle(TASK, 1, 0.5) is False
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_forget_keeps_what_runs(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        await worker.start_attempt(request())
-        assert await worker.forget(((TASK, 1), (TASK, 9))) is True
-        assert len(await listed(worker)) == 1
-
-    run(adapter, body)
-
-
-@every_adapter
-def test_usage_lags(adapter: str) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        await worker.start_attempt(request())
-        before = await worker.usage()
-        assert isinstance(before, WorkerUsage)
-        assert (before.cpu_millicores, before.by_task) == (0, ())
-        rig.skip(before.lag_s)
-        after = await worker.usage()
-        assert after == WorkerUsage(before.lag_s, 1000, 1000, ((TASK, 1000),))
-
-    run(adapter, body)
-
-
-@every_adapter
+    worker = await rig.client()
+    await worker.start_attempt(request())
+    await run_for(rig, worker, ran_s)
+    assert await worker.checkpoint(TASK, 1) is True
+    (one,) = await listed(worker)
+    assert one.state is AttemptState.CHECKPOINTING
+    rig.skip(1.0)
+    (one,) = await listed(worker)
+    assert one.state is AttemptState.ENDED
+    assert one.evicted
+    await worker.start_attempt(request(attempt=2, checkpoint=one.checkpoint))
+    await run_for(rig, worker, left_s - 1.0)
+    assert rig.core.ledger == []
+    await run_for(rig, worker, 2.0)
+    assert [effect.attempt for effect in rig.core.ledger] == [2]
+
+
+async def test_stopped_work_keeps_its_earlier_checkpoint(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    earlier = b'{"done_s":2.0}'
+    await worker.start_attempt(request(checkpoint=earlier))
+    assert await worker.stop(TASK, 1) is True
+    assert await worker.stop(TASK, 1) is False
+    (one,) = await listed(worker)
+    assert one.evicted
+    assert one.checkpoint == earlier
+
+
+async def test_throttled_work_is_slower(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    await worker.start_attempt(request())
+    assert await worker.throttle(TASK, 1, 0.5) is True
+    await run_for(rig, worker, RUN_S + 1)
+    assert rig.core.ledger == []
+    await run_for(rig, worker, RUN_S)
+    assert len(rig.core.ledger) == 1
+    assert await worker.throttle(TASK, 1, 0.5) is False
+
+
+async def test_forget_keeps_what_runs(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    await worker.start_attempt(request())
+    assert await worker.forget(((TASK, 1), (TASK, 9))) is True
+    assert len(await listed(worker)) == 1
+
+
+async def test_usage_lags(rig: WorkerRig) -> None:
+    worker = await rig.client()
+    await worker.start_attempt(request())
+    before = await worker.usage()
+    assert isinstance(before, WorkerUsage)
+    assert (before.cpu_millicores, before.by_task) == (0, ())
+    rig.skip(before.lag_s)
+    after = await worker.usage()
+    assert after == WorkerUsage(before.lag_s, 1000, 1000, ((TASK, 1000),))
+
+
 @pytest.mark.parametrize(
     ("fail", "fail_all", "kind"),
     [
@@ -289,23 +236,19 @@
         pytest.param(False, True, OutcomeKind.FAILED, id="worker-fails-all"),
     ],
 )
-def test_failing_work_has_no_effect(
-    adapter: str, fail: bool | str, fail_all: bool, kind: OutcomeKind
+async def test_failing_work_has_no_effect(
+    rig: WorkerRig, fail: bool | str, fail_all: bool, kind: OutcomeKind
 ) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client()
-        rig.core.faults = WorkerFaults(fail_all=fail_all)
-        await worker.start_attempt(request(fail=fail))
-        await run_for(rig, worker, RUN_S + 1)
-        (one,) = await listed(worker)
-        assert one.outcome is not None
-        assert one.outcome.kind is kind
-        assert rig.core.ledger == []
+    worker = await rig.client()
+    rig.core.faults = WorkerFaults(fail_all=fail_all)
+    await worker.start_attempt(request(fail=fail))
+    await run_for(rig, worker, RUN_S + 1)
+    (one,) = await listed(worker)
+    assert one.outcome is not None
+    assert one.outcome.kind is kind
+    assert rig.core.ledger == []
 
-    run(adapter, body)
 
-
-@every_adapter
 @pytest.mark.parametrize(
     "call",
     [
@@ -328,12 +271,9 @@
         pytest.param(WorkerFaults(lose_answer_share=1.0), id="answers-lost"),
     ],
 )
-def test_faults_are_outcomes(
-    adapter: str, call: Callable[[Worker], Awaitable[object]], faults: WorkerFaults
+async def test_faults_are_outcomes(
+    rig: WorkerRig, call: Callable[[Worker], Awaitable[object]], faults: WorkerFaults
 ) -> None:
-    async def body(rig: WorkerRig) -> None:
-        worker = await rig.client(BRIEF_S)
-        rig.core.faults = faults
-        assert isinstance(await call(worker), WorkerUnavailable)
-
-    run(adapter, body)
+    worker = await rig.client(BRIEF_S)
+    rig.core.faults = faults
+    assert isinstance(await call(worker), WorkerUnavailable)
