--- a/packages/admin/almondspan_admin/api.py
+++ b/packages/admin/almondspan_admin/api.py
@@ -18,8 +18,8 @@
 
 from almondspan_admin import config_routes, fleet_routes, job_routes
 from almondspan_admin.auth import Identity, identify
+from almondspan_admin.burn_collect import BurnSource
 from almondspan_admin.fleet_view import FleetView
-from almondspan_admin.holder import ConfigHolder
 from almondspan_admin.rate import RateLimiter
 from almondspan_admin.relay import ConfigRelay
 from almondspan_admin.routes import (
@@ -31,6 +31,7 @@
     Route,
     refuse,
 )
+from almondspan_decisions.fleet import FleetConfig
 from almondspan_tasks.desk import JobDesk
 
 __all__ = ["AdminApi", "AdminCounters", "AdminOptions"]
@@ -74,6 +75,8 @@
     relay : ConfigRelay
     fleet_view : FleetView
     options : AdminOptions, optional
+    burn_source : BurnSource, optional
+        Answers burn reports in place of `FleetView.burn`.
     """
 
     def __init__(
@@ -82,12 +85,11 @@
         relay: ConfigRelay,
         fleet_view: FleetView,
         options: AdminOptions | None = None,
+        burn_source: BurnSource | None = None,
     ) -> None:
         self._options = options or AdminOptions()
-        self._relay = relay
-        self._holder = ConfigHolder()
         self._context = ApiContext(
-            desk, relay, fleet_view, self._holder, self._options.wall_clock
+            desk, relay, fleet_view, self._options.wall_clock, burn_source
         )
         self._limiter = RateLimiter()
         self._openapi = (
@@ -114,7 +116,10 @@
 
     async def _answer(self, entry: Route, request: web.Request) -> Reply:
         self.counters.n_requests += 1
-        identity = self._identify(request)
+        identity = self._identify(request, self._context.fleet())
+        if identity is None:
+            fleet = await self._context.fresh_fleet()
+            identity = self._identify(request, fleet)
         refused = self._admit(entry, identity)
         if refused is not None:
             return refused
@@ -132,13 +137,9 @@
         call = ApiCall(identity, request.match_info, body)
         return await entry.handler(self._context, call)
 
-    def _identify(self, request: web.Request) -> Identity | None:
-        push = self._relay.current()
-        if push is not None and push.revision > self._holder.revision:
-            self._holder.accept(push)
+    def _identify(self, request: web.Request, fleet: FleetConfig) -> Identity | None:
         header = request.headers.get("Authorization", "")
-        digest = self._options.bootstrap_token_sha256
-        return identify(header, self._holder.fleet, digest)
+        return identify(header, fleet, self._options.bootstrap_token_sha256)
 
     def _admit(self, entry: Route, identity: Identity | None) -> Reply | None:
         """Return why the caller is refused, or None."""
--- a/packages/operator/almondspan/job_commands.py
+++ b/packages/operator/almondspan/job_commands.py
@@ -7,8 +7,13 @@
 from almondspan.exit_codes import ExitCode
 from almondspan.order_report import OrderReport, RecordNote, Verdict, make_report
 from almondspan.results import Result, failure
-from almondspan.tables import format_share, format_table, format_time
-from almondspan.texts import JOB_HEADERS, SUBMITTED
+from almondspan.tables import (
+    format_duration,
+    format_share,
+    format_table,
+    format_time,
+)
+from almondspan.texts import JOB_CONFLICT, JOB_HEADERS, MORE_NOTES, SUBMITTED
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_decisions.tasks import JobSpec
 
@@ -17,6 +22,7 @@
 N_JOBS_PER_REQUEST = 200
 MAX_REQUEST_BYTES = 400_000
 N_SHOWN_NOTES = 20
+N_SHOWN_NAMES = 3
 
 GOOD_VERDICTS = frozenset({Verdict.COMPLETE, Verdict.ON_TIME, Verdict.NO_FORECAST})
 
@@ -87,9 +93,12 @@
             n_refused=len(refused),
         )
     ]
-    lines += [
-        f"  {one.job_id}: {one.state}: {one.reason}" for one in conflicts + refused
-    ]
+    named = conflicts + refused
+    lines += [f"  {one.job_id}: {one.reason}" for one in named[:N_SHOWN_NOTES]]
+    if len(named) > N_SHOWN_NOTES:
+        lines.append(MORE_NOTES.format(n_more=len(named) - N_SHOWN_NOTES))
+    if conflicts:
+        lines.append(JOB_CONFLICT)
     code = ExitCode.DONE
     if refused:
         code = ExitCode.REFUSED
@@ -150,7 +159,7 @@
     text = job.outcome.kind.value
     if job.outcome.reason:
         text += f": {job.outcome.reason}"
-    if job.outcome.may_have_run:
+    if job.outcome.may_have_run and job.outcome.kind is not OutcomeKind.DONE:
         text += " (may have run)"
     return text
 
@@ -180,16 +189,15 @@
     ]
     lines = [f"{label + ':':<10} {text}" for label, text in rows]
     lines += _notes("problems", report.problems)
-    lines += _notes("waiting", report.waiting)
+    lines += _waiting_lines(report.waiting)
     return "\n".join(lines)
 
 
 def _deadline_text(report: OrderReport) -> str:
     left_s = report.deadline_unix_s - report.now_unix_s
     direction = "left" if left_s >= 0 else "past"
-    return (
-        f"{format_time(report.deadline_unix_s)} ({_duration(abs(left_s))} {direction})"
-    )
+    distance = f"{format_duration(abs(left_s))} {direction}"
+    return f"{format_time(report.deadline_unix_s)} ({distance})"
 
 
 def _forecast_text(report: OrderReport) -> str:
@@ -224,6 +232,19 @@
     return "the records are not the ordered ones: see missing and not_ordered"
 
 
+def _waiting_lines(notes: tuple[RecordNote, ...]) -> list[str]:
+    """Return one line for each reason, since many records wait for the same."""
+    by_reason: dict[str, list[str]] = {}
+    for note in notes:
+        by_reason.setdefault(note.reason, []).append(note.record_name)
+    lines = []
+    for reason, names in sorted(by_reason.items(), key=lambda item: -len(item[1])):
+        more = ", ..." if len(names) > N_SHOWN_NAMES else ""
+        shown = ", ".join(names[:N_SHOWN_NAMES])
+        lines.append(f"waiting ({len(names)}): {reason}: {shown}{more}")
+    return lines
+
+
 def _notes(title: str, notes: tuple[RecordNote, ...]) -> list[str]:
     if not notes:
         return []
@@ -231,14 +252,5 @@
     for note in notes[:N_SHOWN_NOTES]:
         lines.append(f"  {note.record_name}: {note.state}: {note.reason}")
     if len(notes) > N_SHOWN_NOTES:
-        lines.append(f"  and {len(notes) - N_SHOWN_NOTES} more; --json names all")
+        lines.append(MORE_NOTES.format(n_more=len(notes) - N_SHOWN_NOTES))
     return lines
-
-
-def _duration(seconds: float) -> str:
-    minutes, s = divmod(int(seconds), 60)
-    hours, minutes = divmod(minutes, 60)
-    days, hours = divmod(hours, 24)
-    if days:
-        return f"{days} d {hours} h"
-    return f"{hours} h {minutes} min" if hours else f"{minutes} min {s} s"
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -109,7 +109,7 @@
         key = (request.task_id, request.attempt)
         if key in self._attempts or key in self._forgotten:
             return StartResult.ALREADY_KNOWN
-        payload = read_payload(request.payload)
+        payload = read_payload(request.payload, request.task_class)
         if payload.fail == "refuse":
             return StartResult.REFUSED
         if any(one.request.task_id == request.task_id for one in self.running()):
--- a/packages/standins/almondspan_standins/worker_payload.py
+++ b/packages/standins/almondspan_standins/worker_payload.py
@@ -2,11 +2,15 @@
 
 A payload is JSON: ``run_s``, ``effect``, ``record`` and optionally ``fail`` (true:
 fails at its end; ``"infeasible"``: ends as infeasible at once; ``"refuse"``: the
-worker refuses it) and ``use_share`` (the processors used over those declared).
+worker refuses it) and ``use_share`` (the processors used over those declared). With
+``run_s_by_class`` one payload serves all stages of a job: the task's class gives the
+run time and names the effect.
 """
 
 import msgspec
 
+from almondspan_decisions.ids import TaskClass
+
 __all__ = [
     "Payload",
     "Progress",
@@ -25,6 +29,7 @@
     record: str = ""
     fail: bool | str = False
     use_share: float = 1.0
+    run_s_by_class: dict[str, float] = {}
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -47,14 +52,18 @@
     return msgspec.json.encode(Payload(run_s, effect, record, fail))
 
 
-def read_payload(payload: bytes) -> Payload:
-    """Return the payload; one that is no payload fails at once."""
-    if not payload:
+def read_payload(data: bytes, task_class: TaskClass) -> Payload:
+    """Return the payload of a task; one that is no payload fails at once."""
+    if not data:
         return Payload()
     try:
-        return msgspec.json.decode(payload, type=Payload)
+        payload = msgspec.json.decode(data, type=Payload)
     except msgspec.DecodeError:
         return Payload(fail=True)
+    if not payload.run_s_by_class:
+        return payload
+    run_s = payload.run_s_by_class.get(task_class, 0.0)
+    return msgspec.structs.replace(payload, run_s=run_s, effect=str(task_class))
 
 
 def read_progress(checkpoint: bytes) -> Progress:
