Wire the ladder, burn reports, TLS and learned configurations into the roles

Cause: these parts stood ready without a process that runs them. Change: an agent runs the Colocator over its gates and keeper and answers burn reports; an entry collects them and learns a configuration from agents when the store is down; streams, HTTP sides and platform clients take TLS from the settings.

--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,16 @@
 MODULES := $(notdir $(wildcard packages/*/almondspan*))
 SEED ?= 1
 
-.PHONY: help install test lint format types demo soak mutants
+.PHONY: help install test lint format types demo soak mutants measure slopes capacity
 
 help:
 	@echo "install  make the virtual environment from the pinned versions"
 	@echo "test     lint, types, import rules, unit and feature tests"
 	@echo "demo     serve an order and live callers on this machine (FAULTS=1 adds faults)"
+	@echo "soak     2,000 random schedules of faults against the tasks (SEED=n)"
+	@echo "mutants  show that deliberate breakages are caught"
+	@echo "measure  compare the policies with baselines on real processes"
+	@echo "slopes   measure what each role costs, as JSON; capacity renders the page"
 
 $(STAMP):
 	$(PYTHON) -m venv $(VENV)
@@ -45,3 +49,18 @@
 
 demo: install
 	$(RUN) misc/demo.py $(if $(FAULTS),--faults)
+
+soak: install
+	$(RUN) misc/soak.py --seed $(SEED)
+
+mutants: install
+	$(RUN) misc/mutants.py
+
+measure: install
+	$(RUN) misc/measure.py
+
+slopes: install
+	$(RUN) misc/slopes.py
+
+capacity: install
+	$(RUN) misc/capacity.py
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -15,8 +15,14 @@
 
 from aiohttp import web
 
+from almondspan_admin.burn_collect import answer_burn
+from almondspan_admin.burn_messages import BurnAsk
+from almondspan_admin.config_learner import ConfigAsk
 from almondspan_admin.holder import ConfigHolder
+from almondspan_daemon.burn_evidence import GateEvidence
 from almondspan_daemon.candidate_finder import CandidateFinder
+from almondspan_daemon.colocation import Colocator
+from almondspan_daemon.colocation_views import GateView
 from almondspan_daemon.entry_links import EntryAddressPair, EntryLinks
 from almondspan_daemon.entry_registration import decode_address, entries_prefix
 from almondspan_daemon.gate_set import GateSet
@@ -27,6 +33,7 @@
 from almondspan_daemon.settings import AgentSettings, RunnerSection
 from almondspan_daemon.settings_model import split_address
 from almondspan_daemon.supervisor import Supervisor
+from almondspan_daemon.tls import ProcessTls
 from almondspan_daemon.web_server import WebServer
 from almondspan_decisions.ids import (
     AgentId,
@@ -83,14 +90,15 @@
         self.agent_id = AgentId(process_id)
         self._place = PlaceName(settings.process.place)
         self._metrics = Metrics(process_id, "agent")
-        self._store = make_store(settings)
+        self._tls = ProcessTls.of(settings.tls)
+        self._store = make_store(settings, self._tls.client_source)
         self._holder = ConfigHolder()
         self._links = EntryLinks(
             self._hello,
             self._status,
             self,
             ChannelOptions(settings.streams.heartbeat_s, settings.streams.silence_s),
-            None,
+            self._tls.stream_client,
             rng,
         )
         self._post = AgentPost(self.agent_id, self._links.post_mail)
@@ -112,10 +120,12 @@
         self._worker: Worker | None = None
         self._worker_info: WorkerInfo | None = None
         self._keeper: AttemptKeeper | None = None
+        self._colocator: Colocator | None = None
         self._gates = GateSet(
             [self._make_gate(runner) for runner in settings.agent.services],
             self._links.post,
         )
+        self._push: ConfigPush | None = None
         self._is_draining = False
         self._status_sequence = 0
         self._health: WebServer | None = None
@@ -133,9 +143,12 @@
 
     async def start(self) -> None:
         """Start every part; returns when the agent is ready to be dialled back."""
+        await self._tls.start()
         await self._store.start()
         await self._start_keeper()
         await self._gates.start()
+        if self._colocator is not None:
+            await self._colocator.start()
         await self._host.start()
         self._post.set_handlers(self._keeper, self._host, self._owns)
         await self._start_health()
@@ -149,7 +162,8 @@
         address = self._settings.agent.worker_address
         if address is None:
             return
-        self._worker = make_worker(self._settings.agent.worker_adapter, address)
+        adapter = self._settings.agent.worker_adapter
+        self._worker = make_worker(adapter, address, self._tls.client_source)
         await self._worker.start()
         self._worker_info = await self._ask_worker_info(self._worker)
         self._keeper = AttemptKeeper(
@@ -160,6 +174,12 @@
             self._rng,
         )
         await self._keeper.start()
+        self._colocator = Colocator(
+            self._keeper,
+            [GateView(gate) for gate in self._gates.gates],
+            self._worker,
+            self._worker_info.capacity.cpu_millicores,
+        )
 
     def _keeper_options(self) -> KeeperOptions:
         horizon_s = self._settings.leases.horizon_s
@@ -181,7 +201,9 @@
         self._health = WebServer(app)
         process = self._settings.process
         port = self._settings.agent.health_port
-        self.health_port = await self._health.start(process.host, port, None)
+        self.health_port = await self._health.start(
+            process.host, port, self._tls.http_server()
+        )
 
     def _add_metrics(self) -> None:
         gauge, counter = self._metrics.gauge, self._metrics.counter
@@ -209,6 +231,8 @@
         """Close every part in the reverse order of its start."""
         await self._links.close()
         await self._host.close()
+        if self._colocator is not None:
+            await self._colocator.close()
         await self._gates.close()
         if self._keeper is not None:
             await self._keeper.close()
@@ -217,6 +241,7 @@
         if self._health is not None:
             await self._health.close()
         await self._store.close()
+        await self._tls.close()
         self._metrics.close()
 
     def entry_joined(self, entry_id: EntryId) -> None:
@@ -239,6 +264,10 @@
                 self._host.release(body.shard_id, body.epoch)
             case ConfigPush():
                 self._accept_config(body)
+            case ConfigAsk():
+                self._answer_config(entry_id)
+            case BurnAsk():
+                self._links.post(entry_id, answer_burn(body, self._evidence()))
             case DrainRequest():
                 self._on_drain_request(body)
             case _:
@@ -248,8 +277,18 @@
         if self._holder.accept(push):
             self._host.set_fleet(self._holder.fleet)
             self._gates.set_fleet(self._holder.fleet)
+            if self._colocator is not None:
+                self._colocator.set_policy(self._holder.fleet.policies.ladder)
+            self._push = push
             self._links.status_changed()
 
+    def _answer_config(self, entry_id: EntryId) -> None:
+        if self._push is not None:
+            self._links.post(entry_id, self._push)
+
+    def _evidence(self) -> list[GateEvidence]:
+        return [GateEvidence(gate, self._colocator) for gate in self._gates.gates]
+
     def _on_drain_request(self, request: DrainRequest) -> None:
         if request.resume:
             self._set_draining(False)
@@ -282,7 +321,7 @@
 
     def _status(self) -> AgentStatus:
         self._status_sequence += 1
-        keeper = self._keeper
+        keeper, colocator = self._keeper, self._colocator
         return AgentStatus(
             sequence=self._status_sequence,
             free=EMPTY_SHAPE if keeper is None else keeper.free(),
@@ -293,6 +332,10 @@
             runners=self._gates.statuses(),
             classes=() if keeper is None else keeper.classes(),
             resting=keeper is not None and keeper.is_resting,
+            ladder_level=0 if colocator is None else colocator.ladder_level,
+            cpu_used_millicores=0
+            if colocator is None
+            else colocator.cpu_used_millicores,
         )
 
     def _not_ready_reason(self) -> str:
--- /dev/null
+++ b/packages/daemon/almondspan_daemon/burn_evidence.py
@@ -0,0 +1,53 @@
+"""An agent's figures of one service, for the burn report."""
+
+from almondspan_admin.burn_messages import (
+    PairEvidence,
+    ServiceEvidence,
+    WindowCounts,
+)
+from almondspan_daemon.colocation import Colocator
+from almondspan_decisions.burn import BURN_WINDOWS_S
+from almondspan_service.gate import RunnerGate
+
+__all__ = ["GateEvidence"]
+
+
+class GateEvidence:
+    """An `EvidenceSource` over a gate and the ladder of its worker."""
+
+    def __init__(self, gate: RunnerGate, colocator: Colocator | None) -> None:
+        self._gate = gate
+        self._colocator = colocator
+
+    def evidence(self) -> ServiceEvidence:
+        """Return the figures up to now."""
+        plain = ServiceEvidence(
+            service=self._gate.service,
+            windows=tuple(map(self._window, BURN_WINDOWS_S)),
+            sketch=self._gate.latencies().encode(),
+        )
+        if self._colocator is None:
+            return plain
+        counters = self._colocator.counters
+        return ServiceEvidence(
+            service=plain.service,
+            windows=plain.windows,
+            sketch=plain.sketch,
+            n_throttles=counters.n_throttles,
+            n_checkpoints=counters.n_checkpoints,
+            n_evictions=counters.n_checkpoints + counters.n_stops,
+            pairs=self._pairs(self._colocator),
+        )
+
+    def _window(self, window_s: float) -> WindowCounts:
+        sample = self._gate.burn(window_s)
+        return WindowCounts(window_s, sample.n_calls, sample.n_missed)
+
+    def _pairs(self, colocator: Colocator) -> tuple[PairEvidence, ...]:
+        # The report weighs pairs by their observations: confidence in percent
+        # stands for the count, which the model does not keep.
+        return tuple(
+            PairEvidence(pair.task_class, pair.slowdown, round(100 * pair.confidence))
+            for pair in colocator.pairs()
+            if pair.service == self._gate.service
+        )
--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -75,7 +75,7 @@
         status: Callable[[], AgentStatus],
         listener: LinkListener,
         channel_options: ChannelOptions,
-        tls: ssl.SSLContext | None,
+        tls: Callable[[], ssl.SSLContext | None],
         rng: random.Random,
         status_interval_s: float = 1.0,
     ) -> None:
@@ -189,7 +189,9 @@
         self.n_dials += 1
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(*address, ssl=self._tls)
+                reader, writer = await asyncio.open_connection(
+                    *address, ssl=self._tls()
+                )
         except (OSError, TimeoutError):
             return None
         channel = StreamChannel(reader, writer, self._channel_options)
--- a/packages/daemon/almondspan_daemon/entry_role.py
+++ b/packages/daemon/almondspan_daemon/entry_role.py
@@ -16,6 +16,8 @@
 from aiohttp import web
 
 from almondspan_admin.api import AdminApi, AdminOptions
+from almondspan_admin.burn_collect import BurnCollector
+from almondspan_admin.config_learner import ConfigLearner
 from almondspan_admin.holder import ConfigHolder
 from almondspan_admin.relay import ConfigRelay, RelayOptions
 from almondspan_daemon.agent_directory import AgentDirectory
@@ -30,6 +32,7 @@
 from almondspan_daemon.settings import EntrySettings
 from almondspan_daemon.shard_map import ShardMap
 from almondspan_daemon.supervisor import Supervisor
+from almondspan_daemon.tls import ProcessTls
 from almondspan_daemon.web_server import WebServer
 from almondspan_decisions.ids import EntryId, PlaceName, RegionName
 from almondspan_service.router import RouterOptions, ServiceRouter
@@ -65,7 +68,8 @@
         self._rng = rng
         self.entry_id = EntryId(process_id)
         self._metrics = Metrics(process_id, "entry")
-        self._store = make_store(settings)
+        self._tls = ProcessTls.of(settings.tls)
+        self._store = make_store(settings, self._tls.client_source)
         self._holder = ConfigHolder()
         self._directory = AgentDirectory(
             self.entry_id,
@@ -95,6 +99,8 @@
         )
         self._pusher = ConfigPusher(self._directory.agents, self._directory.post, rng)
         self._relay = ConfigRelay(self._store, self._on_config, RelayOptions(), rng)
+        self._learner = ConfigLearner(self._relay, self._directory.post)
+        self._burn = BurnCollector(self._directory.post, lambda: self._holder.fleet)
         self._view = EntryFleetView(
             settings.shards.n_shards, self._shard_map.owners, self._directory.post
         )
@@ -107,12 +113,15 @@
 
     async def start(self) -> None:
         """Start every part; returns when the entry listens."""
+        await self._tls.start()
         await self._store.start()
         self._post.add_handler(self._desk)
         for listener in (
             self._shard_map,
             self._index,
             self._pusher,
+            self._learner,
+            self._burn,
             self._view,
             self._router,
             self._post,
@@ -135,7 +144,9 @@
     async def _listen(self) -> None:
         host = self._settings.process.host
         ports = self._settings.entry
-        self.agent_port = await self._directory.start(host, ports.agent_port, None)
+        self.agent_port = await self._directory.start(
+            host, ports.agent_port, self._tls.stream_server()
+        )
         callers = web.Application()
         self._router.add_routes(callers)
         self.http_port = await self._serve(callers, ports.http_port)
@@ -144,7 +155,9 @@
     async def _serve(self, app: web.Application, port: int) -> int:
         server = WebServer(app)
         self._servers.append(server)
-        return await server.start(self._settings.process.host, port, None)
+        return await server.start(
+            self._settings.process.host, port, self._tls.http_server()
+        )
 
     def _admin_app(self) -> web.Application:
         admin = self._settings.admin
@@ -154,7 +167,9 @@
             max_body_bytes=admin.max_body_bytes,
             max_requests_per_s=admin.max_requests_per_s,
         )
-        AdminApi(self._desk, self._relay, self._view, options).add_routes(app)
+        AdminApi(self._desk, self._relay, self._view, options, self._burn).add_routes(
+            app
+        )
         add_health_routes(app, self._metrics, self._not_ready_reason)
         self._add_metrics()
         return app
@@ -200,10 +215,12 @@
         for server in reversed(self._servers):
             await server.close()
         await self._directory.close()
+        await self._burn.close()
         await self._relay.close()
         await self._router.close()
         await self._desk.close()
         await self._store.close()
+        await self._tls.close()
         self._metrics.close()
 
     def _greet(self, channel: StreamChannel) -> None:
--- a/packages/daemon/almondspan_daemon/fleet_view.py
+++ b/packages/daemon/almondspan_daemon/fleet_view.py
@@ -100,7 +100,7 @@
         )
 
     def burn(self) -> tuple[ServiceBurn, ...]:
-        """Return the burn of every service of the configuration."""
+        """Return nothing: the entry's `BurnCollector` answers burn reports."""
         return ()
 
     async def drain(self, agent_id: AgentId) -> ChangeResult:
--- a/packages/daemon/almondspan_daemon/gate_set.py
+++ b/packages/daemon/almondspan_daemon/gate_set.py
@@ -36,42 +36,42 @@
         gates: Sequence[RunnerGate],
         post: Callable[[EntryId, Message], bool],
     ) -> None:
-        self._gates = tuple(gates)
+        self.gates = tuple(gates)
         self._by_service = {gate.service: gate for gate in gates}
         self._post = post
 
     async def start(self) -> None:
         """Start every gate."""
-        for gate in self._gates:
+        for gate in self.gates:
             await gate.start()
 
     async def close(self) -> None:
         """Close every gate."""
-        for gate in self._gates:
+        for gate in self.gates:
             await gate.close()
 
     async def drain(self) -> None:
         """Refuse new calls everywhere and wait for those in flight."""
-        await asyncio.gather(*(gate.drain() for gate in self._gates))
+        await asyncio.gather(*(gate.drain() for gate in self.gates))
 
     def resume(self) -> None:
         """Take calls again after a drain."""
-        for gate in self._gates:
+        for gate in self.gates:
             gate.resume()
 
     def set_fleet(self, fleet: FleetConfig) -> None:
         """Hand a configuration to every gate."""
-        for gate in self._gates:
+        for gate in self.gates:
             gate.set_fleet(fleet)
 
     def entry_left(self, entry_id: EntryId) -> None:
         """Settle the calls of an entry whose channel was lost."""
-        for gate in self._gates:
+        for gate in self.gates:
             gate.entry_left(entry_id)
 
     def statuses(self) -> tuple[RunnerStatus, ...]:
         """Return the load of every runner."""
-        return tuple(gate.status() for gate in self._gates)
+        return tuple(gate.status() for gate in self.gates)
 
     def on_message(self, entry_id: EntryId, body: Message) -> bool:
         """Handle a message of an entry; False when it is not about a call."""
@@ -80,10 +80,10 @@
             return True
         if not isinstance(body, _LaterMessage):
             return False
-        for gate in self._gates:
+        for gate in self.gates:
             if gate.knows(entry_id, body.incarnation, body.call_id):
                 return gate.on_message(entry_id, body)
-        for gate in self._gates:
+        for gate in self.gates:
             gate.on_message(entry_id, body)
         return True
 
