Tell entries the learned harms and crests; measure on the daemon

Cause: placement did not see what workers learned, and the measurement looked for tasks under ids without their team. Change: AgentStatus carries harms and the crest (appended, with defaults); the capacity index shares harms between like agents; local fleets name the service of each node.

--- a/misc/local_fleet.py
+++ b/misc/local_fleet.py
@@ -272,12 +272,16 @@
         args = ["entry", "--settings", path]
         return await self._start_module(f"entry-{index}", "almondspan_daemon", args)
 
+    def service_of(self, index: int) -> str:
+        """Return the service of a node's runner."""
+        return self.shape.service
+
     async def start_agent(self, index: int) -> ManagedProcess:
         """Start an agent beside a worker and runner, also in place of an old one."""
         settings = self._common_settings("agent", index)
         addresses = [f"127.0.0.1:{e.facts['agent_port']}" for e in self.entries]
         service = {
-            "name": self.shape.service,
+            "name": self.service_of(index),
             "runner_address": self.runner_urls[index],
             "n_slots": self.shape.n_slots,
             "n_connections": self.shape.n_connections,
--- a/misc/measure.py
+++ b/misc/measure.py
@@ -95,7 +95,6 @@
         self.swings = Swings(mix, seed, seconds)
         self.calls = Calls()
         self.tasks: dict[str, PlannedTask] = {}
-        self.submitted_s: dict[str, float] = {}
         self.began_s = 0.0
         self.n_refused_jobs = 0
         self.pending: set[asyncio.Task[None]] = set()
@@ -244,8 +243,7 @@
             due = [each for each in planned if each.at_s <= now_s]
             planned = planned[len(due) :]
             for each in due:
-                self.tasks[f"{each.name}/0"] = each
-                self.submitted_s[f"{each.name}/0"] = each.at_s
+                self.tasks[f"{TEAM}/{each.name}/0"] = each
             await self._submit(due)
             await asyncio.sleep(SUBMIT_S)
 
@@ -340,7 +338,7 @@
         short, urgent = LatencySketch(), LatencySketch()
         for task, planned in self.tasks.items():
             seen_s = observer.first_seen_s.get(task, self.seconds)
-            waited_s = max(0.001, seen_s - self.submitted_s[task])
+            waited_s = max(0.001, seen_s - planned.at_s)
             if planned.short:
                 short.add(waited_s)
             if planned.urgent:
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -336,6 +336,8 @@
             cpu_used_millicores=0
             if colocator is None
             else colocator.cpu_used_millicores,
+            harms=() if colocator is None else colocator.harms(),
+            crest_millicores=0 if colocator is None else colocator.crest_millicores,
         )
 
     def _not_ready_reason(self) -> str:
--- a/packages/daemon/almondspan_daemon/capacity_index.py
+++ b/packages/daemon/almondspan_daemon/capacity_index.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId
@@ -15,6 +16,7 @@
     AgentView,
     PlacementRequest,
     rank_agents,
+    share_harms,
 )
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_wire.codec import Message
@@ -70,6 +72,8 @@
             services=tuple(runner.service for runner in status.runners),
             classes=status.classes,
             cpu_used_millicores=status.cpu_used_millicores,
+            crest_millicores=status.crest_millicores,
+            harms=status.harms,
         )
 
     def agent_left(self, agent_id: AgentId) -> None:
@@ -89,9 +93,13 @@
     def find(self, query: FindCandidates) -> CandidatesFound:
         """Return the best agents for a query and note what they are promised."""
         request = PlacementRequest(
-            query.shape, query.task_class, query.urgent, query.avoid
+            query.shape,
+            query.task_class,
+            query.urgent,
+            query.avoid,
+            sequence=self.n_queries,
         )
-        views = [self._less_promised(view) for view in self._views.values()]
+        views = share_harms(map(self._less_promised, self._views.values()))
         ranked = rank_agents(request, views, self._policy, self._rng)
         found = ranked[: query.n_wanted]
         if found:
@@ -113,17 +121,4 @@
         promised = self._promised.get(view.agent_id)
         if promised is None:
             return view
-        return AgentView(
-            agent_id=view.agent_id,
-            worker_id=view.worker_id,
-            place=view.place,
-            capacity=view.capacity,
-            free=view.free - promised,
-            n_tasks=view.n_tasks,
-            draining=view.draining,
-            resting=view.resting,
-            ladder_level=view.ladder_level,
-            services=view.services,
-            classes=view.classes,
-            cpu_used_millicores=view.cpu_used_millicores,
-        )
+        return replace(view, free=view.free - promised)
--- a/packages/wire/almondspan_wire/membership.py
+++ b/packages/wire/almondspan_wire/membership.py
@@ -85,7 +85,9 @@
     """What an agent says of itself each interval and when something changes.
 
     ``free`` is what it would admit now. ``owned`` names its shards with their
-    epochs. ``classes`` counts the running tasks of each class.
+    epochs. ``classes`` counts the running tasks of each class. ``harms`` holds, for
+    each class that the worker has met, the learned factor on its services' latency,
+    and ``crest_millicores`` what the services are expected to use at their crest.
     """
 
     sequence: int
@@ -99,6 +101,8 @@
     ladder_level: int = 0
     resting: bool = False
     cpu_used_millicores: int = 0
+    harms: tuple[tuple[TaskClass, float], ...] = ()
+    crest_millicores: int = 0
 
 
 @message
