Weigh samples by their calls when interference is learned

Cause: on real processes one fast first call set the base of a service, so that it seemed twice as slow as alone for ever, and batch was throttled in calm. Change: samples carry their number of calls; the least latency is smoothed over calls and trusted after 100; the noise of a sample falls with its calls.

--- a/misc/measure_trial.py
+++ b/misc/measure_trial.py
@@ -498,7 +498,8 @@
                 run_ms = statistics.fmean(run for _, _, run in runner.recent)
                 name = ServiceName(runner.service["name"])
                 busy = runner.n_busy / N_SLOTS
-                sample = ServiceSample(self.now_s, name, busy, run_ms)
+                n_calls = len(runner.recent)
+                sample = ServiceSample(self.now_s, name, busy, run_ms, n_calls)
                 machine.aligner.add(sample)
                 slowdowns.append(machine.model.measured_slowdown(sample))
         return LadderObservation(
@@ -564,8 +565,12 @@
     seeds: list[int],
     seconds: float,
     ladder_options: LadderOptions,
+    time_scale: float,
 ) -> dict[str, list[dict[str, float]]]:
     mix = read_mix(mix_name)
+    for service in mix["services"]:
+        service["run_ms"] *= time_scale
+        service["objective_ms"] *= time_scale
     figures: dict[str, list[dict[str, float]]] = {}
     for policy in policies:
         for seed in seeds:
@@ -595,6 +600,7 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=120.0)
     parser.add_argument("--policies", default=",".join(COMBINATIONS))
+    parser.add_argument("--time-scale", type=float, default=1.0)
     parser.add_argument("--ladder", default="{}", help="LadderOptions as JSON")
     parser.add_argument("--json", type=Path, default=None)
     options = parser.parse_args()
@@ -607,6 +613,7 @@
             list(range(1, options.seeds + 1)),
             options.seconds,
             ladder_options,
+            options.time_scale,
         )
         print_table(mix, figures)
         everything[mix] = figures
--- a/packages/daemon/almondspan_daemon/colocation.py
+++ b/packages/daemon/almondspan_daemon/colocation.py
@@ -62,7 +62,7 @@
 class ServiceSignal:
     """A service at this moment.
 
-    ``run_ms`` is the mean time on the runner of recent calls, without their wait,
+    ``run_ms`` is the mean time on the runner of the recent calls, without their wait,
     and ``tail_ms`` a high quantile of their whole latency; both are 0 without calls.
     """
 
@@ -74,6 +74,7 @@
     run_ms: float
     tail_ms: float
     objective_ms: float
+    n_recent_calls: int
 
     @property
     def load(self) -> float:
@@ -431,7 +432,9 @@
 
 def _sample(now_s: float, signal: ServiceSignal) -> ServiceSample:
     busy_share = signal.n_busy / max(1, signal.n_slots)
-    return ServiceSample(now_s, signal.service, busy_share, signal.run_ms)
+    return ServiceSample(
+        now_s, signal.service, busy_share, signal.run_ms, signal.n_recent_calls
+    )
 
 
 def _latency_ratio(signal: ServiceSignal) -> float:
--- a/packages/daemon/almondspan_daemon/colocation_views.py
+++ b/packages/daemon/almondspan_daemon/colocation_views.py
@@ -35,4 +35,5 @@
             run_ms=recent.mean_run_ms,
             tail_ms=recent.tail_ms,
             objective_ms=self._gate.objective_ms(),
+            n_recent_calls=recent.n_calls,
         )
--- a/packages/decisions/almondspan_decisions/interference.py
+++ b/packages/decisions/almondspan_decisions/interference.py
@@ -31,8 +31,11 @@
     "merge_pairs",
 ]
 
-LEAST_SMOOTHING: Final = 0.1
-"""The weight of a new sample in the smoothed latency."""
+N_CALLS_SMOOTHED: Final = 200
+"""A sample weighs its calls over its own and this many in the smoothed latency."""
+
+N_CALLS_TRUSTED: Final = 100
+"""Below this many calls the least smoothed latency is not used."""
 
 LEAST_RISE_PER_S: Final = 0.001
 """How fast the least smoothed latency is unlearned."""
@@ -50,7 +53,8 @@
     """
 
     half_life_s: float = 600.0
-    noise_variance: float = 0.05
+    noise_variance: float = 0.02
+    call_variance: float = 0.8
     base_variance: float = 0.5
     load_variance: float = 0.02
     class_variance: float = 1.0
@@ -61,12 +65,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSample:
-    """A service's load and latency at one moment."""
+    """A service's load at one moment and the mean latency of the calls about it.
+
+    Samples may overlap; ``n_calls`` counts the calls of this one's mean.
+    """
 
     at_s: float
     service: ServiceName
     busy_share: float
     latency_ms: float
+    n_calls: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +96,7 @@
     smooth_ms: float
     least_ms: float
     at_s: float
+    n_calls: int = 0
 
 
 class LagAligner:
@@ -122,7 +131,7 @@
         self, sample: ServiceSample, class_shares: Mapping[TaskClass, float]
     ) -> None:
         """Learn from a service sample and the shares of the worker used then."""
-        if sample.latency_ms <= 0.0:
+        if sample.latency_ms <= 0.0 or sample.n_calls <= 0:
             return
         self._follow_least(sample)
         fit = self._fit_of(sample)
@@ -132,27 +141,32 @@
                 name = _CLASS_PREFIX + task_class
                 fit.add_feature(name, self._class_prior(), sample.at_s)
                 features[name] = share
-        fit.observe(sample.at_s, features, math.log(sample.latency_ms))
+        options = self._options
+        noise = options.noise_variance + options.call_variance / sample.n_calls
+        fit.observe(sample.at_s, features, math.log(sample.latency_ms), noise)
 
     def _follow_least(self, sample: ServiceSample) -> None:
         """Keep the least smoothed latency, which rises slowly to be unlearned."""
         known = self._least.get(sample.service)
         if known is None:
-            known = _Least(sample.latency_ms, sample.latency_ms, sample.at_s)
+            known = _Least(sample.latency_ms, math.inf, sample.at_s)
             self._least[sample.service] = known
-            return
         elapsed_s = max(0.0, sample.at_s - known.at_s)
         known.at_s = sample.at_s
-        known.smooth_ms += LEAST_SMOOTHING * (sample.latency_ms - known.smooth_ms)
-        risen_ms = known.least_ms * (1.0 + LEAST_RISE_PER_S * elapsed_s)
-        known.least_ms = min(known.smooth_ms, risen_ms)
+        known.n_calls += sample.n_calls
+        before = min(N_CALLS_SMOOTHED, known.n_calls - sample.n_calls)
+        weight = sample.n_calls / max(1, sample.n_calls + before)
+        known.smooth_ms += weight * (sample.latency_ms - known.smooth_ms)
+        known.least_ms *= 1.0 + LEAST_RISE_PER_S * elapsed_s
+        if known.n_calls >= N_CALLS_TRUSTED:
+            known.least_ms = min(known.smooth_ms, known.least_ms)
 
     def _fit_of(self, sample: ServiceSample) -> RecursiveFit:
         known = self._fits.get(sample.service)
         if known is not None:
             return known
         options = self._options
-        fit = RecursiveFit(options.noise_variance, options.half_life_s)
+        fit = RecursiveFit(options.half_life_s)
         base = FeaturePrior(math.log(sample.latency_ms), options.base_variance)
         fit.add_feature(_BASE, base, sample.at_s)
         load = FeaturePrior(0.0, options.load_variance, is_positive=True)
@@ -170,11 +184,12 @@
         It is 1 while nothing is known, and never below.
         """
         fit = self._fits.get(sample.service)
-        if fit is None or sample.latency_ms <= 0.0:
+        least = self._least.get(sample.service)
+        if fit is None or least is None or math.isinf(least.least_ms):
             return 1.0
         alone = fit.weight(_BASE) + fit.weight(_LOAD) * sample.busy_share
-        alone = min(alone, math.log(self._least[sample.service].least_ms))
-        excess = math.log(sample.latency_ms) - alone
+        alone = min(alone, math.log(least.least_ms))
+        excess = math.log(max(sample.latency_ms, 1e-9)) - alone
         return math.exp(max(0.0, min(excess, math.log(self._options.max_slowdown))))
 
     def slowdown(
--- a/packages/decisions/almondspan_decisions/recursive_fit.py
+++ b/packages/decisions/almondspan_decisions/recursive_fit.py
@@ -30,12 +30,10 @@
 
     Parameters
     ----------
-    noise_variance : of one sample about the fit.
     half_life_s : the time in which half of the prior variance comes back.
     """
 
-    def __init__(self, noise_variance: float, half_life_s: float) -> None:
-        self._noise_variance = noise_variance
+    def __init__(self, half_life_s: float) -> None:
         self._half_life_s = half_life_s
         self._names: list[str] = []
         self._priors: list[FeaturePrior] = []
@@ -71,13 +69,20 @@
             del held[index]
 
     def observe(
-        self, now_s: float, features: Mapping[str, float], value: float
+        self,
+        now_s: float,
+        features: Mapping[str, float],
+        value: float,
+        noise_variance: float,
     ) -> None:
-        """Move the weights towards a sample; all its features must be known."""
+        """Move the weights towards a sample; all its features must be known.
+
+        ``noise_variance`` is that of the sample about the fit.
+        """
         self._widen(now_s)
         row = [features.get(name, 0.0) for name in self._names]
         spread = [_dot(line, row) for line in self._covariance]
-        gain = 1.0 / (self._noise_variance + _dot(row, spread))
+        gain = 1.0 / (noise_variance + _dot(row, spread))
         error = value - _dot(self._weights, row)
         for i, spread_i in enumerate(spread):
             if row[i] != 0.0:
--- a/tests/daemon/test_colocation.py
+++ b/tests/daemon/test_colocation.py
@@ -102,6 +102,7 @@
             run_ms=self.run_ms(),
             tail_ms=tail_ms,
             objective_ms=OBJECTIVE_MS,
+            n_recent_calls=50,
         )
 
     async def usage(self) -> WorkerUsage | WorkerUnavailable:
