Release throttled tasks for certain, and raise shares faster in calm

Cause: a throttle that expired for its repetition in the very step that wanted it released stayed on the worker for ever; a share within a tenth of 1 was never raised to 1. Change: sent shares are repeated instead of forgotten, a release twice; a share of 1 is always sent; shares below the crest double each half second of calm.

--- a/packages/daemon/almondspan_daemon/colocation.py
+++ b/packages/daemon/almondspan_daemon/colocation.py
@@ -57,6 +57,9 @@
 MAX_MOMENTS: Final = 256
 """Changes of the ladder's level that are kept for the report."""
 
+RELEASE_REPEATS: Final = 2
+"""How often a share of 1 is given again, in case it was lost."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSignal:
@@ -204,6 +207,7 @@
 class _SentShare:
     share: float
     at_s: float
+    n_repeats: int = 0
 
 
 class Colocator:
@@ -327,7 +331,7 @@
         harms = dict(self.harms())
         running = self._keeper.running()
         self._classes.update((task.task_id, task.task_class) for task in running)
-        self._forget_sent(now_s, running)
+        self._repeat_sent(now_s, running)
         tasks = tuple(self._ladder_task(task, harms) for task in running)
         age_s = float("inf") if self._measured_s is None else now_s - self._measured_s
         return LadderObservation(
@@ -340,15 +344,17 @@
             tasks=tasks,
         )
 
-    def _forget_sent(self, now_s: float, running: Sequence[RunningTask]) -> None:
-        """Drop shares of ended attempts, and those that are due to be repeated."""
+    def _repeat_sent(self, now_s: float, running: Sequence[RunningTask]) -> None:
+        """Forget the shares of ended attempts and give the others again when due."""
         held = {(task.task_id, task.attempt) for task in running}
+        self._sent = {key: sent for key, sent in self._sent.items() if key in held}
         oldest_s = now_s - self._options.repeat_s
-        self._sent = {
-            key: sent
-            for key, sent in self._sent.items()
-            if key in held and (sent.at_s > oldest_s or sent.share >= 1.0)
-        }
+        for (task_id, attempt), sent in list(self._sent.items()):
+            is_needed = sent.share < 1.0 or sent.n_repeats < RELEASE_REPEATS
+            if sent.at_s <= oldest_s and is_needed:
+                self._keeper.throttle(task_id, sent.share)
+                repeated = _SentShare(sent.share, now_s, sent.n_repeats + 1)
+                self._sent[task_id, attempt] = repeated
 
     def _ladder_task(
         self, task: RunningTask, harms: Mapping[TaskClass, float]
--- a/packages/decisions/almondspan_decisions/ladder.py
+++ b/packages/decisions/almondspan_decisions/ladder.py
@@ -142,10 +142,11 @@
 class LadderOptions:
     """Limits and paces of a ladder.
 
-    ``hot_burn_rate`` and ``hot_latency_ratio`` are heat 1. A share is cut by
-    ``cut_factor`` at most once each ``cut_dwell_s``, and raised by ``raise_step``
-    after each ``raise_dwell_s`` of calm. A throttle is sent when it changes a task's
-    share by more than ``share_resolution`` of it.
+    ``hot_burn_rate``, ``hot_latency_ratio`` and, from ``crest_load`` on,
+    ``hot_slowdown`` are heat 1. A share is cut by ``cut_factor`` at most once each
+    ``cut_dwell_s``, and raised by ``raise_step`` after each ``raise_dwell_s`` of calm,
+    below the crest by ``calm_raise_factor`` as well. A throttle is sent when it
+    changes a task's share by more than ``share_resolution`` of it, or to 1.
     """
 
     hot_burn_rate: float = 4.0
@@ -159,8 +160,9 @@
     urgent_floor_share: float = 0.5
     cut_factor: float = 0.5
     cut_dwell_s: float = 0.5
-    raise_step: float = 0.05
-    raise_dwell_s: float = 1.0
+    raise_step: float = 0.03
+    calm_raise_factor: float = 2.0
+    raise_dwell_s: float = 0.5
     top_load: float = 1.5
     n_bands: int = 8
     evict_heat: float = 2.0
@@ -306,7 +308,8 @@
             state.raised_at_s = now_s
         elif now_s - state.raised_at_s >= options.raise_dwell_s:
             state.raised_at_s = now_s
-            self._raise_up_to(band)
+            is_crest = band >= self._band(options.crest_load)
+            self._raise_up_to(band, 1.0 if is_crest else options.calm_raise_factor)
 
     def _cut_from(self, band: int, heat: float) -> None:
         options = self._options
@@ -316,9 +319,9 @@
         for higher in range(band, options.n_bands):
             shares[higher] = max(options.floor_share, min(shares[higher], cut))
 
-    def _raise_up_to(self, band: int) -> None:
+    def _raise_up_to(self, band: int, factor: float) -> None:
         shares = self._state.shares
-        raised = min(1.0, shares[band] + self._options.raise_step)
+        raised = min(1.0, shares[band] * factor + self._options.raise_step)
         for lower in range(band + 1):
             shares[lower] = max(shares[lower], raised)
 
@@ -405,7 +408,8 @@
     for task in observation.tasks:
         floor = options.urgent_floor_share if task.urgent else options.floor_share
         wanted = max(floor, by_class[task.task_class])
-        if abs(wanted - task.share) > options.share_resolution * wanted:
+        is_large = abs(wanted - task.share) > options.share_resolution * wanted
+        if is_large or (wanted == 1.0 and task.share < 1.0):
             found.append(ThrottleTask(task.task_id, task.attempt, wanted))
     return found
 
