--- /dev/null
+++ b/misc/mutant_table.py
@@ -0,0 +1,300 @@
+"""The deliberate breakages that `mutants.py` makes."""
+
+from dataclasses import dataclass
+from typing import Final
+
+__all__ = ["MUTANTS", "Change", "Mutant"]
+
+
+@dataclass(frozen=True)
+class Change:
+    """A replacement of text that occurs once in a module."""
+
+    module: str
+    before: str
+    after: str
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One breakage."""
+
+    name: str
+    changes: tuple[Change, ...]
+
+
+def mutant(name: str, module: str, before: str, after: str) -> Mutant:
+    return Mutant(name, (Change(module, before, after),))
+
+
+SWAP: Final = (
+    "        revision = await self._swap(head, self._revision)\n        if revision is"
+)
+
+MUTANTS: Final = (
+    # The shard's log.
+    mutant(
+        "skip the nonce in read-back",
+        "shard_log.py",
+        "    return item.revision if is_own else None",
+        "    return item.revision",
+    ),
+    mutant(
+        "keep the epoch at a takeover",
+        "shard_log.py",
+        "epoch=Epoch(head.epoch + 1),",
+        "epoch=Epoch(max(1, head.epoch)),",
+    ),
+    mutant(
+        "drop the tail into no chunk",
+        "shard_log.py",
+        "        return (*self._head.chunks, *written), (), ()",
+        "        return (*self._head.chunks, *written[1:]), (), ()",
+    ),
+    mutant(
+        "delete chunks before the commit",
+        "shard_log.py",
+        SWAP,
+        "        await self._delete_chunks(dead)\n" + SWAP,
+    ),
+    mutant(
+        "collect chunks in use",
+        "shard_log.py",
+        "if item.key not in referenced and chunk_epoch",
+        "if chunk_epoch",
+    ),
+    mutant(
+        "snapshot without the batch",
+        "shard_log.py",
+        "            return tuple(chunks), (), self._head.chunks",
+        "            return (*self._head.chunks[:1], *chunks), (), ()",
+    ),
+    mutant(
+        "effects before the commit",
+        "shard_log.py",
+        SWAP,
+        "        for effect in effects:\n            effect()\n        effects = []\n"
+        + SWAP,
+    ),
+    # The owner.
+    mutant(
+        "answer renewals without a commit",
+        "attempt_owner.py",
+        "        self._log.after_commit(partial(self._answer_renewal, sender, body))",
+        "        self._answer_renewal(sender, body)",
+    ),
+    mutant(
+        "acknowledge without a commit",
+        "attempt_owner.py",
+        "        self._log.after_commit(partial(self._ack, sender, ack), hurry=True)",
+        "        self._mailer.send(sender, ack)",
+    ),
+    mutant(
+        "start before the commit",
+        "attempt_owner.py",
+        "self._log.after_commit(partial(self._send_first_start, job, task, attempt))",
+        "self._send_first_start(job, task, attempt)",
+    ),
+    mutant(
+        "give up without the horizon",
+        "attempt_owner.py",
+        "return followed.evidence_s + wait_s + job.assignment.worker_lease_s",
+        "return followed.evidence_s + 0.3 * wait_s",
+    ),
+    mutant(
+        "give up without the worker's lease",
+        "attempt_owner.py",
+        "return followed.evidence_s + wait_s + job.assignment.worker_lease_s",
+        "return followed.evidence_s + self._options.horizon_s",
+    ),
+    mutant(
+        "take over without waiting",
+        "shard_book.py",
+        "Followed(job.assignment.agent_id, now_s, now_s)",
+        "Followed(job.assignment.agent_id, now_s - 30.0, now_s)",
+    ),
+    mutant(
+        "restart a lost task that ran",
+        "attempt_owner.py",
+        "        if not job.stage.idempotent:\n"
+        "            self._book.end_job(job, Outcome(OutcomeKind.UNKNOWN, reason",
+        "        if False:\n"
+        "            self._book.end_job(job, Outcome(OutcomeKind.UNKNOWN, reason",
+    ),
+    mutant(
+        "resume without a new checkpoint",
+        "attempt_owner.py",
+        "        if not job.stage.idempotent and not is_new:",
+        '        if not job.stage.idempotent and checkpoint == b"":',
+    ),
+    mutant(
+        "forget the checkpoint",
+        "state.py",
+        "    if delta.checkpoint:\n",
+        "    if False:\n",
+    ),
+    mutant(
+        "use an attempt number twice",
+        "state.py",
+        "    job.assignment = None\n    job.attained_s += delta.ran_s\n"
+        "    if delta.checkpoint",
+        "    job.assignment = None\n    job.attempt -= 1\n"
+        "    job.attained_s += delta.ran_s\n    if delta.checkpoint",
+    ),
+    mutant(
+        "cancel as if it never ran",
+        "job_owner.py",
+        'job, Outcome(OutcomeKind.CANCELLED, reason, b"", job.may_have_run)',
+        'job, Outcome(OutcomeKind.CANCELLED, reason, b"", False)',
+    ),
+    mutant(
+        "answer a submission at once",
+        "job_owner.py",
+        "        answer = SubmitAnswer(body.question_id, verdicts)\n"
+        "        self._log.after_commit("
+        "partial(self._mailer.send, sender, answer), hurry=True)",
+        "        answer = SubmitAnswer(body.question_id, verdicts)\n"
+        "        self._mailer.send(sender, answer)",
+    ),
+    # The keeper.
+    mutant(
+        "skip the epoch check",
+        "keeper.py",
+        "        if epoch < self._epochs.get(shard_id, Epoch(0)):",
+        "        if False:",
+    ),
+    Mutant(
+        "run past the horizon",
+        (
+            Change(
+                "keeper.py",
+                "case AttemptPhase.RUNNING if 0.0 < held.lease_until_s <= now_s:",
+                "case AttemptPhase.RUNNING if False:",
+            ),
+            Change("keeper.py", "                and held.lease_until_s > now_s\n", ""),
+        ),
+    ),
+    mutant(
+        "count the lease from the answer",
+        "keeper.py",
+        "self._extend(held, sent_s + self._options.horizon_s)",
+        "self._extend(held, self._now_s() + self._options.horizon_s)",
+    ),
+    Mutant(
+        "adopt with a lease",
+        (
+            Change(
+                "keeper.py",
+                "            first_renewal_id=self._renewal_id + 1,\n        )",
+                "            first_renewal_id=self._renewal_id + 1,\n"
+                "            lease_until_s=self._now_s() + self._options.horizon_s,\n"
+                "        )",
+            ),
+        ),
+    ),
+    Mutant(
+        "admit before rebuilding",
+        (
+            Change(
+                "keeper.py",
+                "        await self._learn_worker()\n",
+                "        await self._learn_worker()\n        self._ready.set()\n",
+            ),
+            Change(
+                "keeper.py",
+                "        return age_s <= _FRESH_POLLS * self._options.poll_interval_s",
+                "        return True",
+            ),
+        ),
+    ),
+    mutant(
+        "admit without settling",
+        "keeper.py",
+        "        await asyncio.sleep(self._options.call_bound_s)\n"
+        "        await self._list_until_answered()\n",
+        "",
+    ),
+    Mutant(
+        "admit more than there is room for",
+        (
+            Change(
+                "held.py",
+                "        return used.fits_in(self.capacity)\n\n    def is_within",
+                "        return True\n\n    def is_within",
+            ),
+            Change(
+                "held.py", "return self.used().fits_in(self.capacity)", "return True"
+            ),
+        ),
+    ),
+    mutant(
+        "skip settling after a pause",
+        "keeper.py",
+        "        if self.is_ready and gap_s > limit_s:",
+        "        if False:",
+    ),
+    mutant(
+        "grant a claim twice",
+        "job_owner.py",
+        "        if known is not None and known.nonce != body.nonce:",
+        "        if False:",
+    ),
+    mutant(
+        "accept any reservation",
+        "keeper.py",
+        "is_live = held.reservation == body.reservation and not held.makes_room",
+        "is_live = not held.makes_room",
+    ),
+    mutant(
+        "confirm by an old answer",
+        "keeper.py",
+        "held is not None and body.renewal_id >= held.first_renewal_id:\n"
+        "                self._extend",
+        "held is not None:\n                self._extend",
+    ),
+    mutant(
+        "start without confirmation",
+        "keeper.py",
+        "        # even a refusal waits until the shard has confirmed the assignment.\n"
+        "        self._ask_first(held)",
+        "        advance(held, LifeStep.RESERVE)\n"
+        "        held.lease_until_s = self._now_s() + self._options.horizon_s\n"
+        "        self._begin_start(held)",
+    ),
+    mutant(
+        "refuse without confirmation",
+        "keeper.py",
+        "        # even a refusal waits until the shard has confirmed the assignment.\n"
+        "        self._ask_first(held)",
+        "        if held.refusal:\n            self._refuse(held, held.refusal)\n"
+        "        else:\n            self._ask_first(held)",
+    ),
+    mutant(
+        "refuse for another agent",
+        "keeper.py",
+        "        if body.agent_id != self._agent_id or not self.is_ready:",
+        "        if not self.is_ready:",
+    ),
+    mutant(
+        "repeat a start after a lost answer",
+        "keeper.py",
+        "        answer = await self._worker.start_attempt(request)\n",
+        "        answer = await self._worker.start_attempt(request)\n"
+        "        while isinstance(answer, WorkerUnavailable):\n"
+        "            await asyncio.sleep(0.2)\n"
+        "            answer = await self._worker.start_attempt(request)\n",
+    ),
+    mutant(
+        "report a lost start as never run",
+        "keeper.py",
+        "        if isinstance(answer, WorkerUnavailable) and answer.may_have_applied:",
+        "        if False:",
+    ),
+    mutant(
+        "forget a result before its commit",
+        "keeper.py",
+        "        self._keep_report(held, outcome, found.evicted, found.checkpoint)",
+        "        self._keep_report(held, outcome, found.evicted, found.checkpoint)\n"
+        "        self._forget(held)",
+    ),
+)
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -1,7 +1,8 @@
 """Runs many randomised schedules of the task system and checks the invariants.
 
-Usage: ``soak.py [--seed N] [--schedules N] [--processes N] [--trace SEED]``. The seed
-gives the first schedule's seed. Ends with 1 when a schedule broke an invariant.
+Usage: ``soak.py [--seed N] [--schedules N] [--processes N] [--until-broken]
+[--trace SEED]``. The seed gives the first schedule's seed. Ends with 1 when a
+schedule broke an invariant.
 """
 
 import argparse
@@ -34,6 +35,7 @@
     parser.add_argument("--schedules", type=int, default=2_000)
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--stop-at", type=int, default=10, help="violations to print")
+    parser.add_argument("--until-broken", action="store_true")
     parser.add_argument("--trace", type=int, help="run one schedule, print its trace")
     return parser.parse_args()
 
@@ -61,6 +63,8 @@
                 broken.append(result)
                 if len(broken) <= options.stop_at:
                     print(f"schedule {result.seed}: {result.violations[0]}", flush=True)
+                if options.until_broken:
+                    break
     took_s = time.monotonic() - began_s
     for name, count in sorted(counts.items()):
         print(f"{name:24} {count}")
--- a/tests/tasks/sim_checks.py
+++ b/tests/tasks/sim_checks.py
@@ -34,6 +34,7 @@
         self.never_run: set[AttemptKey] = set()
         self.specs: dict[str, JobSpec] = {}
         self.ended: dict[str, Outcome] = {}
+        self.granted: dict[str, str] = {}
         self.ended_s: dict[str, float] = {}
         self.resumed: Counter[tuple[TaskId, bytes]] = Counter()
         self.fresh_starts: Counter[TaskId] = Counter()
@@ -137,6 +138,11 @@
         elif outcome.kind is OutcomeKind.NOT_RUN:
             self.fail(f"{job_id} ended as not run")
 
+    def on_granted(self, request_id: str, nonce: str) -> None:
+        holder = self.granted.setdefault(request_id, nonce)
+        if holder != nonce:
+            self.fail(f"{request_id} is granted to {holder} and to {nonce}")
+
     def check_effects(self) -> None:
         counts: Counter[str] = Counter()
         for core in self.cores.values():
--- a/tests/tasks/sim_schedule.py
+++ b/tests/tasks/sim_schedule.py
@@ -7,11 +7,11 @@
 from sim_checks import Violation
 from sim_world import HORIZON_S, CallFaults, MailFaults, World
 
-from almondspan_decisions.ids import JobId, TaskClass, TeamName
+from almondspan_decisions.ids import JobId, RequestId, TaskClass, TeamName
 from almondspan_decisions.shapes import Shape
 from almondspan_decisions.tasks import JobSpec, StageSpec
 from almondspan_standins.worker_core import task_payload
-from almondspan_tasks.desk import DeskUnavailable, JobState, SubmitState
+from almondspan_tasks.desk import ClaimState, DeskUnavailable, JobState, SubmitState
 
 TEAM = TeamName("team")
 SETTLE_S = 400.0
@@ -41,7 +41,7 @@
     job_id = JobId(f"job-{number}")
     stages = []
     for index in range(rng.choice((1, 1, 2, 3))):
-        run_s = rng.choice((0.2, 1.0, 3.0, 8.0))
+        run_s = rng.choice((0.2, 1.0, 3.0, 8.0, 30.0))
         fail = rng.random() < 0.05
         cpu = rng.choice((500, 1_000, 2_000, 4_000))
         if rng.random() < 0.03:
@@ -170,6 +170,7 @@
             if state not in (SubmitState.ACCEPTED, SubmitState.ALREADY_KNOWN):
                 world.checks.fail(f"{spec.job_id} was answered {answer[0]}")
             break
+        await self._claim(number)
         while True:
             await asyncio.sleep(0.5 + rng.random())
             asked_s = world.loop.time()
@@ -180,6 +181,15 @@
             if found[0].state is JobState.ENDED:
                 return
 
+    async def _claim(self, number: int) -> None:
+        """Claim a request that other callers claim as well."""
+        world = self.world
+        request_id = RequestId(f"request-{self.rng.randrange(4)}")
+        for nonce in (f"{number}/0", f"{number}/0", f"{number}/1"):
+            claim = await world.entry.run(world.entry.desk.claim(request_id, nonce))
+            if claim.state is ClaimState.GRANTED:
+                world.checks.on_granted(request_id, nonce)
+
     # Faults.
 
     async def _inject(self) -> None:
@@ -206,6 +216,8 @@
         world.store_faults = CallFaults()
         world.cut.clear()
         world.silent_links.clear()
+        world.cut_from_store.clear()
+        world.is_watching = True
         for worker_id in world.cores:
             world.worker_faults[worker_id] = CallFaults()
             agents = [one for one in world.live_agents() if one.worker_id == worker_id]
@@ -233,12 +245,67 @@
         return
     schedule.world.stop(agent, True)
     schedule.world.note(f"crash {agent.agent_id}")
-    await asyncio.sleep(schedule.some_time(6.0))
+    await asyncio.sleep(schedule.some_time(schedule.rng.choice((0.1, 6.0))))
     if schedule.is_calm:
         return
     schedule.world.start_agent(agent.worker_id)
 
 
+async def crash_in_flight(schedule: Schedule) -> None:
+    """An agent dies while its calls are slow and is replaced at once."""
+    agent = schedule.pick_agent()
+    if agent is None:
+        return
+    faults = schedule.world.worker_faults[agent.worker_id]
+    faults.slow_s = 0.95
+    await asyncio.sleep(schedule.some_time(3.0))
+    if not agent.process.is_dead and not schedule.is_calm:
+        schedule.world.stop(agent, True)
+        schedule.world.start_agent(agent.worker_id)
+    faults.slow_s = 0.0
+
+
+async def fade(schedule: Schedule) -> None:
+    """An agent loses its mail, and pauses or dies about a horizon later."""
+    agent = schedule.pick_agent()
+    if agent is None:
+        return
+    world = schedule.world
+    world.cut.add(agent.agent_id)
+    world.note(f"fade {agent.agent_id}")
+    await asyncio.sleep(HORIZON_S - 3.0 + schedule.some_time(5.0))
+    if agent.process.is_dead or schedule.is_calm:
+        world.cut.discard(agent.agent_id)
+        return
+    dies = schedule.rng.random() < 0.5
+    world.stop(agent, dies)
+    if dies:
+        heir = world.start_agent(agent.worker_id)
+        world.cut.add(heir.agent_id)
+        await asyncio.sleep(schedule.some_time(3 * HORIZON_S))
+        world.cut.discard(heir.agent_id)
+        return
+    await asyncio.sleep(schedule.some_time(2 * HORIZON_S))
+    world.cut.discard(agent.agent_id)
+    if not agent.process.is_dead and agent.process.is_paused:
+        world.loop.resume(agent.process)
+
+
+async def split_owner(schedule: Schedule) -> None:
+    """An owner loses the store, and the entry does not learn of its successor."""
+    world = schedule.world
+    owners = [agent for agent in world.live_agents() if agent.host.owned()]
+    if not owners:
+        return
+    owner = schedule.rng.choice(owners)
+    world.note(f"split {owner.agent_id}")
+    world.cut_from_store.add(owner.agent_id)
+    world.is_watching = False
+    await asyncio.sleep(schedule.some_time(4 * HORIZON_S))
+    world.cut_from_store.discard(owner.agent_id)
+    world.is_watching = True
+
+
 async def pause(schedule: Schedule) -> None:
     agent = schedule.pick_agent()
     if agent is None:
@@ -412,6 +479,9 @@
         hand_over,
         drain_agent,
         evict_some,
+        crash_in_flight,
+        fade,
+        split_owner,
     )
 }
 
--- a/tests/tasks/sim_world.py
+++ b/tests/tasks/sim_world.py
@@ -109,6 +109,8 @@
         self.worker_faults: dict[WorkerId, CallFaults] = {}
         self.mail_faults = MailFaults()
         self.cut: set[str] = set()
+        self.cut_from_store: set[str] = set()
+        self.is_watching = True
         self.silent_links: set[tuple[str, str]] = set()
         self.cores: dict[WorkerId, CheckedCore] = {}
         self.agents: dict[str, Agent] = {}
@@ -255,9 +257,11 @@
                 shard_id = ShardId(number)
                 item = self.store.get(head_key(REGION, shard_id))
                 owner = decode_head(item.value).owner if item is not None else ""
-                if owner:
+                if owner and self.is_watching:
                     self.known_owners[shard_id] = AgentId(owner)
-                is_wanted = owner not in live or self.rng.random() < 0.01
+                is_wanted = (
+                    owner not in live - self.cut_from_store or self.rng.random() < 0.01
+                )
                 if is_wanted and live and self.rng.random() < 0.4:
                     self.nominate(shard_id, self.rng.choice(sorted(live)))
 
@@ -299,9 +303,10 @@
 
     async def _call(self, operation: Callable[[], Any]) -> Any:
         world = self._world
-        return await world.call(
-            self._name, world.store_faults, 2.0, operation, Unavailable
-        )
+        faults = world.store_faults
+        if self._name in world.cut_from_store:
+            faults = CallFaults(outage=True)
+        return await world.call(self._name, faults, 2.0, operation, Unavailable)
 
     async def get(self, key: str) -> Any:
         from almondspan_platform.store import Found
