Test the owner and the keeper rule by rule

Change: unit tests in virtual time for the owner (fresh commits, the whole wait, bounds, answers kept, claims, pages, takeover, hand-over, collection) and for the keeper (lease from the question, adoption, pauses).

--- a/tests/tasks/test_keeper.py
+++ b/tests/tasks/test_keeper.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from virtual_loop import VirtualLoop
+from virtual_loop import Process, VirtualLoop
 
 from almondspan_decisions.ids import (
     AgentId,
@@ -74,6 +74,7 @@
         epoch: int = 5,
         agent: AgentId = ME,
         shape: Shape = HALF,
+        run_s: float = 3.0,
     ) -> None:
         body = StartTask(
             shard_id=SHARD,
@@ -84,7 +85,7 @@
             reservation=reservation,
             task_class=TaskClass("cut"),
             shape=shape,
-            payload=task_payload(3.0, "effect", "record"),
+            payload=task_payload(run_s, "effect", "record"),
             checkpoint=b"",
             idempotent=False,
             checkpointable=False,
@@ -199,6 +200,48 @@
     assert desk.core.list_attempts() == ()
 
 
+async def a_late_answer_counts_from_its_question(desk: Desk) -> None:
+    desk.start(desk.reserve(), run_s=100.0)
+    await asyncio.sleep(6.0)
+    asked = desk.last(RenewAttempts)
+    assert isinstance(asked, RenewAttempts)
+    await asyncio.sleep(12.0)
+    refs = (AttemptRef(TASK, 1),)
+    reply = RenewReply(SHARD, Epoch(5), asked.renewal_id, refs, ())
+    desk.keeper.on_mail("owner", reply)
+    await asyncio.sleep(11.0)
+    assert desk.core.running() == []
+
+
+async def an_adopted_attempt_has_no_lease(desk: Desk) -> None:
+    desk.start(desk.reserve(), run_s=100.0)
+    await asyncio.sleep(1.0)
+    await desk.keeper.close()
+    heir = AttemptKeeper(
+        AgentId("heir"), MemoryWorker(desk.core), desk, OPTIONS, random.Random(2)
+    )
+    await heir.start()
+    await asyncio.sleep(8.0)
+    assert heir.counters.n_adopted == 1
+    assert desk.core.running() == []
+    await heir.close()
+
+
+async def an_adopted_attempt_goes_on_once_confirmed(desk: Desk) -> None:
+    desk.start(desk.reserve(), run_s=100.0)
+    await asyncio.sleep(1.0)
+    await desk.keeper.close()
+    heir = AttemptKeeper(
+        AgentId("heir"), MemoryWorker(desk.core), desk, OPTIONS, random.Random(2)
+    )
+    desk.keeper = heir
+    await heir.start()
+    await asyncio.sleep(1.5)
+    desk.confirm()
+    await asyncio.sleep(8.0)
+    assert desk.core.running_keys() == [(TASK, 1)]
+
+
 async def draining_refuses_at_once(desk: Desk) -> None:
     await desk.keeper.drain()
     assert desk.reserve() == ""
@@ -224,6 +267,9 @@
             a_start_without_room_is_refused_for_good,
             a_reservation_lapses,
             a_result_is_reported_until_acknowledged,
+            a_late_answer_counts_from_its_question,
+            an_adopted_attempt_has_no_lease,
+            an_adopted_attempt_goes_on_once_confirmed,
             draining_refuses_at_once,
             resting_refuses,
         )
@@ -233,6 +279,27 @@
     run(case)
 
 
+def test_a_keeper_settles_again_after_a_pause() -> None:
+    loop = VirtualLoop()
+    process = Process("agent")
+
+    async def main() -> None:
+        desk = Desk()
+        await loop.create_task(desk.keeper.start(), context=process.new_context())
+        await asyncio.sleep(3.0)
+        assert desk.keeper.free() == WHOLE
+        process.is_paused = True
+        await asyncio.sleep(5.0)
+        loop.resume(process)
+        assert desk.reserve() == ""
+        await asyncio.sleep(3.0)
+        assert desk.reserve() != ""
+        process.is_dead = True
+
+    loop.run_until_complete(main())
+    loop.close()
+
+
 def test_nothing_is_free_before_the_books_are_whole() -> None:
     async def main() -> None:
         desk = Desk()
--- /dev/null
+++ b/tests/tasks/test_owner.py
@@ -0,0 +1,381 @@
+"""A shard's owner over an in-memory store: commits, takeovers, jobs and claims."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+from virtual_loop import VirtualLoop
+
+from almondspan_decisions.ids import (
+    AgentId,
+    JobId,
+    OrderName,
+    PlaceName,
+    RegionName,
+    RequestId,
+    ShardId,
+    TaskClass,
+    TeamName,
+    WorkerId,
+)
+from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.shapes import Shape
+from almondspan_decisions.tasks import JobSpec, StageSpec
+from almondspan_platform.store import Found
+from almondspan_standins.faults import StoreFaults
+from almondspan_standins.memory_store import MemoryStore
+from almondspan_standins.store_core import StoreCore
+from almondspan_tasks.desk import ClaimState, SubmitState
+from almondspan_tasks.host import ShardHost
+from almondspan_tasks.options import OwnerOptions
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import CandidatesFound, FindCandidates, FoundAgent
+from almondspan_wire.task_messages import (
+    AttemptRef,
+    AttemptReport,
+    CancelJobs,
+    ClaimAnswer,
+    ClaimRequest,
+    JobAnswer,
+    OrderAnswer,
+    OrderQuery,
+    RenewAttempts,
+    RenewReply,
+    ReserveReply,
+    ReserveRoom,
+    SettleClaim,
+    StartTask,
+    StatusQuery,
+    SubmitAnswer,
+    SubmitJobs,
+)
+
+SHARD = ShardId(0)
+TEAM = TeamName("team")
+KEEPER = AgentId("keeper")
+WORKER = WorkerId("worker")
+SHAPE = Shape(1_000, 1_000, 0)
+OPTIONS = OwnerOptions(
+    horizon_s=20.0,
+    drift_margin_s=3.0,
+    max_jobs=3,
+    max_claims=2,
+    answer_kept_s=100.0,
+    claim_kept_s=200.0,
+    page_jobs=2,
+)
+WORKER_LEASE_S = 7.0
+
+
+class Rig:
+    """A host, its store, and a keeper that grants every reservation."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.core = StoreCore(self.loop.time)
+        self.sent: list[Message] = []
+        self.feasible = True
+        self.hosts: dict[str, ShardHost] = {}
+        self.host = self.new_host("owner-1")
+
+    def new_host(self, name: str) -> ShardHost:
+        host = ShardHost(
+            AgentId(name),
+            MemoryStore(self.core),
+            Mailbox(self, name),
+            self.find,
+            OPTIONS,
+            random.Random(name),
+            1,
+            RegionName("viti"),
+            self.loop.time,
+        )
+        self.hosts[name] = host
+        return host
+
+    async def find(self, query: FindCandidates) -> CandidatesFound | None:
+        found = FoundAgent(KEEPER, WORKER, PlaceName("p"), SHAPE)
+        agents = (found,) if self.feasible else ()
+        return CandidatesFound(query.query_id, agents, self.feasible, 5)
+
+    async def own(self, host: ShardHost) -> float:
+        """Nominate a host and return how long it took to own the shard."""
+        began_s = self.loop.time()
+        host.nominate(SHARD)
+        while not host.owned():
+            await asyncio.sleep(0.05)
+            assert self.loop.time() - began_s < 30.0
+        return self.loop.time() - began_s
+
+    def last(self, kind: type) -> Message | None:  # type: ignore[type-arg]
+        found = [body for body in self.sent if isinstance(body, kind)]
+        return found[-1] if found else None
+
+    async def submit(self, *specs: JobSpec) -> list[SubmitState]:
+        self.host.on_mail("desk", SubmitJobs(SHARD, "q", specs))
+        await asyncio.sleep(1.0)
+        answer = self.last(SubmitAnswer)
+        assert isinstance(answer, SubmitAnswer)
+        return [SubmitState(verdict.state) for verdict in answer.verdicts]
+
+    async def view(self, job_id: str) -> JobAnswer:
+        self.host.on_mail("desk", StatusQuery(SHARD, "q", TEAM, (JobId(job_id),)))
+        await asyncio.sleep(1.0)
+        answer = self.last(JobAnswer)
+        assert isinstance(answer, JobAnswer)
+        return answer
+
+
+class Mailbox:
+    """Notes what a host sends and answers reservations."""
+
+    def __init__(self, rig: Rig, name: str) -> None:
+        self._rig = rig
+        self._name = name
+
+    def send(self, to: str, body: Message) -> None:
+        self._rig.sent.append(body)
+        if isinstance(body, ReserveRoom):
+            reply = ReserveReply(
+                SHARD, body.task_id, body.attempt, True, WORKER, "r", WORKER_LEASE_S
+            )
+            host = self._rig.hosts[self._name]
+            self._rig.loop.call_soon(host.on_mail, to, reply)
+
+
+def job(name: str, idempotent: bool = True, **more: object) -> JobSpec:
+    stage = StageSpec(TaskClass("cut"), SHAPE, 1.0, b"{}", idempotent=idempotent)
+    return JobSpec(JobId(name), TEAM, (stage,), **more)  # type: ignore[arg-type]
+
+
+def report(rig: Rig, outcome: Outcome, evicted: bool = False) -> AttemptReport:
+    start = rig.last(StartTask)
+    assert isinstance(start, StartTask)
+    return AttemptReport(
+        SHARD, start.task_id, start.attempt, WORKER, outcome, evicted, b"", 1.0
+    )
+
+
+async def renewals_wait_for_a_fresh_commit(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    rig.core.faults = StoreFaults(outage=True)
+    await asyncio.sleep(3.0)
+    start = rig.last(StartTask)
+    assert isinstance(start, StartTask)
+    ref = AttemptRef(start.task_id, start.attempt)
+    rig.host.on_mail(KEEPER, RenewAttempts(SHARD, 1, WORKER, (ref,)))
+    await asyncio.sleep(5.0)
+    assert rig.last(RenewReply) is None
+    rig.core.faults = StoreFaults()
+    await asyncio.sleep(6.0)
+    reply = rig.last(RenewReply)
+    assert isinstance(reply, RenewReply)
+    assert reply.assigned == (ref,)
+
+
+async def lost_attempts_are_given_up_after_the_whole_wait(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    begun = rig.loop.time()
+    owner = rig.host.owner(SHARD)
+    assert owner is not None
+    while owner.book.counters.n_lost == 0:
+        await asyncio.sleep(0.1)
+        assert rig.loop.time() - begun < 60.0
+    waited_s = rig.loop.time() - begun
+    assert waited_s > OPTIONS.horizon_s + OPTIONS.drift_margin_s + WORKER_LEASE_S - 1.5
+
+
+async def lost_work_that_may_have_run_is_unknown(rig: Rig) -> None:
+    await rig.submit(job("a", idempotent=False))
+    await asyncio.sleep(40.0)
+    outcome = (await rig.view("a")).jobs[0].outcome
+    assert outcome is not None
+    assert outcome.kind is OutcomeKind.UNKNOWN
+    assert outcome.reason
+
+
+async def submissions_are_idempotent(rig: Rig) -> None:
+    other = job("a", urgent=True)
+    assert await rig.submit(job("a")) == [SubmitState.ACCEPTED]
+    assert await rig.submit(job("a")) == [SubmitState.ALREADY_KNOWN]
+    assert await rig.submit(other) == [SubmitState.CONFLICT]
+    states = await rig.submit(job("b"), job("c"), job("d"))
+    assert states[-1] is SubmitState.REFUSED
+    assert await rig.submit(JobSpec(JobId("e"), TEAM, ())) == [SubmitState.REFUSED]
+
+
+async def answers_are_kept_and_then_dropped(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
+    await asyncio.sleep(60.0)
+    view = (await rig.view("a")).jobs[0]
+    assert view.outcome == Outcome(OutcomeKind.DONE, "", b"whole")
+    await asyncio.sleep(60.0)
+    assert (await rig.view("a")).jobs[0].state == "absent"
+
+
+async def cancelled_jobs_say_whether_they_may_have_run(rig: Rig) -> None:
+    rig.feasible = False
+    await rig.submit(job("a"))
+    rig.feasible = True
+    await rig.submit(job("b"))
+    ids = (JobId("a"), JobId("b"))
+    rig.feasible = False
+    n_commits = _commits(rig)
+    rig.host.on_mail("desk", CancelJobs(SHARD, "q", TEAM, ids))
+    await asyncio.sleep(0.4)
+    assert _commits(rig) - n_commits <= 1
+    answer = rig.last(JobAnswer)
+    assert isinstance(answer, JobAnswer)
+    outcomes = [view.outcome for view in answer.jobs if view.outcome is not None]
+    assert [one.kind for one in outcomes] == [OutcomeKind.CANCELLED] * 2
+    assert outcomes[1].may_have_run
+
+
+def _commits(rig: Rig) -> int:
+    owner = rig.host.owner(SHARD)
+    assert owner is not None
+    return owner.log.counters.n_commits
+
+
+async def jobs_that_fit_nowhere_are_infeasible(rig: Rig) -> None:
+    rig.feasible = False
+    await rig.submit(job("a"))
+    await asyncio.sleep(40.0)
+    outcome = (await rig.view("a")).jobs[0].outcome
+    assert outcome is not None
+    assert outcome.kind is OutcomeKind.INFEASIBLE
+
+
+async def failing_jobs_use_up_their_attempts(rig: Rig) -> None:
+    await rig.submit(job("a", max_attempts=2))
+    failed = Outcome(OutcomeKind.FAILED, "boom")
+    for _ in range(2):
+        rig.host.on_mail(KEEPER, report(rig, failed))
+        await asyncio.sleep(10.0)
+    view = (await rig.view("a")).jobs[0]
+    assert view.outcome == failed
+    assert view.n_attempts == 2
+
+
+async def orders_come_in_pages(rig: Rig) -> None:
+    specs = [
+        job(name, order_name=OrderName("o"), record_name=name) for name in ("a", "b")
+    ]
+    await rig.submit(*specs, job("c", order_name=OrderName("o")))
+    query = OrderQuery(SHARD, "q", TEAM, OrderName("o"))
+    rig.host.on_mail("desk", query)
+    await asyncio.sleep(1.0)
+    page = rig.last(OrderAnswer)
+    assert isinstance(page, OrderAnswer)
+    assert [view.job_id for view in page.jobs] == ["a", "b"]
+    assert page.more
+
+
+async def claims_are_granted_once(rig: Rig) -> None:
+    async def claim(request: str, nonce: str) -> ClaimAnswer:
+        rig.host.on_mail("desk", ClaimRequest(SHARD, "q", RequestId(request), nonce))
+        await asyncio.sleep(1.0)
+        answer = rig.last(ClaimAnswer)
+        assert isinstance(answer, ClaimAnswer)
+        return answer
+
+    assert (await claim("r", "1")).state == ClaimState.GRANTED.value
+    assert (await claim("r", "1")).state == ClaimState.GRANTED.value
+    assert (await claim("r", "2")).state == ClaimState.TAKEN.value
+    done = Outcome(OutcomeKind.DONE, "", b"x")
+    rig.host.on_mail("desk", SettleClaim(SHARD, "q", RequestId("r"), done))
+    assert (await claim("r", "2")).outcome == done
+    assert (await claim("s", "1")).state == ClaimState.GRANTED.value
+    assert (await claim("t", "1")).state == ClaimState.UNAVAILABLE.value
+    await asyncio.sleep(250.0)
+    assert (await claim("t", "1")).state == ClaimState.GRANTED.value
+
+
+async def a_silent_owner_is_replaced_within_seconds(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    await rig.host.close()
+    heir = rig.new_host("owner-2")
+    assert await rig.own(heir) < 8.0
+    owner = heir.owner(SHARD)
+    assert owner is not None
+    assert owner.log.epoch == 2
+    assert list(owner.book.jobs) == ["a"]
+
+
+async def a_live_owner_is_not_replaced(rig: Rig) -> None:
+    heir = rig.new_host("owner-2")
+    heir.nominate(SHARD)
+    await asyncio.sleep(20.0)
+    assert heir.owned() == ()
+    assert rig.host.owned() != ()
+
+
+async def a_hand_over_takes_less_than_a_second(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    heir = rig.new_host("owner-2")
+    began_s = rig.loop.time()
+    await rig.host.drain()
+    await rig.own(heir)
+    assert rig.loop.time() - began_s < 1.0
+
+
+async def dead_chunks_are_deleted(rig: Rig) -> None:
+    payload = StageSpec(TaskClass("cut"), SHAPE, 1.0, b"x" * 20_000)
+    for number in range(40):
+        spec = JobSpec(JobId(f"j{number}"), TEAM, (payload,))
+        await rig.submit(spec)
+        ids = (spec.job_id,)
+        rig.host.on_mail("desk", CancelJobs(SHARD, "q", TEAM, ids))
+        await asyncio.sleep(120.0)
+    store = MemoryStore(rig.core)
+    owner = rig.host.owner(SHARD)
+    assert owner is not None
+    assert owner.log.counters.n_snapshots > 0
+    found = rig.core.get_range("chunks/").items
+    assert len(found) == len(owner.log.head.chunks)
+    for ref in owner.log.head.chunks:
+        answer = await store.get(ref.key)
+        assert isinstance(answer, Found) and answer.item is not None
+
+
+Case = Callable[[Rig], Awaitable[None]]
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(case, id=case.__name__)
+        for case in (
+            renewals_wait_for_a_fresh_commit,
+            lost_attempts_are_given_up_after_the_whole_wait,
+            lost_work_that_may_have_run_is_unknown,
+            submissions_are_idempotent,
+            answers_are_kept_and_then_dropped,
+            cancelled_jobs_say_whether_they_may_have_run,
+            jobs_that_fit_nowhere_are_infeasible,
+            failing_jobs_use_up_their_attempts,
+            orders_come_in_pages,
+            claims_are_granted_once,
+            a_silent_owner_is_replaced_within_seconds,
+            a_live_owner_is_not_replaced,
+            a_hand_over_takes_less_than_a_second,
+            dead_chunks_are_deleted,
+        )
+    ],
+)
+def test_owner(case: Case) -> None:
+    async def main() -> None:
+        rig = Rig()
+        await rig.own(rig.host)
+        await case(rig)
+        for host in rig.hosts.values():
+            await host.close()
+
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(main())
+    finally:
+        loop.close()
+    assert loop.errors == []
