--- a/packages/admin/almondspan_admin/config_submit.py
+++ b/packages/admin/almondspan_admin/config_submit.py
@@ -179,6 +179,8 @@
         if stored.config is not None:
             if stored.config.nonce == self._submission.nonce:
                 return ConfigAccepted(stored.config.revision)
+            if stored.config is current and self._is_in_force(current):
+                return ConfigAccepted(current.revision)
         revision = current.revision if current is not None else 0
         if revision != self._submission.expected_revision:
             return await self._explain_conflict(current)
@@ -189,6 +191,11 @@
                 return None
         return await self._replace(stored)
 
+    def _is_in_force(self, current: StoredConfig) -> bool:
+        """Tell whether the submission would change nothing."""
+        is_expected = current.revision == self._submission.expected_revision
+        return is_expected and current.toml == self._submission.toml
+
     def _in_force(self, stored: StoredKey) -> StoredConfig | None:
         """Return what is in force, which a store that went back may have lost."""
         held, config = self._held, stored.config
--- a/packages/operator/almondspan/job_commands.py
+++ b/packages/operator/almondspan/job_commands.py
@@ -159,7 +159,7 @@
     text = job.outcome.kind.value
     if job.outcome.reason:
         text += f": {job.outcome.reason}"
-    if job.outcome.may_have_run and job.outcome.kind is not OutcomeKind.DONE:
+    if job.outcome.may_have_run and job.outcome.kind is OutcomeKind.CANCELLED:
         text += " (may have run)"
     return text
 
--- a/packages/operator/almondspan/order_report.py
+++ b/packages/operator/almondspan/order_report.py
@@ -230,7 +230,7 @@
             notes.append(RecordNote(name, "not_ordered", "no record of the file"))
         if job.outcome is not None and not _is_delivered(job):
             reason = job.outcome.reason or "no reason was given"
-            if job.outcome.may_have_run:
+            if job.outcome.kind is OutcomeKind.CANCELLED and job.outcome.may_have_run:
                 reason += " (it may have run)"
             notes.append(RecordNote(name, job.outcome.kind.value, reason))
         elif job.ended_unix_s > ledger.order.deadline_unix_s:
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -109,7 +109,8 @@
     "revision {revision} cannot be read by this release of almondspan: {fault}"
 )
 DRAINING: Final = (
-    "{agent_id} drains: it takes no new work and leaves when its work has ended"
+    "{agent_id} drains: it takes no new work; stop its process when it shows no task "
+    "and no shard any more"
 )
 LOSS_NEXT: Final = (
     "to declare it, within five minutes: almondspan lost {kind} {name} --token {token}"
