--- a/packages/admin/almondspan_admin/config_submit.py
+++ b/packages/admin/almondspan_admin/config_submit.py
@@ -113,7 +113,7 @@
 
 
 def check_submission(
-    submission: ConfigSubmission, policies: KnownPolicies | None
+    submission: ConfigSubmission, policies: KnownPolicies
 ) -> ConfigRefused | None:
     """Return why a submission is refused, whatever the store holds."""
     parsed = parse_fleet(submission.toml, policies=policies)
--- a/packages/admin/almondspan_admin/relay.py
+++ b/packages/admin/almondspan_admin/relay.py
@@ -23,6 +23,7 @@
 )
 from almondspan_admin.stored_config import CURRENT_KEY, StoredConfig
 from almondspan_decisions.fleet_document import KnownPolicies
+from almondspan_decisions.policy_names import known_policies
 from almondspan_platform.store import Revision, Store, Unavailable, WatchLost
 from almondspan_wire.membership import ConfigPush
 
@@ -43,7 +44,7 @@
     refresh_s: float = 1.0
     retry_s: float = 1.0
     submit: SubmitOptions = field(default_factory=SubmitOptions)
-    policies: KnownPolicies | None = None
+    policies: KnownPolicies = field(default_factory=known_policies)
 
 
 class ConfigRelay:
--- a/packages/operator/almondspan/config_commands.py
+++ b/packages/operator/almondspan/config_commands.py
@@ -34,6 +34,7 @@
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.fleet_diff import diff_fleets
 from almondspan_decisions.fleet_document import ConfigFaults, parse_fleet
+from almondspan_decisions.policy_names import known_policies
 
 __all__ = [
     "ConfigFile",
@@ -60,7 +61,7 @@
 
 def check_config(file: str, text: str) -> ConfigFile | Result:
     """Return the configuration in a file's text, or a result with every fault."""
-    parsed = parse_fleet(text)
+    parsed = parse_fleet(text, policies=known_policies())
     if isinstance(parsed, ConfigFaults):
         lines = [FILE_FAULT.format(file=file, fault=fault) for fault in parsed.faults]
         return Result(ExitCode.USAGE, "\n".join(lines), {"faults": parsed.faults})
--- a/packages/operator/almondspan/plan.py
+++ b/packages/operator/almondspan/plan.py
@@ -62,6 +62,7 @@
     TeamName,
 )
 from almondspan_decisions.orders import record_job_id
+from almondspan_decisions.policy_names import known_policies
 from almondspan_decisions.shapes import Shape
 from almondspan_decisions.tasks import JobSpec, StageSpec
 
@@ -230,7 +231,7 @@
         """Return the canonical configuration, or every fault of it."""
         if self._faults:
             return FileFaults(tuple(self._faults))
-        parsed = parse_fleet(canonical_fleet(self.config()))
+        parsed = parse_fleet(canonical_fleet(self.config()), policies=known_policies())
         if isinstance(parsed, ConfigFaults):
             return _faults_of(parsed)
         return canonical_fleet(parsed)
--- a/tests/admin/test_relay.py
+++ b/tests/admin/test_relay.py
@@ -195,6 +195,9 @@
     [
         pytest.param("[[teams]]", "name", id="missing keys"),
         pytest.param(FLEET.replace("operator = true", ""), "operator", id="lock-out"),
+        pytest.param(
+            FLEET + '[policies]\nladder = "none"', "no_control", id="unknown policy"
+        ),
         pytest.param(FLEET + "#" * 1_000_000, "bytes", id="too large"),
     ],
 )
--- a/tests/operator/test_plan.py
+++ b/tests/operator/test_plan.py
@@ -105,6 +105,12 @@
             "orders.late.stages",
             id="unknown stage",
         ),
+        pytest.param(
+            lambda plan: plan.policies(queue="lifo"),
+            "config_text",
+            "policies.queue",
+            id="unknown policy",
+        ),
         pytest.param(
             lambda plan: plan.job("c", "water", ["cut"]),
             "jobs_text",
