Read streams without aiohttp's private names

Cause: http_calls named a private class of aiohttp and closed responses by hand. Change: an exit stack closes the response of a stream. Measured: tests/platform and tests/standins pass. Conclusion: no behaviour changed.

--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -11,11 +11,11 @@
 import asyncio
 import math
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
 from dataclasses import dataclass
 from typing import Final
 
 import aiohttp
-from aiohttp.client import _RequestContextManager
 
 from almondspan_platform.registry import DEFAULT_LIMITS, CallLimits, TlsSource
 from almondspan_platform.token_bucket import TokenBucket
@@ -147,23 +147,22 @@
         if isinstance(pool, CallFailed):
             yield pool
             return
-        response: aiohttp.ClientResponse | None = None
         try:
-            async with asyncio.timeout(silence_s):
-                response = await self._request(pool, "POST", url, body)
-            if response.status != 200:
-                yield _refusal(response, await _read_within(response, silence_s))
-                return
-            splitter = _LineSplitter()
-            while chunk := await _chunk_within(response, silence_s):
-                for line in splitter.split(chunk):
-                    yield line
+            async with AsyncExitStack() as stack:
+                async with asyncio.timeout(silence_s):
+                    request = self._request(pool, "POST", url, body)
+                    response = await stack.enter_async_context(request)
+                if response.status != 200:
+                    yield _refusal(response, await _read_within(response, silence_s))
+                    return
+                splitter = _LineSplitter()
+                while chunk := await _chunk_within(response, silence_s):
+                    for line in splitter.split(chunk):
+                        yield line
             failure = CallFailed("the service ended the stream", False)
         except _EXPECTED_ERRORS as error:
             failure = self._on_error(pool, error)
         finally:
-            if response is not None:
-                response.close()
             await self._leave(pool)
         yield failure
 
@@ -179,7 +178,7 @@
 
     def _request(
         self, pool: _Pool, method: str, url: str, body: bytes | None
-    ) -> "_RequestContextManager":
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         return pool.session.request(
             method,
             url,
