--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 MODULES := $(notdir $(wildcard packages/*/almondspan*))
 SEED ?= 1
 
-.PHONY: help install test lint format types demo soak mutants measure slopes capacity
+.PHONY: help install test lint format types demo soak mutants measure load slopes capacity
 
 help:
 	@echo "install  make the virtual environment from the pinned versions"
@@ -23,6 +23,7 @@
 	@echo "soak     2,000 random schedules of faults against the tasks (SEED=n)"
 	@echo "mutants  show that deliberate breakages are caught"
 	@echo "measure  compare the policies with baselines on real processes"
+	@echo "load     94 starts a second for a minute, with the store's calls counted"
 	@echo "slopes   measure what each role costs, as JSON; capacity renders the page"
 
 $(STAMP):
@@ -59,6 +60,9 @@
 measure: install
 	$(RUN) misc/measure.py
 
+load: install
+	$(RUN) misc/load_starts.py
+
 slopes: install
 	$(RUN) misc/slopes.py
 
