Show that unknown writes are settled by reading back

Cause: docs/PLATFORM.md states how a writer settles an unknown write, and only single faults held it to that. Change: a random exchange of four writers under outages, slow calls and lost answers adds each nonce once, over every adapter; the detector of duplicate runs is named for what it does. Conclusion: the rule holds for both adapters under joined faults.

--- a/packages/standins/almondspan_standins/task_witness.py
+++ b/packages/standins/almondspan_standins/duplicate_runs.py
@@ -5,11 +5,11 @@
 from almondspan_decisions.ids import TaskId, WorkerId
 from almondspan_standins.worker_attempt import AttemptKey
 
-__all__ = ["TaskWitness", "WitnessedWorker"]
+__all__ = ["DuplicateRunDetector", "SteppedWorker"]
 
 
-class WitnessedWorker(Protocol):
-    """A worker as the witness needs it."""
+class SteppedWorker(Protocol):
+    """A worker as the detector needs it."""
 
     @property
     def worker_id(self) -> WorkerId:
@@ -21,15 +21,15 @@
         ...
 
 
-class TaskWitness:
+class DuplicateRunDetector:
     """Counts tasks that run in two places at once, over the workers that share it."""
 
     def __init__(self) -> None:
         self._places: dict[TaskId, set[tuple[WorkerId, int]]] = {}
-        self._cores: dict[WorkerId, WitnessedWorker] = {}
+        self._cores: dict[WorkerId, SteppedWorker] = {}
         self.n_in_two_places = 0
 
-    def add_worker(self, core: WitnessedWorker) -> None:
+    def add_worker(self, core: SteppedWorker) -> None:
         """Take a worker into account."""
         self._cores[core.worker_id] = core
 
--- a/packages/standins/almondspan_standins/node.py
+++ b/packages/standins/almondspan_standins/node.py
@@ -28,7 +28,7 @@
 )
 from almondspan_standins.worker import add_worker_arguments, make_core
 from almondspan_standins.worker_app import WorkerApp
-from almondspan_standins.worker_core import Effect, TaskWitness, WorkerCore
+from almondspan_standins.worker_core import DuplicateRunDetector, Effect, WorkerCore
 
 __all__ = ["NodeAddresses", "NodesDebug", "NodesListening", "main"]
 
@@ -82,10 +82,10 @@
     options: argparse.Namespace,
     index: int,
     model: InterferenceModel | None,
-    witness: TaskWitness,
+    detector: DuplicateRunDetector,
 ) -> _Node:
     seed = options.seed + index
-    core = make_core(options, f"{options.worker_prefix}{index + 1}", model, witness)
+    core = make_core(options, f"{options.worker_prefix}{index + 1}", model, detector)
     runner = make_runner(options, seed)
     if model is not None:
         colocate(core, runner, model)
@@ -95,14 +95,14 @@
     return _Node(core, runner, worker_server, runner_server)
 
 
-def _describe(nodes: tuple[_Node, ...], witness: TaskWitness) -> NodesDebug:
+def _describe(nodes: tuple[_Node, ...], detector: DuplicateRunDetector) -> NodesDebug:
     cores = [node.core for node in nodes]
     for core in cores:
         core.advance()
     runners = [node.runner.describe() for node in nodes]
     return NodesDebug(
         n_nodes=len(nodes),
-        n_tasks_in_two_places=witness.n_in_two_places,
+        n_tasks_in_two_places=detector.n_in_two_places,
         n_over_capacity=sum(one.n_over_capacity for one in cores),
         n_duplicate_running=sum(one.n_duplicate_running for one in cores),
         n_started=sum(one.n_started for one in cores),
@@ -119,14 +119,14 @@
 
 async def _serve(options: argparse.Namespace) -> None:
     model = None if options.interference is None else load_model(options.interference)
-    witness = TaskWitness()
+    detector = DuplicateRunDetector()
     nodes = tuple(
-        _make_node(options, index, model, witness) for index in range(options.n_nodes)
+        _make_node(options, index, model, detector) for index in range(options.n_nodes)
     )
     control = web.Application()
 
     async def show(request: web.Request) -> web.Response:
-        return json_answer(_describe(nodes, witness))
+        return json_answer(_describe(nodes, detector))
 
     control.router.add_get("/debug", show)
     control_server = HttpServer(control)
--- a/packages/standins/almondspan_standins/worker.py
+++ b/packages/standins/almondspan_standins/worker.py
@@ -17,7 +17,11 @@
     serve,
 )
 from almondspan_standins.worker_app import WorkerApp
-from almondspan_standins.worker_core import TaskWitness, WorkerCore, WorkerOptions
+from almondspan_standins.worker_core import (
+    DuplicateRunDetector,
+    WorkerCore,
+    WorkerOptions,
+)
 
 __all__ = ["add_worker_arguments", "main", "make_core"]
 
@@ -37,7 +41,7 @@
     options: argparse.Namespace,
     worker_id: str,
     model: InterferenceModel | None = None,
-    witness: TaskWitness | None = None,
+    detector: DuplicateRunDetector | None = None,
 ) -> WorkerCore:
     """Return a worker of the size that the options give.
 
@@ -51,7 +55,7 @@
         Shape(options.cpu_millicores, options.memory_mb, options.accelerators),
         asyncio.get_running_loop().time,
         WorkerOptions(options.lease_s, lag_s, options.checkpoint_s),
-        witness,
+        detector,
     )
 
 
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -26,8 +26,8 @@
     WorkerInfo,
     WorkerUsage,
 )
+from almondspan_standins.duplicate_runs import DuplicateRunDetector
 from almondspan_standins.faults import WorkerFaults
-from almondspan_standins.task_witness import TaskWitness
 from almondspan_standins.usage_log import UsageLog
 from almondspan_standins.worker_attempt import Attempt, AttemptEnd, AttemptKey
 from almondspan_standins.worker_payload import (
@@ -39,7 +39,13 @@
     task_payload,
 )
 
-__all__ = ["Effect", "TaskWitness", "WorkerCore", "WorkerOptions", "task_payload"]
+__all__ = [
+    "Effect",
+    "DuplicateRunDetector",
+    "WorkerCore",
+    "WorkerOptions",
+    "task_payload",
+]
 
 SlowdownOf = Callable[[TaskClass], float]
 
@@ -72,13 +78,13 @@
         capacity: Shape,
         now: Callable[[], float],
         options: WorkerOptions = WorkerOptions(),
-        witness: TaskWitness | None = None,
+        detector: DuplicateRunDetector | None = None,
     ) -> None:
         self.worker_id: Final = worker_id
         self.capacity: Final = capacity
         self._now: Final = now
         self._options: Final = options
-        self._witness: Final = witness
+        self._detector: Final = detector
         self._attempts: dict[AttemptKey, Attempt] = {}
         self._forgotten: set[AttemptKey] = set()
         self._usage: Final = UsageLog(now(), options.usage_lag_s)
@@ -90,8 +96,8 @@
         self.n_evicted = 0
         self.n_over_capacity = 0
         self.n_duplicate_running = 0
-        if witness is not None:
-            witness.add_worker(self)
+        if detector is not None:
+            detector.add_worker(self)
 
     def info(self) -> WorkerInfo:
         """Return the capacity and the lease time."""
@@ -238,8 +244,8 @@
         )
         self._attempts[attempt.key] = attempt
         self.n_started += 1
-        if self._witness is not None:
-            self._witness.on_started(self.worker_id, attempt.key)
+        if self._detector is not None:
+            self._detector.on_started(self.worker_id, attempt.key)
         if payload.fail == "infeasible":
             self._end(attempt, AttemptEnd.FINISHED)
         self._on_load_changed()
@@ -256,8 +262,8 @@
             )
         if end is AttemptEnd.CHECKPOINTED:
             attempt.checkpoint = msgspec.json.encode(Progress(attempt.done_s))
-        if self._witness is not None:
-            self._witness.on_ended(self.worker_id, attempt.key)
+        if self._detector is not None:
+            self._detector.on_ended(self.worker_id, attempt.key)
         self._on_load_changed()
 
     def _finish(self, attempt: Attempt) -> Outcome:
--- a/tests/platform/test_store_contract.py
+++ b/tests/platform/test_store_contract.py
@@ -1,6 +1,7 @@
 """The contract of `Store`, over every adapter, with faults in tables."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -201,6 +202,53 @@
         assert len(told) == 1
 
 
+async def add_one(store: Store, nonce: str) -> None:
+    """Add one to a counter, exactly once whatever becomes of the answers.
+
+    The value names every nonce that was added. A write of unknown outcome is
+    settled by the key: it is in, or the key has moved on, or a new write at the
+    same revision decides which of the two can still take effect.
+    """
+    while True:
+        found = await store.get("counter")
+        if isinstance(found, Unavailable):
+            continue
+        held = found.item.value if found.item else b""
+        if nonce.encode() in held.split():
+            return
+        revision = found.item.revision if found.item else ABSENT_REVISION
+        await store.compare_and_swap("counter", revision, held + f" {nonce}".encode())
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_unknown_writes_are_settled_by_reading_back(
+    rig: StoreRig, seed: int
+) -> None:
+    rng = random.Random(seed)
+    stores = [await rig.client(call_timeout_s=BRIEF_S) for _ in range(4)]
+
+    async def add(index: int) -> None:
+        for n in range(6):
+            await add_one(stores[index], f"{index}-{n}")
+
+    async def disturb() -> None:
+        while True:
+            rig.core.faults = StoreFaults(
+                outage=rng.random() < 0.2,
+                delay_s=rng.choice([0.0, 0.0, 0.5 * BRIEF_S, 1.5 * BRIEF_S]),
+                lose_answer_share=rng.choice([0.0, 0.5]),
+            )
+            await asyncio.sleep(rng.uniform(0.0, BRIEF_S))
+
+    disturbing = asyncio.create_task(disturb())
+    await asyncio.gather(*(add(index) for index in range(4)))
+    disturbing.cancel()
+    rig.core.faults = StoreFaults()
+    await asyncio.sleep(2 * BRIEF_S)
+    added = (await value_of(stores[0], "counter") or b"").decode().split()
+    assert sorted(added) == sorted(f"{i}-{n}" for i in range(4) for n in range(6))
+
+
 async def test_watch_yields_what_is_later(rig: StoreRig) -> None:
     store = await rig.client()
     after = await create(store, "a/1")
--- a/tests/standins/test_interference.py
+++ b/tests/standins/test_interference.py
@@ -13,7 +13,11 @@
 from almondspan_standins.colocation import colocate
 from almondspan_standins.interference import InterferenceModel, PairEffect, load_model
 from almondspan_standins.runner_app import RunnerApp, RunnerOptions
-from almondspan_standins.worker_core import TaskWitness, WorkerCore, task_payload
+from almondspan_standins.worker_core import (
+    DuplicateRunDetector,
+    WorkerCore,
+    task_payload,
+)
 
 FILES = Path(__file__).resolve().parents[2] / "misc" / "interference"
 CLIPS, ALIGN, CUT = ServiceName("clips"), TaskClass("align"), TaskClass("cut")
@@ -118,8 +122,10 @@
     )
 
 
-def make_core(name: str, clock: Clock, witness: TaskWitness | None) -> WorkerCore:
-    return WorkerCore(WorkerId(name), Shape(1000, 1000, 0), clock, witness=witness)
+def make_core(
+    name: str, clock: Clock, detector: DuplicateRunDetector | None
+) -> WorkerCore:
+    return WorkerCore(WorkerId(name), Shape(1000, 1000, 0), clock, detector=detector)
 
 
 def test_colocated_sides_slow_each_other_down() -> None:
@@ -155,13 +161,13 @@
         pytest.param(9.0, 0, id="long-after"),
     ],
 )
-def test_witness_counts_tasks_in_two_places(
+def test_detector_counts_tasks_in_two_places(
     second_starts_s: float, n_in_two_places: int
 ) -> None:
     clock = Clock()
-    witness = TaskWitness()
-    first, second = (make_core(name, clock, witness) for name in ("w1", "w2"))
+    detector = DuplicateRunDetector()
+    first, second = (make_core(name, clock, detector) for name in ("w1", "w2"))
     assert first.start_attempt(attempt(CUT)) is StartResult.STARTED
     clock.now_s = second_starts_s
     assert second.start_attempt(attempt(CUT, 2)) is StartResult.STARTED
-    assert witness.n_in_two_places == n_in_two_places
+    assert detector.n_in_two_places == n_in_two_places
