--- a/packages/admin/almondspan_admin/relay.py
+++ b/packages/admin/almondspan_admin/relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
 )
 from almondspan_admin.stored_config import CURRENT_KEY, StoredConfig
 from almondspan_decisions.fleet_document import KnownPolicies
+from almondspan_decisions.policy_names import known_policies
 from almondspan_platform.store import Revision, Store, Unavailable, WatchLost
 from almondspan_wire.membership import ConfigPush
 
@@ -34,13 +36,15 @@
 class RelayOptions:
     """How often the relay reads, and how it submits.
 
+    ``refresh_s`` is the least time between reads that requests ask for.
     ``policies`` are the names that a submitted configuration may give.
     """
 
     reread_s: float = 4.0
+    refresh_s: float = 1.0
     retry_s: float = 1.0
     submit: SubmitOptions = field(default_factory=SubmitOptions)
-    policies: KnownPolicies | None = None
+    policies: KnownPolicies = field(default_factory=known_policies)
 
 
 class ConfigRelay:
@@ -71,6 +75,7 @@
         self._rng = rng or random.Random(0)
         self._push: ConfigPush | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._refreshed_s = -math.inf
         self.n_older_refused = 0
         self.n_watches_lost = 0
 
@@ -106,6 +111,17 @@
         self._on_change(push)
         return True
 
+    async def refresh(self) -> None:
+        """Read now, for a request that a newer configuration might allow.
+
+        At most one read in ``refresh_s``, whoever asks; an unavailable store
+        leaves the copy as it is.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._refreshed_s >= self._options.refresh_s:
+            self._refreshed_s = now_s
+            await self._keys.read()
+
     async def submit(self, submission: ConfigSubmission) -> SubmitOutcome:
         """Replace the configuration if it is at the expected revision."""
         refused = check_submission(submission, self._options.policies)
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -5,28 +5,44 @@
 __all__ = [
     "AGENT_HEADERS",
     "ALREADY_IN_FORCE",
+    "BURN_ALERT_HEADERS",
+    "BURN_NO_SERVICE",
+    "BURN_PAGE_WRITTEN",
+    "BURN_WINDOW_HEADERS",
     "CONFIG_ACCEPTED",
+    "CONFIG_AGENTS",
     "CONFIG_HEADER",
+    "CONFIG_IN_FORCE",
+    "CONFIG_NONE",
     "CONFIG_OK",
+    "CONFLICT_BASE_GONE",
+    "CONFLICT_CLASHES",
     "CONFLICT_NEXT",
+    "CONFLICT_OURS",
+    "CONFLICT_THEIRS",
     "CONFLICT_TITLE",
     "DRAINING",
     "FILE_FAULT",
     "HISTORY_HEADERS",
+    "JOB_CONFLICT",
     "JOB_HEADERS",
     "LOSS_DECLARED",
     "LOSS_NEXT",
+    "MORE_NOTES",
     "NO_ANSWER",
     "NO_DIFFERENCE",
     "NO_ENTRIES",
     "NO_EXPECTED",
+    "NO_PLOTS",
     "NO_TOKEN",
+    "PLAIN_REFUSED",
     "PLAN_USAGE",
     "REFUSED",
     "SHARD_HEADERS",
     "SUBMITTED",
     "TOKEN_MADE",
     "UNKNOWN_RESULT",
+    "UNREADABLE_REVISION",
 ]
 
 PLAN_USAGE: Final = """\
@@ -55,6 +71,12 @@
 )
 
 CONFIG_HEADER: Final = "# revision {revision}"
+CONFIG_IN_FORCE: Final = "revision {revision} is in force"
+CONFIG_NONE: Final = (
+    "no configuration is in force yet; submit the first with --expected 0 and the "
+    "bootstrap token"
+)
+CONFIG_AGENTS: Final = "{n_agents} agents are known, {n_silent} silent"
 CONFIG_OK: Final = "{file}: in order ({n_teams} teams, {n_orders} orders)"
 CONFIG_ACCEPTED: Final = "accepted as revision {revision}"
 ALREADY_IN_FORCE: Final = "revision {revision} already holds exactly this"
@@ -63,6 +85,10 @@
     "conflict: you edited revision {expected}; revision {revision} is in force, "
     "by {author} at {time}. Nothing was changed."
 )
+CONFLICT_THEIRS: Final = "their changes since revision {expected}:"
+CONFLICT_OURS: Final = "your changes since revision {expected}:"
+CONFLICT_CLASHES: Final = "both changed, differently: {clashes}"
+CONFLICT_BASE_GONE: Final = "revision {expected} is not kept; yours against theirs:"
 CONFLICT_NEXT: Final = (
     "next: take their changes into your plan, then submit with --expected {revision}"
 )
@@ -71,8 +97,20 @@
     "{n_accepted} accepted, {n_known} known already, {n_conflicts} conflicts, "
     "{n_refused} refused"
 )
+MORE_NOTES: Final = "  and {n_more} more; --json names all"
+JOB_CONFLICT: Final = (
+    "a job in conflict goes on as it was first submitted; the file differs from that"
+)
+PLAIN_REFUSED: Final = (
+    "{address} would carry the token without encryption beyond this machine; use an "
+    "https address, or set ALMONDSPAN_ALLOW_PLAIN=1"
+)
+UNREADABLE_REVISION: Final = (
+    "revision {revision} cannot be read by this release of almondspan: {fault}"
+)
 DRAINING: Final = (
-    "{agent_id} drains: it takes no new work and leaves when its work has ended"
+    "{agent_id} drains: it takes no new work; stop its process when it shows no task "
+    "and no shard any more"
 )
 LOSS_NEXT: Final = (
     "to declare it, within five minutes: almondspan lost {kind} {name} --token {token}"
@@ -96,5 +134,10 @@
     "SILENT S",
     "STATE",
 )
+BURN_WINDOW_HEADERS: Final = ("WINDOW", "BURN", "CALLS", "MISSED")
+BURN_ALERT_HEADERS: Final = ("ALERT", "WINDOWS", "THRESHOLD", "BURN", "STATE")
+BURN_NO_SERVICE: Final = "no service is configured, or this entry has no figures"
+BURN_PAGE_WRITTEN: Final = "the page is in {file}"
+NO_PLOTS: Final = "the page needs matplotlib: pip install 'almondspan[plots]' ({error})"
 SHARD_HEADERS: Final = ("SHARD", "OWNER", "EPOCH")
 HISTORY_HEADERS: Final = ("REVISION", "AUTHOR", "SUBMITTED", "BYTES")
--- a/packages/standins/almondspan_standins/store_app.py
+++ b/packages/standins/almondspan_standins/store_app.py
@@ -7,19 +7,29 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
 
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.store import (
-    KeyValue,
     LeaseId,
     LeaseLapsed,
     Revision,
     Swapped,
 )
+from almondspan_platform.token_bucket import TokenBucket
+from almondspan_standins.etcd_answers import (
+    LEASE_NOT_FOUND,
+    error_answer,
+    event_of_change,
+    only_change,
+    prefix_of_range,
+    range_response,
+)
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.serving import (
     JSON_TYPE,
@@ -30,18 +40,38 @@
 )
 from almondspan_standins.store_core import Change, Compacted, LeaseUnknown, StoreCore
 
-__all__ = ["StoreApp", "StoreDebug"]
+__all__ = ["StoreApp", "StoreDebug", "StoreRates"]
 
 PROGRESS_S: Final = 2.0
 
+BURST_S: Final = 0.25
+"""The time whose calls may come all at once."""
+
+READ_PATHS: Final = frozenset({"/v3/kv/range", "/v3/watch"})
+
 Answer = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRates:
+    """The calls a second that the store takes; those beyond wait, then are refused.
+
+    A call waits for at most ``wait_s`` seconds. Writes are transactions and leases,
+    reads are ranges and opened watches.
+    """
+
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+    wait_s: float = 1.0
+
+
 class StoreDebug(msgspec.Struct, frozen=True):
     """What the store counts; a waiting watch is one call of kind ``watch``."""
 
     revision: int
     n_calls: dict[str, int]
+    n_peak_per_s: dict[str, int]
+    n_refused: int
     n_watches_open: int
     faults: StoreFaults
 
@@ -50,13 +80,22 @@
     """The HTTP handlers of one store."""
 
     def __init__(
-        self, core: StoreCore, rng: random.Random, progress_s: float = PROGRESS_S
+        self,
+        core: StoreCore,
+        rng: random.Random,
+        progress_s: float = PROGRESS_S,
+        rates: StoreRates = StoreRates(),
     ) -> None:
         self._core: Final = core
+        self._rates: Final = rates
+        self._writes: Final = _bucket(rates.writes_per_s)
+        self._reads: Final = _bucket(rates.reads_per_s)
         self._progress_s: Final = progress_s
         self._now: Final = asyncio.get_running_loop().time
         faults = fault_middleware(lambda: core.faults, rng)
-        self.app: Final = web.Application(middlewares=[faults], client_max_size=2**22)
+        self.app: Final = web.Application(
+            middlewares=[faults, self._bound_rate()], client_max_size=2**22
+        )
         routes: dict[str, Answer] = {
             "/v3/kv/range": self._range,
             "/v3/kv/txn": self._txn,
@@ -74,26 +113,51 @@
         """Return the counters."""
         core = self._core
         n_calls = {kind.value: n for kind, n in core.n_calls.items()}
-        return StoreDebug(core.revision, n_calls, core.n_watches_open, core.faults)
+        return StoreDebug(
+            revision=core.revision,
+            n_calls=n_calls,
+            n_peak_per_s={kind.value: n for kind, n in core.n_peak_per_s.items()},
+            n_refused=self._writes.n_refused + self._reads.n_refused,
+            n_watches_open=core.n_watches_open,
+            faults=core.faults,
+        )
 
     def _set_faults(self, faults: StoreFaults) -> None:
         self._core.faults = faults
 
+    def _bound_rate(self) -> Middleware:
+        @web.middleware
+        async def bound(request: web.Request, handler: Handler) -> web.StreamResponse:
+            if request.path.startswith("/debug"):
+                return await handler(request)
+            is_read = request.path in READ_PATHS
+            bucket = self._reads if is_read else self._writes
+            await request.read()
+            if not await bucket.acquire(self._now() + self._rates.wait_s):
+                return error_answer(
+                    etcd.CODE_EXHAUSTED, "etcdserver: too many requests"
+                )
+            return await handler(request)
+
+        return bound
+
     def _header(self) -> etcd.ResponseHeader:
         return etcd.ResponseHeader("1", "1", str(self._core.revision), "1")
 
     async def _range(self, request: web.Request) -> web.Response:
         body = await read_json(request, etcd.RangeRequest)
         if body.range_end:
-            items = self._core.get_range(_prefix(body.key, body.range_end)).items
+            items = self._core.get_range(
+                prefix_of_range(body.key, body.range_end)
+            ).items
         else:
             item = self._core.get(body.key.decode())
             items = () if item is None else (item,)
-        return json_answer(_range_response(self._header(), items))
+        return json_answer(range_response(self._header(), items))
 
     async def _txn(self, request: web.Request) -> web.Response:
         body = await read_json(request, etcd.TxnRequest)
-        compare, change = _only_change(body)
+        compare, change = only_change(body)
         put = change.request_put
         lease_id = LeaseId(int(put.lease)) if put is not None else LeaseId(0)
         outcome = self._core.compare_and_swap(
@@ -103,7 +167,7 @@
             lease_id or None,
         )
         if isinstance(outcome, LeaseUnknown):
-            return _error("etcdserver: requested lease not found")
+            return error_answer(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
         if isinstance(outcome, Swapped):
             done = etcd.PutResponse(self._header())
             response = etcd.ResponseOp(response_put=done)
@@ -111,7 +175,7 @@
                 response = etcd.ResponseOp(response_delete_range=done)
             return json_answer(etcd.TxnResponse(self._header(), True, (response,)))
         items = () if outcome.item is None else (outcome.item,)
-        read = _range_response(self._header(), items)
+        read = range_response(self._header(), items)
         response = etcd.ResponseOp(response_range=read)
         return json_answer(etcd.TxnResponse(self._header(), False, (response,)))
 
@@ -135,7 +199,7 @@
         body = await read_json(request, etcd.LeaseRevokeRequest)
         lease_id = LeaseId(int(body.ID))
         if not self._core.holds_lease(lease_id):
-            return _error("etcdserver: requested lease not found")
+            return error_answer(etcd.CODE_NOT_FOUND, LEASE_NOT_FOUND)
         self._core.revoke_lease(lease_id)
         return json_answer(etcd.PutResponse(self._header()))
 
@@ -163,7 +227,7 @@
         A stream that has once gone silent stays so: it stands for a connection
         that something on its way no longer knows.
         """
-        prefix = _prefix(body.key, body.range_end)
+        prefix = prefix_of_range(body.key, body.range_end)
         after = Revision(int(body.start_revision) - 1)
         await _send_line(response, etcd.WatchResponse(self._header(), created=True))
         sent_s = self._now()
@@ -215,7 +279,7 @@
 
     def _events(self, changes: list[Change]) -> etcd.WatchResponse:
         return etcd.WatchResponse(
-            self._header(), events=tuple(_event(change) for change in changes)
+            self._header(), events=tuple(event_of_change(change) for change in changes)
         )
 
 
@@ -228,45 +292,5 @@
     return request.transport is None or request.transport.is_closing()
 
 
-def _event(change: Change) -> etcd.EtcdEvent:
-    if change.item is not None:
-        return etcd.EtcdEvent(_kv(change.item))
-    revision = str(change.revision)
-    kv = etcd.EtcdKeyValue(change.key.encode(), mod_revision=revision)
-    return etcd.EtcdEvent(kv, "DELETE")
-
-
-def _kv(item: KeyValue) -> etcd.EtcdKeyValue:
-    return etcd.EtcdKeyValue(
-        item.key.encode(), mod_revision=str(item.revision), value=item.value
-    )
-
-
-def _range_response(
-    header: etcd.ResponseHeader, items: tuple[KeyValue, ...]
-) -> etcd.RangeResponse:
-    kvs = tuple(_kv(item) for item in items)
-    return etcd.RangeResponse(header, kvs, count=str(len(kvs)))
-
-
-def _prefix(key: bytes, range_end: bytes) -> str:
-    """Return the prefix that a range stands for."""
-    prefix = b"" if key == etcd.ALL_KEYS else key
-    if range_end != etcd.range_end_of_prefix(prefix):
-        raise web.HTTPBadRequest(text="only ranges of a prefix are served")
-    return prefix.decode()
-
-
-def _only_change(body: etcd.TxnRequest) -> tuple[etcd.Compare, etcd.RequestOp]:
-    """Return the one condition and the one change of a transaction."""
-    if len(body.compare) != 1 or len(body.success) != 1:
-        raise web.HTTPBadRequest(text="only one condition and one change are served")
-    compare = body.compare[0]
-    if compare.target != "MOD" or compare.result != "EQUAL":
-        raise web.HTTPBadRequest(text="only an equal revision is served")
-    return compare, body.success[0]
-
-
-def _error(reason: str) -> web.Response:
-    body = etcd.ErrorBody(reason, etcd.CODE_NOT_FOUND, reason)
-    return json_answer(body, status=404)
+def _bucket(rate_per_s: float) -> TokenBucket:
+    return TokenBucket(rate_per_s, max(round(rate_per_s * BURST_S), 1))
--- a/tests/operator/test_plan.py
+++ b/tests/operator/test_plan.py
@@ -105,6 +105,12 @@
             "orders.late.stages",
             id="unknown stage",
         ),
+        pytest.param(
+            lambda plan: plan.policies(queue="lifo"),
+            "config_text",
+            "policies.queue",
+            id="unknown policy",
+        ),
         pytest.param(
             lambda plan: plan.job("c", "water", ["cut"]),
             "jobs_text",
@@ -183,6 +189,7 @@
     [
         pytest.param("", "(text)", "[[jobs]]", id="empty"),
         pytest.param("[", "(text)", "TOML", id="no TOML"),
+        pytest.param("a = " + "[" * 5000, "(text)", "tables", id="deep"),
         pytest.param("jobs = 1", "jobs", "tables", id="no tables"),
         pytest.param("[[job]]", "job", "jobs", id="unknown section"),
         pytest.param("[[jobs]]\nurgent = 1", "jobs.0.urgent", "true", id="flag"),
