--- a/misc/mutant_table.py
+++ b/misc/mutant_table.py
@@ -48,8 +48,8 @@
     mutant(
         "drop the tail into no chunk",
         "shard_log.py",
-        "        return (*self._head.chunks, *written), (), ()",
-        "        return (*self._head.chunks, *written[1:]), (), ()",
+        "self._merge((*self._head.chunks, *written))",
+        "self._merge((*self._head.chunks, *written[1:]))",
     ),
     mutant(
         "delete chunks before the commit",
--- a/packages/tasks/almondspan_tasks/deltas.py
+++ b/packages/tasks/almondspan_tasks/deltas.py
@@ -28,6 +28,7 @@
     "StageAdvanced",
     "decode_deltas",
     "encode_delta",
+    "join_chunks",
     "join_deltas",
 ]
 
@@ -128,6 +129,10 @@
     | ClaimDropped
 )
 
+_ARRAY_MARK: Final = b"\xdd"
+_HEAD_BYTES: Final = 5
+"""An array's mark and its 4-byte count, before the items."""
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(list[Delta])
 
@@ -140,7 +145,15 @@
 def join_deltas(encoded: Iterable[bytes]) -> bytes:
     """Return a MessagePack array of deltas that are already encoded."""
     items = list(encoded)
-    return b"\xdd" + len(items).to_bytes(4, "big") + b"".join(items)
+    return _ARRAY_MARK + len(items).to_bytes(4, "big") + b"".join(items)
+
+
+def join_chunks(chunks: Iterable[bytes]) -> bytes:
+    """Return one array of the deltas of several arrays made by `join_deltas`."""
+    parts = list(chunks)
+    n_items = sum(int.from_bytes(part[1:_HEAD_BYTES], "big") for part in parts)
+    body = b"".join(part[_HEAD_BYTES:] for part in parts)
+    return _ARRAY_MARK + n_items.to_bytes(4, "big") + body
 
 
 def decode_deltas(data: bytes) -> list[Delta]:
--- a/packages/tasks/almondspan_tasks/job_owner.py
+++ b/packages/tasks/almondspan_tasks/job_owner.py
@@ -15,7 +15,7 @@
 from almondspan_tasks.desk import ClaimState, JobState, SubmitState
 from almondspan_tasks.options import OwnerOptions
 from almondspan_tasks.shard_book import ShardBook
-from almondspan_tasks.state import Job, spec_bytes
+from almondspan_tasks.state import Job, spec_bytes, spec_digest
 from almondspan_wire.mail import Mailer
 from almondspan_wire.task_messages import (
     CancelJobs,
@@ -73,7 +73,11 @@
         return _verdict(spec, SubmitState.ACCEPTED)
 
     def _submit_again(self, known: Job, spec: JobSpec) -> SubmitVerdict:
-        if spec_bytes(known.spec) == spec_bytes(spec):
+        if known.spec_digest:
+            is_same = known.spec_digest == spec_digest(spec)
+        else:
+            is_same = spec_bytes(known.spec) == spec_bytes(spec)
+        if is_same:
             return _verdict(spec, SubmitState.ALREADY_KNOWN)
         reason = "this id belongs to a job with another team or specification"
         return _verdict(spec, SubmitState.CONFLICT, reason)
--- a/packages/tasks/almondspan_tasks/options.py
+++ b/packages/tasks/almondspan_tasks/options.py
@@ -46,9 +46,9 @@
     silence_s: float = 3.5
     linger_s: float = 0.02
     min_commit_interval_s: float = 0.25
-    tail_limit_bytes: int = 8_192
+    tail_limit_bytes: int = 2_048
     chunk_limit_bytes: int = 900_000
-    compact_n_chunks: int = 12
+    merge_n_chunks: int = 8
     compact_min_bytes: int = 65_536
     collect_interval_s: float = 300.0
     store_retry_s: float = 0.25
--- a/packages/tasks/almondspan_tasks/shard_log.py
+++ b/packages/tasks/almondspan_tasks/shard_log.py
@@ -28,6 +28,7 @@
 from almondspan_decisions.ids import AgentId, Epoch, RegionName, ShardId
 from almondspan_platform.store import (
     ABSENT_REVISION,
+    MAX_VALUE_BYTES,
     Conflict,
     Found,
     KeyValue,
@@ -36,7 +37,13 @@
     Swapped,
     Unavailable,
 )
-from almondspan_tasks.deltas import Delta, decode_deltas, encode_delta, join_deltas
+from almondspan_tasks.deltas import (
+    Delta,
+    decode_deltas,
+    encode_delta,
+    join_chunks,
+    join_deltas,
+)
 from almondspan_tasks.head import (
     NO_OWNER,
     ChunkKind,
@@ -86,6 +93,7 @@
     n_chunks_written: int = 0
     n_chunks_deleted: int = 0
     n_snapshots: int = 0
+    n_merges: int = 0
 
 
 class ShardLog:
@@ -264,13 +272,8 @@
         sizes = {ChunkKind.SNAPSHOT: 0, ChunkKind.DELTAS: 0}
         for ref in self._head.chunks:
             sizes[ref.kind] += ref.n_bytes
-        n_delta_chunks = sum(ref.kind is ChunkKind.DELTAS for ref in self._head.chunks)
         limit = max(self._options.compact_min_bytes, sizes[ChunkKind.SNAPSHOT])
-        is_due = (
-            n_delta_chunks >= self._options.compact_n_chunks
-            or sizes[ChunkKind.DELTAS] > limit
-        )
-        if not is_due:
+        if sizes[ChunkKind.DELTAS] <= limit:
             return None
         self.counters.n_snapshots += 1
         return _STATE_ENCODER.encode(self.state)
@@ -291,7 +294,32 @@
             await self._write_chunk(ChunkKind.DELTAS, join_deltas(group))
             for group in _groups(tail, limit)
         ]
-        return (*self._head.chunks, *written), (), ()
+        kept, dead = await self._merge((*self._head.chunks, *written))
+        return kept, (), dead
+
+    async def _merge(
+        self, chunks: tuple[ChunkRef, ...]
+    ) -> tuple[tuple[ChunkRef, ...], tuple[ChunkRef, ...]]:
+        """Replace a run of small delta chunks at the end by one larger chunk.
+
+        A run's chunks are of about one size, so each delta is copied a number of
+        times that grows only with the logarithm of the log's length.
+        """
+        n_merged = self._options.merge_n_chunks
+        limit = self._options.tail_limit_bytes
+        while limit < self._options.chunk_limit_bytes:
+            limit *= n_merged
+            run = _small_suffix(chunks, limit)
+            if len(run) < n_merged or sum(ref.n_bytes for ref in run) > limit * 2:
+                continue
+            found = [await self._read_chunk(ref) for ref in run]
+            data = [part for part in found if part is not None]
+            if len(data) < len(run) or sum(map(len, data)) > MAX_VALUE_BYTES:
+                break
+            merged = await self._write_chunk(ChunkKind.DELTAS, join_chunks(data))
+            self.counters.n_merges += 1
+            return (*chunks[: -len(run)], merged), run
+        return chunks, ()
 
     async def _write_chunk(self, kind: ChunkKind, data: bytes) -> ChunkRef:
         self._next_chunk += 1
@@ -396,6 +424,15 @@
     return item.revision if is_own else None
 
 
+def _small_suffix(chunks: tuple[ChunkRef, ...], limit: int) -> tuple[ChunkRef, ...]:
+    n_small = 0
+    for ref in reversed(chunks):
+        if ref.kind is not ChunkKind.DELTAS or ref.n_bytes >= limit:
+            break
+        n_small += 1
+    return chunks[len(chunks) - n_small :]
+
+
 def _groups(encoded: tuple[bytes, ...], limit_bytes: int) -> list[list[bytes]]:
     groups: list[list[bytes]] = [[]]
     size = 0
--- a/packages/tasks/almondspan_tasks/state.py
+++ b/packages/tasks/almondspan_tasks/state.py
@@ -5,6 +5,8 @@
 same state.
 """
 
+import hashlib
+from dataclasses import replace
 from typing import Final
 
 import msgspec
@@ -33,7 +35,15 @@
     StageAdvanced,
 )
 
-__all__ = ["Assignment", "ClaimRecord", "Job", "ShardState", "apply", "spec_bytes"]
+__all__ = [
+    "Assignment",
+    "ClaimRecord",
+    "Job",
+    "ShardState",
+    "apply",
+    "spec_bytes",
+    "spec_digest",
+]
 
 
 class Assignment(msgspec.Struct, array_like=True):
@@ -69,6 +79,8 @@
     may_have_run: bool = False
     outcome: Outcome | None = None
     ended_unix_s: float = 0.0
+    spec_digest: bytes = b""
+    """Set once the job has ended: its payloads are not kept from then on."""
 
     @property
     def stage(self) -> StageSpec:
@@ -115,6 +127,7 @@
         return found
 
 
+_DIGEST_BYTES: Final = 16
 _SPEC_ENCODER: Final = msgspec.msgpack.Encoder()
 
 
@@ -123,6 +136,16 @@
     return _SPEC_ENCODER.encode(spec)
 
 
+def spec_digest(spec: JobSpec) -> bytes:
+    """Return what identifies a specification once its payloads are dropped."""
+    return hashlib.sha256(spec_bytes(spec)).digest()[:_DIGEST_BYTES]
+
+
+def _without_payloads(spec: JobSpec) -> JobSpec:
+    stages = tuple(replace(stage, payload=b"") for stage in spec.stages)
+    return replace(spec, stages=stages)
+
+
 def apply(state: ShardState, delta: Delta) -> None:
     """Change the state by one delta.
 
@@ -148,6 +171,8 @@
             job.ended_unix_s = delta.ended_unix_s
             job.assignment = None
             job.checkpoint = b""
+            job.spec_digest = spec_digest(job.spec)
+            job.spec = _without_payloads(job.spec)
         case JobDropped():
             assert state.jobs[delta.job_id].outcome is not None
             del state.jobs[delta.job_id]
--- a/tests/tasks/sim_world.py
+++ b/tests/tasks/sim_world.py
@@ -62,8 +62,8 @@
     touch_s=0.8,
     silence_s=2.0,
     min_commit_interval_s=0.1,
-    tail_limit_bytes=900,
-    compact_n_chunks=3,
+    tail_limit_bytes=600,
+    merge_n_chunks=3,
     compact_min_bytes=2_000,
     collect_interval_s=7.0,
     reservation_ttl_s=3.0,
@@ -99,7 +99,16 @@
 class World:
     """Everything of one schedule."""
 
-    def __init__(self, seed: int, n_workers: int = 3, n_shards: int = 2) -> None:
+    def __init__(
+        self,
+        seed: int,
+        n_workers: int = 3,
+        n_shards: int = 2,
+        keeper_options: KeeperOptions = KEEPER_OPTIONS,
+        owner_options: OwnerOptions = OWNER_OPTIONS,
+    ) -> None:
+        self.keeper_options = keeper_options
+        self.owner_options = owner_options
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
         self.n_shards = n_shards
@@ -400,14 +409,14 @@
         mailer = SimMailer(world, agent_id)
         rng = random.Random(f"{agent_id}/{world.rng.random()}")
         self.keeper = AttemptKeeper(
-            agent_id, SimWorker(world, worker_id), mailer, KEEPER_OPTIONS, rng
+            agent_id, SimWorker(world, worker_id), mailer, world.keeper_options, rng
         )
         self.host = ShardHost(
             agent_id,
             SimStore(world, agent_id),
             mailer,
             self.find_candidates,
-            OWNER_OPTIONS,
+            world.owner_options,
             rng,
             world.n_shards,
             REGION,
--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -205,6 +205,14 @@
     assert await rig.submit(JobSpec(JobId("e"), TEAM, ())) == [SubmitState.REFUSED]
 
 
+async def an_ended_job_is_still_known(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
+    await asyncio.sleep(1.0)
+    assert await rig.submit(job("a")) == [SubmitState.ALREADY_KNOWN]
+    assert await rig.submit(job("a", urgent=True)) == [SubmitState.CONFLICT]
+
+
 async def answers_are_kept_and_then_dropped(rig: Rig) -> None:
     await rig.submit(job("a"))
     rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
@@ -352,6 +360,7 @@
             lost_attempts_are_given_up_after_the_whole_wait,
             lost_work_that_may_have_run_is_unknown,
             submissions_are_idempotent,
+            an_ended_job_is_still_known,
             answers_are_kept_and_then_dropped,
             cancelled_jobs_say_whether_they_may_have_run,
             jobs_that_fit_nowhere_are_infeasible,
