--- a/misc/load_starts.py
+++ b/misc/load_starts.py
@@ -27,6 +27,7 @@
 URGENT_LIMIT_S: Final = 3.3
 MAX_WRITES_PER_S: Final = 300.0
 RUN_S: Final = 1.0
+LONG_RUN_S: Final = 3600.0
 TICK_S: Final = 0.25
 TEAM: Final = "load"
 STATUS_BATCH: Final = 500
@@ -40,14 +41,14 @@
     return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 3)
 
 
-def job_body(job_id: str, urgent: bool) -> dict[str, Any]:
+def job_body(job_id: str, urgent: bool, run_s: float = RUN_S) -> dict[str, Any]:
     """Return one job as the administration API takes it."""
-    payload = json.dumps({"run_s": RUN_S, "effect": "load", "record": job_id})
+    payload = json.dumps({"run_s": run_s, "effect": "load", "record": job_id})
     stage = {
         "task_class": "short",
         "cpu_millicores": 500,
         "memory_mb": 500,
-        "declared_run_s": RUN_S,
+        "declared_run_s": run_s,
         "payload": payload.encode(),
     }
     return {"job_id": job_id, "team": TEAM, "stages": [stage], "urgent": urgent}
@@ -64,6 +65,7 @@
         self.submitted_s: dict[str, float] = {}
         self.urgent: set[str] = set()
         self.n_not_taken = 0
+        self.client: AdminClient | None = None
 
     async def run(self) -> dict[str, Any]:
         """Run every phase and return the figures."""
@@ -71,21 +73,37 @@
             await self.fleet.start()
             return await self._measure()
         finally:
-            await self.fleet.close()
+            await self.close()
 
-    async def _measure(self) -> dict[str, Any]:
+    async def connect(self) -> None:
+        """Open the client and wait until the configuration is in force."""
         connection = Connection(tuple(self.fleet.admin_urls), self.fleet.token)
         self.client = AdminClient(connection)
         await self.client.start()
-        try:
-            await self._configure()
-            before = await self._snapshot()
-            await self._submit_all()
-            jobs = await self._until_ended()
-            after = await self._snapshot()
-            return self._figures(jobs, before, after)
-        finally:
+        await self._configure()
+
+    async def close(self) -> None:
+        """Close the client and the fleet."""
+        if self.client is not None:
             await self.client.close()
+        await self.fleet.close()
+
+    async def submit_long(self, job_ids: list[str]) -> None:
+        """Submit jobs that outlive every measurement."""
+        if not job_ids:
+            return
+        bodies = [job_body(job_id, False, LONG_RUN_S) for job_id in job_ids]
+        answer = await self.client.post("/v1/jobs", {"jobs": bodies}, SubmitResults)
+        if not isinstance(answer, SubmitResults):
+            raise RuntimeError(str(answer))
+
+    async def _measure(self) -> dict[str, Any]:
+        await self.connect()
+        before = await self._snapshot()
+        await self._submit_all()
+        jobs = await self._until_ended()
+        after = await self._snapshot()
+        return self._figures(jobs, before, after)
 
     async def _configure(self) -> None:
         plan = Plan()
--- a/misc/local_fleet.py
+++ b/misc/local_fleet.py
@@ -45,6 +45,7 @@
     margin_s: float = 3.0
     worker_lease_s: float = 3.0
     service: str = "clips"
+    n_services: int = 1
     n_slots: int = 8
     n_connections: int = 64
     seed: int = 1
@@ -280,16 +281,19 @@
         """Start an agent beside a worker and runner, also in place of an old one."""
         settings = self._common_settings("agent", index)
         addresses = [f"127.0.0.1:{e.facts['agent_port']}" for e in self.entries]
-        service = {
-            "name": self.service_of(index),
-            "runner_address": self.runner_urls[index],
-            "n_slots": self.shape.n_slots,
-            "n_connections": self.shape.n_connections,
-        }
+        services = [
+            {
+                "name": self.service_of(index) + (f"-{number}" if number else ""),
+                "runner_address": self.runner_urls[index],
+                "n_slots": self.shape.n_slots,
+                "n_connections": self.shape.n_connections,
+            }
+            for number in range(self.shape.n_services)
+        ]
         settings["agent"] = {
             "entries": addresses,
             "worker_address": self.worker_urls[index],
-            "services": [service],
+            "services": services,
         }
         path = self._write_settings(f"agent-{index}", settings)
         args = ["agent", "--settings", path]
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -211,6 +211,7 @@
         gauge("agent.shards", lambda: len(self._host.owned()), "Shards owned.")
         gauge("agent.tasks", self._n_tasks, "Attempts held.")
         gauge("agent.config_revision", lambda: self._holder.revision, "Revision held.")
+        counter("agent.bytes", self._links.n_bytes, "Bytes on channels, both ways.")
         counter("agent.dials", lambda: self._links.n_dials, "Dials of entries.")
         counter(
             "agent.undeliverable",
--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -91,6 +91,7 @@
         self._status_task: asyncio.Task[None] | None = None
         self._status_due = asyncio.Event()
         self._is_closing = False
+        self._n_bytes_of_ended = 0
         self.n_dials = 0
         self.n_posts_without_entry = 0
 
@@ -153,6 +154,11 @@
             return False
         return self.post(self._rng.choice(list(self._channels)), body)
 
+    def n_bytes(self) -> int:
+        """Return the bytes carried in both directions by all channels so far."""
+        now = sum(c.n_bytes_sent + c.n_bytes_received for c in self._channels.values())
+        return self._n_bytes_of_ended + now
+
     def status_changed(self) -> None:
         """Send the status now rather than at the end of the interval."""
         self._status_due.set()
@@ -219,6 +225,7 @@
             await self._read(entry_id, channel)
         finally:
             del self._channels[entry_id]
+            self._n_bytes_of_ended += channel.n_bytes_sent + channel.n_bytes_received
             self._listener.entry_left(entry_id)
             await channel.close()
 
