Let effects of stand-in tasks take place before their end

Cause: with effects at the end alone, an evicted attempt never had one, so a task that is not idempotent and is wrongly begun anew went unseen. Change: effect_share in a payload names the part of the run after which the effect takes place; resumed work does not repeat what its checkpoint was saved after.

--- a/packages/standins/almondspan_standins/worker_attempt.py
+++ b/packages/standins/almondspan_standins/worker_attempt.py
@@ -38,6 +38,7 @@
     ended_s: float | None = None
     outcome: Outcome | None = None
     is_evicted: bool = False
+    had_effect: bool = False
 
     @property
     def key(self) -> AttemptKey:
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -5,7 +5,8 @@
 end of a checkpoint. Between events every attempt progresses at a constant rate: the
 share that it is throttled to, over the slowdown that its neighbours cause.
 
-An attempt that reaches its end adds its effect to the ledger. The worker never
+An attempt that reaches its end, or the part of its run that its payload names, adds
+its effect to the ledger. The worker never
 forgets which attempts it has started, so that a late start can't run one again.
 """
 
@@ -230,6 +231,7 @@
             if attempt.checkpoint_ends_s is None:
                 done_s = attempt.done_s + elapsed_s * attempt.rate
                 attempt.done_s = min(done_s, attempt.payload.run_s)
+                self._take_due_effect(attempt)
         self._advanced_s = max(at_s, self._advanced_s)
 
     def _begin(self, request: StartAttempt, payload: Payload) -> None:
@@ -242,6 +244,9 @@
             done_s=read_progress(request.checkpoint).done_s,
             checkpoint=request.checkpoint,
         )
+        # What a checkpoint was saved after is not done again.
+        if request.checkpoint:
+            attempt.had_effect = payload.has_early_effect(attempt.done_s)
         self._attempts[attempt.key] = attempt
         self.n_started += 1
         if self._detector is not None:
@@ -272,10 +277,21 @@
             return Outcome(OutcomeKind.INFEASIBLE, reason="it can never run")
         if payload.fail or self.faults.fail_all:
             return Outcome(OutcomeKind.FAILED, "the task failed", may_have_run=True)
-        self.ledger.append(Effect(payload.record, payload.effect, *attempt.key))
+        self._take_effect(attempt)
         result = msgspec.json.encode(WorkResult(payload.record, payload.effect))
         return Outcome(OutcomeKind.DONE, result=result, may_have_run=True)
 
+    def _take_due_effect(self, attempt: Attempt) -> None:
+        """Let an effect take place that comes before the end of the run."""
+        if attempt.payload.has_early_effect(attempt.done_s):
+            self._take_effect(attempt)
+
+    def _take_effect(self, attempt: Attempt) -> None:
+        if not attempt.had_effect:
+            attempt.had_effect = True
+            payload = attempt.payload
+            self.ledger.append(Effect(payload.record, payload.effect, *attempt.key))
+
     def _on_load_changed(self) -> None:
         running = self.running()
         for attempt in running:
--- a/packages/standins/almondspan_standins/worker_payload.py
+++ b/packages/standins/almondspan_standins/worker_payload.py
@@ -2,9 +2,10 @@
 
 A payload is JSON: ``run_s``, ``effect``, ``record`` and optionally ``fail`` (true:
 fails at its end; ``"infeasible"``: ends as infeasible at once; ``"refuse"``: the
-worker refuses it) and ``use_share`` (the processors used over those declared). With
-``run_s_by_class`` one payload serves all stages of a job: the task's class gives the
-run time and names the effect.
+worker refuses it), ``use_share`` (the processors used over those declared) and
+``effect_share`` (the part of the run after which the effect takes place; at 1 an
+attempt that is evicted has had none). With ``run_s_by_class`` one payload serves all
+stages of a job: the task's class gives the run time and names the effect.
 """
 
 import msgspec
@@ -30,6 +31,11 @@
     fail: bool | str = False
     use_share: float = 1.0
     run_s_by_class: dict[str, float] = {}
+    effect_share: float = 1.0
+
+    def has_early_effect(self, done_s: float) -> bool:
+        """Tell whether an effect before the end has taken place after `done_s`."""
+        return self.effect_share < 1.0 and done_s >= self.effect_share * self.run_s
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -46,10 +52,15 @@
 
 
 def task_payload(
-    run_s: float, effect: str, record: str, fail: bool | str = False
+    run_s: float,
+    effect: str,
+    record: str,
+    fail: bool | str = False,
+    effect_share: float = 1.0,
 ) -> bytes:
     """Return the payload of a task for this worker."""
-    return msgspec.json.encode(Payload(run_s, effect, record, fail))
+    payload = Payload(run_s, effect, record, fail, effect_share=effect_share)
+    return msgspec.json.encode(payload)
 
 
 def read_payload(data: bytes, task_class: TaskClass) -> Payload:
--- a/tests/standins/test_worker_core.py
+++ b/tests/standins/test_worker_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -107,6 +108,50 @@
             assert self.ran_s[task_id] >= RUN_S - 1e-6
 
 
+@pytest.mark.parametrize(
+    ("effect_share", "evicted_at_s", "resumes", "attempts", "whole"),
+    [
+        pytest.param(1.0, 5.0, True, [2], b"", id="at-the-end"),
+        pytest.param(0.3, 5.0, True, [1], b"", id="before-the-eviction"),
+        pytest.param(0.8, 5.0, True, [2], b"", id="after-the-eviction"),
+        pytest.param(0.3, 5.0, False, [1, 2], b"", id="begun-anew"),
+        pytest.param(0.0, 0.5, False, [1, 2], b"", id="at-the-start"),
+        pytest.param(1.0, 5.0, True, [2], b'{"done_s":10.0}', id="all-but-the-end"),
+    ],
+)
+def test_effect_of_evicted_work(
+    effect_share: float,
+    evicted_at_s: float,
+    resumes: bool,
+    attempts: list[int],
+    whole: bytes,
+) -> None:
+    now_s = 0.0
+    options = WorkerOptions(100.0, 1.0, 0.0)
+    core = WorkerCore(WorkerId("w"), Shape(1, 1, 0), lambda: now_s, options)
+    first = StartAttempt(
+        TaskId("job/0"),
+        1,
+        TaskClass("deliver"),
+        Shape(1, 1, 0),
+        task_payload(10.0, "deliver", "r", effect_share=effect_share),
+        b"",
+        ShardId(0),
+        1,
+        False,
+    )
+    core.start_attempt(first)
+    now_s = evicted_at_s
+    core.checkpoint((TaskId("job/0"), 1))
+    (one,) = core.list_attempts()
+    assert one.evicted
+    checkpoint = (whole or one.checkpoint) if resumes else b""
+    core.start_attempt(replace(first, attempt=2, checkpoint=checkpoint))
+    now_s += 10.0
+    core.advance()
+    assert [effect.attempt for effect in core.ledger] == attempts
+
+
 def test_work_stands_still_during_a_checkpoint() -> None:
     now_s = 0.0
     core = WorkerCore(
