Check certificates with the settings and explain an untrusted one

Cause: a certificate that does not fit its key ended the process later, without naming the setting; the command line told an untrusted certificate as a trace. Conclusion: changing the authority was not tried.

--- a/packages/daemon/almondspan_daemon/settings_checks.py
+++ b/packages/daemon/almondspan_daemon/settings_checks.py
@@ -7,6 +7,7 @@
 
 import ipaddress
 import os
+import ssl
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
@@ -59,11 +60,29 @@
     keys = ("tls.ca", "tls.cert", "tls.key")
     if not any(values[key] for key in keys):
         return
+    is_readable = True
     for key in keys:
         if not values[key]:
             yield key, "a path, since tls.ca, tls.cert and tls.key go together"
-        elif not os.access(values[key], os.R_OK) or not os.path.isfile(values[key]):
+            is_readable = False
+        elif not os.path.isfile(values[key]) or not os.access(values[key], os.R_OK):
             yield key, "the path of a readable PEM file"
+            is_readable = False
+    if is_readable:
+        yield from _unusable_certificates(values)
+
+
+def _unusable_certificates(values: Values) -> Iterator[tuple[str, str]]:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    try:
+        context.load_verify_locations(values["tls.ca"])
+    except ssl.SSLError:
+        yield "tls.ca", "a PEM file with the certificate of an authority"
+    try:
+        # A key with a passphrase would otherwise be asked for on the terminal.
+        context.load_cert_chain(values["tls.cert"], values["tls.key"], password="")
+    except (ssl.SSLError, ValueError):
+        yield "tls.cert", "a PEM file with the certificate of the key in tls.key"
 
 
 @cross_check(
--- a/packages/operator/almondspan/client.py
+++ b/packages/operator/almondspan/client.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from almondspan.answers import Refusal
+from almondspan.texts import NOT_TRUSTED
 
 __all__ = ["AdminClient", "Connection", "NoAnswer", "Refused", "path_of"]
 
@@ -141,6 +142,9 @@
             ) as response:
                 data = await response.read()
                 return _read(address, response.status, data, answer)
+        except aiohttp.ClientConnectorCertificateError:
+            reason = NOT_TRUSTED.format(address=address)
+            return NoAnswer(reason, may_have_applied=False)
         except aiohttp.ClientConnectorError as error:
             return NoAnswer(f"{address}: {error}", may_have_applied=False)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -29,6 +29,7 @@
     "LOSS_DECLARED",
     "LOSS_NEXT",
     "MORE_NOTES",
+    "NOT_TRUSTED",
     "NO_ANSWER",
     "NO_DIFFERENCE",
     "NO_ENTRIES",
@@ -105,6 +106,10 @@
     "{address} would carry the token without encryption beyond this machine; use an "
     "https address, or set ALMONDSPAN_ALLOW_PLAIN=1"
 )
+NOT_TRUSTED: Final = (
+    "{address}: its certificate is not trusted; set ALMONDSPAN_CA to the file of the "
+    "authority that signed it"
+)
 UNREADABLE_REVISION: Final = (
     "revision {revision} cannot be read by this release of almondspan: {fault}"
 )
