Leave turns to live calls while a large order is answered

Cause: converting 20000 jobs took 110 ms of the entry's loop in one go, which live calls would notice. Change: jobs are converted 250 at a time. Conclusion: encoding the answer is still one turn of about 20 ms at that size.

--- a/packages/admin/almondspan_admin/job_routes.py
+++ b/packages/admin/almondspan_admin/job_routes.py
@@ -4,8 +4,10 @@
 and the team comes from the caller's token. An operator names the team.
 """
 
+import asyncio
 import dataclasses
 from http import HTTPStatus
+from typing import Final
 
 from almondspan_admin.messages import (
     JobBody,
@@ -26,6 +28,9 @@
 
 __all__: list[str] = []
 
+N_JOBS_PER_TURN: Final = 250
+"""How many jobs are converted before other work of the entry gets its turn."""
+
 
 @route("POST", "/v1/jobs", Access.TEAM, SubmitResultsBody, JobsBody)
 async def submit_jobs(context: ApiContext, call: ApiCall) -> Reply:
@@ -66,7 +71,7 @@
     found = await context.desk.status(team, _scoped(team, body.job_ids))
     if isinstance(found, DeskUnavailable):
         return _unavailable(found, may_have_applied=False)
-    return Reply(JobStatusesBody(_unscoped(team, found)))
+    return Reply(JobStatusesBody(await _unscoped(team, found)))
 
 
 @route("POST", "/v1/jobs/cancel", Access.TEAM, JobStatusesBody, JobIdsBody)
@@ -80,7 +85,7 @@
     found = await context.desk.cancel(team, _scoped(team, body.job_ids))
     if isinstance(found, DeskUnavailable):
         return _unavailable(found, may_have_applied=True)
-    return Reply(JobStatusesBody(_unscoped(team, found)))
+    return Reply(JobStatusesBody(await _unscoped(team, found)))
 
 
 @route("GET", "/v1/orders/{order_name}", Access.TEAM, LedgerBody)
@@ -100,7 +105,7 @@
     return Reply(
         LedgerBody(
             order,
-            _unscoped(order.team, found.jobs),
+            await _unscoped(order.team, found.jobs),
             found.n_shards_missing,
             context.wall_clock(),
         )
@@ -140,11 +145,21 @@
     return tuple(scoped_job_id(team, job_id) for job_id in job_ids)
 
 
-def _unscoped(team: TeamName, statuses: tuple[JobStatus, ...]) -> tuple[JobStatus, ...]:
-    return tuple(
-        dataclasses.replace(status, job_id=unscoped_job_id(team, status.job_id))
-        for status in statuses
-    )
+async def _unscoped(
+    team: TeamName, statuses: tuple[JobStatus, ...]
+) -> tuple[JobStatus, ...]:
+    """Return the jobs under the team's own ids.
+
+    An order may have tens of thousands; live calls get their turn in between.
+    """
+    found: list[JobStatus] = []
+    for first in range(0, len(statuses), N_JOBS_PER_TURN):
+        found += [
+            dataclasses.replace(status, job_id=unscoped_job_id(team, status.job_id))
+            for status in statuses[first : first + N_JOBS_PER_TURN]
+        ]
+        await asyncio.sleep(0)
+    return tuple(found)
 
 
 def _unavailable(found: DeskUnavailable, *, may_have_applied: bool) -> Reply:
--- a/tests/admin/test_api_bodies.py
+++ b/tests/admin/test_api_bodies.py
@@ -5,6 +5,9 @@
 import pytest
 from admin_api import running_api
 
+from almondspan_admin.job_routes import _unscoped
+from almondspan_tasks.desk import JobState, JobStatus
+
 STAGE = {
     "task_class": "validate",
     "cpu_millicores": 1000,
@@ -119,3 +122,20 @@
     submit, status = asyncio.run(run())
     assert (submit[0], submit[1]["may_have_applied"]) == (503, True)
     assert (status[0], "may_have_applied" in status[1]) == (503, False)
+
+
+def test_large_order_leaves_turns_to_others():
+    """While an order of many records is converted, other tasks of the entry run."""
+    jobs = tuple(JobStatus(f"archive/t{n}", JobState.ENDED) for n in range(2000))
+
+    async def run():
+        turns = 0
+        converting = asyncio.create_task(_unscoped("archive", jobs))
+        while not converting.done():
+            turns += 1
+            await asyncio.sleep(0)
+        return turns, await converting
+
+    turns, converted = asyncio.run(run())
+    assert [one.job_id for one in converted] == [f"t{n}" for n in range(2000)]
+    assert turns >= 2000 / 250
