Make room for urgent tasks anywhere, and take declared losses

Cause: an urgent task found no agent when none had room, so none could make room; an operator's declaration of a lost worker reached no shard. Change: the owner of an urgent task asks for any agents when none has room; victims come from almondspan_decisions.room; DeclareLost and ShardDesk.declare_lost give up the attempts on lost workers in one commit per shard.

--- a/packages/tasks/almondspan_tasks/attempt_owner.py
+++ b/packages/tasks/almondspan_tasks/attempt_owner.py
@@ -13,7 +13,7 @@
 import random
 from functools import partial
 
-from almondspan_decisions.ids import AgentId, TaskId
+from almondspan_decisions.ids import AgentId, TaskId, WorkerId
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
 from almondspan_tasks.deltas import CloseCause
@@ -261,6 +261,20 @@
             ):
                 self._send_start(job, followed)
 
+    def declare_lost(self, workers: tuple[WorkerId, ...]) -> int:
+        """Give up all attempts on workers that an operator declared lost.
+
+        The operator's word takes the place of the evidence: whoever gives it must
+        know that the workers run nothing any more.
+        """
+        n_attempts = 0
+        for job_id in list(self._book.followed):
+            job = self._book.jobs[job_id]
+            if job.assignment is not None and job.assignment.worker_id in workers:
+                self._decide_lost(job, "an operator declared its worker lost")
+                n_attempts += 1
+        return n_attempts
+
     def _lost_at_s(self, job: Job, followed: Followed) -> float:
         assert job.assignment is not None
         wait_s: float = self._options.horizon_s + self._options.drift_margin_s
--- a/packages/tasks/almondspan_tasks/job_owner.py
+++ b/packages/tasks/almondspan_tasks/job_owner.py
@@ -21,8 +21,10 @@
     CancelJobs,
     ClaimAnswer,
     ClaimRequest,
+    DeclareLost,
     JobAnswer,
     JobView,
+    LossAnswer,
     OrderAnswer,
     OrderQuery,
     SettleAnswer,
@@ -186,6 +188,11 @@
             ended_unix_s=job.ended_unix_s,
         )
 
+    def on_declare_lost(self, sender: str, body: DeclareLost) -> None:
+        """Give up the attempts on lost workers; answer when it is committed."""
+        answer = LossAnswer(body.question_id, self._attempts.declare_lost(body.workers))
+        self._log.after_commit(partial(self._mailer.send, sender, answer), hurry=True)
+
     # Claims.
 
     def on_claim(self, sender: str, body: ClaimRequest) -> None:
--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -35,6 +35,7 @@
     WorkerId,
 )
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
+from almondspan_decisions.room import RoomTask, choose_victims
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_platform.worker import (
     AttemptState,
@@ -339,26 +340,23 @@
 
     def _make_room(self, shape: Shape) -> bool:
         """Evict batch that can be checkpointed until `shape` will fit."""
-        victims = [
-            held
-            for held in self._books.all()
-            if held.phase is AttemptPhase.RUNNING
-            and not held.urgent
-            and held.checkpointable
-        ]
-        victims.sort(key=lambda held: held.ran_s)
-        used = self._books.used() + shape
-        chosen: list[Held] = []
-        for held in victims:
-            if used.fits_in(self._books.capacity):
-                break
-            used = used - held.shape
-            chosen.append(held)
-        if not used.fits_in(self._books.capacity):
+        running = tuple(
+            RoomTask(
+                task_id=one.task_id,
+                attempt=one.attempt,
+                shape=one.shape,
+                at_risk_s=one.attained_s,
+                checkpointable=one.checkpointable,
+                urgent=one.urgent,
+            )
+            for one in self.running()
+        )
+        free = self._books.capacity - self._books.used()
+        victims = choose_victims(shape, free, running)
+        if victims is None:
             return False
-        for held in chosen:
-            self.counters.n_evicted += 1
-            self._begin_evict(held)
+        for victim in victims:
+            self.evict(victim.task_id, checkpoint=True)
         return True
 
     async def _grant_when_room(
--- a/packages/tasks/almondspan_tasks/owner.py
+++ b/packages/tasks/almondspan_tasks/owner.py
@@ -26,6 +26,7 @@
     AttemptStarted,
     CancelJobs,
     ClaimRequest,
+    DeclareLost,
     OrderQuery,
     RenewAttempts,
     ReserveReply,
@@ -131,6 +132,8 @@
                 self._jobs.on_status(sender, body)
             case OrderQuery():
                 self._jobs.on_order(sender, body)
+            case DeclareLost():
+                self._jobs.on_declare_lost(sender, body)
             case ClaimRequest():
                 self._jobs.on_claim(sender, body)
             case SettleClaim():
--- a/packages/tasks/almondspan_tasks/placing.py
+++ b/packages/tasks/almondspan_tasks/placing.py
@@ -170,7 +170,9 @@
     async def _try_agents(self, job_id: JobId, waiting: Waiting) -> str:
         """Return why no agent was found; empty when the matter is settled."""
         job = self._book.jobs[job_id]
-        found = await self._find(job)
+        found = await self._find(job, job.stage.shape)
+        if found is not None and found.feasible and not found.agents:
+            found = await self._find_full(job, found)
         if not self._still_waits(job_id, waiting):
             return ""
         if found is None:
@@ -194,11 +196,17 @@
     def _still_waits(self, job_id: JobId, waiting: Waiting) -> bool:
         return self._book.waiting.get(job_id) is waiting
 
-    async def _find(self, job: Job) -> CandidatesFound | None:
+    async def _find_full(self, job: Job, found: CandidatesFound) -> CandidatesFound:
+        """Look for agents that might make room for an urgent task."""
+        if not job.spec.urgent:
+            return found
+        return await self._find(job, EMPTY_SHAPE) or found
+
+    async def _find(self, job: Job, shape: Shape) -> CandidatesFound | None:
         self._query_id += 1
         query = FindCandidates(
             query_id=self._query_id,
-            shape=job.stage.shape,
+            shape=shape,
             task_class=job.stage.task_class,
             n_wanted=self._options.n_candidates,
             avoid=job.failed_on,
--- a/packages/tasks/almondspan_tasks/shard_desk.py
+++ b/packages/tasks/almondspan_tasks/shard_desk.py
@@ -18,6 +18,7 @@
     RequestId,
     ShardId,
     TeamName,
+    WorkerId,
 )
 from almondspan_decisions.outcomes import Outcome
 from almondspan_decisions.tasks import JobSpec, shard_of_job
@@ -39,8 +40,10 @@
     CancelJobs,
     ClaimAnswer,
     ClaimRequest,
+    DeclareLost,
     JobAnswer,
     JobView,
+    LossAnswer,
     OrderAnswer,
     OrderQuery,
     SettleAnswer,
@@ -213,6 +216,34 @@
                 return jobs
             after = answer.jobs[-1].job_id
 
+    async def declare_lost(
+        self, workers: tuple[WorkerId, ...]
+    ) -> int | DeskUnavailable:
+        """Take every attempt on these workers for ended, in all shards.
+
+        Returns how many were given up. When a shard did not answer, the order may
+        be repeated.
+        """
+        answers = await asyncio.gather(
+            *(
+                self._declare_lost(ShardId(number), workers)
+                for number in range(self._n_shards)
+            )
+        )
+        n_attempts = 0
+        for answer in answers:
+            if answer is None:
+                return DeskUnavailable("not all shards answered; declare it again")
+            n_attempts += answer.n_attempts
+        return n_attempts
+
+    async def _declare_lost(
+        self, shard_id: ShardId, workers: tuple[WorkerId, ...]
+    ) -> LossAnswer | None:
+        question_id = self._new_question()
+        body = DeclareLost(shard_id, question_id, workers)
+        return await self._ask(shard_id, question_id, body, LossAnswer)
+
     # Claims.
 
     async def claim(self, request_id: RequestId, nonce: str) -> Claim:
--- a/packages/wire/almondspan_wire/task_messages.py
+++ b/packages/wire/almondspan_wire/task_messages.py
@@ -33,8 +33,10 @@
     "CancelJobs",
     "ClaimAnswer",
     "ClaimRequest",
+    "DeclareLost",
     "JobAnswer",
     "JobView",
+    "LossAnswer",
     "OrderAnswer",
     "OrderQuery",
     "RenewAttempts",
@@ -274,6 +276,23 @@
     more: bool
 
 
+@message
+class DeclareLost(Message, frozen=True, tag="t.lost"):
+    """Takes every attempt on these workers for ended, by order of an operator."""
+
+    shard_id: ShardId
+    question_id: str
+    workers: tuple[WorkerId, ...]
+
+
+@message
+class LossAnswer(Message, frozen=True, tag="t.lostack"):
+    """How many attempts of the shard were given up; they are committed."""
+
+    question_id: str
+    n_attempts: int
+
+
 @message
 class ClaimRequest(Message, frozen=True, tag="t.claim"):
     """Claims a request that is not idempotent."""
--- a/tests/tasks/sim_world.py
+++ b/tests/tasks/sim_world.py
@@ -440,7 +440,7 @@
         found = [
             FoundAgent(agent.agent_id, agent.worker_id, PLACE, agent.keeper.free())
             for agent in agents
-            if (query.urgent or query.shape.fits_in(agent.keeper.free()))
+            if query.shape.fits_in(agent.keeper.free())
             and agent.worker_id not in query.avoid
         ]
         world.rng.shuffle(found)
--- a/tests/tasks/test_keeper.py
+++ b/tests/tasks/test_keeper.py
@@ -242,6 +242,39 @@
     assert desk.core.running_keys() == [(TASK, 1)]
 
 
+async def an_urgent_task_gets_room(desk: Desk) -> None:
+    body = ReserveRoom(SHARD, Epoch(5), TaskId("batch/0"), 1, WHOLE, 5.0)
+    desk.keeper.on_mail("owner", body)
+    reply = desk.last(ReserveReply)
+    assert isinstance(reply, ReserveReply)
+    start = StartTask(
+        shard_id=SHARD,
+        epoch=Epoch(5),
+        task_id=TaskId("batch/0"),
+        attempt=1,
+        agent_id=ME,
+        reservation=reply.reservation,
+        task_class=TaskClass("cut"),
+        shape=WHOLE,
+        payload=task_payload(100.0, "effect", "record"),
+        checkpoint=b"",
+        idempotent=False,
+        checkpointable=True,
+    )
+    desk.keeper.on_mail("owner", start)
+    await asyncio.sleep(2.0)
+    urgent = ReserveRoom(SHARD, Epoch(5), TASK, 1, HALF, 5.0, urgent=True)
+    desk.keeper.on_mail("owner", urgent)
+    reply = desk.last(ReserveReply)
+    assert isinstance(reply, ReserveReply) and reply.making_room
+    await asyncio.sleep(1.5)
+    reply = desk.last(ReserveReply)
+    assert isinstance(reply, ReserveReply) and reply.granted
+    report = desk.last(AttemptReport)
+    assert isinstance(report, AttemptReport) and report.evicted
+    assert report.checkpoint
+
+
 async def draining_refuses_at_once(desk: Desk) -> None:
     await desk.keeper.drain()
     assert desk.reserve() == ""
@@ -270,6 +303,7 @@
             a_late_answer_counts_from_its_question,
             an_adopted_attempt_has_no_lease,
             an_adopted_attempt_goes_on_once_confirmed,
+            an_urgent_task_gets_room,
             draining_refuses_at_once,
             resting_refuses,
         )
--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -37,7 +37,9 @@
     CancelJobs,
     ClaimAnswer,
     ClaimRequest,
+    DeclareLost,
     JobAnswer,
+    LossAnswer,
     OrderAnswer,
     OrderQuery,
     RenewAttempts,
@@ -195,6 +197,20 @@
     assert outcome.reason
 
 
+async def work_on_a_lost_worker_is_given_up_at_once(rig: Rig) -> None:
+    await rig.submit(job("a"), job("b", idempotent=False))
+    rig.host.on_mail("desk", DeclareLost(SHARD, "q", (WorkerId("other"),)))
+    await asyncio.sleep(1.0)
+    assert rig.last(LossAnswer) == LossAnswer("q", 0)
+    rig.host.on_mail("desk", DeclareLost(SHARD, "q", (WORKER,)))
+    await asyncio.sleep(1.0)
+    assert rig.last(LossAnswer) == LossAnswer("q", 2)
+    assert (await rig.view("a")).jobs[0].outcome is None
+    outcome = (await rig.view("b")).jobs[0].outcome
+    assert outcome is not None
+    assert outcome.kind is OutcomeKind.UNKNOWN
+
+
 async def submissions_are_idempotent(rig: Rig) -> None:
     other = job("a", urgent=True)
     assert await rig.submit(job("a")) == [SubmitState.ACCEPTED]
@@ -359,6 +375,7 @@
             renewals_wait_for_a_fresh_commit,
             lost_attempts_are_given_up_after_the_whole_wait,
             lost_work_that_may_have_run_is_unknown,
+            work_on_a_lost_worker_is_given_up_at_once,
             submissions_are_idempotent,
             an_ended_job_is_still_known,
             answers_are_kept_and_then_dropped,
