--- a/tests/service/test_service_faults.py
+++ b/tests/service/test_service_faults.py
@@ -33,6 +33,8 @@
 
 A = AgentId("a")
 
+MAX_POLLS = 10_000
+
 
 def slow(run_s: float):
     """Return a runner's behaviour that echoes after a time."""
