--- a/tests/service/test_service_faults.py
+++ b/tests/service/test_service_faults.py
@@ -592,8 +592,11 @@
 
 
 async def until(is_so) -> None:
-    while not is_so():
+    for _ in range(MAX_POLLS):
+        if is_so():
+            return
         await asyncio.sleep(0.01)
+    raise AssertionError("it never came so far")
 
 
 def path_time() -> float:
