--- a/packages/tasks/almondspan_tasks/host.py
+++ b/packages/tasks/almondspan_tasks/host.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import AgentId, Epoch, RegionName, ShardId
@@ -22,6 +23,7 @@
 from almondspan_tasks.owner import ShardOwner
 from almondspan_tasks.placing import FindAgents
 from almondspan_tasks.shard_log import LogEnd, ShardLog, TakeOver
+from almondspan_tasks.team_usage import TeamUsage, UsageByTeam
 from almondspan_wire.codec import Message
 from almondspan_wire.mail import Mailer
 
@@ -68,10 +70,14 @@
         self._background = Background()
         self._draining = False
         self._all_ended = asyncio.Event()
+        self._usage = TeamUsage(
+            region, store, options.usage_interval_s, rng, self._own_usage
+        )
 
     async def start(self) -> None:
         """Begin; shards come by nominations."""
         self._draining = False
+        self._background.spawn(self._usage.run())
 
     async def close(self) -> None:
         """Stop at once; shards go to others after their silence."""
@@ -121,9 +127,15 @@
     def set_fleet(self, config: FleetConfig) -> None:
         """Take over a configuration for quotas and policies."""
         self._fleet = config
+        self._usage.is_wanted = bool(config.teams)
         for owner in self._owners.values():
             owner.set_fleet(config)
 
+    def _own_usage(self) -> dict[ShardId, UsageByTeam]:
+        return {
+            shard_id: owner.book.usage() for shard_id, owner in self._owners.items()
+        }
+
     def on_mail(self, sender: str, body: Message) -> None:
         """Pass mail on to the owner of the shard that it names."""
         shard_id = getattr(body, "shard_id", None)
@@ -184,6 +196,7 @@
             self._rng,
             self._wall_clock,
             self._on_end,
+            partial(self._usage.elsewhere, shard_id),
         )
         owner.set_fleet(self._fleet)
         self._owners[shard_id] = owner
--- a/packages/tasks/almondspan_tasks/options.py
+++ b/packages/tasks/almondspan_tasks/options.py
@@ -75,6 +75,7 @@
     max_job_bytes: int = 262_144
     max_result_bytes: int = 262_144
     page_jobs: int = 500
+    usage_interval_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/tasks/almondspan_tasks/owner.py
+++ b/packages/tasks/almondspan_tasks/owner.py
@@ -19,6 +19,7 @@
 from almondspan_tasks.placing import FindAgents, Placer
 from almondspan_tasks.shard_book import ShardBook
 from almondspan_tasks.shard_log import LogEnd, ShardLog
+from almondspan_tasks.team_usage import UsageByTeam
 from almondspan_wire.codec import Message
 from almondspan_wire.mail import Mailer
 from almondspan_wire.task_messages import (
@@ -53,6 +54,7 @@
         rng: random.Random,
         wall_clock: Callable[[], float],
         on_end: Callable[["ShardOwner", LogEnd], None],
+        usage_elsewhere: Callable[[], UsageByTeam] = dict,
     ) -> None:
         self.log = log
         self.book = ShardBook(log, options, wall_clock)
@@ -68,6 +70,7 @@
             options,
             rng,
             wall_clock,
+            usage_elsewhere,
         )
         self._is_open = False
         self._background = Background()
--- a/packages/tasks/almondspan_tasks/placing.py
+++ b/packages/tasks/almondspan_tasks/placing.py
@@ -30,6 +30,7 @@
 from almondspan_tasks.options import OwnerOptions
 from almondspan_tasks.shard_book import ShardBook, Waiting
 from almondspan_tasks.state import Job
+from almondspan_tasks.team_usage import UsageByTeam
 from almondspan_wire.mail import Mailer
 from almondspan_wire.membership import CandidatesFound, FindCandidates, FoundAgent
 from almondspan_wire.task_messages import ReserveReply, ReserveRoom
@@ -56,6 +57,7 @@
         options: OwnerOptions,
         rng: random.Random,
         wall_clock: Callable[[], float],
+        usage_elsewhere: Callable[[], UsageByTeam],
     ) -> None:
         self._book = book
         self._attempts = attempts
@@ -64,6 +66,7 @@
         self._options = options
         self._rng = rng
         self._wall_clock = wall_clock
+        self._usage_elsewhere = usage_elsewhere
         self._policy = QUEUE_POLICIES[_DEFAULT_POLICY]
         self._quota: dict[TeamName, float] = {}
         self._fleet = EMPTY_SHAPE
@@ -143,11 +146,9 @@
         )
 
     def _team_shares(self) -> dict[TeamName, float]:
-        used: dict[TeamName, Shape] = {}
-        for job_id in self._book.followed:
-            job = self._book.jobs[job_id]
-            team = job.spec.team
-            used[team] = used.get(team, EMPTY_SHAPE) + job.stage.shape
+        used = self._book.usage()
+        for team, shape in self._usage_elsewhere().items():
+            used[team] = used.get(team, EMPTY_SHAPE) + shape
         return {
             team: shape.dominant_share(self._fleet)
             / max(1e-9, self._quota.get(team, 1))
--- a/packages/tasks/almondspan_tasks/shard_book.py
+++ b/packages/tasks/almondspan_tasks/shard_book.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from almondspan_decisions.ids import AgentId, JobId, TaskId, WorkerId
+from almondspan_decisions.ids import AgentId, JobId, TaskId, TeamName, WorkerId
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_decisions.run_times import RunTimes
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_decisions.tasks import JobSpec, job_of_task
 from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
 from almondspan_tasks.deltas import (
@@ -118,6 +119,15 @@
         """Return the job that a task belongs to."""
         return self.jobs.get(job_of_task(task))
 
+    def usage(self) -> dict[TeamName, Shape]:
+        """Return the room that each team's assigned attempts take."""
+        used: dict[TeamName, Shape] = {}
+        for job_id in self.followed:
+            job = self.jobs[job_id]
+            team = job.spec.team
+            used[team] = used.get(team, EMPTY_SHAPE) + job.stage.shape
+        return used
+
     # Decisions.
 
     def add_job(self, spec: JobSpec) -> None:
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/team_usage.py
@@ -0,0 +1,106 @@
+"""What each team has running over all shards of a region, for the order of queues.
+
+The owner of a shard writes the shard's use by team under its own small key when it
+has changed, and each host reads all of these keys together. Both happen once in an
+interval, so the figures lag by an interval or two. They only order queues: a team
+beyond its quota waits behind the others, and takes what nobody else wants.
+
+A new owner goes on with its shard's key at whatever revision it finds it. Nothing
+happens while no team is configured.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import msgspec
+
+from almondspan_decisions.ids import RegionName, ShardId, TeamName
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_platform.store import (
+    ABSENT_REVISION,
+    Conflict,
+    Revision,
+    Store,
+    Swapped,
+    Unavailable,
+)
+
+__all__ = ["TeamUsage", "UsageByTeam"]
+
+UsageByTeam = dict[TeamName, Shape]
+
+_ENCODER: Final = msgspec.msgpack.Encoder(order="deterministic")
+_DECODER: Final = msgspec.msgpack.Decoder(UsageByTeam)
+
+
+class TeamUsage:
+    """Exchanges the use by team between the owners of a region's shards."""
+
+    def __init__(
+        self,
+        region: RegionName,
+        store: Store,
+        interval_s: float,
+        rng: random.Random,
+        own_usage: Callable[[], Mapping[ShardId, UsageByTeam]],
+    ) -> None:
+        self.is_wanted = False
+        self._prefix = f"usage/{region}/"
+        self._store = store
+        self._interval_s = interval_s
+        self._rng = rng
+        self._own_usage = own_usage
+        self._revisions: dict[ShardId, Revision] = {}
+        self._written: dict[ShardId, bytes] = {}
+        self._read: dict[ShardId, UsageByTeam] = {}
+
+    def elsewhere(self, shard_id: ShardId) -> UsageByTeam:
+        """Return the use by team in all shards but this one."""
+        total: UsageByTeam = {}
+        for other, usage in self._read.items():
+            if other == shard_id:
+                continue
+            for team, shape in usage.items():
+                total[team] = total.get(team, EMPTY_SHAPE) + shape
+        return total
+
+    async def run(self) -> None:
+        """Write and read once in each interval."""
+        while True:
+            await asyncio.sleep(self._interval_s * (0.8 + 0.4 * self._rng.random()))
+            own = self._own_usage()
+            if not self.is_wanted or not own:
+                continue
+            for shard_id, usage in own.items():
+                await self._write(shard_id, usage)
+            await self._read_all()
+
+    async def _write(self, shard_id: ShardId, usage: UsageByTeam) -> None:
+        data = _ENCODER.encode(usage)
+        if self._written.get(shard_id) == data:
+            return
+        expected = self._revisions.get(shard_id, ABSENT_REVISION)
+        key = f"{self._prefix}{shard_id}"
+        answer = await self._store.compare_and_swap(key, expected, data)
+        if isinstance(answer, Swapped):
+            self._revisions[shard_id] = answer.revision
+            self._written[shard_id] = data
+        elif isinstance(answer, Conflict):
+            # Another owner wrote it, or an answer was lost: next time from here.
+            item = answer.item
+            revision = ABSENT_REVISION if item is None else item.revision
+            self._revisions[shard_id] = revision
+            self._written.pop(shard_id, None)
+
+    async def _read_all(self) -> None:
+        found = await self._store.get_range(self._prefix)
+        if isinstance(found, Unavailable):
+            return
+        self._read = {
+            ShardId(int(item.key.removeprefix(self._prefix))): _DECODER.decode(
+                item.value
+            )
+            for item in found.items
+        }
--- a/tests/tasks/sim_world.py
+++ b/tests/tasks/sim_world.py
@@ -15,12 +15,14 @@
 from sim_checks import CheckedCore, Checks
 from virtual_loop import Process, VirtualLoop
 
+from almondspan_decisions.fleet import FleetConfig, TeamConfig
 from almondspan_decisions.ids import (
     AgentId,
     EntryId,
     PlaceName,
     RegionName,
     ShardId,
+    TeamName,
     WorkerId,
 )
 from almondspan_decisions.shapes import Shape
@@ -426,6 +428,7 @@
     async def start(self) -> None:
         await self.keeper.start()
         await self.host.start()
+        self.host.set_fleet(FleetConfig(teams=(TeamConfig(TeamName("team"), 0.5, ""),)))
 
     def on_mail(self, sender: str, body: Message) -> None:
         self.keeper.on_mail(sender, body)
--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -7,6 +7,7 @@
 import pytest
 from virtual_loop import VirtualLoop
 
+from almondspan_decisions.fleet import FleetConfig, TeamConfig
 from almondspan_decisions.ids import (
     AgentId,
     JobId,
@@ -25,10 +26,11 @@
 from almondspan_platform.store import Found
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.memory_store import MemoryStore
-from almondspan_standins.store_core import StoreCore
+from almondspan_standins.store_core import CallKind, StoreCore
 from almondspan_tasks.desk import ClaimState, SubmitState
 from almondspan_tasks.host import ShardHost
 from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.team_usage import TeamUsage
 from almondspan_wire.codec import Message
 from almondspan_wire.membership import CandidatesFound, FindCandidates, FoundAgent
 from almondspan_wire.task_messages import (
@@ -317,6 +319,29 @@
     assert (await claim("t", "1")).state == ClaimState.GRANTED.value
 
 
+async def a_teams_use_counts_over_all_shards(rig: Rig) -> None:
+    await rig.host.start()
+    rig.host.set_fleet(FleetConfig(teams=(TeamConfig(TEAM, 0.5, ""),)))
+    await rig.submit(job("a"))
+    await asyncio.sleep(10.0)
+    other = TeamUsage(
+        RegionName("viti"), MemoryStore(rig.core), 1.0, random.Random(1), dict
+    )
+    other.is_wanted = True
+    assert other.elsewhere(ShardId(1)) == {}
+    item = rig.core.get("usage/viti/0")
+    assert item is not None
+    n_writes = rig.core.n_calls[CallKind.WRITE]
+    await other._read_all()
+    assert other.elsewhere(ShardId(1)) == {TEAM: SHAPE}
+    assert other.elsewhere(SHARD) == {}
+    assert rig.core.n_calls[CallKind.WRITE] == n_writes
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE)))
+    await asyncio.sleep(10.0)
+    await other._read_all()
+    assert other.elsewhere(ShardId(1)) == {}
+
+
 async def a_silent_owner_is_replaced_within_seconds(rig: Rig) -> None:
     await rig.submit(job("a"))
     await rig.host.close()
@@ -384,6 +409,7 @@
             failing_jobs_use_up_their_attempts,
             orders_come_in_pages,
             claims_are_granted_once,
+            a_teams_use_counts_over_all_shards,
             a_silent_owner_is_replaced_within_seconds,
             a_live_owner_is_not_replaced,
             a_hand_over_takes_less_than_a_second,
