Choose the least queueing delay of three; let superseded runs end

Cause: a hedge that lost held its slot for four mean run times, and a slow runner whose calls were hedged away was never learned or tried again. Choosing by a delay that is proportional to the load queued calls at fast runners while slower ones had free slots. Runners were ejected as slow on old figures and at the crest. Burn did not count calls that timed out, failed or were shed. Change: a superseded run may end by itself within that time, which frees its slot exactly and tells its length. The policy three_choices, now the default, squares the load beyond the slots and compares latencies in steps of 1.25. A runner that was not used for 5 s is tried again with one call. Only a runner with ten recent answers at ten times its peers' median is ejected as slow, and only while its peers have room. Burn counts what callers missed.

--- a/packages/decisions/almondspan_decisions/fleet.py
+++ b/packages/decisions/almondspan_decisions/fleet.py
@@ -85,7 +85,7 @@
 
     queue: str = "urgent_first"
     placement: str = "least_loaded"
-    routing: str = "two_choices"
+    routing: str = "three_choices"
     ladder: str = "ladder"
 
 
--- a/packages/decisions/almondspan_decisions/routing.py
+++ b/packages/decisions/almondspan_decisions/routing.py
@@ -12,6 +12,7 @@
 has opened and closed there since.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
@@ -26,6 +27,7 @@
     "RoutingContext",
     "RoutingPolicy",
     "RunnerView",
+    "pool_load",
     "prefer_place",
     "rendezvous_subset",
     "routing_policy",
@@ -34,6 +36,17 @@
 SPILL_LOAD: Final = 0.75
 """Calls per slot in a place above which calls may leave it."""
 
+LEAST_SLOTS: Final = 0.01
+"""Slots of a runner that should get no calls."""
+
+SPREAD_SHARE: Final = 0.2
+"""Share of its run time by which a full runner's delay exceeds an idle one's."""
+
+LATENCY_STEP: Final = 1.25
+"""Ratio below which latencies are not told apart."""
+
+_LOG_LATENCY_STEP: Final = math.log(LATENCY_STEP)
+
 MIN_LATENCY_MS: Final = 1.0
 """Latencies below this are not told apart, in milliseconds."""
 
@@ -119,23 +132,59 @@
     near = [runner for runner in runners if runner.place == place]
     if not near or len(near) == len(runners):
         return runners
-    near_load = _load(near)
+    near_load = pool_load(near)
     if near_load <= SPILL_LOAD:
         return near
     far = [runner for runner in runners if runner.place != place]
-    return runners if _load(far) < near_load else near
+    return runners if pool_load(far) < near_load else near
 
 
-def _load(runners: Sequence[Runner]) -> float:
+def pool_load(runners: Sequence[RunnerView]) -> float:
+    """Return the calls that some runners hold for each of their slots."""
     n_slots = sum(runner.n_slots * runner.weight for runner in runners)
     n_outstanding = sum(runner.n_outstanding for runner in runners)
     return n_outstanding / n_slots if n_slots > 0 else float("inf")
 
 
-def expected_delay(runner: RunnerView) -> float:
-    """Return how long one more call would take there, in relative terms."""
-    share = (runner.n_outstanding + 1) / max(runner.n_slots * runner.weight, 0.01)
-    return share * max(runner.latency_ms, MIN_LATENCY_MS)
+def load_with_one_more(runner: RunnerView) -> float:
+    """Return the calls per slot that the runner should get, with one more call."""
+    n_slots = max(runner.n_slots * runner.weight, LEAST_SLOTS)
+    return (runner.n_outstanding + 1) / n_slots
+
+
+def proportional_delay(runner: RunnerView) -> float:
+    """Return a delay that grows with every call that the runner holds."""
+    return load_with_one_more(runner) * max(runner.latency_ms, MIN_LATENCY_MS)
+
+
+def queueing_delay(runner: RunnerView) -> float:
+    """Return a delay that grows fast only when calls have to wait for a slot.
+
+    It then grows with the square of the load: a call that waits also holds up the
+    calls after it, so a slower runner with a free slot is better for all. Below one
+    call a slot it still grows a little, so that calls spread over equal runners.
+    Latencies count in steps, so that small differences do not gather all calls.
+    """
+    load = load_with_one_more(runner)
+    factor = max(1.0, load) ** 2 + SPREAD_SHARE * load
+    return factor * latency_step_ms(runner.latency_ms)
+
+
+def latency_step_ms(latency_ms: float) -> float:
+    """Return the nearest step of a scale that grows by `LATENCY_STEP`."""
+    steps = round(math.log(max(latency_ms, MIN_LATENCY_MS)) / _LOG_LATENCY_STEP)
+    return float(LATENCY_STEP**steps)
+
+
+def best_of(
+    n_drawn: int,
+    delay: Callable[[RunnerView], float],
+    runners: Sequence[RunnerView],
+    rng: random.Random,
+) -> int:
+    """Draw runners at random and return the index of the one with the least delay."""
+    drawn = rng.sample(range(len(runners)), min(n_drawn, len(runners)))
+    return min(drawn, key=lambda index: delay(runners[index]))
 
 
 @routing_policy("random")
@@ -169,14 +218,13 @@
 def two_choices(
     context: RoutingContext, runners: Sequence[RunnerView], rng: random.Random
 ) -> int:
-    """Draw two runners and choose the one with the lower expected delay."""
-    n_runners = len(runners)
-    if n_runners == 1:
-        return 0
-    first = int(rng.random() * n_runners)
-    second = int(rng.random() * (n_runners - 1))
-    if second >= first:
-        second += 1
-    if expected_delay(runners[second]) < expected_delay(runners[first]):
-        return second
-    return first
+    """Draw two runners and choose the one with the lower proportional delay."""
+    return best_of(2, proportional_delay, runners, rng)
+
+
+@routing_policy("three_choices")
+def three_choices(
+    context: RoutingContext, runners: Sequence[RunnerView], rng: random.Random
+) -> int:
+    """Draw three runners and choose the one with the lowest queueing delay."""
+    return best_of(3, queueing_delay, runners, rng)
--- a/packages/operator/almondspan/plan.py
+++ b/packages/operator/almondspan/plan.py
@@ -211,7 +211,7 @@
         self,
         queue: str = "urgent_first",
         placement: str = "least_loaded",
-        routing: str = "two_choices",
+        routing: str = "three_choices",
         ladder: str = "ladder",
     ) -> None:
         """Choose the policies in force."""
--- a/packages/service/almondspan_service/answer_relay.py
+++ b/packages/service/almondspan_service/answer_relay.py
@@ -48,6 +48,9 @@
 
     async def relay(self, call: GateCall, answer: RunnerAnswer) -> None:
         """Relay an answer to its end."""
+        if call.superseded and answer.body_bytes < 0:
+            # Its end may be far away, and nobody waits for it.
+            return
         if 0 <= answer.body_bytes <= self._options.whole_answer_bytes:
             await self._relay_whole(call, answer)
         else:
--- a/packages/service/almondspan_service/dispatcher.py
+++ b/packages/service/almondspan_service/dispatcher.py
@@ -148,10 +148,13 @@
         credit = AnswerCredit(self._incarnation, attempt.call_id, n_bytes)
         self._post(attempt, credit)
 
-    def cancel(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt, superseded: bool = False) -> None:
         """Withdraw an attempt; it stays open."""
         service = attempt.row.service
-        self._post(attempt, CallCancel(self._incarnation, attempt.call_id, service))
+        self._post(
+            attempt,
+            CallCancel(self._incarnation, attempt.call_id, service, superseded),
+        )
 
     def close(self, attempt: Attempt) -> None:
         """Forget an attempt; what still arrives for it is late."""
@@ -162,7 +165,7 @@
         if attempt.pump is not None:
             attempt.pump.cancel()
         del self._attempts[attempt.call_id]
-        attempt.row.n_open -= 1
+        attempt.row.closed(asyncio.get_running_loop().time())
 
     def on_message(self, agent_id: AgentId, message: Message) -> bool:
         """Pass a message to its attempt; False when it is not for any."""
--- a/packages/service/almondspan_service/ejection.py
+++ b/packages/service/almondspan_service/ejection.py
@@ -2,8 +2,8 @@
 
 A runner's health is one of three states:
 
-1. Healthy: it is ejected after several failures in a row, or when it is many times
-   slower than the median of its peers.
+1. Healthy: it is ejected after several failures in a row, or when its recent answers
+   were many times slower than the median of its peers and the peers have room.
 2. Ejected: it gets no calls until its time has passed. The time doubles with each
    ejection and shrinks again while the runner does well.
 3. Probing: it gets single calls. Some successes in a row make it healthy, one
@@ -36,13 +36,17 @@
     """Limits of ejection.
 
     A runner is slow when its latency exceeds the median of its peers ``slow_ratio``
-    times and by ``slow_least_ms``.
+    times and by ``slow_least_ms``, in ``slow_answers`` answers since it was last out
+    of use. The peers have room while they hold fewer than ``room_load`` calls a slot:
+    beyond that, a slow runner is better than none.
     """
 
     n_failures: int = 5
     n_probes: int = 3
-    slow_ratio: float = 5.0
+    slow_ratio: float = 10.0
     slow_least_ms: float = 20.0
+    slow_answers: int = 10
+    room_load: float = 0.5
     base_s: float = 2.0
     max_s: float = 60.0
     max_share: float = 0.34
--- a/packages/service/almondspan_service/entry_call.py
+++ b/packages/service/almondspan_service/entry_call.py
@@ -138,7 +138,7 @@
         self._begun = begun.head
         for attempt in list(self._open):
             if attempt is not begun.attempt:
-                self._dispatcher.cancel(attempt)
+                self._dispatcher.cancel(attempt, superseded=True)
                 self._close(attempt)
         if begun.head.end:
             return await self._relay_whole(begun)
--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -223,14 +223,17 @@
             self._answer_again(key, state)
             return
         call = GateCall(key, message, _now_s())
-        reason = self._refusal(call)
+        if self._draining:
+            self._refuse(call, "the runner drains")
+            return
+        reason = self._shed_reason(call)
         if reason:
-            self._refuse(call, reason)
+            self._shed(call, reason)
             return
         self._hold(call)
         dropped = self._queue.push(message.caller, call)
         if dropped is not None:
-            self._refuse(dropped, "the queue is full")
+            self._shed(dropped, "the queue is full")
         self._dispatch()
         if call.key in self._calls and not call.has_slot:
             self._watch_deadline(call)
@@ -241,10 +244,8 @@
         elif state is CallState.FORGOTTEN:
             self._outbox.notify_end(key, OutcomeKind.UNKNOWN, "no record is left of it")
 
-    def _refusal(self, call: GateCall) -> str:
-        """Return why a call is not admitted, or an empty string."""
-        if self._draining:
-            return "the runner drains"
+    def _shed_reason(self, call: GateCall) -> str:
+        """Return why a call would not be served in time, or an empty string."""
         if self._n_busy < self._options.n_slots:
             return "" if call.opened.timeout_ms > 0 else "the deadline has passed"
         n_ahead = self._queue.n_ahead(call.opened.caller)
@@ -266,6 +267,16 @@
         if not self._calls and self._n_busy == 0:
             self._idle.set()
 
+    def _shed(self, call: GateCall, reason: str) -> None:
+        """Refuse a call because of the runner's load."""
+        self._missed(call)
+        self._refuse(call, reason)
+
+    def _missed(self, call: GateCall) -> None:
+        """Measure a call that gets no answer here, unless it got one elsewhere."""
+        if not call.superseded:
+            self._meter.missed(_now_s())
+
     def _refuse(self, call: GateCall, reason: str) -> None:
         """Mark a call as one that never runs, and say so."""
         self._ledger.record(call.key, CallState.REFUSED)
@@ -279,7 +290,7 @@
     def _watch_deadline(self, call: GateCall) -> None:
         latest_s = call.deadline_s - self._meter.run.median_s
         call.shed_timer = asyncio.get_running_loop().call_at(
-            latest_s, self._refuse, call, "it waited too long"
+            latest_s, self._shed, call, "it waited too long"
         )
 
     # Run.
@@ -303,19 +314,19 @@
             async with asyncio.timeout_at(self._limit_s(call)):
                 await self._serve(call)
         except TimeoutError:
+            self._missed(call)
             self._free_slot_when_stopped(call)
             await self._outbox.end(call, OutcomeKind.UNKNOWN, "its deadline passed")
 
     def _after_run(self, call: GateCall, task: asyncio.Task[None]) -> None:
         """Free what a call held; also after a cancel before its first step."""
+        self._free_slot_when_stopped(call)
         if not call.counted:
             self._meter.run.add_stopped(_now_s() - call.dispatched_s)
-        self._free_slot_when_stopped(call)
         self._release(call)
         if task.cancelled():
-            self._outbox.notify_end(
-                call.key, OutcomeKind.CANCELLED, "stopped while it ran"
-            )
+            if not call.detached:
+                self._outbox.notify_end(call.key, OutcomeKind.CANCELLED, "stopped")
         elif error := task.exception():
             _LOGGER.error("a call ended with an error", exc_info=error)
             self._outbox.notify_end(call.key, OutcomeKind.UNKNOWN, "the gate failed")
@@ -333,12 +344,15 @@
         """
         if not call.has_slot:
             return
-        until_s = call.dispatched_s + STOPPED_AFTER_RUNS * self._meter.run.mean_s
+        until_s = self._stopped_s(call)
         if until_s <= _now_s():
             self._free_slot(call)
         else:
             asyncio.get_running_loop().call_at(until_s, self._free_slot, call)
 
+    def _stopped_s(self, call: GateCall) -> float:
+        return call.dispatched_s + STOPPED_AFTER_RUNS * self._meter.run.mean_s
+
     def _free_slot(self, call: GateCall) -> None:
         """Free the slot of a call that the runner is done with."""
         if not call.has_slot:
@@ -375,6 +389,7 @@
         if not fault.may_have_run:
             kind = OutcomeKind.NOT_RUN
             self._ledger.record(call.key, CallState.REFUSED)
+        self._missed(call)
         self._free_slot(call)
         await self._outbox.end(call, kind, fault.reason, True)
 
@@ -383,7 +398,10 @@
         now_s = _now_s()
         call.counted = True
         run_s = now_s - call.dispatched_s
-        self._meter.answered(now_s, run_s, now_s - call.arrived_s)
+        if call.superseded:
+            self._meter.run.add(run_s)
+        else:
+            self._meter.answered(now_s, run_s, now_s - call.arrived_s)
 
     # Messages about calls that are held or over.
 
@@ -420,7 +438,21 @@
         elif call is not None and call.task is not None:
             call.body.abort()
             if call.opened.idempotent:
-                call.task.cancel()
+                self._stop(call, call.task, message.superseded)
+
+    def _stop(self, call: GateCall, task: asyncio.Task[None], superseded: bool) -> None:
+        """Stop a running call; one that is superseded may first end by itself.
+
+        Its slot is then free as soon as its answer is there, and its time is learned.
+        """
+        if not superseded:
+            task.cancel()
+            return
+        call.superseded = True
+        call.detach()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_at(self._stopped_s(call), task.cancel)
+        task.add_done_callback(lambda _: timer.cancel())
 
     def _on_recover(self, entry_id: EntryId, message: Message) -> bool:
         assert isinstance(message, CallRecover)
--- a/packages/service/almondspan_service/gate_call.py
+++ b/packages/service/almondspan_service/gate_call.py
@@ -85,6 +85,7 @@
         "opened",
         "recover",
         "shed_timer",
+        "superseded",
         "task",
     )
 
@@ -100,6 +101,7 @@
         self.counted = False
         self.detached = False
         self.recover = False
+        self.superseded = False
         self.shed_timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
--- a/packages/service/almondspan_service/gate_meter.py
+++ b/packages/service/almondspan_service/gate_meter.py
@@ -56,6 +56,10 @@
         self._burn.record(now_s, latency_ms > self.objective_ms)
         self._tail.add(now_s, latency_ms)
 
+    def missed(self, now_s: float) -> None:
+        """Count a call that missed the objective without an answer."""
+        self._burn.record(now_s, True)
+
     def burn(self, now_s: float, window_s: float) -> BurnSample:
         """Return the calls of the last `window_s` seconds against the objective."""
         counts = self._burn.counts(now_s, window_s)
--- a/packages/service/almondspan_service/router_options.py
+++ b/packages/service/almondspan_service/router_options.py
@@ -16,7 +16,8 @@
     ``late_wait_s`` is how long the outcome of a request that is not idempotent is
     awaited after its caller was told that it is unknown. ``recover_wait_s`` is how
     long a call waits for an agent whose channel was lost. ``settle_wait_s`` bounds
-    how long a drain waits for outcomes to be recorded.
+    how long a drain waits for outcomes to be recorded. After ``stale_s`` without a
+    call, a runner's latency is learned anew.
     """
 
     default_timeout_ms: float = 2000.0
@@ -36,6 +37,7 @@
     n_subset: int = 16
     max_in_flight: int = 4096
     slow_start_s: float = 10.0
+    stale_s: float = 5.0
     hedge_quantile: float = 0.9
     hedge_period_s: float = 15.0
     hedge_least_calls: int = 50
--- a/packages/service/almondspan_service/runner_table.py
+++ b/packages/service/almondspan_service/runner_table.py
@@ -21,6 +21,7 @@
     ROUTING_POLICIES,
     RoutingContext,
     RoutingPolicy,
+    pool_load,
     prefer_place,
     rendezvous_subset,
 )
@@ -40,6 +41,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+DEFAULT_POLICY = "three_choices"
+"""The routing policy until a configuration arrives."""
+
 UNKNOWN_SLOTS = 1
 """Slots of a runner whose status has not arrived."""
 
@@ -54,12 +58,15 @@
         "damped_until_s",
         "draining",
         "health",
-        "latency_ms",
+        "is_stale",
+        "n_answers",
         "n_open",
         "n_slots",
         "place",
         "ramp_from_s",
+        "reported_ms",
         "service",
+        "used_s",
         "weight",
     )
 
@@ -75,7 +82,10 @@
         self.service = service
         self.health = health
         self.n_slots = UNKNOWN_SLOTS
-        self.latency_ms = 0.0
+        self.reported_ms = 0.0
+        self.used_s = 0.0
+        self.is_stale = False
+        self.n_answers = 0
         self.weight = 1.0
         self.ramp_from_s: float | None = None
         self.damped_until_s = 0.0
@@ -90,6 +100,20 @@
         estimate = self._n_reported + self.n_open - self._n_open_then
         return max(estimate, self.n_open)
 
+    @property
+    def latency_ms(self) -> float:
+        """How long a call takes; 0 for an idle runner whose latency is stale.
+
+        So a runner that was slow is tried again, with one call at a time.
+        """
+        return 0.0 if self.is_stale and self.n_open == 0 else self.reported_ms
+
+    def closed(self, now_s: float) -> None:
+        """Count the end of an attempt, also of one that was withdrawn."""
+        self.n_open -= 1
+        self.used_s = now_s
+        self.is_stale = False
+
     def has_free_slot(self) -> bool:
         """Tell whether a call would probably not wait."""
         return self.n_outstanding < self.n_slots
@@ -98,7 +122,7 @@
         """Take the number of calls that the agent says the runner holds."""
         self._n_reported = n_held
         self._n_open_then = self.n_open
-        self.latency_ms = latency_ms
+        self.reported_ms = latency_ms
 
     def on_status(self, status: RunnerStatus) -> None:
         """Take a status of the runner."""
@@ -139,7 +163,7 @@
         self._options = options
         self._counters = counters
         self._rng = rng
-        self._policy: RoutingPolicy = ROUTING_POLICIES["two_choices"]
+        self._policy: RoutingPolicy = ROUTING_POLICIES[DEFAULT_POLICY]
         self._n_calls = 0
         self._damper = FlapDamper(options.damping)
         self._hellos: dict[AgentId, AgentHello] = {}
@@ -213,6 +237,7 @@
 
     def on_success(self, row: RunnerRow, now_s: float) -> None:
         """Count an answer of a runner."""
+        row.n_answers += 1
         if row.health.on_success():
             _LOGGER.info("runner of %s is healthy again", row.agent_id)
             row.ramp_from_s = now_s
@@ -233,6 +258,7 @@
         if not may_eject(n_out, len(subset), self._options.ejection.max_share):
             return
         row.health.eject_at(now_s)
+        row.n_answers = 0
         self._counters.n_ejections += 1
         _LOGGER.warning("runner of %s is ejected: %s", row.agent_id, reason)
 
@@ -245,12 +271,21 @@
         for row in subset:
             row.health.check(now_s)
             row.ramp(now_s, self._options.slow_start_s)
-            peers_ms = [other.latency_ms for other in subset if other is not row]
-            if row.health.state is HealthState.HEALTHY and is_outlier(
-                row.latency_ms, peers_ms, self._options.ejection
-            ):
+            row.is_stale = now_s > row.used_s + self._options.stale_s
+            if self._is_slow(row, [other for other in subset if other is not row]):
                 self._eject(row, now_s, "it is slow")
 
+    def _is_slow(self, row: RunnerRow, peers: Sequence[RunnerRow]) -> bool:
+        options = self._options.ejection
+        if (
+            row.health.state is not HealthState.HEALTHY
+            or row.n_answers < options.slow_answers
+            or pool_load(peers) > options.room_load
+        ):
+            return False
+        peers_ms = [peer.reported_ms for peer in peers]
+        return is_outlier(row.reported_ms, peers_ms, options)
+
     # Choice.
 
     def choose(
--- a/packages/wire/almondspan_wire/service_messages.py
+++ b/packages/wire/almondspan_wire/service_messages.py
@@ -87,12 +87,14 @@
     """Withdraws a call.
 
     One that has not been dispatched never will be. One that runs is stopped when
-    it is idempotent; otherwise it runs to its end.
+    it is idempotent; otherwise it runs to its end. ``superseded`` says that another
+    attempt was answered: then nothing is gained by stopping the runner early.
     """
 
     incarnation: int
     call_id: int
     service: ServiceName
+    superseded: bool = False
 
 
 @message
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -52,6 +52,12 @@
         pytest.param("two_choices", {"latency_ms": 90.0}, 0.0, 0.0, id="slow"),
         pytest.param("two_choices", {"weight": 0.1}, 0.0, 0.0, id="ramping"),
         pytest.param("two_choices", {}, 0.2, 0.3, id="equal"),
+        pytest.param("three_choices", {"n_outstanding": 8}, 0.0, 0.0, id="full"),
+        pytest.param("three_choices", {"n_outstanding": 2}, 0.0, 0.0, id="spread"),
+        pytest.param("three_choices", {"latency_ms": 10.3}, 0.2, 0.3, id="alike"),
+        pytest.param("three_choices", {"latency_ms": 15.0}, 0.0, 0.0, id="slower"),
+        pytest.param("three_choices", {"weight": 0.1}, 0.0, 0.0, id="ramping-3"),
+        pytest.param("three_choices", {}, 0.2, 0.3, id="equal-3"),
         pytest.param("two_choices", {"latency_ms": 1.0}, 0.45, 0.55, id="fast"),
     ],
 )
--- a/tests/service/test_adaptive_routing.py
+++ b/tests/service/test_adaptive_routing.py
@@ -87,6 +87,26 @@
     run_virtual(run())
 
 
+def test_a_runner_that_was_slow_is_tried_again() -> None:
+    async def run() -> None:
+        slow = True
+        serve = timed(lambda: 0.05 if slow else 0.01)
+        runners = {name: FakeRunner(timed(lambda: 0.01)) for name in NAMES}
+        runners["a"] = FakeRunner(serve)
+        async with ServicePath(runners) as path:
+            await offer(path, 500)
+            n_before = len(runners["a"].runs)
+            await offer(path, 500)
+            assert len(runners["a"].runs) - n_before < 20
+            slow = False
+            await offer(path, 15_000)
+            n_before = len(runners["a"].runs)
+            await offer(path, 500)
+            assert len(runners["a"].runs) - n_before > 50
+
+    run_virtual(run())
+
+
 def test_a_returning_runner_starts_slowly() -> None:
     async def run() -> None:
         runners = {name: FakeRunner(timed(lambda: 0.02)) for name in NAMES}
--- a/tests/service/test_service_faults.py
+++ b/tests/service/test_service_faults.py
@@ -375,6 +375,60 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize(
+    ("run_s", "superseded", "busy_until_s", "closed_at_s"),
+    [
+        pytest.param(0.1, True, 0.1, 0.1, id="superseded-ends-by-itself"),
+        pytest.param(9.0, True, 0.4, 0.4, id="superseded-straggler-is-stopped"),
+        pytest.param(0.1, False, 0.4, 0.05, id="withdrawn-is-stopped-at-once"),
+    ],
+)
+def test_slot_of_a_withdrawn_run(
+    run_s: float, superseded: bool, busy_until_s: float, closed_at_s: float
+) -> None:
+    """The mean run time is 0.1 s; a stopped run holds its slot for four of them."""
+
+    async def run() -> None:
+        runner = FakeRunner(slow(run_s))
+        options = GateOptions(initial_run_s=0.1)
+        async with ServicePath({"a": runner}, gate_options=options) as path:
+            path.carry_to_router = tape = Tape()
+            gate = path.gates[A]
+            gate.on_message(ENTRY, opening(1))
+            await asyncio.sleep(0.05)
+            gate.on_message(ENTRY, CallCancel(1, 1, SERVICE, superseded))
+            await until(lambda: runner.n_busy == 0)
+            assert path_time() - 1000.0 == pytest.approx(closed_at_s, abs=0.02)
+            await until(lambda: gate.status().n_busy == 0)
+            assert path_time() - 1000.0 == pytest.approx(busy_until_s, abs=0.02)
+            assert len(tape.messages) == (0 if superseded else 1)
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("run_s", "timeout_ms", "n_calls", "n_missed"),
+    [
+        pytest.param(0.1, 1000.0, 8, 0, id="in-objective"),
+        pytest.param(0.3, 1000.0, 8, 8, id="slow"),
+        pytest.param(0.3, 100.0, 8, 8, id="timed-out"),
+        pytest.param(0.1, 150.0, 24, 16, id="shed"),
+    ],
+)
+def test_burn_counts_what_callers_missed(run_s, timeout_ms, n_calls, n_missed) -> None:
+    async def run() -> None:
+        options = GateOptions(initial_run_s=0.1, objective_latency_ms=200.0)
+        async with ServicePath({"a": FakeRunner(slow(run_s))}, None, options) as path:
+            path.carry_to_router = Tape()
+            for n in range(n_calls):
+                path.gates[A].on_message(ENTRY, opening(n, timeout_ms=timeout_ms))
+            await asyncio.sleep(2.0)
+            burn = path.gates[A].burn(10.0)
+            assert (burn.n_calls, burn.n_missed) == (n_calls, n_missed)
+
+    run_virtual(run())
+
+
 # Flow control.
 
 
@@ -535,5 +589,13 @@
     run_virtual(run())
 
 
+async def until(is_so) -> None:
+    for _ in range(1000):
+        if is_so():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it never became so")
+
+
 def path_time() -> float:
     return asyncio.get_running_loop().time()
