--- a/tests/service/test_service_http.py
+++ b/tests/service/test_service_http.py
@@ -15,6 +15,9 @@
 from almondspan_service.gate_options import GateOptions
 from almondspan_service.runner_client import HttpRunnerClient, RunnerRequest
 
+WHOLE_UPLOADS: list[int] = []
+ENDLESS_PARTS: list[int] = []
+
 
 async def runner_echo(request: web.Request) -> web.Response:
     body = await request.read()
@@ -48,18 +51,62 @@
     return response
 
 
+async def runner_hang(request: web.Request) -> web.Response:
+    await asyncio.sleep(60.0)
+    return web.Response()
+
+
+async def runner_count(request: web.Request) -> web.Response:
+    WHOLE_UPLOADS.append(len(await request.read()))
+    return web.Response()
+
+
+async def runner_endless(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse()
+    await response.prepare(request)
+    ENDLESS_PARTS.clear()
+    while len(ENDLESS_PARTS) < 100_000:
+        await response.write(b"x" * 65_536)
+        ENDLESS_PARTS.append(1)
+    return response
+
+
+async def wait_until(is_so) -> None:
+    for _ in range(1000):
+        if is_so():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it never became so")
+
+
+async def settled(count) -> int:
+    """Wait until a count has stopped to grow."""
+    n_same = 0
+    n_last = -1
+    for _ in range(1000):
+        n_same = n_same + 1 if count() == n_last > 0 else 0
+        n_last = count()
+        if n_same == 20:
+            return n_last
+        await asyncio.sleep(0.01)
+    raise AssertionError("it grows without end")
+
+
 def runner_app() -> web.Application:
     app = web.Application(client_max_size=10_000_000)
     app.router.add_route("*", "/cut", runner_cut)
     app.router.add_route("*", "/cut-chunked", runner_cut_chunked)
     app.router.add_route("*", "/stream", runner_stream)
+    app.router.add_route("*", "/hang", runner_hang)
+    app.router.add_route("*", "/count", runner_count)
+    app.router.add_route("*", "/endless", runner_endless)
     app.router.add_route("*", "/{path:.*}", runner_echo)
     return app
 
 
 @asynccontextmanager
 async def http_path():
-    """Yield a session and the base address of an entry with one runner."""
+    """Yield a session, the base address of an entry with one runner, and the path."""
     path = ServicePath({})
     async with TestServer(runner_app()) as runner, path, ClientSession() as session:
         agent_id = AgentId("a")
@@ -151,6 +198,55 @@
     asyncio.run(run())
 
 
+def test_a_caller_that_hangs_up_cancels_its_call() -> None:
+    async def run() -> None:
+        async with http_path() as (_, base, path):
+            gate = path.gates[AgentId("a")]
+            url = URL(base)
+            reader, writer = await asyncio.open_connection(url.host, url.port)
+            writer.write(f"GET {url.path}/hang HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            await wait_until(lambda: gate.status().n_busy == 1)
+            writer.close()
+            await wait_until(lambda: gate.status().n_busy == 0)
+            assert path.router.n_in_flight() == 0
+            assert reader
+
+    asyncio.run(run())
+
+
+def test_an_upload_that_breaks_off_reaches_no_runner_as_whole() -> None:
+    async def run() -> None:
+        async with http_path() as (_, base, path):
+            url = URL(base)
+            _, writer = await asyncio.open_connection(url.host, url.port)
+            head = f"PUT {url.path}/count HTTP/1.1\r\nHost: x\r\n"
+            writer.write(
+                head.encode() + b"Content-Length: 200000\r\n\r\n" + b"x" * 150000
+            )
+            gate = path.gates[AgentId("a")]
+            await wait_until(lambda: gate.status().n_busy == 1)
+            writer.close()
+            await wait_until(lambda: gate.status().n_busy == 0)
+            assert WHOLE_UPLOADS == []
+
+    asyncio.run(run())
+
+
+def test_a_slow_reader_is_waited_for() -> None:
+    """The entry and the gate hold a bounded part of an endless answer."""
+
+    async def run() -> None:
+        async with http_path() as (session, base, path):
+            async with session.get(base + "/endless") as reply:
+                n_before = await settled(lambda: len(ENDLESS_PARTS))
+                for _ in range(200):
+                    assert await reply.content.read(65_536)
+                assert len(ENDLESS_PARTS) > n_before
+            await wait_until(lambda: path.gates[AgentId("a")].status().n_busy == 0)
+
+    asyncio.run(run())
+
+
 def test_a_repeated_request_id_is_refused_with_its_first_outcome() -> None:
     async def run() -> None:
         async with http_path() as (session, base, _):
