--- a/packages/decisions/almondspan_decisions/routing.py
+++ b/packages/decisions/almondspan_decisions/routing.py
@@ -27,6 +27,7 @@
     "RoutingContext",
     "RoutingPolicy",
     "RunnerView",
+    "pool_load",
     "prefer_place",
     "rendezvous_subset",
     "routing_policy",
@@ -131,14 +132,15 @@
     near = [runner for runner in runners if runner.place == place]
     if not near or len(near) == len(runners):
         return runners
-    near_load = _load(near)
+    near_load = pool_load(near)
     if near_load <= SPILL_LOAD:
         return near
     far = [runner for runner in runners if runner.place != place]
-    return runners if _load(far) < near_load else near
+    return runners if pool_load(far) < near_load else near
 
 
-def _load(runners: Sequence[Runner]) -> float:
+def pool_load(runners: Sequence[RunnerView]) -> float:
+    """Return the calls that some runners hold for each of their slots."""
     n_slots = sum(runner.n_slots * runner.weight for runner in runners)
     n_outstanding = sum(runner.n_outstanding for runner in runners)
     return n_outstanding / n_slots if n_slots > 0 else float("inf")
@@ -158,11 +160,13 @@
 def queueing_delay(runner: RunnerView) -> float:
     """Return a delay that grows fast only when calls have to wait for a slot.
 
-    Below that it still grows a little, so that calls spread over equal runners.
+    It then grows with the square of the load: a call that waits also holds up the
+    calls after it, so a slower runner with a free slot is better for all. Below one
+    call a slot it still grows a little, so that calls spread over equal runners.
     Latencies count in steps, so that small differences do not gather all calls.
     """
     load = load_with_one_more(runner)
-    factor = max(1.0, load) + SPREAD_SHARE * load
+    factor = max(1.0, load) ** 2 + SPREAD_SHARE * load
     return factor * latency_step_ms(runner.latency_ms)
 
 
