--- a/packages/admin/almondspan_admin/fleet_routes.py
+++ b/packages/admin/almondspan_admin/fleet_routes.py
@@ -40,9 +40,18 @@
 
 @route("POST", "/v1/fleet/agents/{agent_id}/drain", Access.OPERATOR, DrainBody)
 async def drain_agent(context: ApiContext, call: ApiCall) -> Reply:
-    """Let an agent refuse new work, finish what it has, and leave."""
-    agent_id = AgentId(call.path["agent_id"])
-    result = await context.fleet_view.drain(agent_id)
+    """Let an agent refuse new work and finish what it has."""
+    return await _drain(context, AgentId(call.path["agent_id"]), resume=False)
+
+
+@route("POST", "/v1/fleet/agents/{agent_id}/resume", Access.OPERATOR, DrainBody)
+async def resume_agent(context: ApiContext, call: ApiCall) -> Reply:
+    """Let a draining agent take work again."""
+    return await _drain(context, AgentId(call.path["agent_id"]), resume=True)
+
+
+async def _drain(context: ApiContext, agent_id: AgentId, *, resume: bool) -> Reply:
+    result = await context.fleet_view.drain(agent_id, resume)
     if result is ChangeResult.DONE:
         return Reply(DrainBody(agent_id))
     return _refuse_change(result, f"agent {agent_id}")
--- a/packages/admin/almondspan_admin/fleet_view.py
+++ b/packages/admin/almondspan_admin/fleet_view.py
@@ -172,8 +172,8 @@
         """Return the burn of every service of the configuration."""
         ...
 
-    async def drain(self, agent_id: AgentId) -> ChangeResult:
-        """Let an agent refuse new work, finish what it has, and leave."""
+    async def drain(self, agent_id: AgentId, resume: bool = False) -> ChangeResult:
+        """Let an agent refuse new work and finish what it has, or take work again."""
         ...
 
     async def declare_lost(self, workers: tuple[WorkerId, ...]) -> ChangeResult:
--- a/packages/admin/almondspan_admin/messages.py
+++ b/packages/admin/almondspan_admin/messages.py
@@ -242,7 +242,7 @@
 
 
 class DrainBody(Struct, frozen=True):
-    """The agent that now drains."""
+    """The agent that was asked to drain, or to take work again."""
 
     agent_id: AgentId
 
--- a/packages/daemon/almondspan_daemon/fleet_view.py
+++ b/packages/daemon/almondspan_daemon/fleet_view.py
@@ -103,12 +103,12 @@
         """Return nothing: the entry's `BurnCollector` answers burn reports."""
         return ()
 
-    async def drain(self, agent_id: AgentId) -> ChangeResult:
-        """Ask an agent to drain."""
+    async def drain(self, agent_id: AgentId, resume: bool = False) -> ChangeResult:
+        """Ask an agent to drain, or to take work again."""
         known = self._known.get(agent_id)
         if known is None:
             return ChangeResult.NOT_FOUND
-        if not self._post(agent_id, DrainRequest()):
+        if not self._post(agent_id, DrainRequest(resume)):
             return ChangeResult.UNAVAILABLE
         return ChangeResult.DONE
 
--- a/packages/operator/almondspan/command.py
+++ b/packages/operator/almondspan/command.py
@@ -293,9 +293,23 @@
         return self._ask(functools.partial(config_commands.diff_config, config=config))
 
     @_typed_text
-    def drain(self, agent_id: str) -> _Pending:
-        """Let the agent AGENT_ID take no new work, finish, and leave."""
-        return self._ask(functools.partial(fleet_commands.drain, agent_id=agent_id))
+    def drain(self, agent_id: str, undo: bool | str = False) -> _Pending:
+        """Let the agent AGENT_ID take no new work and finish what it has.
+
+        Stop its process when `fleet agents` shows no task and no shard there.
+
+        Parameters
+        ----------
+        agent_id
+            The agent's id, as `fleet agents` shows it.
+        undo
+            Let an agent that drains take work again.
+        """
+        if undo not in (True, False, "True"):
+            return self._end(usage_fault(f"--undo takes no value: {undo}"))
+        return self._ask(
+            functools.partial(fleet_commands.drain, agent_id=agent_id, undo=bool(undo))
+        )
 
     @_typed_text
     def lost(self, kind: str, name: str, token: str = "") -> _Pending:
--- a/packages/operator/almondspan/fleet_commands.py
+++ b/packages/operator/almondspan/fleet_commands.py
@@ -12,6 +12,7 @@
     DRAINING,
     LOSS_DECLARED,
     LOSS_NEXT,
+    RESUMED,
     SHARD_HEADERS,
 )
 
@@ -68,13 +69,14 @@
     return Result(code, format_table(SHARD_HEADERS, rows), found)
 
 
-async def drain(client: AdminClient, agent_id: str) -> Result:
-    """Let an agent leave."""
-    path = path_of("fleet", "agents", agent_id, "drain")
+async def drain(client: AdminClient, agent_id: str, undo: bool) -> Result:
+    """Let an agent drain, or take work again."""
+    path = path_of("fleet", "agents", agent_id, "resume" if undo else "drain")
     found = await client.post(path, {}, Drained)
     if isinstance(found, Refused | NoAnswer):
         return failure(found)
-    return Result(ExitCode.DONE, DRAINING.format(agent_id=found.agent_id), found)
+    text = RESUMED if undo else DRAINING
+    return Result(ExitCode.DONE, text.format(agent_id=found.agent_id), found)
 
 
 async def declare_loss(client: AdminClient, kind: str, name: str, token: str) -> Result:
--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -39,6 +39,7 @@
     "PLAIN_REFUSED",
     "PLAN_USAGE",
     "REFUSED",
+    "RESUMED",
     "SHARD_HEADERS",
     "SUBMITTED",
     "TOKEN_MADE",
@@ -117,6 +118,7 @@
     "{agent_id} drains: it takes no new work; stop its process when it shows no task "
     "and no shard any more"
 )
+RESUMED: Final = "{agent_id} takes work again"
 LOSS_NEXT: Final = (
     "to declare it, within five minutes: almondspan lost {kind} {name} --token {token}"
 )
--- a/tests/admin/admin_api.py
+++ b/tests/admin/admin_api.py
@@ -124,6 +124,7 @@
 
     summaries: tuple[AgentSummary, ...] = ()
     drained: list[AgentId] = field(default_factory=list)
+    resumed: list[AgentId] = field(default_factory=list)
     lost: list[tuple[str, ...]] = field(default_factory=list)
 
     def agents(self):
@@ -135,10 +136,11 @@
     def burn(self):
         return ()
 
-    async def drain(self, agent_id):
+    async def drain(self, agent_id, resume=False):
         if agent_id not in {agent.agent_id for agent in self.summaries}:
             return ChangeResult.NOT_FOUND
-        self.drained.append(agent_id)
+        self.drained += [] if resume else [agent_id]
+        self.resumed += [agent_id] if resume else []
         return ChangeResult.DONE
 
     async def declare_lost(self, workers):
--- a/tests/admin/test_authorisation.py
+++ b/tests/admin/test_authorisation.py
@@ -23,11 +23,7 @@
     "/v1/jobs/cancel": {"job_ids": ["j"], "team": "archive"},
     "/v1/fleet/losses": {"kind": "place", "name": "suva"},
 }
-PATHS = {
-    "revision": "1",
-    "order_name": "return-2026",
-    "agent_id": "agent-1",
-}
+PATHS = {"revision": "1", "order_name": "return-2026", "agent_id": "agent-1"}
 TOKENS = {
     "none": ("", 401, 401),
     "wrong": ("no-such-token", 401, 401),
--- a/tests/decisions/test_fleet_document.py
+++ b/tests/decisions/test_fleet_document.py
@@ -306,8 +306,7 @@
 
 
 @pytest.mark.parametrize(
-    "moment",
-    ["0001-01-01T00:00:00+14:00", "9999-12-31T23:59:59-12:00"],
+    "moment", ["0001-01-01T00:00:00+14:00", "9999-12-31T23:59:59-12:00"]
 )
 def test_far_deadline_is_refused(moment):
     found = parse_fleet(change("2026-12-20T08:00:00Z", moment))
--- a/tests/features/steps/operator_steps.py
+++ b/tests/features/steps/operator_steps.py
@@ -47,9 +47,7 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.folder = Path(folder.name)
-    context.fleet = Served(
-        make_plan().config_text(),
-    )
+    context.fleet = Served(make_plan().config_text())
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
 
--- a/tests/operator/test_command_line.py
+++ b/tests/operator/test_command_line.py
@@ -60,6 +60,13 @@
         pytest.param(["fleet", "agents"], 0, "worker-of-agent-1", id="agents"),
         pytest.param(["fleet", "shards"], 0, "agent-1", id="shards"),
         pytest.param(["drain", "agent-2"], 0, "agent-2 drains", id="drain"),
+        pytest.param(
+            ["drain", "agent-2", "--undo"], 0, "takes work", id="drain undone"
+        ),
+        pytest.param(
+            ["drain", "a", "--undo", "b"], 2, "no value", id="undo with value"
+        ),
+        pytest.param(["drain", "007"], 3, "no agent 007", id="id like a number"),
         pytest.param(["drain", "agent-9"], 3, "no agent agent-9", id="drain unknown"),
         pytest.param(["lost", "place", "suva"], 0, "--token", id="lost, first step"),
         pytest.param(["lost", "rack", "r1"], 2, "worker|place", id="lost what"),
@@ -89,6 +96,14 @@
         assert fleet.api.fleet.drained == []
 
 
+def test_drain_and_undo(serve):
+    with serve() as fleet:
+        fleet.run("drain", "agent-1")
+        fleet.run("drain", "agent-2", "--undo")
+        assert fleet.api.fleet.drained == ["agent-1"]
+        assert fleet.api.fleet.resumed == ["agent-2"]
+
+
 def test_loss_in_two_steps(serve):
     with serve() as fleet:
         first = fleet.run("lost", "worker", "worker-of-agent-1", "--json")
