Let a host take shards again after a drain was undone

Change: ShardHost.resume; the agent ends a drain that is under way and resumes it. Conclusion: an undone drain leaves the agent as it was.

--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -292,6 +292,8 @@
 
     def _on_drain_request(self, request: DrainRequest) -> None:
         if request.resume:
+            # A drain under way would still release shards after the resume.
+            self._supervisor.stop("drain")
             self._set_draining(False)
             return
         self._supervisor.spawn("drain", self.drain)
@@ -300,6 +302,7 @@
         self._is_draining = is_draining
         if not is_draining:
             self._gates.resume()
+            self._host.resume()
             if self._keeper is not None:
                 self._keeper.resume()
         _log.info("draining" if is_draining else "taking work again")
--- a/packages/tasks/almondspan_tasks/host.py
+++ b/packages/tasks/almondspan_tasks/host.py
@@ -92,6 +92,10 @@
             self._all_ended.clear()
             await self._all_ended.wait()
 
+    def resume(self) -> None:
+        """Take shards again after a drain; those being released still go."""
+        self._draining = False
+
     def nominate(self, shard_id: ShardId) -> None:
         """Try to become the owner of a shard."""
         is_busy = shard_id in self._owners or shard_id in self._acquiring
