Do not call records missing that a silent shard may hold

Cause: with two shards silent, 39 accepted records were reported as missing; a reader such as head ended a command in a trace. Change: such records are counted as not seen; a reader that goes away changes neither the outcome nor the exit code. Conclusion: missing now means that no shard holds the record.

--- a/packages/operator/almondspan/command.py
+++ b/packages/operator/almondspan/command.py
@@ -351,7 +351,9 @@
     program = Almondspan(flags)
     found = _understand(program, words)
     if isinstance(found, _Pending):
-        sys.exit(_carry_out(found))
+        result = _carry_out(found._flags, found._action)
+        _print(result, found._flags.json)
+        sys.exit(result.code)
     # A group was named without a command: its help says which there are.
     with contextlib.suppress(FireExit):
         _understand(program, [*words, "--help"])
@@ -375,22 +377,28 @@
     return _Flags(given.entries, given.token_file, given.timeout_s, given.json), words
 
 
-def _carry_out(pending: _Pending) -> ExitCode:
-    result = pending._action
-    if not isinstance(result, Result):
-        connection = _connection(pending._flags)
-        if isinstance(connection, Result):
-            result = connection
-        else:
-            result = asyncio.run(_ask_fleet(connection, result))
-    if pending._flags.json:
+def _carry_out(flags: _Flags, action: Action | Result) -> Result:
+    if isinstance(action, Result):
+        return action
+    connection = _connection(flags)
+    if isinstance(connection, Result):
+        return connection
+    return asyncio.run(_ask_fleet(connection, action))
+
+
+def _print(result: Result, as_json: bool) -> None:
+    """Print a result; a reader that does not want all of it changes nothing."""
+    is_text = result.code in (ExitCode.DONE, ExitCode.ATTENTION)
+    stream = sys.stdout if as_json or is_text else sys.stderr
+    text = result.text
+    if as_json:
         document = {"exit_code": int(result.code), "result": result.data}
-        print(msgspec.json.format(msgspec.json.encode(document), indent=1).decode())
-    elif result.code in (ExitCode.DONE, ExitCode.ATTENTION):
-        print(result.text)
-    else:
-        print(result.text, file=sys.stderr)
-    return result.code
+        text = msgspec.json.format(msgspec.json.encode(document), indent=1).decode()
+    try:
+        print(text, file=stream, flush=True)
+    except BrokenPipeError:
+        # The interpreter flushes once more at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), stream.fileno())
 
 
 async def _ask_fleet(connection: Connection, action: Action) -> Result:
--- a/packages/operator/almondspan/job_commands.py
+++ b/packages/operator/almondspan/job_commands.py
@@ -213,11 +213,12 @@
 
 def _records_text(report: OrderReport) -> str:
     share = report.n_delivered / report.n_ordered if report.n_ordered else 0.0
+    unseen = f"{report.n_unseen} not seen, " if report.n_unseen else ""
     return (
         f"{report.n_ordered} ordered, {report.n_delivered} delivered "
         f"({format_share(share)}), {report.n_running} running, "
         f"{report.n_queued} queued, {report.n_ended_otherwise} ended otherwise, "
-        f"{report.n_missing} missing, {report.n_duplicated} duplicated, "
+        f"{report.n_missing} missing, {unseen}{report.n_duplicated} duplicated, "
         f"{report.n_delivered_late} late"
     )
 
--- a/packages/operator/almondspan/order_report.py
+++ b/packages/operator/almondspan/order_report.py
@@ -76,6 +76,8 @@
 
     ``records_match`` is True when the ledger's records are exactly the ordered
     ones, False when not, and None while the order does not name its records.
+    ``n_unseen`` counts records that a silent shard may hold, ``n_missing`` those
+    that no shard holds.
     """
 
     order_name: str
@@ -89,6 +91,7 @@
     n_queued: int
     n_ended_otherwise: int
     n_missing: int
+    n_unseen: int
     n_duplicated: int
     n_delivered_late: int
     n_attempts: int
@@ -130,7 +133,7 @@
         n_known=len(jobs),
         n_delivered=len(delivered),
         n_pending=len(pending),
-        n_missing=max(0, n_ordered - len(jobs)),
+        n_missing=0 if ledger.n_shards_missing else max(0, n_ordered - len(jobs)),
         n_duplicated=sum(n > 1 for n in copies.values()),
         n_delivered_late=sum(
             job.ended_unix_s > order.deadline_unix_s for job in delivered
@@ -149,6 +152,7 @@
         n_queued=sum(job.state == "queued" for job in pending),
         n_ended_otherwise=len(jobs) - len(delivered) - len(pending),
         n_missing=counts.n_missing,
+        n_unseen=max(0, n_ordered - len(jobs)) - counts.n_missing,
         n_duplicated=counts.n_duplicated,
         n_delivered_late=counts.n_delivered_late,
         n_attempts=sum(job.n_attempts for job in jobs.values()),
@@ -235,7 +239,8 @@
             notes.append(RecordNote(name, job.outcome.kind.value, reason))
         elif job.ended_unix_s > ledger.order.deadline_unix_s:
             notes.append(RecordNote(name, "late", "delivered after the deadline"))
-    for name in sorted(ordered - jobs.keys()):
+    unknown = ordered - jobs.keys() if not ledger.n_shards_missing else ()
+    for name in sorted(unknown):
         notes.append(RecordNote(name, "missing", "was never submitted"))
     return tuple(notes)
 
--- a/tests/operator/test_command_line.py
+++ b/tests/operator/test_command_line.py
@@ -1,5 +1,8 @@
 """The command line against a served administration API."""
 
+import os
+import subprocess
+import sys
 from datetime import UTC, datetime
 
 import pytest
@@ -185,3 +188,13 @@
     ended = run_command("fleet", "agents", *flags, **named)
     assert (ended.code, ended.out) == (2, "")
     assert text in ended.err
+
+
+def test_reader_that_goes_away_changes_nothing():
+    """As with ``| head``: no trace, and the command's own exit code."""
+    command = [sys.executable, "-m", "almondspan.command", "token", "--json"]
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    ended = subprocess.run(command, stdout=write_end, stderr=subprocess.PIPE)
+    os.close(write_end)
+    assert (ended.returncode, ended.stderr) == (0, b"")
--- a/tests/operator/test_order_report.py
+++ b/tests/operator/test_order_report.py
@@ -121,6 +121,11 @@
     ]
 
 
+def test_records_of_a_silent_shard_are_not_called_missing():
+    report = make_report(ledger(DONE, names(12), missing=1), names(12))
+    assert (report.n_missing, report.n_unseen, report.problems) == (0, 2, ())
+
+
 def test_record_that_was_not_ordered_is_named():
     report = make_report(ledger(DONE, names(9)), names(9))
     assert report.records_match is False
