--- a/tests/service/test_service_faults.py
+++ b/tests/service/test_service_faults.py
@@ -33,6 +33,8 @@
 
 A = AgentId("a")
 
+MAX_POLLS = 10_000
+
 
 def slow(run_s: float):
     """Return a runner's behaviour that echoes after a time."""
@@ -590,8 +592,11 @@
 
 
 async def until(is_so) -> None:
-    while not is_so():
+    for _ in range(MAX_POLLS):
+        if is_so():
+            return
         await asyncio.sleep(0.01)
+    raise AssertionError("it never came so far")
 
 
 def path_time() -> float:
