--- a/packages/service/almondspan_service/runner_table.py
+++ b/packages/service/almondspan_service/runner_table.py
@@ -21,6 +21,7 @@
     ROUTING_POLICIES,
     RoutingContext,
     RoutingPolicy,
+    pool_load,
     prefer_place,
     rendezvous_subset,
 )
@@ -58,6 +59,7 @@
         "draining",
         "health",
         "is_stale",
+        "n_answers",
         "n_open",
         "n_slots",
         "place",
@@ -83,6 +85,7 @@
         self.reported_ms = 0.0
         self.used_s = 0.0
         self.is_stale = False
+        self.n_answers = 0
         self.weight = 1.0
         self.ramp_from_s: float | None = None
         self.damped_until_s = 0.0
@@ -234,6 +237,7 @@
 
     def on_success(self, row: RunnerRow, now_s: float) -> None:
         """Count an answer of a runner."""
+        row.n_answers += 1
         if row.health.on_success():
             _LOGGER.info("runner of %s is healthy again", row.agent_id)
             row.ramp_from_s = now_s
@@ -254,6 +258,7 @@
         if not may_eject(n_out, len(subset), self._options.ejection.max_share):
             return
         row.health.eject_at(now_s)
+        row.n_answers = 0
         self._counters.n_ejections += 1
         _LOGGER.warning("runner of %s is ejected: %s", row.agent_id, reason)
 
@@ -267,12 +272,20 @@
             row.health.check(now_s)
             row.ramp(now_s, self._options.slow_start_s)
             row.is_stale = now_s > row.used_s + self._options.stale_s
-            peers_ms = [other.reported_ms for other in subset if other is not row]
-            if row.health.state is HealthState.HEALTHY and is_outlier(
-                row.reported_ms, peers_ms, self._options.ejection
-            ):
+            if self._is_slow(row, [other for other in subset if other is not row]):
                 self._eject(row, now_s, "it is slow")
 
+    def _is_slow(self, row: RunnerRow, peers: Sequence[RunnerRow]) -> bool:
+        options = self._options.ejection
+        if (
+            row.health.state is not HealthState.HEALTHY
+            or row.n_answers < options.slow_answers
+            or pool_load(peers) > options.room_load
+        ):
+            return False
+        peers_ms = [peer.reported_ms for peer in peers]
+        return is_outlier(row.reported_ms, peers_ms, options)
+
     # Choice.
 
     def choose(
