Keep agents and entries from fighting over a second address

Cause: an agent that reached one entry by two addresses (a balancer's and the entry's own) made the entry replace the first channel while the agent closed the second, so both were lost and redialled without end. A message that a handler failed on ended the task of its address for good, as a failed status ended the statuses. A peer that sent heartbeats but no hello was waited for without end. After a stall of the own event loop every peer was taken for silent. A broken invariant inside an exception group was restarted. Change: AgentHello names the linked entries; the second address waits until a channel ends. Links and statuses are supervised children. Hellos have limits on both sides. A channel whose limit passed during a stall reads once more. The supervisor closes its children one by one and looks into groups. Mail tries another entry when a channel does not take it; addresses of the settings are dialled for ever.

--- a/packages/daemon/almondspan_daemon/agent_directory.py
+++ b/packages/daemon/almondspan_daemon/agent_directory.py
@@ -8,7 +8,8 @@
    takes it. `AgentStatus` goes to all of them.
 3. When the channel ends, by silence or by the peer, the listeners hear that the
    agent left. An agent that connects again replaces its earlier connection: the
-   old one may be silent without an end.
+   old one may be silent without an end. An agent that says that its channel to
+   this entry is open came by a second address, and is answered but not joined.
 """
 
 import asyncio
@@ -16,7 +17,7 @@
 import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 from almondspan_decisions.ids import AgentId, EntryId
 from almondspan_wire.channel import ChannelClosed, ChannelOptions, StreamChannel
@@ -25,7 +26,7 @@
 
 __all__ = ["AgentDirectory", "AgentListener", "ConnectedAgent"]
 
-HELLO_TIMEOUT_S = 5.0
+HELLO_TIMEOUT_S: Final = 5.0
 
 _log = logging.getLogger(__name__)
 
@@ -68,16 +69,19 @@
         entry_id: EntryId,
         channel_options: ChannelOptions,
         greet: Callable[[StreamChannel], None],
+        hello_timeout_s: float = HELLO_TIMEOUT_S,
     ) -> None:
         self._entry_id = entry_id
         self._channel_options = channel_options
         self._greet = greet
+        self._hello_timeout_s = hello_timeout_s
         self._listeners: list[AgentListener] = []
         self._server: asyncio.Server | None = None
         self._serving: set[asyncio.Task[None]] = set()
         self.agents: dict[AgentId, ConnectedAgent] = {}
         self.n_joined = 0
         self.n_left = 0
+        self.n_refused = 0
         self.n_unexpected_messages = 0
 
     def add_listener(self, listener: AgentListener) -> None:
@@ -134,10 +138,13 @@
             self._serving.discard(task)
 
     async def _follow(self, channel: StreamChannel) -> None:
-        hello = await channel.receive()
-        if not isinstance(hello, AgentHello):
+        hello = await self._receive_hello(channel)
+        if hello is None:
             return
         await channel.send(EntryHello(self._entry_id))
+        if self._entry_id in hello.linked_entries:
+            # The agent came by a second address; its first channel stays.
+            return
         await self._join(hello, channel)
         self._greet(channel)
         try:
@@ -145,17 +152,32 @@
         finally:
             self._leave(hello.agent_id, channel)
 
+    async def _receive_hello(self, channel: StreamChannel) -> AgentHello | None:
+        """Return the hello; None when another message or none came in time."""
+        try:
+            async with asyncio.timeout(self._hello_timeout_s):
+                hello = await channel.receive()
+        except TimeoutError:
+            hello = None
+        if isinstance(hello, AgentHello):
+            return hello
+        self.n_refused += 1
+        return None
+
     async def _join(self, hello: AgentHello, channel: StreamChannel) -> None:
         old = self.agents.get(hello.agent_id)
         if old is not None:
             self._leave(hello.agent_id, old.channel)
-            await old.channel.close()
         now_s = asyncio.get_running_loop().time()
         self.agents[hello.agent_id] = ConnectedAgent(hello, channel, now_s)
         self.n_joined += 1
         _log.info("agent joined", extra={"agent": hello.agent_id})
         for listener in self._listeners:
             listener.agent_joined(hello.agent_id, hello)
+        # The new channel counts before the first wait, so that the later one of
+        # two that join at the same time stays.
+        if old is not None:
+            await old.channel.close()
 
     async def _read(self, agent_id: AgentId, channel: StreamChannel) -> None:
         while True:
@@ -168,7 +190,8 @@
                 return
             if isinstance(body, Goodbye):
                 return
-            if self.agents[agent_id].channel is not channel:
+            agent = self.agents.get(agent_id)
+            if agent is None or agent.channel is not channel:
                 return
             self._dispatch(agent_id, body)
 
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -100,6 +100,7 @@
             ChannelOptions(settings.streams.heartbeat_s, settings.streams.silence_s),
             self._tls.stream_client,
             rng,
+            supervisor.child("links"),
         )
         self._post = AgentPost(self.agent_id, self._links.post_mail)
         self._finder = CandidateFinder(self._links.entry_ids, self._links.post, rng)
--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -1,12 +1,19 @@
 """The agent's half of membership: one channel to each entry of its region.
 
 The set of entries comes from the settings, from the store at start, and from the
-`EntryList` of every entry. One task per entry:
-
-1. Dial the entry, with an exponential delay and jitter between failures.
-2. Send `AgentHello` and a first status; wait for `EntryHello`.
-3. Read messages until the channel ends, then dial again on a new connection. An
-   address that no list names any more is given up after failed dials.
+`EntryList` of every entry. One supervised task per address:
+
+1. Dial the address, with an exponential delay and jitter between failures.
+2. Send `AgentHello`, which names the entries that are linked already; wait for
+   `EntryHello`.
+3. When the address leads to an entry that another address has linked, as a
+   balancer's does, close the connection and wait: until some channel ends, or for
+   `ALIAS_DELAY_S`. Then begin again.
+4. Otherwise send the status and read messages until the channel ends, then dial
+   again on a new connection.
+
+An address of the settings is dialled for ever. Another one is given up after
+`N_DIALS_OF_UNLISTED` failed dials once no list names it any more.
 """
 
 import asyncio
@@ -14,9 +21,12 @@
 import random
 import ssl
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final, Protocol
 
+import msgspec
+
+from almondspan_daemon.supervisor import Supervisor
 from almondspan_decisions.ids import EntryId
 from almondspan_wire.channel import ChannelClosed, ChannelOptions, StreamChannel
 from almondspan_wire.codec import Message
@@ -33,6 +43,8 @@
 FIRST_DELAY_S: Final = 0.1
 LAST_DELAY_S: Final = 5.0
 DIAL_TIMEOUT_S: Final = 3.0
+GREET_TIMEOUT_S: Final = 5.0
+ALIAS_DELAY_S: Final = 30.0
 N_DIALS_OF_UNLISTED: Final = 5
 
 EntryAddressPair = tuple[str, int]
@@ -61,9 +73,10 @@
 class _Dialled:
     """One address; ``listed`` is False once an entry list left it out."""
 
+    keep: bool
     listed: bool = True
     n_failures: int = 0
-    task: asyncio.Task[None] | None = field(default=None)
+    delay_s: float = FIRST_DELAY_S
 
 
 class EntryLinks:
@@ -77,7 +90,9 @@
         channel_options: ChannelOptions,
         tls: Callable[[], ssl.SSLContext | None],
         rng: random.Random,
+        supervisor: Supervisor,
         status_interval_s: float = 1.0,
+        greet_timeout_s: float = GREET_TIMEOUT_S,
     ) -> None:
         self._hello = hello
         self._status = status
@@ -85,10 +100,12 @@
         self._channel_options = channel_options
         self._tls = tls
         self._rng = rng
+        self._supervisor = supervisor
         self._status_interval_s = status_interval_s
+        self._greet_timeout_s = greet_timeout_s
         self._addresses: dict[EntryAddressPair, _Dialled] = {}
         self._channels: dict[EntryId, StreamChannel] = {}
-        self._status_task: asyncio.Task[None] | None = None
+        self._link_ended = asyncio.Event()
         self._status_due = asyncio.Event()
         self._is_closing = False
         self.n_dials = 0
@@ -97,30 +114,30 @@
     async def start(self, addresses: list[EntryAddressPair]) -> None:
         """Begin to dial `addresses` and to send the status each interval."""
         for address in addresses:
-            self.add(address)
-        self._status_task = asyncio.create_task(self._send_statuses())
+            self._dial_for_ever(address, _Dialled(keep=True))
+        self._supervisor.spawn("statuses", self._send_statuses)
 
     async def close(self) -> None:
         """Say goodbye to every entry and close the channels."""
         self._is_closing = True
-        tasks = [dialled.task for dialled in self._addresses.values() if dialled.task]
-        if self._status_task is not None:
-            tasks.append(self._status_task)
         for channel in list(self._channels.values()):
             channel.post(Goodbye())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._supervisor.close()
 
     def add(self, address: EntryAddressPair) -> None:
         """Dial an address, unless that is being done already."""
         known = self._addresses.get(address)
         if known is not None:
             known.listed = True
-            return
-        dialled = _Dialled()
+        elif not self._is_closing:
+            self._dial_for_ever(address, _Dialled(keep=False))
+
+    def _dial_for_ever(self, address: EntryAddressPair, dialled: _Dialled) -> None:
         self._addresses[address] = dialled
-        dialled.task = asyncio.create_task(self._keep_dialled(address, dialled))
+        self._supervisor.spawn(
+            f"link {address[0]}:{address[1]}",
+            lambda: self._keep_dialled(address, dialled),
+        )
 
     def replace_list(self, entries: EntryList) -> None:
         """Dial the entries of a list; others are given up once they fail."""
@@ -134,6 +151,10 @@
         """Return the entries with an open channel."""
         return list(self._channels)
 
+    def addresses(self) -> list[EntryAddressPair]:
+        """Return the addresses that are dialled or linked."""
+        return list(self._addresses)
+
     async def send(self, entry_id: EntryId, body: Message) -> bool:
         """Send a message to one entry, waiting while its channel is full."""
         channel = self._channels.get(entry_id)
@@ -148,10 +169,13 @@
         """Send mail: to the entry `to` itself, or through any entry."""
         if to in self._channels:
             return self.post(EntryId(to), body)
-        if not self._channels:
-            self.n_posts_without_entry += 1
-            return False
-        return self.post(self._rng.choice(list(self._channels)), body)
+        entry_ids = self.entry_ids()
+        self._rng.shuffle(entry_ids)
+        # A channel whose buffer is full does not take it; another may.
+        if any(self.post(entry_id, body) for entry_id in entry_ids):
+            return True
+        self.n_posts_without_entry += 1
+        return False
 
     def status_changed(self) -> None:
         """Send the status now rather than at the end of the interval."""
@@ -170,20 +194,41 @@
                 channel.post(status)
 
     async def _keep_dialled(self, address: EntryAddressPair, dialled: _Dialled) -> None:
-        delay_s = FIRST_DELAY_S
         while not self._is_closing:
-            channel = await self._dial(address)
-            entry_id = None if channel is None else await self._greet(channel)
-            if channel is not None and entry_id is not None:
-                dialled.n_failures = 0
-                delay_s = FIRST_DELAY_S
-                await self._follow(entry_id, channel)
+            await self._dial_once(address, dialled)
             dialled.n_failures += 1
-            if not dialled.listed and dialled.n_failures >= N_DIALS_OF_UNLISTED:
-                self._addresses.pop(address, None)
+            is_listed = dialled.keep or dialled.listed
+            if not is_listed and dialled.n_failures >= N_DIALS_OF_UNLISTED:
+                del self._addresses[address]
                 return
-            await asyncio.sleep(delay_s * (0.5 + self._rng.random()))
-            delay_s = min(2 * delay_s, LAST_DELAY_S)
+            await asyncio.sleep(dialled.delay_s * (0.5 + self._rng.random()))
+            dialled.delay_s = min(2 * dialled.delay_s, LAST_DELAY_S)
+
+    async def _dial_once(self, address: EntryAddressPair, dialled: _Dialled) -> None:
+        """Dial, and follow the channel to its end when an entry answers."""
+        channel = await self._dial(address)
+        if channel is None:
+            return
+        try:
+            entry_id = await self._greet(channel)
+            if entry_id is None:
+                return
+            dialled.n_failures = 0
+            dialled.delay_s = FIRST_DELAY_S
+            if entry_id not in self._channels:
+                await self._follow(entry_id, channel)
+                return
+        finally:
+            await channel.close()
+        await self._wait_for_end_of_link()
+
+    async def _wait_for_end_of_link(self) -> None:
+        """Wait until any channel ends, or until an alias is worth another dial."""
+        try:
+            async with asyncio.timeout(ALIAS_DELAY_S):
+                await self._link_ended.wait()
+        except TimeoutError:
+            return
 
     async def _dial(self, address: EntryAddressPair) -> StreamChannel | None:
         self.n_dials += 1
@@ -199,28 +244,30 @@
         return channel
 
     async def _greet(self, channel: StreamChannel) -> EntryId | None:
-        await channel.send(self._hello())
-        answer = await channel.receive()
-        if isinstance(answer, EntryHello):
-            return answer.entry_id
-        await channel.close()
-        return None
+        """Exchange hellos; None when the peer does not answer as an entry."""
+        linked = tuple(self._channels)
+        hello = msgspec.structs.replace(self._hello(), linked_entries=linked)
+        await channel.send(hello)
+        try:
+            async with asyncio.timeout(self._greet_timeout_s):
+                answer = await channel.receive()
+        except TimeoutError:
+            return None
+        return answer.entry_id if isinstance(answer, EntryHello) else None
 
     async def _follow(self, entry_id: EntryId, channel: StreamChannel) -> None:
-        if entry_id in self._channels:
-            # Two addresses lead to one entry: the balancer's and its own.
-            await channel.close()
-            return
         self._channels[entry_id] = channel
-        channel.post(self._status())
-        _log.info("linked to entry", extra={"entry": entry_id})
-        self._listener.entry_joined(entry_id)
         try:
+            channel.post(self._status())
+            _log.info("linked to entry", extra={"entry": entry_id})
+            self._listener.entry_joined(entry_id)
             await self._read(entry_id, channel)
         finally:
             del self._channels[entry_id]
+            # Wakes those that wait now; whoever waits later waits for the next.
+            self._link_ended.set()
+            self._link_ended = asyncio.Event()
             self._listener.entry_left(entry_id)
-            await channel.close()
 
     async def _read(self, entry_id: EntryId, channel: StreamChannel) -> None:
         while True:
--- a/packages/daemon/almondspan_daemon/supervisor.py
+++ b/packages/daemon/almondspan_daemon/supervisor.py
@@ -5,9 +5,10 @@
 it is started again after an exponential delay with jitter. When it fails on a
 broken invariant the whole tree fails, and the process ends with the trace.
 
-Phases: `start` allows children; `spawn` adds one; `close` cancels the children in
-the reverse of their order and waits for them; `wait_failed` returns once an
-invariant is broken anywhere in the process.
+Phases: `start` allows children; `spawn` adds one; `close` ends the children in the
+reverse of their order, each before the next older one; `wait_failed` returns once
+an invariant is broken anywhere in the process, also in a task that no supervisor
+started.
 """
 
 import asyncio
@@ -16,7 +17,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
 
-__all__ = ["Supervisor", "watch_invariants"]
+__all__ = ["Supervisor", "is_broken_invariant", "watch_invariants"]
 
 FIRST_DELAY_S: Final = 0.1
 LAST_DELAY_S: Final = 10.0
@@ -31,39 +32,58 @@
 class Supervisor:
     """Runs children and restarts those that fail."""
 
-    def __init__(self, name: str, rng: random.Random) -> None:
+    def __init__(
+        self, name: str, rng: random.Random, parent: "Supervisor | None" = None
+    ) -> None:
         self._name = name
         self._rng = rng
+        self._parent = parent
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._stopping: set[asyncio.Task[None]] = set()
         self._failure: asyncio.Future[BaseException] | None = None
         self.n_restarts = 0
 
     async def start(self) -> None:
-        """Make the tree ready for children."""
+        """Watch the whole loop for broken invariants; the root alone does so."""
         loop = asyncio.get_running_loop()
         self._failure = loop.create_future()
         watch_invariants(loop, self.fail)
 
+    def child(self, name: str) -> "Supervisor":
+        """Return a supervisor below this one; its owner closes it."""
+        return Supervisor(f"{self._name}/{name}", self._rng, self)
+
     def spawn(self, name: str, main: ChildMain) -> None:
         """Run `main` as a child; a child of the same name is replaced."""
-        old = self._tasks.pop(name, None)
-        if old is not None:
-            old.cancel()
+        self.stop(name)
         task = asyncio.create_task(self._keep_running(name, main), name=name)
         self._tasks[name] = task
+        task.add_done_callback(lambda ended: self._forget(name, ended))
 
     def stop(self, name: str) -> None:
-        """Cancel a child."""
+        """Cancel a child; `close` still waits for its end."""
         task = self._tasks.pop(name, None)
         if task is not None:
             task.cancel()
+            self._stopping.add(task)
+            task.add_done_callback(self._stopping.discard)
 
     async def close(self) -> None:
-        """Cancel every child, the youngest first, and wait for them."""
-        for task in reversed(list(self._tasks.values())):
+        """End every child, the youngest first, and wait for each."""
+        while self._tasks:
+            _, task = self._tasks.popitem()
             task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
-        self._tasks.clear()
+            await asyncio.gather(task, return_exceptions=True)
+        await asyncio.gather(*self._stopping, return_exceptions=True)
+
+    def _count_restart(self) -> None:
+        self.n_restarts += 1
+        if self._parent is not None:
+            self._parent._count_restart()
+
+    def _forget(self, name: str, ended: asyncio.Task[None]) -> None:
+        if self._tasks.get(name) is ended:
+            del self._tasks[name]
 
     def fail(self, error: BaseException) -> None:
         """End the tree because of a broken invariant."""
@@ -83,10 +103,10 @@
             try:
                 await main()
                 return
-            except AssertionError:
-                raise
             except Exception as error:
-                self.n_restarts += 1
+                if is_broken_invariant(error):
+                    raise
+                self._count_restart()
                 _log.warning(
                     "child failed",
                     extra={"child": f"{self._name}/{name}", "error": repr(error)},
@@ -98,16 +118,23 @@
             delay_s = min(2 * delay_s, LAST_DELAY_S)
 
 
+def is_broken_invariant(error: BaseException) -> bool:
+    """Tell whether `error`, or one that it groups, is an `AssertionError`."""
+    if isinstance(error, BaseExceptionGroup):
+        return any(map(is_broken_invariant, error.exceptions))
+    return isinstance(error, AssertionError)
+
+
 def watch_invariants(
     loop: asyncio.AbstractEventLoop, on_broken: Callable[[BaseException], None]
 ) -> None:
-    """Report an `AssertionError` of any task of the loop to `on_broken`."""
+    """Report a broken invariant of any task or callback to `on_broken`."""
 
     def check(task: asyncio.Task[Any]) -> None:
         if task.cancelled():
             return
         error = task.exception()
-        if isinstance(error, AssertionError):
+        if error is not None and is_broken_invariant(error):
             on_broken(error)
         elif error is not None:
             _log.error("task failed", extra={"error": repr(error)}, exc_info=error)
@@ -125,7 +152,7 @@
 
     def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
-        if isinstance(error, AssertionError):
+        if error is not None and is_broken_invariant(error):
             on_broken(error)
         loop.default_exception_handler(context)
 
--- a/packages/wire/almondspan_wire/channel.py
+++ b/packages/wire/almondspan_wire/channel.py
@@ -203,19 +203,39 @@
         del self._received[: self._n_taken]
         self._n_taken = 0
         try:
-            async with asyncio.timeout(self._options.silence_s):
-                data = await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            self._end(CloseCause.SILENT, "nothing arrived within the limit")
-            return
+            data = await self._read_in_time()
         except OSError as error:
             self._end(CloseCause.CLOSED_BY_PEER, str(error))
             return
+        if data is None:
+            self._end(CloseCause.SILENT, "nothing arrived within the limit")
+            return
         if not data:
             self._end(CloseCause.CLOSED_BY_PEER, "the peer has closed")
         self._received += data
         self.n_bytes_received += len(data)
 
+    async def _read_in_time(self) -> bytes | None:
+        """Return what arrives within the limit; None when nothing does.
+
+        When this process stalled, the limit passes while data waits unread. The
+        peer is not silent then, so it gets a further interval.
+        """
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + self._options.silence_s
+        data = await self._read_until(limit_s)
+        was_stalled = loop.time() - limit_s > self._options.heartbeat_s / 2
+        if data is None and was_stalled:
+            data = await self._read_until(loop.time() + self._options.heartbeat_s)
+        return data
+
+    async def _read_until(self, limit_s: float) -> bytes | None:
+        try:
+            async with asyncio.timeout_at(limit_s):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return None
+
     async def close(self) -> None:
         """Close the connection and stop the heartbeats."""
         self._end(CloseCause.CLOSED_HERE, "")
--- a/packages/wire/almondspan_wire/membership.py
+++ b/packages/wire/almondspan_wire/membership.py
@@ -52,13 +52,16 @@
 class AgentHello(Message, frozen=True, tag="hello"):
     """The first message of an agent on a channel.
 
-    ``worker_id`` is empty for an agent that has only a runner.
+    ``worker_id`` is empty for an agent that has only a runner. ``linked_entries``
+    are the entries to which the agent has an open channel; such an entry answers
+    and leaves that channel in place.
     """
 
     agent_id: AgentId
     worker_id: WorkerId
     place: PlaceName
     capacity: Shape
+    linked_entries: tuple[EntryId, ...] = ()
 
 
 @message
--- /dev/null
+++ b/tests/daemon/conftest.py
@@ -0,0 +1,6 @@
+"""Lets the tests of this folder import its helper modules."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
--- /dev/null
+++ b/tests/daemon/loopback_members.py
@@ -0,0 +1,99 @@
+"""An `AgentDirectory` and `EntryLinks` that meet on loopback, with what they heard."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from almondspan_daemon.agent_directory import AgentDirectory
+from almondspan_daemon.entry_links import EntryAddressPair, EntryLinks
+from almondspan_daemon.supervisor import Supervisor
+from almondspan_decisions.ids import AgentId, EntryId, PlaceName, WorkerId
+from almondspan_decisions.shapes import Shape
+from almondspan_wire.channel import ChannelOptions, StreamChannel
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import AgentHello, AgentStatus
+
+LOOPBACK = "127.0.0.1"
+QUICK = ChannelOptions(heartbeat_s=0.05, silence_s=0.5, send_timeout_s=0.5)
+WAIT_S = 15.0
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Wait until `holds`; fails after a generous time."""
+    async with asyncio.timeout(WAIT_S):
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def hello(name: str = "a1") -> AgentHello:
+    return AgentHello(AgentId(name), WorkerId("w1"), PlaceName("p1"), Shape(1000, 100))
+
+
+class Entry:
+    """An entry's directory with a listener that writes down what it hears."""
+
+    def __init__(self, name: str, hello_timeout_s: float = 5.0) -> None:
+        self.directory = AgentDirectory(
+            EntryId(name), QUICK, self.greet, hello_timeout_s
+        )
+        self.directory.add_listener(self)
+        self.heard: list[str] = []
+        self.statuses: list[AgentStatus] = []
+        self.greeting: Message | None = None
+        self.port = 0
+
+    def greet(self, channel: StreamChannel) -> None:
+        if self.greeting is not None:
+            channel.post(self.greeting)
+
+    async def start(self, port: int = 0) -> EntryAddressPair:
+        self.port = await self.directory.start(LOOPBACK, port, None)
+        return LOOPBACK, self.port
+
+    def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
+        self.heard.append("joined")
+
+    def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
+        self.statuses.append(status)
+
+    def agent_left(self, agent_id: AgentId) -> None:
+        self.heard.append("left")
+
+    def on_message(self, agent_id: AgentId, body: Message) -> bool:
+        return False
+
+
+class Agent:
+    """An agent's links with a listener that writes down what it hears."""
+
+    def __init__(self, greet_timeout_s: float = 5.0) -> None:
+        self.supervisor = Supervisor("agent", random.Random(1))
+        self.links = EntryLinks(
+            hello,
+            self.status,
+            self,
+            QUICK,
+            lambda: None,
+            random.Random(2),
+            self.supervisor.child("links"),
+            status_interval_s=0.1,
+            greet_timeout_s=greet_timeout_s,
+        )
+        self.heard: list[str] = []
+        self.messages: list[Message] = []
+        self.fails = 0
+
+    def status(self) -> AgentStatus:
+        return AgentStatus(len(self.heard), Shape(), 0, False, 0)
+
+    def entry_joined(self, entry_id: EntryId) -> None:
+        self.heard.append(f"joined {entry_id}")
+
+    def entry_left(self, entry_id: EntryId) -> None:
+        self.heard.append(f"left {entry_id}")
+
+    def on_entry_message(self, entry_id: EntryId, body: Message) -> None:
+        if self.fails:
+            self.fails -= 1
+            raise ValueError("not what was expected")
+        self.messages.append(body)
--- /dev/null
+++ b/tests/daemon/test_membership_links.py
@@ -0,0 +1,318 @@
+"""How agents and entries find, keep and lose each other, over loopback."""
+
+import asyncio
+import random
+
+import pytest
+from loopback_members import LOOPBACK, QUICK, WAIT_S, Agent, Entry, hello, until
+
+from almondspan_daemon.entry_links import N_DIALS_OF_UNLISTED
+from almondspan_decisions.ids import AgentId, EntryId, PlaceName, ShardId
+from almondspan_standins.relay import Relay
+from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import (
+    AgentStatus,
+    EntryAddress,
+    EntryHello,
+    EntryList,
+    Goodbye,
+    NominateOwner,
+)
+
+AGENT = AgentId("a1")
+MESSAGE = NominateOwner(ShardId(3))
+
+
+def run(main: object) -> None:
+    assert asyncio.iscoroutine(main)
+    asyncio.run(main)
+
+
+async def dial(port: int) -> StreamChannel:
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    channel = StreamChannel(reader, writer, QUICK)
+    await channel.start()
+    return channel
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        pytest.param(MESSAGE, id="another message"),
+        pytest.param(Goodbye(), id="goodbye"),
+        pytest.param(EntryHello(EntryId("e2")), id="an entry's hello"),
+        pytest.param(None, id="heartbeats only"),
+    ],
+)
+def test_without_a_hello_nobody_joins(first: Message | None) -> None:
+    async def main() -> None:
+        entry = Entry("e1", hello_timeout_s=0.2)
+        await entry.start()
+        channel = await dial(entry.port)
+        if first is not None:
+            await channel.send(first)
+        async with asyncio.timeout(10.0):
+            assert isinstance(await channel.receive(), ChannelClosed)
+        assert entry.heard == []
+        assert entry.directory.n_refused == 1
+        await channel.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_an_agent_that_connects_again_replaces_its_silent_connection() -> None:
+    async def main() -> None:
+        entry = Entry("e1")
+        await entry.start()
+        first, second = await dial(entry.port), await dial(entry.port)
+        for channel in (first, second):
+            await channel.send(hello())
+            assert isinstance(await channel.receive(), EntryHello)
+        await until(lambda: entry.heard == ["joined", "left", "joined"])
+        assert isinstance(await first.receive(), ChannelClosed)
+        assert entry.directory.post(AGENT, MESSAGE)
+        assert await second.receive() == MESSAGE
+        await first.close()
+        await second.send(Goodbye())
+        await until(lambda: entry.heard[3:] == ["left"])
+        await second.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_of_many_that_join_at_once_one_stays_and_listeners_agree() -> None:
+    async def main() -> None:
+        entry = Entry("e1")
+        await entry.start()
+        channels = [await dial(entry.port) for _ in range(8)]
+        await asyncio.gather(*(channel.send(hello()) for channel in channels))
+        await until(lambda: entry.directory.n_joined == 8)
+        await until(lambda: entry.directory.n_left == 7)
+        assert entry.heard == ["joined", *(["left", "joined"] * 7)]
+        assert entry.directory.post(AGENT, MESSAGE)
+        for channel in channels:
+            await channel.close()
+        await until(lambda: not entry.directory.agents)
+        assert entry.heard[-1] == "left"
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_a_leaving_entry_and_a_leaving_agent_say_so() -> None:
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        await agent.links.start([await entry.start()])
+        await until(lambda: len(entry.statuses) > 0)
+        await entry.directory.close()
+        await until(lambda: agent.heard == ["joined e1", "left e1"])
+        again = Entry("e1")
+        await again.start(entry.port)
+        await until(lambda: again.heard == ["joined"])
+        await agent.links.close()
+        await until(lambda: again.heard == ["joined", "left"])
+        assert agent.links.entry_ids() == []
+        await again.directory.close()
+
+    run(main())
+
+
+def test_a_silent_connection_is_redialled() -> None:
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        await entry.start()
+        relay = Relay(entry.port)
+        await relay.start()
+        await agent.links.start([(LOOPBACK, relay.port)])
+        await until(lambda: len(entry.statuses) > 0)
+        relay.silence()
+        await until(lambda: agent.heard == ["joined e1", "left e1", "joined e1"])
+        await until(lambda: entry.heard[-1] == "joined")
+        assert await entry.directory.send(AGENT, MESSAGE)
+        await until(lambda: agent.messages == [MESSAGE])
+        await agent.links.close()
+        await relay.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_two_addresses_of_one_entry_do_not_fight() -> None:
+    """The second address is left alone until the first channel ends."""
+
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        own = await entry.start()
+        balancer = Relay(entry.port)
+        await balancer.start()
+        await agent.links.start([own, (LOOPBACK, balancer.port)])
+        await until(lambda: balancer.n_accepted > 0 and agent.links.n_dials >= 2)
+        await until(lambda: agent.links.entry_ids() == ["e1"])
+        # Both addresses may be dialled at the same moment once; then it settles.
+        n_dials = 0
+        async with asyncio.timeout(WAIT_S):
+            while n_dials != agent.links.n_dials:
+                n_dials = agent.links.n_dials
+                entry.statuses.clear()
+                await until(lambda: len(entry.statuses) > 10)
+        assert n_dials <= 8
+        assert agent.links.entry_ids() == ["e1"]
+        await agent.links.close()
+        await balancer.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_the_second_address_serves_when_the_first_fails() -> None:
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        await entry.start()
+        first, second = Relay(entry.port), Relay(entry.port)
+        await first.start()
+        await second.start()
+        await agent.links.start([(LOOPBACK, first.port)])
+        await until(lambda: agent.links.entry_ids() == ["e1"])
+        agent.links.add((LOOPBACK, second.port))
+        await until(lambda: second.n_accepted == 1)
+        await first.close()
+        await until(lambda: agent.heard == ["joined e1", "left e1", "joined e1"])
+        assert second.n_accepted == 2
+        await agent.links.close()
+        await second.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def entry_list(*entries: Entry) -> EntryList:
+    return EntryList(
+        tuple(
+            EntryAddress(EntryId(f"e{n}"), LOOPBACK, entry.port, PlaceName("p1"))
+            for n, entry in enumerate(entries)
+        )
+    )
+
+
+def test_the_entry_list_adds_entries_and_gives_up_unlisted_ones() -> None:
+    async def main() -> None:
+        agent, first, second = Agent(), Entry("e1"), Entry("e2")
+        await second.start()
+        first.greeting = entry_list(second)
+        await agent.links.start([await first.start()])
+        await until(lambda: sorted(agent.links.entry_ids()) == ["e1", "e2"])
+        agent.links.replace_list(entry_list(first))
+        assert sorted(agent.links.entry_ids()) == ["e1", "e2"]
+        await second.directory.close()
+        n_dials = agent.links.n_dials
+        await until(lambda: len(agent.links.addresses()) == 1)
+        assert agent.links.n_dials - n_dials <= N_DIALS_OF_UNLISTED
+        assert agent.links.entry_ids() == ["e1"]
+        await agent.links.close()
+        await first.directory.close()
+
+    run(main())
+
+
+def test_an_address_of_the_settings_is_never_given_up() -> None:
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        address = await entry.start()
+        await entry.directory.close()
+        await agent.links.start([address])
+        agent.links.replace_list(EntryList(()))
+        await until(lambda: agent.links.n_dials > N_DIALS_OF_UNLISTED)
+        again = Entry("e1")
+        await again.start(address[1])
+        await until(lambda: agent.links.entry_ids() == ["e1"])
+        await agent.links.close()
+        await again.directory.close()
+
+    run(main())
+
+
+def test_a_message_that_fails_costs_one_connection_only() -> None:
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        agent.fails = 1
+        await agent.links.start([await entry.start()])
+        await until(lambda: AGENT in entry.directory.agents)
+        entry.directory.post(AGENT, MESSAGE)
+        await until(lambda: agent.heard == ["joined e1", "left e1", "joined e1"])
+        assert agent.supervisor.n_restarts == 1
+        await until(lambda: entry.heard[-1] == "joined")
+        entry.directory.post(AGENT, MESSAGE)
+        await until(lambda: agent.messages == [MESSAGE])
+        await agent.links.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_a_status_that_fails_once_does_not_end_the_statuses() -> None:
+    async def main() -> None:
+        agent, entry = Agent(), Entry("e1")
+        await agent.links.start([await entry.start()])
+        await until(lambda: len(entry.statuses) > 1)
+        whole = agent.links._status
+        n_failed = 0
+
+        def fail() -> AgentStatus:
+            nonlocal n_failed
+            n_failed += 1
+            agent.links._status = whole
+            raise KeyError("a part that is not there yet")
+
+        agent.links._status = fail
+        await until(lambda: n_failed == 1)
+        n_statuses = len(entry.statuses)
+        await until(lambda: len(entry.statuses) > n_statuses + 2)
+        await agent.links.close()
+        await entry.directory.close()
+
+    run(main())
+
+
+def test_a_peer_that_only_sends_heartbeats_is_not_waited_for() -> None:
+    async def main() -> None:
+        n_accepted = 0
+
+        async def speak(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal n_accepted
+            n_accepted += 1
+            channel = StreamChannel(reader, writer, QUICK)
+            await channel.start()
+            while not isinstance(await channel.receive(), ChannelClosed):
+                pass
+            await channel.close()
+
+        server = await asyncio.start_server(speak, LOOPBACK, 0)
+        agent = Agent(greet_timeout_s=0.2)
+        await agent.links.start([server.sockets[0].getsockname()])
+        await until(lambda: n_accepted >= 3)
+        assert agent.heard == []
+        await agent.links.close()
+        server.close()
+
+    run(main())
+
+
+def test_mail_takes_another_entry_when_one_does_not_take_it() -> None:
+    async def main() -> None:
+        agent, entries = Agent(), [Entry("e1"), Entry("e2")]
+        addresses = [await entry.start() for entry in entries]
+        await agent.links.start(addresses)
+        await until(lambda: len(agent.links.entry_ids()) == 2)
+        agent.links._channels[EntryId("e1")].post = lambda body: False  # type: ignore[method-assign]
+        agent.links._rng = random.Random(3)
+        assert all(agent.links.post_mail("a9", MESSAGE) for _ in range(20))
+        await agent.links.close()
+        for entry in entries:
+            await entry.directory.close()
+
+    run(main())
--- /dev/null
+++ b/tests/daemon/test_supervisor.py
@@ -0,0 +1,182 @@
+"""What the supervisor restarts, what ends it, and in which order it closes."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from itertools import pairwise
+
+import pytest
+
+from almondspan_daemon.supervisor import LAST_DELAY_S, STEADY_S, Supervisor
+from almondspan_decisions.invariants import InvariantError
+from almondspan_standins.virtual_time import run_in_virtual_time
+
+Main = Callable[[], Awaitable[None]]
+
+
+async def in_tree(use: Callable[[Supervisor], Awaitable[None]]) -> None:
+    supervisor = Supervisor("root", random.Random(1))
+    await supervisor.start()
+    try:
+        await use(supervisor)
+    finally:
+        await supervisor.close()
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        pytest.param(OSError("down"), id="the outside"),
+        pytest.param(TimeoutError(), id="a timeout"),
+        pytest.param(KeyError("x"), id="a bug in handling input"),
+        pytest.param(ExceptionGroup("g", [OSError()]), id="a group of them"),
+    ],
+)
+def test_a_failed_child_is_restarted_with_growing_delays(error: Exception) -> None:
+    began: list[float] = []
+
+    async def fails() -> None:
+        began.append(asyncio.get_running_loop().time())
+        raise error
+
+    async def use(supervisor: Supervisor) -> None:
+        supervisor.spawn("child", fails)
+        await asyncio.sleep(60.0)
+        assert supervisor.n_restarts == len(began)
+
+    run_in_virtual_time(in_tree(use))
+    waits = [later - earlier for earlier, later in pairwise(began)]
+    assert waits[0] < 0.2
+    assert waits[3] > 2 * waits[0]
+    assert max(waits) <= 1.5 * LAST_DELAY_S
+    assert 8 < len(began) < 20
+
+
+def test_a_steady_child_is_restarted_soon_again() -> None:
+    began: list[float] = []
+    ran_s = iter([0.0] * 8 + [STEADY_S + 1, 1000.0])
+
+    async def child() -> None:
+        began.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(next(ran_s))
+        raise OSError
+
+    async def use(supervisor: Supervisor) -> None:
+        supervisor.spawn("child", child)
+        await asyncio.sleep(200.0)
+
+    run_in_virtual_time(in_tree(use))
+    assert began[9] - began[8] - (STEADY_S + 1) < 0.2
+
+
+async def broken() -> None:
+    raise InvariantError("two owners")
+
+
+async def broken_in_group() -> None:
+    raise ExceptionGroup("g", [OSError(), InvariantError("two owners")])
+
+
+async def broken_in_own_task() -> None:
+    task = asyncio.create_task(broken())
+    await asyncio.sleep(60.0)
+    await task
+
+
+async def broken_in_callback() -> None:
+    def callback() -> None:
+        raise InvariantError("two owners")
+
+    asyncio.get_running_loop().call_soon(callback)
+    await asyncio.sleep(60.0)
+
+
+@pytest.mark.parametrize(
+    "main",
+    [
+        pytest.param(broken, id="in the child"),
+        pytest.param(broken_in_group, id="in a group"),
+        pytest.param(broken_in_own_task, id="in a task of a component"),
+        pytest.param(broken_in_callback, id="in a callback of the loop"),
+    ],
+)
+@pytest.mark.parametrize("nested", [False, True])
+def test_a_broken_invariant_ends_the_tree(main: Main, nested: bool) -> None:
+    async def use(supervisor: Supervisor) -> None:
+        asyncio.get_running_loop().set_exception_handler(None)
+        await supervisor.start()
+        parent = supervisor.child("below") if nested else supervisor
+        parent.spawn("child", main)
+        async with asyncio.timeout(1.0):
+            error = await supervisor.wait_failed()
+        assert "two owners" in repr(error)
+        assert supervisor.n_restarts == 0
+
+    run_in_virtual_time(in_tree(use))
+
+
+def test_children_end_one_after_another_the_youngest_first() -> None:
+    log: list[str] = []
+
+    def child(name: str) -> Main:
+        async def main() -> None:
+            try:
+                await asyncio.sleep(1000.0)
+            finally:
+                log.append(f"{name} is told")
+                await asyncio.sleep(1.0)
+                log.append(f"{name} has ended")
+
+        return main
+
+    async def use(supervisor: Supervisor) -> None:
+        for name in ("old", "young", "stopped"):
+            supervisor.spawn(name, child(name))
+        await asyncio.sleep(1.0)
+        supervisor.stop("stopped")
+        await supervisor.close()
+
+    run_in_virtual_time(in_tree(use))
+    told = [entry for entry in log if not entry.startswith("stopped")]
+    assert told == [
+        "young is told",
+        "young has ended",
+        "old is told",
+        "old has ended",
+    ]
+    assert "stopped has ended" in log
+
+
+def test_restarts_below_are_counted_above() -> None:
+    async def fails() -> None:
+        raise OSError
+
+    async def use(supervisor: Supervisor) -> None:
+        below = supervisor.child("below")
+        below.spawn("child", fails)
+        await asyncio.sleep(1.0)
+        await below.close()
+        assert supervisor.n_restarts == below.n_restarts > 0
+
+    run_in_virtual_time(in_tree(use))
+
+
+def test_a_spawn_replaces_the_child_of_that_name() -> None:
+    n_running = 0
+
+    async def main() -> None:
+        nonlocal n_running
+        n_running += 1
+        try:
+            await asyncio.sleep(1000.0)
+        finally:
+            n_running -= 1
+
+    async def use(supervisor: Supervisor) -> None:
+        for _ in range(3):
+            supervisor.spawn("child", main)
+            await asyncio.sleep(1.0)
+            assert n_running == 1
+
+    run_in_virtual_time(in_tree(use))
+    assert n_running == 0
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -1,7 +1,9 @@
 """What a channel promises over a real connection on loopback."""
 
 import asyncio
+import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -140,3 +142,28 @@
         assert await channel.receive() == NominateOwner(ShardId(1))
 
     asyncio.run(with_peer(peer, use, PATIENT))
+
+
+def test_a_stall_of_this_process_is_not_the_peer_s_silence() -> None:
+    frame = encode(NominateOwner(ShardId(1)))
+
+    async def main() -> None:
+        listening = socket.create_server(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*listening.getsockname())
+        peer, _ = listening.accept()
+        channel = StreamChannel(reader, writer, FAST)
+        await channel.start()
+        receiving = asyncio.create_task(channel.receive())
+        await asyncio.sleep(0)
+        peer.sendall(struct.pack(">I", len(frame)) + frame)
+        # The loop stands still for longer than the peer may be silent.
+        time.sleep(2 * FAST.silence_s)  # noqa: ASYNC251
+        assert await receiving == NominateOwner(ShardId(1))
+        assert await channel.receive() == ChannelClosed(
+            CloseCause.SILENT, "nothing arrived within the limit"
+        )
+        await channel.close()
+        peer.close()
+        listening.close()
+
+    asyncio.run(main())
