--- a/misc/mutant_table.py
+++ b/misc/mutant_table.py
@@ -159,8 +159,8 @@
     # The keeper.
     mutant(
         "skip the epoch check",
-        "keeper.py",
-        "        if epoch < self._epochs.get(shard_id, Epoch(0)):",
+        "keeper_state.py",
+        "        if epoch < self.epochs.get(shard_id, Epoch(0)):",
         "        if False:",
     ),
     Mutant(
@@ -171,23 +171,25 @@
                 "case AttemptPhase.RUNNING if 0.0 < held.lease_until_s <= now_s:",
                 "case AttemptPhase.RUNNING if False:",
             ),
-            Change("keeper.py", "                and held.lease_until_s > now_s\n", ""),
+            Change(
+                "renewals.py", "                and held.lease_until_s > now_s\n", ""
+            ),
         ),
     ),
     mutant(
         "count the lease from the answer",
         "keeper.py",
         "self._extend(held, sent_s + self._options.horizon_s)",
-        "self._extend(held, self._now_s() + self._options.horizon_s)",
+        "self._extend(held, self._state.now_s() + self._options.horizon_s)",
     ),
     Mutant(
         "adopt with a lease",
         (
             Change(
-                "keeper.py",
-                "            first_renewal_id=self._renewal_id + 1,\n        )",
-                "            first_renewal_id=self._renewal_id + 1,\n"
-                "            lease_until_s=self._now_s() + self._options.horizon_s,\n"
+                "worker_list.py",
+                "            first_renewal_id=self._renewals.next_id,\n        )",
+                "            first_renewal_id=self._renewals.next_id,\n"
+                "            lease_until_s=state.now_s() + state.options.horizon_s,\n"
                 "        )",
             ),
         ),
@@ -197,20 +199,22 @@
         (
             Change(
                 "keeper.py",
-                "        await self._learn_worker()\n",
-                "        await self._learn_worker()\n        self._ready.set()\n",
+                "        await self._list.learn_worker()\n",
+                "        await self._list.learn_worker()\n"
+                "        self._state.ready.set()\n",
             ),
             Change(
-                "keeper.py",
-                "        return age_s <= _FRESH_POLLS * self._options.poll_interval_s",
+                "worker_list.py",
+                "        return age_s <= _FRESH_POLLS * "
+                "self._state.options.poll_interval_s",
                 "        return True",
             ),
         ),
     ),
     mutant(
         "admit without settling",
-        "keeper.py",
-        "        await asyncio.sleep(self._options.call_bound_s)\n"
+        "worker_list.py",
+        "        await asyncio.sleep(self._state.options.call_bound_s)\n"
         "        await self._list_until_answered()\n",
         "",
     ),
@@ -229,8 +233,8 @@
     ),
     mutant(
         "skip settling after a pause",
-        "keeper.py",
-        "        if self.is_ready and gap_s > limit_s:",
+        "worker_list.py",
+        "        if self._state.ready.is_set() and gap_s > limit_s:",
         "        if False:",
     ),
     mutant(
@@ -258,7 +262,7 @@
         "        # even a refusal waits until the shard has confirmed the assignment.\n"
         "        self._ask_first(held)",
         "        advance(held, LifeStep.RESERVE)\n"
-        "        held.lease_until_s = self._now_s() + self._options.horizon_s\n"
+        "        held.lease_until_s = self._state.now_s() + self._options.horizon_s\n"
         "        self._begin_start(held)",
     ),
     mutant(
@@ -272,17 +276,17 @@
     mutant(
         "refuse for another agent",
         "keeper.py",
-        "        if body.agent_id != self._agent_id or not self.is_ready:",
+        "        if body.agent_id != self._state.agent_id or not self.is_ready:",
         "        if not self.is_ready:",
     ),
     mutant(
         "repeat a start after a lost answer",
         "keeper.py",
-        "        answer = await self._worker.start_attempt(request)\n",
-        "        answer = await self._worker.start_attempt(request)\n"
+        "        answer = await self._state.worker.start_attempt(request)\n",
+        "        answer = await self._state.worker.start_attempt(request)\n"
         "        while isinstance(answer, WorkerUnavailable):\n"
         "            await asyncio.sleep(0.2)\n"
-        "            answer = await self._worker.start_attempt(request)\n",
+        "            answer = await self._state.worker.start_attempt(request)\n",
     ),
     mutant(
         "report a lost start as never run",
@@ -292,9 +296,9 @@
     ),
     mutant(
         "forget a result before its commit",
-        "keeper.py",
-        "        self._keep_report(held, outcome, found.evicted, found.checkpoint)",
-        "        self._keep_report(held, outcome, found.evicted, found.checkpoint)\n"
-        "        self._forget(held)",
+        "worker_list.py",
+        "        self._reports.keep(held, outcome, found.evicted, found.checkpoint)",
+        "        self._reports.keep(held, outcome, found.evicted, found.checkpoint)\n"
+        "        self._reports.forget(held)",
     ),
 )
--- a/packages/tasks/almondspan_tasks/held.py
+++ b/packages/tasks/almondspan_tasks/held.py
@@ -120,6 +120,10 @@
         """Return everything that is held."""
         return list(self._held.values())
 
+    def running(self) -> list[Held]:
+        """Return what runs and is not being evicted."""
+        return [one for one in self.all() if one.phase is AttemptPhase.RUNNING]
+
     def used(self) -> Shape:
         """Return the room taken by everything that is held."""
         used = EMPTY_SHAPE
--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -23,69 +23,38 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
-from typing import Final
-
-from almondspan_decisions.ids import (
-    AgentId,
-    Epoch,
-    ShardId,
-    TaskClass,
-    TaskId,
-    WorkerId,
-)
+
+from almondspan_decisions.ids import AgentId, TaskClass, TaskId
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
-from almondspan_decisions.room import RoomTask, choose_victims
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_platform.worker import (
-    AttemptState,
     StartAttempt,
     StartResult,
     Worker,
-    WorkerAttempt,
-    WorkerInfo,
     WorkerUnavailable,
 )
 from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
-from almondspan_tasks.background import Background
-from almondspan_tasks.held import AttemptKey, Books, Held, RunningAttempt
+from almondspan_tasks.held import Held, RunningAttempt
+from almondspan_tasks.keeper_state import KeeperCounters, KeeperState
 from almondspan_tasks.options import KeeperOptions
+from almondspan_tasks.renewals import Renewals
+from almondspan_tasks.reports import Reports
+from almondspan_tasks.reservations import Reservations
 from almondspan_tasks.resting import RestingRule
+from almondspan_tasks.worker_list import WorkerList
 from almondspan_wire.codec import Message
 from almondspan_wire.mail import Mailer
 from almondspan_wire.task_messages import (
-    AttemptRef,
-    AttemptReport,
     AttemptStarted,
-    RenewAttempts,
     RenewReply,
     ReportAck,
-    ReserveReply,
     ReserveRoom,
     StartTask,
     StopTask,
     shard_address,
 )
 
-__all__ = ["AttemptKeeper", "KeeperCounters"]
-
-_FRESH_POLLS: Final = 3
-"""A list older than this many poll intervals is taken anew before a start."""
-
-
-@dataclass(slots=True)
-class KeeperCounters:
-    """Counts of what the keeper did."""
-
-    n_reserved: int = 0
-    n_refused: int = 0
-    n_started: int = 0
-    n_adopted: int = 0
-    n_evicted: int = 0
-    n_expired: int = 0
-    n_stale_epochs: int = 0
-    n_reports: int = 0
-    n_pauses: int = 0
+__all__ = ["AttemptKeeper"]
 
 
 class AttemptKeeper:
@@ -99,32 +68,27 @@
         options: KeeperOptions,
         rng: random.Random,
     ) -> None:
-        self.counters = KeeperCounters()
-        self._agent_id = agent_id
-        self._worker = worker
-        self._mailer = mailer
         self._options = options
-        self._rng = rng
-        self._books = Books()
+        self._state = KeeperState(
+            agent_id, worker, mailer, options, rng, RestingRule(options)
+        )
+        self._books = self._state.books
         self._books.headroom = options.headroom
-        self._worker_id = WorkerId("")
-        self._worker_lease_s = 0.0
-        self._ready = asyncio.Event()
-        self._ticked_s = 0.0
-        self._draining = False
-        self._resting = RestingRule(options)
-        self._epochs: dict[ShardId, Epoch] = {}
-        self._renewal_id = 0
-        self._renewals_sent_s: dict[int, float] = {}
-        self._n_list = 0
-        self._listed_s = 0.0
-        self._next_renew_s = 0.0
-        self._shared_until_s = 0.0
-        self._background = Background()
-        self._changed = asyncio.Event()
+        self._background = self._state.background
+        self._reports = Reports(self._state)
+        self._renewals = Renewals(self._state)
+        self._reservations = Reservations(self._state, self._evict_held)
+        self._list = WorkerList(
+            self._state, self._reports, self._renewals, self._note_running
+        )
 
     # What others may know and ask.
 
+    @property
+    def counters(self) -> KeeperCounters:
+        """Return the counts of what the keeper did."""
+        return self._state.counters
+
     async def start(self) -> None:
         """Begin to rebuild the books, then to run."""
         self._background.spawn(self._run())
@@ -143,7 +107,7 @@
 
     def n_tasks(self) -> int:
         """Return the number of attempts that take room."""
-        return sum(held.takes_room for held in self._books.all())
+        return self._state.n_with_room()
 
     def classes(self) -> tuple[tuple[TaskClass, int], ...]:
         """Return the number of running attempts of each class."""
@@ -167,28 +131,27 @@
                 idempotent=held.idempotent,
                 urgent=held.urgent,
             )
-            for held in self._books.all()
-            if held.phase is AttemptPhase.RUNNING
+            for held in self._books.running()
         )
 
     @property
     def is_resting(self) -> bool:
         """Tell whether the worker takes no work since too much failed on it."""
-        return self._resting.is_resting(self._now_s())
+        return self._state.resting.is_resting(self._state.now_s())
 
     @property
     def is_ready(self) -> bool:
         """Tell whether the books are whole."""
-        return self._ready.is_set()
+        return self._state.ready.is_set()
 
     @property
     def is_draining(self) -> bool:
         """Tell whether new work is refused."""
-        return self._draining
+        return self._state.draining
 
     def set_resting(self, resting: bool) -> None:
         """Rest the worker, or end its rest, by order of an operator."""
-        self._resting.set_by_hand(resting)
+        self._state.resting.set_by_hand(resting)
 
     def set_headroom(self, headroom: Shape) -> None:
         """Keep room free that only urgent work may take."""
@@ -210,14 +173,13 @@
         held = self._running_attempt(task)
         if held is None or not _may_evict(held, checkpoint):
             return False
-        self.counters.n_evicted += 1
-        self._begin_evict(held)
+        self._evict_held(held)
         return True
 
     async def drain(self) -> None:
         """Refuse new work at once; return when nothing runs or time is up."""
-        self._draining = True
-        limit_s = self._now_s() + self._options.drain_timeout_s
+        self._state.draining = True
+        limit_s = self._state.now_s() + self._options.drain_timeout_s
         for held in self._books.all():
             if held.phase is AttemptPhase.RUNNING and _may_evict(held, True):
                 self._begin_evict(held)
@@ -229,19 +191,19 @@
 
     def resume(self) -> None:
         """Take new work again after a drain."""
-        self._draining = False
+        self._state.draining = False
 
     async def _wait_until_empty(self) -> None:
         while len(self._books):
-            self._changed.clear()
-            await self._changed.wait()
+            self._state.changed.clear()
+            await self._state.changed.wait()
 
     def on_mail(self, sender: str, body: Message) -> None:
         """Handle mail from the owners of shards."""
-        self._note_pause()
+        self._list.note_pause()
         match body:
             case ReserveRoom():
-                self._on_reserve(sender, body)
+                self._reservations.on_reserve(sender, body)
             case StartTask():
                 self._on_start(sender, body)
             case StopTask():
@@ -249,10 +211,7 @@
             case RenewReply():
                 self._on_renew_reply(body)
             case ReportAck():
-                self._on_ack(body)
-
-    def _now_s(self) -> float:
-        return asyncio.get_running_loop().time()
+                self._reports.on_ack(body)
 
     def _running_attempt(self, task: TaskId) -> Held | None:
         for held in self._books.all():
@@ -260,121 +219,10 @@
                 return held
         return None
 
-    def _is_stale(self, shard_id: ShardId, epoch: Epoch) -> bool:
-        """Tell whether a later owner of the shard was seen; else note this one."""
-        if epoch < self._epochs.get(shard_id, Epoch(0)):
-            self.counters.n_stale_epochs += 1
-            return True
-        self._epochs[shard_id] = epoch
-        return False
-
-    # Reservations.
-
-    def _on_reserve(self, sender: str, body: ReserveRoom) -> None:
-        if self._is_stale(body.shard_id, body.epoch):
-            return
-        known = self._books.get((body.task_id, body.attempt))
-        held = self._try_reserve(body) if known is None else known
-        if isinstance(held, str):
-            self._reply_reserve(sender, body, None, held)
-        elif held.phase is AttemptPhase.RESERVED:
-            self._reply_reserve(sender, body, held, "")
-        else:
-            self._reply_reserve(sender, body, None, "the attempt is known here")
-
-    def _try_reserve(self, body: ReserveRoom) -> Held | str:
-        refusal = self._refusal()
-        if refusal:
-            return refusal
-        held = Held(
-            shard_id=body.shard_id,
-            task_id=body.task_id,
-            attempt=body.attempt,
-            shape=body.shape,
-            urgent=body.urgent,
-            expires_s=self._now_s() + body.ttl_s,
-            reservation=f"{self._rng.getrandbits(64):016x}",
-        )
-        if not self._books.fits(body.shape, body.urgent):
-            if not body.urgent or not self._make_room(body.shape):
-                return "no room"
-            held.makes_room = True
-        held.lease_until_s = self._now_s() + self._options.horizon_s
-        advance(held, LifeStep.RESERVE)
-        self._books.add(held)
-        self.counters.n_reserved += 1
-        return held
-
-    def _refusal(self) -> str:
-        if not self.is_ready:
-            return "the books are not rebuilt"
-        if self._draining:
-            return "draining"
-        if self._now_s() < self._shared_until_s:
-            return "another agent admits work to this worker"
-        if self.is_resting:
-            return "resting"
-        if self._resting.is_probing and self.n_tasks() > 0:
-            return "probing with one task"
-        return ""
-
-    def _reply_reserve(
-        self, sender: str, body: ReserveRoom, held: Held | None, reason: str
-    ) -> None:
-        granted = held is not None and not held.makes_room
-        reply = ReserveReply(
-            shard_id=body.shard_id,
-            task_id=body.task_id,
-            attempt=body.attempt,
-            granted=granted,
-            worker_id=self._worker_id,
-            reservation=held.reservation if held is not None and granted else "",
-            worker_lease_s=self._worker_lease_s,
-            making_room=held is not None and held.makes_room,
-            reason=reason,
-            capacity=self._books.capacity,
-        )
-        self._mailer.send(sender, reply)
-        if held is not None and held.makes_room:
-            self._background.spawn(self._grant_when_room(sender, body, held))
-
-    def _make_room(self, shape: Shape) -> bool:
-        """Evict batch that can be checkpointed until `shape` will fit."""
-        running = tuple(
-            RoomTask(
-                task_id=one.task_id,
-                attempt=one.attempt,
-                shape=one.shape,
-                at_risk_s=one.attained_s,
-                checkpointable=one.checkpointable,
-                urgent=one.urgent,
-            )
-            for one in self.running()
-        )
-        free = self._books.capacity - self._books.used()
-        victims = choose_victims(shape, free, running)
-        if victims is None:
-            return False
-        for victim in victims:
-            self.evict(victim.task_id, checkpoint=True)
-        return True
-
-    async def _grant_when_room(
-        self, sender: str, body: ReserveRoom, held: Held
-    ) -> None:
-        while self._books.get(held.key) is held and held.makes_room:
-            if self._books.is_within_capacity():
-                held.makes_room = False
-                held.lease_until_s = self._now_s() + self._options.horizon_s
-                self._reply_reserve(sender, body, held, "")
-                return
-            self._changed.clear()
-            await self._changed.wait()
-
     # Starts.
 
     def _on_start(self, sender: str, body: StartTask) -> None:
-        if self._is_stale(body.shard_id, body.epoch):
+        if self._state.is_stale(body.shard_id, body.epoch):
             return
         held = self._books.get((body.task_id, body.attempt))
         if held is None:
@@ -384,10 +232,10 @@
         elif held.is_on_worker:
             self._tell_started(held)
         elif held.phase is AttemptPhase.FINISHING:
-            self._send_report(held)
+            self._reports.send(held)
 
     def _start_reserved(self, held: Held, body: StartTask) -> None:
-        if body.agent_id != self._agent_id:
+        if body.agent_id != self._state.agent_id:
             return
         self._describe(held, body)
         is_live = held.reservation == body.reservation and not held.makes_room
@@ -398,13 +246,13 @@
             self._ask_first(held)
 
     def _start_without_reservation(self, body: StartTask) -> None:
-        if body.agent_id != self._agent_id or not self.is_ready:
+        if body.agent_id != self._state.agent_id or not self.is_ready:
             # Only the agent of the assignment may start or refuse it; after a
             # restart the shard waits for the horizon instead.
             return
         held = Held(body.shard_id, body.task_id, body.attempt, body.shape)
         self._describe(held, body)
-        held.refusal = self._refusal()
+        held.refusal = self._state.refusal()
         if not held.refusal and not self._books.fits(body.shape, body.urgent):
             held.refusal = "no room"
         self._books.add(held)
@@ -422,27 +270,27 @@
     def _ask_first(self, held: Held) -> None:
         advance(held, LifeStep.ASK)
         held.lease_until_s = 0.0
-        held.first_renewal_id = self._renewal_id + 1
-        held.expires_s = self._now_s() + self._options.horizon_s / 2
-        self._send_renewals([held])
+        held.first_renewal_id = self._renewals.next_id
+        held.expires_s = self._state.now_s() + self._options.horizon_s / 2
+        self._renewals.ask([held])
 
     def _has_time(self, held: Held) -> bool:
-        return held.lease_until_s - self._now_s() > self._options.call_bound_s
+        return held.lease_until_s - self._state.now_s() > self._options.call_bound_s
 
     def _refuse(self, held: Held, reason: str) -> None:
         """Promise never to start an attempt for which no start was called."""
         advance(held, LifeStep.REFUSE)
-        self.counters.n_refused += 1
-        self._keep_report(held, Outcome(OutcomeKind.NOT_RUN, reason))
+        self._state.counters.n_refused += 1
+        self._reports.keep(held, Outcome(OutcomeKind.NOT_RUN, reason))
 
     def _begin_start(self, held: Held) -> None:
         advance(held, LifeStep.START)
         self._background.spawn(self._start_on_worker(held))
 
     async def _start_on_worker(self, held: Held) -> None:
-        self._note_pause()
-        await self._ready.wait()
-        await self._refresh_list()
+        self._list.note_pause()
+        await self._state.ready.wait()
+        await self._list.refresh()
         if held.phase is not AttemptPhase.STARTING:
             return
         refusal = self._late_refusal(held)
@@ -451,11 +299,11 @@
             return
         assert held.start is not None
         request = _start_request(held.start)
-        answer = await self._worker.start_attempt(request)
+        answer = await self._state.worker.start_attempt(request)
         if held.phase is not AttemptPhase.STARTING:
             return
         if isinstance(answer, WorkerUnavailable) and answer.may_have_applied:
-            held.doubt_until_s = self._now_s() + self._options.call_bound_s
+            held.doubt_until_s = self._state.now_s() + self._options.call_bound_s
         elif isinstance(answer, WorkerUnavailable):
             self._refuse(held, answer.reason)
         elif answer is StartResult.REFUSED:
@@ -464,15 +312,15 @@
             self._note_running(held)
 
     def _late_refusal(self, held: Held) -> str:
-        if self._draining:
+        if self._state.draining:
             return "draining"
         if held.abandoned:
             return "its shard no longer wants it"
-        if not self._is_list_fresh():
+        if not self._list.is_fresh():
             return "the worker does not answer"
         if not self._has_time(held):
             return "too little of its lease is left"
-        if self._now_s() < self._shared_until_s:
+        if self._state.is_shared():
             return "another agent admits work to this worker"
         if not self._books.is_within_capacity():
             return "no room"
@@ -481,8 +329,8 @@
     def _note_running(self, held: Held) -> None:
         advance(held, LifeStep.STARTED)
         held.doubt_until_s = 0.0
-        held.n_list = self._n_list
-        self.counters.n_started += 1
+        held.n_list = self._list.n_list
+        self._state.counters.n_started += 1
         if held.abandoned:
             self._begin_evict(held)
         else:
@@ -490,61 +338,52 @@
 
     def _tell_started(self, held: Held) -> None:
         body = AttemptStarted(held.shard_id, held.task_id, held.attempt)
-        self._mailer.send(shard_address(held.shard_id), body)
+        self._state.mailer.send(shard_address(held.shard_id), body)
 
     # Stops and evictions.
 
     def _on_stop(self, body: StopTask) -> None:
         held = self._books.get((body.task_id, body.attempt))
-        if held is not None and not self._is_stale(body.shard_id, body.epoch):
+        if held is not None and not self._state.is_stale(body.shard_id, body.epoch):
             self._abandon(held)
 
     def _abandon(self, held: Held) -> None:
         """Give up an attempt that its shard has committed as over."""
         if held.phase in (AttemptPhase.RESERVED, AttemptPhase.CONFIRMING):
-            self._drop(held)
+            self._state.drop(held)
         elif held.phase is AttemptPhase.FINISHING:
-            self._forget(held)
+            self._reports.forget(held)
         elif not held.abandoned:
             held.abandoned = True
             if held.phase is AttemptPhase.RUNNING:
                 self._begin_evict(held)
 
+    def _evict_held(self, held: Held) -> None:
+        self._state.counters.n_evicted += 1
+        self._begin_evict(held)
+
     def _begin_evict(self, held: Held) -> None:
         advance(held, LifeStep.CHECKPOINT)
         self._evict_again(held)
 
     def _evict_again(self, held: Held) -> None:
-        held.next_evict_s = self._now_s() + self._options.call_bound_s
+        held.next_evict_s = self._state.now_s() + self._options.call_bound_s
         self._background.spawn(self._evict_on_worker(held))
 
     async def _evict_on_worker(self, held: Held) -> None:
         if held.abandoned:
-            await self._worker.stop(held.task_id, held.attempt)
+            await self._state.worker.stop(held.task_id, held.attempt)
         else:
-            await self._worker.checkpoint(held.task_id, held.attempt)
+            await self._state.worker.checkpoint(held.task_id, held.attempt)
 
     async def _throttle_on_worker(self, held: Held, share: float) -> None:
-        await self._worker.throttle(held.task_id, held.attempt, share)
+        await self._state.worker.throttle(held.task_id, held.attempt, share)
 
     # Renewals.
 
-    def _send_renewals(self, attempts: list[Held]) -> None:
-        by_shard: dict[ShardId, list[AttemptRef]] = {}
-        for held in attempts:
-            ref = AttemptRef(held.task_id, held.attempt)
-            by_shard.setdefault(held.shard_id, []).append(ref)
-        for shard_id, refs in by_shard.items():
-            self._renewal_id += 1
-            self._renewals_sent_s[self._renewal_id] = self._now_s()
-            body = RenewAttempts(
-                shard_id, self._renewal_id, self._worker_id, tuple(refs)
-            )
-            self._mailer.send(shard_address(shard_id), body)
-
     def _on_renew_reply(self, body: RenewReply) -> None:
-        sent_s = self._renewals_sent_s.get(body.renewal_id)
-        if sent_s is None or self._is_stale(body.shard_id, body.epoch):
+        sent_s = self._renewals.sent_s(body.renewal_id)
+        if sent_s is None or self._state.is_stale(body.shard_id, body.epoch):
             return
         for ref in body.assigned:
             held = self._books.get((ref.task_id, ref.attempt))
@@ -564,245 +403,37 @@
         elif self._has_time(held):
             self._begin_start(held)
 
-    # Reports.
-
-    def _keep_report(
-        self,
-        held: Held,
-        outcome: Outcome,
-        evicted: bool = False,
-        checkpoint: bytes = b"",
-    ) -> None:
-        held.report = AttemptReport(
-            shard_id=held.shard_id,
-            task_id=held.task_id,
-            attempt=held.attempt,
-            worker_id=self._worker_id,
-            outcome=outcome,
-            evicted=evicted,
-            checkpoint=checkpoint,
-            ran_s=held.ran_s,
-        )
-        self._changed.set()
-        self._send_report(held)
-
-    def _send_report(self, held: Held) -> None:
-        assert held.report is not None
-        held.next_report_s = self._now_s() + self._options.report_interval_s
-        self.counters.n_reports += 1
-        self._mailer.send(shard_address(held.shard_id), held.report)
-
-    def _on_ack(self, body: ReportAck) -> None:
-        held = self._books.get((body.task_id, body.attempt))
-        if held is None or held.phase is not AttemptPhase.FINISHING:
-            return
-        if not self._is_stale(body.shard_id, body.epoch):
-            self._forget(held)
-
-    def _forget(self, held: Held) -> None:
-        self._drop(held)
-        self._background.spawn(self._forget_on_worker(held.key))
-
-    async def _forget_on_worker(self, key: AttemptKey) -> None:
-        await self._worker.forget((key,))
-
-    def _drop(self, held: Held) -> None:
-        advance(held, LifeStep.CLOSE)
-        self._books.drop(held)
-        self._changed.set()
-
-    # The worker's list.
+    # Time.
 
     async def _run(self) -> None:
-        await self._learn_worker()
-        await self._settle()
+        await self._list.learn_worker()
+        await self._list.settle()
         self._background.spawn(self._run_ticks())
-        self._background.spawn(self._run_worker_leases())
-        while True:
-            await asyncio.sleep(self._options.poll_interval_s)
-            if len(self._books) or not self._is_list_fresh():
-                await self._list()
-
-    async def _settle(self) -> None:
-        """Make the books whole, whatever another agent may have sent before."""
-        await self._list_until_answered()
-        await asyncio.sleep(self._options.call_bound_s)
-        await self._list_until_answered()
-        self._ticked_s = self._now_s()
-        self._ready.set()
-
-    def _note_pause(self) -> None:
-        """Settle again after a pause, in which another agent may have been here."""
-        gap_s = self._now_s() - self._ticked_s
-        limit_s = self._options.poll_interval_s + self._options.call_bound_s / 2
-        if self.is_ready and gap_s > limit_s:
-            self.counters.n_pauses += 1
-            self._ready.clear()
-            self._background.spawn(self._settle())
-
-    async def _learn_worker(self) -> None:
-        while True:
-            info = await self._worker.info()
-            if isinstance(info, WorkerInfo):
-                self._worker_id = info.worker_id
-                self._worker_lease_s = info.lease_s
-                self._books.capacity = info.capacity
-                return
-            await asyncio.sleep(self._options.retry_s)
-
-    async def _list_until_answered(self) -> None:
-        while True:
-            if await self._list():
-                return
-            await asyncio.sleep(self._options.retry_s)
-
-    async def _list(self) -> bool:
-        self._n_list += 1
-        n_list = self._n_list
-        begun_s = self._now_s()
-        answer = await self._worker.list_attempts()
-        if isinstance(answer, WorkerUnavailable):
-            return False
-        self._listed_s = max(self._listed_s, begun_s)
-        listed = {(found.task_id, found.attempt): found for found in answer}
-        for found in answer:
-            self._compare(found, n_list)
-        for held in self._books.all():
-            if held.key not in listed:
-                self._note_absent(held, n_list, begun_s)
-        return True
-
-    def _is_list_fresh(self) -> bool:
-        age_s = self._now_s() - self._listed_s
-        return age_s <= _FRESH_POLLS * self._options.poll_interval_s
-
-    async def _refresh_list(self) -> None:
-        if not self._is_list_fresh():
-            await self._list()
-
-    def _compare(self, found: WorkerAttempt, n_list: int) -> None:
-        held = self._books.get((found.task_id, found.attempt))
-        if held is None:
-            held = self._adopt(found)
-        held.ran_s = found.ran_s
-        if held.phase is AttemptPhase.FINISHING:
-            return
-        if found.state is AttemptState.ENDED:
-            self._note_ended(held, found)
-        elif not held.is_on_worker:
-            self._note_running(held)
-        else:
-            held.n_list = max(held.n_list, n_list)
-
-    def _adopt(self, found: WorkerAttempt) -> Held:
-        """Hold an attempt that an earlier agent of this worker started.
-
-        It has no lease yet: the worker's lease is not renewed before its shard
-        has answered.
-        """
-        held = Held(
-            shard_id=found.shard_id,
-            task_id=found.task_id,
-            attempt=found.attempt,
-            shape=found.shape,
-            task_class=found.task_class,
-            idempotent=found.idempotent,
-            checkpointable=found.idempotent,
-            first_renewal_id=self._renewal_id + 1,
-        )
-        self._books.add(held)
-        self.counters.n_adopted += 1
-        if found.state is not AttemptState.ENDED:
-            self._send_renewals([held])
-            if self.is_ready:
-                # Nothing that was on its way before can arrive any more, so another
-                # agent of this worker is at work; two must not both admit.
-                self._shared_until_s = self._now_s() + self._options.horizon_s
-        return held
-
-    def _note_ended(self, held: Held, found: WorkerAttempt) -> None:
-        assert found.outcome is not None or found.evicted
-        advance(held, LifeStep.FINISH)
-        if held.abandoned:
-            self._forget(held)
-            return
-        outcome = found.outcome
-        if outcome is None:
-            outcome = Outcome(OutcomeKind.UNKNOWN, "evicted", b"", True)
-        if not found.evicted:
-            self._resting.note(self._now_s(), held.task_id, outcome.kind)
-        self._keep_report(held, outcome, found.evicted, found.checkpoint)
-
-    def _note_absent(self, held: Held, n_list: int, begun_s: float) -> None:
-        """Report an attempt that the worker should list and does not."""
-        if held.is_on_worker:
-            is_lost = held.n_list < n_list
-        else:
-            is_in_doubt = held.phase is AttemptPhase.STARTING and held.doubt_until_s
-            is_lost = bool(is_in_doubt) and begun_s >= held.doubt_until_s
-        if not is_lost:
-            return
-        advance(held, LifeStep.FINISH)
-        if held.abandoned:
-            self._drop(held)
-            return
-        reason = "the worker does not list it any more"
-        self._keep_report(held, Outcome(OutcomeKind.UNKNOWN, reason, b"", True))
-
-    # Time.
-
-    async def _run_worker_leases(self) -> None:
-        while True:
-            now_s = self._now_s()
-            leased = tuple(
-                held.key
-                for held in self._books.all()
-                if held.is_on_worker
-                and held.lease_until_s > now_s
-                and not held.abandoned
-            )
-            if leased:
-                await self._worker.renew(leased)
-            await asyncio.sleep(self._worker_lease_s / 4)
+        self._background.spawn(self._renewals.renew_worker_leases())
+        await self._list.poll()
 
     async def _run_ticks(self) -> None:
         while True:
-            self._note_pause()
-            now_s = self._now_s()
-            self._ticked_s = now_s
+            self._list.note_pause()
+            now_s = self._state.now_s()
+            self._list.ticked_s = now_s
             for held in self._books.all():
                 self._tick(held, now_s)
-            if now_s >= self._next_renew_s:
-                self._renew_all(now_s)
+            self._renewals.ask_when_due(now_s)
             await asyncio.sleep(self._options.poll_interval_s)
 
-    def _renew_all(self, now_s: float) -> None:
-        interval_s = self._options.renew_interval_s
-        self._next_renew_s = now_s + interval_s * (0.8 + 0.2 * self._rng.random())
-        attempts = [
-            held
-            for held in self._books.all()
-            if held.is_on_worker
-            or held.phase in (AttemptPhase.STARTING, AttemptPhase.CONFIRMING)
-        ]
-        self._send_renewals(attempts)
-        oldest_s = now_s - self._options.horizon_s
-        outdated = [i for i, at in self._renewals_sent_s.items() if at < oldest_s]
-        for renewal_id in outdated:
-            del self._renewals_sent_s[renewal_id]
-
     def _tick(self, held: Held, now_s: float) -> None:
         match held.phase:
             case AttemptPhase.RESERVED | AttemptPhase.CONFIRMING:
                 if now_s >= held.expires_s:
-                    self._drop(held)
+                    self._state.drop(held)
             case AttemptPhase.RUNNING if 0.0 < held.lease_until_s <= now_s:
-                self.counters.n_expired += 1
+                self._state.counters.n_expired += 1
                 self._begin_evict(held)
             case AttemptPhase.CHECKPOINTING if now_s >= held.next_evict_s:
                 self._evict_again(held)
             case AttemptPhase.FINISHING if now_s >= held.next_report_s:
-                self._send_report(held)
+                self._reports.send(held)
 
 
 def _may_evict(held: Held, checkpoint: bool) -> bool:
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/keeper_state.py
@@ -0,0 +1,98 @@
+"""What the parts of a keeper share."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from almondspan_decisions.ids import AgentId, Epoch, ShardId, WorkerId
+from almondspan_platform.worker import Worker
+from almondspan_tasks.attempt_life import LifeStep, advance
+from almondspan_tasks.background import Background
+from almondspan_tasks.held import Books, Held
+from almondspan_tasks.options import KeeperOptions
+from almondspan_tasks.resting import RestingRule
+from almondspan_wire.mail import Mailer
+
+__all__ = ["KeeperCounters", "KeeperState"]
+
+
+@dataclass(slots=True)
+class KeeperCounters:
+    """Counts of what the keeper did."""
+
+    n_reserved: int = 0
+    n_refused: int = 0
+    n_started: int = 0
+    n_adopted: int = 0
+    n_evicted: int = 0
+    n_expired: int = 0
+    n_stale_epochs: int = 0
+    n_reports: int = 0
+    n_pauses: int = 0
+
+
+@dataclass(slots=True)
+class KeeperState:
+    """One worker's books and what decides about admission.
+
+    ``ready`` is set while the books are whole; ``changed`` is set whenever room may
+    have become free. Nothing is admitted before ``shared_until_s``, since another
+    agent of the worker was seen at work.
+    """
+
+    agent_id: AgentId
+    worker: Worker
+    mailer: Mailer
+    options: KeeperOptions
+    rng: random.Random
+    resting: RestingRule
+    books: Books = field(default_factory=Books)
+    background: Background = field(default_factory=Background)
+    counters: KeeperCounters = field(default_factory=KeeperCounters)
+    ready: asyncio.Event = field(default_factory=asyncio.Event)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    worker_id: WorkerId = WorkerId("")
+    worker_lease_s: float = 0.0
+    shared_until_s: float = 0.0
+    draining: bool = False
+    epochs: dict[ShardId, Epoch] = field(default_factory=dict)
+
+    def now_s(self) -> float:
+        """Return the monotonic time of this process."""
+        return asyncio.get_running_loop().time()
+
+    def is_stale(self, shard_id: ShardId, epoch: Epoch) -> bool:
+        """Tell whether a later owner of the shard was seen; else note this one."""
+        if epoch < self.epochs.get(shard_id, Epoch(0)):
+            self.counters.n_stale_epochs += 1
+            return True
+        self.epochs[shard_id] = epoch
+        return False
+
+    def is_shared(self) -> bool:
+        """Tell whether another agent was seen at work on this worker."""
+        return self.now_s() < self.shared_until_s
+
+    def n_with_room(self) -> int:
+        """Return the number of attempts that take room."""
+        return sum(held.takes_room for held in self.books.all())
+
+    def refusal(self) -> str:
+        """Return why no new work is admitted; empty when it is."""
+        if not self.ready.is_set():
+            return "the books are not rebuilt"
+        if self.draining:
+            return "draining"
+        if self.is_shared():
+            return "another agent admits work to this worker"
+        if self.resting.is_resting(self.now_s()):
+            return "resting"
+        if self.resting.is_probing and self.n_with_room() > 0:
+            return "probing with one task"
+        return ""
+
+    def drop(self, held: Held) -> None:
+        """Hold an attempt no longer."""
+        advance(held, LifeStep.CLOSE)
+        self.books.drop(held)
+        self.changed.set()
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/reports.py
@@ -0,0 +1,61 @@
+"""Reports of ended attempts, each repeated until its shard has committed it."""
+
+from almondspan_decisions.outcomes import Outcome
+from almondspan_tasks.attempt_life import AttemptPhase
+from almondspan_tasks.held import AttemptKey, Held
+from almondspan_tasks.keeper_state import KeeperState
+from almondspan_wire.task_messages import AttemptReport, ReportAck, shard_address
+
+__all__ = ["Reports"]
+
+
+class Reports:
+    """Keeps ended attempts, here and at the worker, until they are acknowledged."""
+
+    def __init__(self, state: KeeperState) -> None:
+        self._state = state
+
+    def keep(
+        self,
+        held: Held,
+        outcome: Outcome,
+        evicted: bool = False,
+        checkpoint: bytes = b"",
+    ) -> None:
+        """Report an attempt that has ended or will never start."""
+        held.report = AttemptReport(
+            shard_id=held.shard_id,
+            task_id=held.task_id,
+            attempt=held.attempt,
+            worker_id=self._state.worker_id,
+            outcome=outcome,
+            evicted=evicted,
+            checkpoint=checkpoint,
+            ran_s=held.ran_s,
+        )
+        self._state.changed.set()
+        self.send(held)
+
+    def send(self, held: Held) -> None:
+        """Send the report of an attempt again."""
+        assert held.report is not None
+        state = self._state
+        held.next_report_s = state.now_s() + state.options.report_interval_s
+        state.counters.n_reports += 1
+        state.mailer.send(shard_address(held.shard_id), held.report)
+
+    def on_ack(self, body: ReportAck) -> None:
+        """Let go of an attempt whose end its shard has committed."""
+        held = self._state.books.get((body.task_id, body.attempt))
+        if held is None or held.phase is not AttemptPhase.FINISHING:
+            return
+        if not self._state.is_stale(body.shard_id, body.epoch):
+            self.forget(held)
+
+    def forget(self, held: Held) -> None:
+        """Let go of an attempt, here and at the worker."""
+        self._state.drop(held)
+        self._state.background.spawn(self._forget_on_worker(held.key))
+
+    async def _forget_on_worker(self, key: AttemptKey) -> None:
+        await self._state.worker.forget((key,))
--- /dev/null
+++ b/packages/tasks/almondspan_tasks/reservations.py
@@ -0,0 +1,113 @@
+"""Reservations of room on the worker, and room made for urgent work."""
+
+from collections.abc import Callable
+
+from almondspan_decisions.room import RoomTask, choose_victims
+from almondspan_decisions.shapes import Shape
+from almondspan_tasks.attempt_life import AttemptPhase, LifeStep, advance
+from almondspan_tasks.held import Held
+from almondspan_tasks.keeper_state import KeeperState
+from almondspan_wire.task_messages import ReserveReply, ReserveRoom
+
+__all__ = ["Reservations"]
+
+
+class Reservations:
+    """Answers owners that look for room."""
+
+    def __init__(self, state: KeeperState, evict: Callable[[Held], None]) -> None:
+        self._state = state
+        self._evict = evict
+
+    def on_reserve(self, sender: str, body: ReserveRoom) -> None:
+        """Hold room for an attempt if there is any; a repeated question adds none."""
+        if self._state.is_stale(body.shard_id, body.epoch):
+            return
+        known = self._state.books.get((body.task_id, body.attempt))
+        held = self._try(body) if known is None else known
+        if isinstance(held, str):
+            self._reply(sender, body, None, held)
+        elif held.phase is AttemptPhase.RESERVED:
+            self._reply(sender, body, held, "")
+        else:
+            self._reply(sender, body, None, "the attempt is known here")
+
+    def _try(self, body: ReserveRoom) -> Held | str:
+        state = self._state
+        refusal = state.refusal()
+        if refusal:
+            return refusal
+        held = Held(
+            shard_id=body.shard_id,
+            task_id=body.task_id,
+            attempt=body.attempt,
+            shape=body.shape,
+            urgent=body.urgent,
+            expires_s=state.now_s() + body.ttl_s,
+            reservation=f"{state.rng.getrandbits(64):016x}",
+        )
+        if not state.books.fits(body.shape, body.urgent):
+            if not body.urgent or not self._make_room(body.shape):
+                return "no room"
+            held.makes_room = True
+        held.lease_until_s = state.now_s() + state.options.horizon_s
+        advance(held, LifeStep.RESERVE)
+        state.books.add(held)
+        state.counters.n_reserved += 1
+        return held
+
+    def _reply(
+        self, sender: str, body: ReserveRoom, held: Held | None, reason: str
+    ) -> None:
+        state = self._state
+        granted = held is not None and not held.makes_room
+        reply = ReserveReply(
+            shard_id=body.shard_id,
+            task_id=body.task_id,
+            attempt=body.attempt,
+            granted=granted,
+            worker_id=state.worker_id,
+            reservation=held.reservation if held is not None and granted else "",
+            worker_lease_s=state.worker_lease_s,
+            making_room=held is not None and held.makes_room,
+            reason=reason,
+            capacity=state.books.capacity,
+        )
+        state.mailer.send(sender, reply)
+        if held is not None and held.makes_room:
+            state.background.spawn(self._grant_when_room(sender, body, held))
+
+    def _make_room(self, shape: Shape) -> bool:
+        """Evict batch that can be checkpointed until `shape` will fit."""
+        books = self._state.books
+        running = {held.task_id: held for held in books.running()}
+        tasks = tuple(
+            RoomTask(
+                task_id=held.task_id,
+                attempt=held.attempt,
+                shape=held.shape,
+                at_risk_s=held.ran_s,
+                checkpointable=held.checkpointable,
+                urgent=held.urgent,
+            )
+            for held in running.values()
+        )
+        victims = choose_victims(shape, books.capacity - books.used(), tasks)
+        if victims is None:
+            return False
+        for victim in victims:
+            self._evict(running[victim.task_id])
+        return True
+
+    async def _grant_when_room(
+        self, sender: str, body: ReserveRoom, held: Held
+    ) -> None:
+        state = self._state
+        while state.books.get(held.key) is held and held.makes_room:
+            if state.books.is_within_capacity():
+                held.makes_room = False
+                held.lease_until_s = state.now_s() + state.options.horizon_s
+                self._reply(sender, body, held, "")
+                return
+            state.changed.clear()
+            await state.changed.wait()
