--- a/misc/capacity.py
+++ b/misc/capacity.py
@@ -209,7 +209,7 @@
         (
             "read: heads at takeover",
             "0",
-            f"{moved * READS_PER_TAKEOVER / OWNER_SILENCE_S:.0f}: a place of five is lost",
+            f"{moved * READS_PER_TAKEOVER / OWNER_SILENCE_S:.0f}: a place is lost",
         ),
         (
             "read: entries by agents without one",
@@ -244,11 +244,11 @@
     entry = slopes.line("entry_agents", "cpu_share")
     most_agents = (0.5 - entry.base) / entry.slope
     return [
-        f"- Owner's processor: one agent may decide {starts:.1f} starts a second within "
+        f"- Owner's processor: an agent may decide {starts:.1f} starts a second in "
         f"1.5% of a core, so {N_SHARDS} shards carry {starts * N_SHARDS:.0f} a second.",
         f"- Store's writes: at {cap:.0f} commits a shard and second, "
         f"{most_shards:.0f} shards use {WRITES_BUDGET_PER_S:.0f} writes.",
-        f"- Entry's processor: half a core carries {most_agents:.0f} agents of a region.",
+        f"- Entry's processor: half a core carries {most_agents:.0f} agents.",
         "",
         "The store's writes bind first: shards can't be added without limit, so "
         "the starts of a shard grow with the fleet until the owner's processor binds. "
@@ -309,18 +309,18 @@
         "",
         *role_table(slopes),
         "",
-        "| role | state | messages in and out | mechanism that carries it |",
+        "| role | state | messages in and out | mechanism |",
         "| --- | --- | --- | --- |",
-        "| agent | its worker's attempts, its runners' calls | a status a second to each "
-        "entry; renewals each 5 s for each shard with tasks here | one process counts "
-        "one worker; control grows with the worker's own tasks |",
-        "| shard owner | the shard's jobs, 1.5 starts a second | a reservation, a start "
-        "and a report with their answers for each start | shards spread over all agents; "
-        "group commit |",
+        "| agent | its worker's attempts, its runners' calls | a status a second to "
+        "each entry; renewals each 5 s for each shard with tasks here | one process "
+        "counts one worker; control grows with the worker's own tasks |",
+        "| shard owner | the shard's jobs, 1.5 starts a second | a reservation, a "
+        "start and a report with their answers for each start | shards spread over "
+        "all agents; group commit |",
         "| entry | the last status of each agent of its region | the statuses; mail "
-        "between owners and agents | every entry knows all agents, so none asks another |",
-        "| store | heads, chunks, configuration, entries | see below | writes follow the "
-        "shards; only entries watch |",
+        "between owners and agents | every entry knows all agents, none asks another |",
+        "| store | heads, chunks, configuration, entries | see below | writes follow "
+        "the shards; only entries watch |",
         "| operator | nothing | one request a command | any entry answers |",
         "",
         "## The store's calls",
