Settle nominations, registrations and pushes under faults

Cause: any agent that came and went within a second stopped all nominations of an entry; a shard that nobody could own was nominated every second for ever; a create of the entry's key whose answer was lost left a key that lapsed before it was created again; every entry pushed the configuration at once to an agent that joined; a lower revision set at the pusher would have been pushed; a question could go to the same silent entry three times. Change: an agent counts once it stayed connected, longer after each leave; nominations and repeated releases of one shard back off; an own key is moved to the new lease; pushes are scheduled by the agent's status within the spread; each question goes to another entry.

--- a/packages/daemon/almondspan_daemon/candidate_finder.py
+++ b/packages/daemon/almondspan_daemon/candidate_finder.py
@@ -1,4 +1,8 @@
-"""Asks an entry for candidates and matches the answers to the questions."""
+"""Asks an entry for candidates and matches the answers to the questions.
+
+Each try goes to another entry, so that a silent one costs one timeout. Answers
+that arrive after the timeout are dropped: their question is not known any more.
+"""
 
 import asyncio
 import random
@@ -34,12 +38,14 @@
         self.n_unanswered = 0
 
     async def find(self, query: FindCandidates) -> CandidatesFound | None:
-        """Return an entry's answer, or None when none answered in time."""
-        for _ in range(N_TRIES):
-            entry_ids = self._entry_ids()
-            if not entry_ids:
-                return None
-            answer = await self._ask(self._rng.choice(entry_ids), query)
+        """Return an entry's answer, or None when none answered in time.
+
+        At most `N_TRIES` entries are asked, one after another.
+        """
+        entry_ids = self._entry_ids()
+        self._rng.shuffle(entry_ids)
+        for entry_id in entry_ids[:N_TRIES]:
+            answer = await self._ask(entry_id, query)
             if answer is not None:
                 return answer
         return None
--- a/packages/daemon/almondspan_daemon/config_pusher.py
+++ b/packages/daemon/almondspan_daemon/config_pusher.py
@@ -3,7 +3,8 @@
 Every entry of a region would push the same change to every agent. An entry
 therefore waits a random part of `SPREAD_S` for each agent and skips those whose
 status already names the revision, which another entry pushed in the meantime.
-An agent that does not acknowledge is sent the configuration again.
+An agent that does not acknowledge is sent the configuration again. A revision
+lower than the one in force is never pushed.
 """
 
 import asyncio
@@ -40,19 +41,26 @@
         self.n_pushes = 0
 
     def set_config(self, push: ConfigPush) -> None:
-        """Bring every agent to `push`."""
+        """Bring every agent to `push`; a lower revision changes nothing."""
+        if self._push is not None and push.revision <= self._push.revision:
+            return
         self._push = push
-        for agent_id in self._agents:
-            self._schedule(agent_id, self._rng.random() * SPREAD_S)
+        for agent_id, agent in self._agents.items():
+            # Who has not sent a status yet is scheduled by the first one.
+            if agent.status is not None:
+                self.on_status(agent_id, agent.status)
 
     def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
-        """Bring a new agent to the configuration at the next tick."""
-        self._schedule(agent_id, 0.0)
+        """Wait for the agent's first status, which names its revision."""
 
     def on_status(self, agent_id: AgentId, status: AgentStatus) -> None:
-        """Forget what the agent has acknowledged."""
-        if self._push is not None and status.config_revision >= self._push.revision:
+        """Forget what the agent has acknowledged, or schedule a push."""
+        if self._push is None:
+            return
+        if status.config_revision >= self._push.revision:
             self._due_s.pop(agent_id, None)
+        elif agent_id not in self._due_s:
+            self._schedule(agent_id, self._rng.random() * SPREAD_S)
 
     def agent_left(self, agent_id: AgentId) -> None:
         """Forget an agent."""
--- a/packages/daemon/almondspan_daemon/entry_registration.py
+++ b/packages/daemon/almondspan_daemon/entry_registration.py
@@ -2,7 +2,9 @@
 
 Phases, repeated for ever:
 
-1. Grant a lease and create the entry's key under it.
+1. Grant a lease and create the entry's key under it. A create whose answer was
+   lost shows as a conflict with the entry's own key at the next try: that key is
+   then moved to the new lease, since nobody renews the old one.
 2. Renew the lease each third of its time. While the store is unavailable, keep
    trying; when the lease lapsed, begin again.
 
@@ -20,10 +22,13 @@
 from almondspan_decisions.ids import EntryId, PlaceName, RegionName
 from almondspan_platform.store import (
     ABSENT_REVISION,
+    CasOutcome,
+    Conflict,
     KeyValue,
     LeaseGranted,
     LeaseLapsed,
     RangeFound,
+    Revision,
     Store,
     Swapped,
     Unavailable,
@@ -99,22 +104,33 @@
         while True:
             lease = await self._store.grant_lease(LEASE_S)
             if isinstance(lease, LeaseGranted):
-                outcome = await self._store.compare_and_swap(
-                    self._prefix + self._own.entry_id,
-                    ABSENT_REVISION,
-                    encode_address(self._own),
-                    lease.lease_id,
-                )
-                if isinstance(outcome, Swapped):
+                if await self._put_key(lease):
                     await self._renew(lease)
             await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
 
+    async def _put_key(self, lease: LeaseGranted) -> bool:
+        """Attach the entry's key to a lease; False when that is not certain."""
+        outcome = await self._swap_key(ABSENT_REVISION, lease)
+        if isinstance(outcome, Conflict) and outcome.item is not None:
+            outcome = await self._swap_key(outcome.item.revision, lease)
+        return isinstance(outcome, Swapped)
+
+    async def _swap_key(self, expected: Revision, lease: LeaseGranted) -> CasOutcome:
+        return await self._store.compare_and_swap(
+            self._prefix + self._own.entry_id,
+            expected,
+            encode_address(self._own),
+            lease.lease_id,
+        )
+
     async def _renew(self, lease: LeaseGranted) -> None:
         self.is_registered = True
         _log.info("registered in the store")
+        wait_s = LEASE_S / 3
         while True:
-            await asyncio.sleep(LEASE_S / 3)
+            await asyncio.sleep(wait_s)
             outcome = await self._store.keep_lease(lease.lease_id)
+            wait_s = RETRY_S if isinstance(outcome, Unavailable) else LEASE_S / 3
             if isinstance(outcome, LeaseLapsed):
                 self.is_registered = False
                 _log.info("registration lapsed")
--- a/packages/daemon/almondspan_daemon/shard_map.py
+++ b/packages/daemon/almondspan_daemon/shard_map.py
@@ -6,16 +6,25 @@
 the same agents nominate the same ones. A nomination is only a hint: ownership is
 taken by compare-and-swap on the shard's head.
 
+An agent counts once it has been connected for `FIRST_NOMINATION_S`, doubled with
+each time that it left within `FORGET_LEAVES_S`: an agent that comes and goes is
+not nominated again and again, and does not hold up the others.
+
 Phases of a tick:
 
-1. Shards without a known owner are nominated to their target, at most
-   `MAX_NOMINATIONS` a tick, each again after `RENOMINATE_S`.
-2. When the agents have been the same for `SETTLED_S`, owners above the bound are
-   asked to release shards whose target is another agent, `MAX_RELEASES` a tick.
+1. Shards that have been without a known owner for `FIRST_NOMINATION_S` are
+   nominated to their target, at most `MAX_NOMINATIONS` a tick, each again after
+   `RENOMINATE_S`, doubled with each repetition.
+2. When the counted agents have been the same for `SETTLED_S`, owners above the
+   bound are asked to release shards whose target is another agent, `MAX_RELEASES`
+   a tick. A shard that comes to such an owner again is left there for
+   `RELEASE_AGAIN_S`, doubled with each repetition: entries that see different
+   agents would otherwise move it in turn.
 """
 
 import asyncio
 import zlib
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -35,9 +44,14 @@
 MAX_NOMINATIONS: Final = 32
 MAX_RELEASES: Final = 4
 RENOMINATE_S: Final = 1.0
+MAX_RENOMINATE_S: Final = 16.0
+RELEASE_AGAIN_S: Final = 60.0
+MAX_RELEASE_AGAIN_S: Final = 3600.0
+FORGET_LEAVES_S: Final = 60.0
+MAX_WAIT_FOR_AGENT_S: Final = 32.0
 SETTLED_S: Final = 10.0
 FIRST_NOMINATION_S: Final = 1.0
-"""An entry lets agents connect for this long before it nominates."""
+"""An agent or a shard is left alone for this long before a nomination."""
 
 
 def assign_targets(shards: range, agents: list[AgentId]) -> dict[ShardId, AgentId]:
@@ -66,6 +80,46 @@
     epoch: Epoch
 
 
+@dataclass(slots=True)
+class _Unowned:
+    """A shard without owner: since when, and its nominations."""
+
+    since_s: float
+    n_nominations: int = 0
+    next_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Leaves:
+    """How often an agent left lately."""
+
+    n_leaves: int
+    last_s: float
+
+
+@dataclass(slots=True)
+class _Released:
+    """The latest release asked of a shard's owner."""
+
+    epoch: Epoch
+    asked_s: float
+    n_releases: int = 1
+
+    def may_ask(self, epoch: Epoch, now_s: float) -> bool:
+        """Tell whether the owner under `epoch` may be asked."""
+        n_repeated = self.n_releases - 1
+        wait_s = _doubled_s(RELEASE_AGAIN_S, n_repeated, MAX_RELEASE_AGAIN_S)
+        return epoch == self.epoch or now_s - self.asked_s >= wait_s
+
+
+def _doubled_s(first_s: float, n_doublings: int, limit_s: float) -> float:
+    for _ in range(n_doublings):
+        if first_s >= limit_s:
+            break
+        first_s *= 2
+    return min(first_s, limit_s)
+
+
 class ShardMap:
     """The entry's view of the shards of its region; an `AgentListener`."""
 
@@ -74,7 +128,11 @@
         self._post = post
         self._owners: dict[ShardId, _Owner] = {}
         self._statuses: dict[AgentId, AgentStatus] = {}
-        self._nominated_s: dict[ShardId, float] = {}
+        self._unowned: dict[ShardId, _Unowned] = {}
+        self._released: dict[ShardId, _Released] = {}
+        self._joined_s: dict[AgentId, float] = {}
+        self._leaves: dict[AgentId, _Leaves] = {}
+        self._now_s = 0.0
         self._targets: dict[ShardId, AgentId] = {}
         self._eligible: list[AgentId] = []
         self._changed_s = 0.0
@@ -113,8 +171,12 @@
                 self._owners[shard_id] = _Owner(agent_id, epoch)
 
     def agent_left(self, agent_id: AgentId) -> None:
-        """Forget an agent and its shards."""
+        """Forget an agent and its shards, but not how often it left."""
         self._statuses.pop(agent_id, None)
+        if self._joined_s.pop(agent_id, None) is not None:
+            earlier = self._leaves.get(agent_id)
+            n_leaves = 1 if earlier is None else earlier.n_leaves + 1
+            self._leaves[agent_id] = _Leaves(n_leaves, self._now_s)
         for shard_id, owner in list(self._owners.items()):
             if owner.agent_id == agent_id:
                 del self._owners[shard_id]
@@ -122,56 +184,100 @@
     async def run(self) -> None:
         """Nominate and rebalance until cancelled."""
         loop = asyncio.get_running_loop()
-        self._changed_s = loop.time()
         while True:
             await asyncio.sleep(TICK_S)
             self.tick(loop.time())
 
     def tick(self, now_s: float) -> None:
         """Nominate and rebalance once."""
+        self._now_s = now_s
         self._update_targets(now_s)
-        if now_s - self._changed_s < FIRST_NOMINATION_S:
-            return
         self._nominate(now_s)
         if now_s - self._changed_s >= SETTLED_S:
-            self._rebalance()
+            self._rebalance(now_s)
 
     def _update_targets(self, now_s: float) -> None:
+        self._forget_leaves(now_s)
+        for agent_id, status in self._statuses.items():
+            if status.draining:
+                self._joined_s.pop(agent_id, None)
+            else:
+                self._joined_s.setdefault(agent_id, now_s)
         eligible = sorted(
             agent_id
-            for agent_id, status in self._statuses.items()
-            if not status.draining
+            for agent_id, joined_s in self._joined_s.items()
+            if now_s - joined_s >= self._wait_for_agent_s(agent_id)
         )
         if eligible == self._eligible:
             return
+        new_s = [self._joined_s[agent] for agent in set(eligible) - set(self._eligible)]
+        has_lost = not set(self._eligible) <= set(eligible)
+        self._changed_s = now_s if has_lost else max(new_s)
         self._eligible = eligible
-        self._changed_s = now_s
-        self._targets = assign_targets(range(self._n_shards), eligible)
+        self._replace_targets(assign_targets(range(self._n_shards), eligible))
+
+    def _replace_targets(self, targets: dict[ShardId, AgentId]) -> None:
+        for shard_id, unowned in self._unowned.items():
+            if targets.get(shard_id) != self._targets.get(shard_id):
+                # The new target has not been nominated yet.
+                unowned.n_nominations = 0
+                unowned.next_s = 0.0
+        self._targets = targets
+
+    def _forget_leaves(self, now_s: float) -> None:
+        for agent_id, leaves in list(self._leaves.items()):
+            if now_s - leaves.last_s >= FORGET_LEAVES_S:
+                del self._leaves[agent_id]
+
+    def _wait_for_agent_s(self, agent_id: AgentId) -> float:
+        leaves = self._leaves.get(agent_id)
+        n_leaves = 0 if leaves is None else leaves.n_leaves
+        return _doubled_s(FIRST_NOMINATION_S, n_leaves, MAX_WAIT_FOR_AGENT_S)
 
     def _nominate(self, now_s: float) -> None:
         n_left = MAX_NOMINATIONS
-        for shard_id, target in self._targets.items():
-            if n_left == 0:
-                return
-            since_s = now_s - self._nominated_s.get(shard_id, -RENOMINATE_S)
-            if shard_id in self._owners or since_s < RENOMINATE_S:
+        for number in range(self._n_shards):
+            shard_id = ShardId(number)
+            if shard_id in self._owners:
+                self._unowned.pop(shard_id, None)
                 continue
-            self._nominated_s[shard_id] = now_s
+            unowned = self._unowned.setdefault(shard_id, _Unowned(now_s))
+            target = self._targets.get(shard_id)
+            is_early = now_s - unowned.since_s < FIRST_NOMINATION_S
+            if n_left == 0 or target is None or is_early or now_s < unowned.next_s:
+                continue
+            unowned.next_s = now_s + _doubled_s(
+                RENOMINATE_S, unowned.n_nominations, MAX_RENOMINATE_S
+            )
+            unowned.n_nominations += 1
             self._post(target, NominateOwner(shard_id))
             self.n_nominations += 1
             n_left -= 1
 
-    def _rebalance(self) -> None:
+    def _rebalance(self, now_s: float) -> None:
         bound = -(-self._n_shards // max(1, len(self._eligible))) + 1
         n_left = MAX_RELEASES
-        n_owned: dict[AgentId, int] = {}
-        for owner in self._owners.values():
-            n_owned[owner.agent_id] = n_owned.get(owner.agent_id, 0) + 1
+        n_owned = Counter(owner.agent_id for owner in self._owners.values())
         for shard_id, owner in self._owners.items():
             is_over = n_owned[owner.agent_id] > bound
-            if n_left == 0 or not is_over or self._targets[shard_id] == owner.agent_id:
+            target = self._targets.get(shard_id, owner.agent_id)
+            if n_left == 0 or not is_over or target == owner.agent_id:
                 continue
             n_owned[owner.agent_id] -= 1
-            self._post(owner.agent_id, ReleaseShard(shard_id, owner.epoch))
-            self.n_releases += 1
-            n_left -= 1
+            if self._may_ask_release(shard_id, owner.epoch, now_s):
+                self._post(owner.agent_id, ReleaseShard(shard_id, owner.epoch))
+                self.n_releases += 1
+                n_left -= 1
+
+    def _may_ask_release(self, shard_id: ShardId, epoch: Epoch, now_s: float) -> bool:
+        """Tell whether to ask for a release, and note that it is asked."""
+        earlier = self._released.get(shard_id)
+        if earlier is None:
+            self._released[shard_id] = _Released(epoch, now_s)
+            return True
+        if not earlier.may_ask(epoch, now_s):
+            return False
+        if epoch != earlier.epoch:
+            n_releases = earlier.n_releases + 1
+            self._released[shard_id] = _Released(epoch, now_s, n_releases)
+        return True
--- /dev/null
+++ b/tests/daemon/test_entry_registration.py
@@ -0,0 +1,217 @@
+"""The entry's key under faults of the store, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from almondspan_daemon.entry_registration import (
+    LEASE_S,
+    RETRY_S,
+    EntryRegistration,
+    decode_address,
+    encode_address,
+    entries_prefix,
+)
+from almondspan_decisions.ids import EntryId, PlaceName, RegionName
+from almondspan_platform.store import ABSENT_REVISION, Revision
+from almondspan_standins.faults import StoreFaults
+from almondspan_standins.memory_store import MemoryStore, MemoryStoreOptions
+from almondspan_standins.store_core import StoreCore
+from almondspan_standins.virtual_time import run_in_virtual_time
+from almondspan_wire.membership import EntryAddress, EntryList
+
+REGION = RegionName("viti")
+OWN = EntryAddress(EntryId("e1"), "127.0.0.1", 4000, PlaceName("p1"))
+OTHER = EntryAddress(EntryId("e2"), "127.0.0.2", 4000, PlaceName("p2"))
+OWN_KEY = entries_prefix(REGION) + OWN.entry_id
+OTHER_KEY = entries_prefix(REGION) + OTHER.entry_id
+
+
+class Rig:
+    """One entry's registration over a store in memory."""
+
+    def __init__(self) -> None:
+        self.core = StoreCore(asyncio.get_running_loop().time)
+        self.store = MemoryStore(self.core, MemoryStoreOptions(watch_silence_s=10.0))
+        self.lists: list[EntryList] = []
+        self.registration = EntryRegistration(
+            self.store, REGION, OWN, self.lists.append, random.Random(1)
+        )
+
+    def is_in_store(self) -> bool:
+        return self.core.get(OWN_KEY) is not None
+
+    def knows_other(self) -> bool:
+        return OTHER in self.registration.entry_list().entries
+
+    def put_other(self) -> None:
+        self.core.compare_and_swap(
+            OTHER_KEY, ABSENT_REVISION, encode_address(OTHER), None
+        )
+
+
+Use = Callable[[Rig], Awaitable[None]]
+
+
+def run(use: Use) -> None:
+    async def main() -> None:
+        rig = Rig()
+        tasks = [
+            asyncio.create_task(rig.registration.keep_registered()),
+            asyncio.create_task(rig.registration.follow_entries()),
+        ]
+        try:
+            await use(rig)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_in_virtual_time(main())
+
+
+async def first_seen_s(holds: Callable[[], bool], within_s: float) -> None:
+    async with asyncio.timeout(within_s):
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+async def share_absent(rig: Rig, duration_s: float) -> float:
+    """Return the share of the time in which the key was not in the store."""
+    n_checks = int(duration_s / 0.1)
+    n_absent = 0
+    for _ in range(n_checks):
+        n_absent += not rig.is_in_store()
+        await asyncio.sleep(0.1)
+    return n_absent / n_checks
+
+
+def test_the_key_appears_and_stays() -> None:
+    async def use(rig: Rig) -> None:
+        await first_seen_s(rig.is_in_store, RETRY_S)
+        assert await share_absent(rig, 10 * LEASE_S) == 0
+
+    run(use)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param(StoreFaults(outage=True), id="outage"),
+        pytest.param(StoreFaults(delay_s=3.0), id="slower than the timeout"),
+        pytest.param(StoreFaults(lose_answer_share=1.0), id="every answer lost"),
+    ],
+)
+@pytest.mark.parametrize("fault_s", [5.0, 3 * LEASE_S])
+def test_faults_at_start_and_later_heal(faults: StoreFaults, fault_s: float) -> None:
+    async def use(rig: Rig) -> None:
+        for _ in range(2):
+            rig.store.faults = faults
+            await asyncio.sleep(fault_s)
+            rig.store.faults = StoreFaults()
+            rig.put_other()
+            await first_seen_s(lambda: rig.registration.is_registered, 8.0)
+            await asyncio.sleep(8.0)
+            assert await share_absent(rig, 3 * LEASE_S) == 0
+            assert rig.knows_other()
+
+    run(use)
+
+
+def test_a_create_whose_answer_was_lost_leaves_no_gap() -> None:
+    """The key of the lost create is moved to a lease that is renewed."""
+
+    async def use(rig: Rig) -> None:
+        lease = rig.core.grant_lease(LEASE_S)
+        rig.core.compare_and_swap(
+            OWN_KEY, ABSENT_REVISION, encode_address(OWN), lease.lease_id
+        )
+        await first_seen_s(lambda: rig.registration.is_registered, 2 * RETRY_S)
+        assert await share_absent(rig, 3 * LEASE_S) == 0
+
+    run(use)
+
+
+def test_a_lapsed_lease_is_replaced() -> None:
+    async def use(rig: Rig) -> None:
+        await first_seen_s(rig.is_in_store, RETRY_S)
+        rig.store.faults = StoreFaults(outage=True)
+        await first_seen_s(lambda: not rig.is_in_store(), 2 * LEASE_S)
+        rig.store.faults = StoreFaults()
+        await first_seen_s(rig.is_in_store, 4 * RETRY_S)
+
+    run(use)
+
+
+@pytest.mark.parametrize(
+    ("faults", "within_s"),
+    [
+        pytest.param(StoreFaults(), 0.5, id="none"),
+        pytest.param(StoreFaults(watch_silent=True), 25.0, id="silent watch"),
+    ],
+)
+def test_other_entries_are_learned(faults: StoreFaults, within_s: float) -> None:
+    async def use(rig: Rig) -> None:
+        await asyncio.sleep(2.0)
+        rig.store.faults = faults
+        rig.put_other()
+        await first_seen_s(rig.knows_other, within_s)
+        item = rig.core.get(OTHER_KEY)
+        assert item is not None
+        rig.core.compare_and_swap(OTHER_KEY, item.revision, None, None)
+        await first_seen_s(lambda: not rig.knows_other(), within_s)
+        assert OWN in rig.lists[-1].entries
+
+    run(use)
+
+
+def test_compacted_history_is_read_again() -> None:
+    async def use(rig: Rig) -> None:
+        await asyncio.sleep(2.0)
+        rig.store.faults = StoreFaults(watch_silent=True)
+        rig.put_other()
+        rig.core.compact(Revision(rig.core.get_range("").revision))
+        rig.store.faults = StoreFaults()
+        await first_seen_s(rig.knows_other, 15.0)
+
+    run(use)
+
+
+def test_an_outage_keeps_the_last_list() -> None:
+    async def use(rig: Rig) -> None:
+        rig.put_other()
+        await asyncio.sleep(2.0)
+        rig.store.faults = StoreFaults(outage=True)
+        await asyncio.sleep(5 * LEASE_S)
+        assert rig.knows_other()
+
+    run(use)
+
+
+def test_a_leaving_entry_deletes_its_key() -> None:
+    async def use(rig: Rig) -> None:
+        await first_seen_s(rig.is_in_store, RETRY_S)
+        await rig.registration.close()
+        assert not rig.is_in_store()
+
+    run(use)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"[1]", id="a list"),
+        pytest.param(b'{"entry_id": "e"}', id="no address"),
+        pytest.param(b'{"entry_id":"e","host":"h","port":"x","place":"p"}', id="port"),
+        pytest.param(b"\xff", id="no text"),
+    ],
+)
+def test_malformed_keys_are_passed_over(value: bytes) -> None:
+    assert decode_address(value) is None
+
+
+def test_an_address_survives_its_encoding() -> None:
+    assert decode_address(encode_address(OWN)) == OWN
