--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -212,6 +212,7 @@
         gauge("agent.shards", lambda: len(self._host.owned()), "Shards owned.")
         gauge("agent.tasks", self._n_tasks, "Attempts held.")
         gauge("agent.config_revision", lambda: self._holder.revision, "Revision held.")
+        counter("agent.bytes", self._links.n_bytes, "Bytes on channels, both ways.")
         counter("agent.dials", lambda: self._links.n_dials, "Dials of entries.")
         counter(
             "agent.undeliverable",
@@ -292,6 +293,8 @@
 
     def _on_drain_request(self, request: DrainRequest) -> None:
         if request.resume:
+            # A drain under way would still release shards after the resume.
+            self._supervisor.stop("drain")
             self._set_draining(False)
             return
         self._supervisor.spawn("drain", self.drain)
@@ -300,6 +303,7 @@
         self._is_draining = is_draining
         if not is_draining:
             self._gates.resume()
+            self._host.resume()
             if self._keeper is not None:
                 self._keeper.resume()
         _log.info("draining" if is_draining else "taking work again")
--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -108,6 +108,7 @@
         self._link_ended = asyncio.Event()
         self._status_due = asyncio.Event()
         self._is_closing = False
+        self._n_bytes_of_ended = 0
         self.n_dials = 0
         self.n_posts_without_entry = 0
 
@@ -177,6 +178,11 @@
         self.n_posts_without_entry += 1
         return False
 
+    def n_bytes(self) -> int:
+        """Return the bytes carried in both directions by all channels so far."""
+        now = sum(c.n_bytes_sent + c.n_bytes_received for c in self._channels.values())
+        return self._n_bytes_of_ended + now
+
     def status_changed(self) -> None:
         """Send the status now rather than at the end of the interval."""
         self._status_due.set()
@@ -264,6 +270,7 @@
             await self._read(entry_id, channel)
         finally:
             del self._channels[entry_id]
+            self._n_bytes_of_ended += channel.n_bytes_sent + channel.n_bytes_received
             # Wakes those that wait now; whoever waits later waits for the next.
             self._link_ended.set()
             self._link_ended = asyncio.Event()
--- a/tests/tasks/sim_world.py
+++ b/tests/tasks/sim_world.py
@@ -62,8 +62,8 @@
     touch_s=0.8,
     silence_s=2.0,
     min_commit_interval_s=0.1,
-    tail_limit_bytes=900,
-    compact_n_chunks=3,
+    tail_limit_bytes=600,
+    merge_n_chunks=3,
     compact_min_bytes=2_000,
     collect_interval_s=7.0,
     reservation_ttl_s=3.0,
@@ -99,7 +99,16 @@
 class World:
     """Everything of one schedule."""
 
-    def __init__(self, seed: int, n_workers: int = 3, n_shards: int = 2) -> None:
+    def __init__(
+        self,
+        seed: int,
+        n_workers: int = 3,
+        n_shards: int = 2,
+        keeper_options: KeeperOptions = KEEPER_OPTIONS,
+        owner_options: OwnerOptions = OWNER_OPTIONS,
+    ) -> None:
+        self.keeper_options = keeper_options
+        self.owner_options = owner_options
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
         self.n_shards = n_shards
@@ -109,6 +118,8 @@
         self.worker_faults: dict[WorkerId, CallFaults] = {}
         self.mail_faults = MailFaults()
         self.cut: set[str] = set()
+        self.cut_from_store: set[str] = set()
+        self.is_watching = True
         self.silent_links: set[tuple[str, str]] = set()
         self.cores: dict[WorkerId, CheckedCore] = {}
         self.agents: dict[str, Agent] = {}
@@ -255,9 +266,11 @@
                 shard_id = ShardId(number)
                 item = self.store.get(head_key(REGION, shard_id))
                 owner = decode_head(item.value).owner if item is not None else ""
-                if owner:
+                if owner and self.is_watching:
                     self.known_owners[shard_id] = AgentId(owner)
-                is_wanted = owner not in live or self.rng.random() < 0.01
+                is_wanted = (
+                    owner not in live - self.cut_from_store or self.rng.random() < 0.01
+                )
                 if is_wanted and live and self.rng.random() < 0.4:
                     self.nominate(shard_id, self.rng.choice(sorted(live)))
 
@@ -299,9 +312,10 @@
 
     async def _call(self, operation: Callable[[], Any]) -> Any:
         world = self._world
-        return await world.call(
-            self._name, world.store_faults, 2.0, operation, Unavailable
-        )
+        faults = world.store_faults
+        if self._name in world.cut_from_store:
+            faults = CallFaults(outage=True)
+        return await world.call(self._name, faults, 2.0, operation, Unavailable)
 
     async def get(self, key: str) -> Any:
         from almondspan_platform.store import Found
@@ -395,14 +409,14 @@
         mailer = SimMailer(world, agent_id)
         rng = random.Random(f"{agent_id}/{world.rng.random()}")
         self.keeper = AttemptKeeper(
-            agent_id, SimWorker(world, worker_id), mailer, KEEPER_OPTIONS, rng
+            agent_id, SimWorker(world, worker_id), mailer, world.keeper_options, rng
         )
         self.host = ShardHost(
             agent_id,
             SimStore(world, agent_id),
             mailer,
             self.find_candidates,
-            OWNER_OPTIONS,
+            world.owner_options,
             rng,
             world.n_shards,
             REGION,
@@ -426,7 +440,7 @@
         found = [
             FoundAgent(agent.agent_id, agent.worker_id, PLACE, agent.keeper.free())
             for agent in agents
-            if (query.urgent or query.shape.fits_in(agent.keeper.free()))
+            if query.shape.fits_in(agent.keeper.free())
             and agent.worker_id not in query.avoid
         ]
         world.rng.shuffle(found)
