Know an order's records as long as the order is configured; rest once a fault

Cause: jobs were dropped an hour after their end, records of orders included: the ledger then called delivered records missing, and submitting the file again would have handed them back twice. And attempts begun before a worker's rest failed during it, each counted as a failed probe, so that 20 tasks failing together rested the worker for 16 minutes instead of one. Change: a shard keeps the jobs of orders that the configuration names; failures during a rest are not counted. Ruled out: a longer time of keeping, since an order may run for weeks. Conclusion: state grows with the records of live orders, bounded by max_jobs.

--- a/packages/tasks/almondspan_tasks/owner.py
+++ b/packages/tasks/almondspan_tasks/owner.py
@@ -96,6 +96,7 @@
     def set_fleet(self, config: FleetConfig) -> None:
         """Take over a configuration."""
         self._placer.set_fleet(config)
+        self.book.set_fleet(config)
 
     async def _write(self) -> None:
         end = await self.log.run()
--- a/packages/tasks/almondspan_tasks/resting.py
+++ b/packages/tasks/almondspan_tasks/resting.py
@@ -38,7 +38,7 @@
         if kind is OutcomeKind.DONE:
             self._clear()
             return
-        if kind is not OutcomeKind.FAILED:
+        if kind is not OutcomeKind.FAILED or self.is_resting(now_s):
             return
         oldest_s = now_s - self._options.rest_window_s
         self._failed_s = {
--- a/packages/tasks/almondspan_tasks/shard_book.py
+++ b/packages/tasks/almondspan_tasks/shard_book.py
@@ -10,7 +10,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from almondspan_decisions.ids import AgentId, JobId, TaskId, TeamName, WorkerId
+from almondspan_decisions.fleet import FleetConfig
+from almondspan_decisions.ids import (
+    AgentId,
+    JobId,
+    OrderName,
+    TaskId,
+    TeamName,
+    WorkerId,
+)
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_decisions.run_times import RunTimes
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
@@ -89,6 +97,8 @@
         self._options = options
         self._wall_clock = wall_clock
         self._n_uncommitted: dict[JobId, int] = {}
+        self._orders: frozenset[OrderName] = frozenset()
+        self._knows_orders = False
 
     @property
     def jobs(self) -> dict[JobId, Job]:
@@ -215,13 +225,30 @@
         n_ended[outcome.kind] = n_ended.get(outcome.kind, 0) + 1
 
     def drop_outdated(self) -> None:
-        """Drop the answers of jobs that ended long ago."""
+        """Drop the answers of jobs that ended long ago.
+
+        The records of an order are known for as long as the configuration names
+        the order: submitting one again must not hand it back twice.
+        """
         limit = self._wall_clock() - self._options.answer_kept_s
-        outdated = [job_id for job_id, at in self.ended.items() if at < limit]
+        outdated = [
+            job_id
+            for job_id, at in self.ended.items()
+            if at < limit and not self._is_of_live_order(job_id)
+        ]
         for job_id in outdated:
             del self.ended[job_id]
             self._append(job_id, JobDropped(job_id))
 
+    def set_fleet(self, config: FleetConfig) -> None:
+        """Note which orders are configured."""
+        self._orders = frozenset(order.name for order in config.orders)
+        self._knows_orders = config.revision > 0
+
+    def _is_of_live_order(self, job_id: JobId) -> bool:
+        name = self.jobs[job_id].spec.order_name
+        return bool(name) and (not self._knows_orders or name in self._orders)
+
     def _append(self, job_id: JobId, delta: Delta) -> None:
         self.log.append(delta)
         self._n_uncommitted[job_id] = self._n_uncommitted.get(job_id, 0) + 1
--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -7,7 +7,7 @@
 import pytest
 from virtual_loop import VirtualLoop
 
-from almondspan_decisions.fleet import FleetConfig, TeamConfig
+from almondspan_decisions.fleet import FleetConfig, OrderConfig, TeamConfig
 from almondspan_decisions.ids import (
     AgentId,
     JobId,
@@ -241,6 +241,25 @@
     assert (await rig.view("a")).jobs[0].state == "absent"
 
 
+async def records_are_known_while_their_order_is_configured(rig: Rig) -> None:
+    order = OrderConfig(OrderName("return"), TEAM, 1e9, (TaskClass("cut"),))
+    record = job("return/a", order_name=OrderName("return"), record_name="a")
+    rig.host.set_fleet(FleetConfig(revision=1, orders=(order,)))
+    await rig.submit(record)
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
+    await asyncio.sleep(3 * OPTIONS.answer_kept_s)
+    assert await rig.submit(record) == [SubmitState.ALREADY_KNOWN]
+    successor = rig.new_host("owner-2")
+    await rig.host.drain()
+    await rig.own(successor)
+    rig.host = successor
+    await asyncio.sleep(3 * OPTIONS.answer_kept_s)
+    assert await rig.submit(record) == [SubmitState.ALREADY_KNOWN]
+    successor.set_fleet(FleetConfig(revision=2))
+    await asyncio.sleep(OPTIONS.answer_kept_s)
+    assert (await rig.view("return/a")).jobs[0].state == "absent"
+
+
 async def cancelled_jobs_say_whether_they_may_have_run(rig: Rig) -> None:
     rig.feasible = False
     await rig.submit(job("a"))
@@ -404,6 +423,7 @@
             submissions_are_idempotent,
             an_ended_job_is_still_known,
             answers_are_kept_and_then_dropped,
+            records_are_known_while_their_order_is_configured,
             cancelled_jobs_say_whether_they_may_have_run,
             jobs_that_fit_nowhere_are_infeasible,
             failing_jobs_use_up_their_attempts,
