--- a/packages/operator/almondspan/texts.py
+++ b/packages/operator/almondspan/texts.py
@@ -29,6 +29,7 @@
     "LOSS_DECLARED",
     "LOSS_NEXT",
     "MORE_NOTES",
+    "NOT_TRUSTED",
     "NO_ANSWER",
     "NO_DIFFERENCE",
     "NO_ENTRIES",
@@ -38,6 +39,7 @@
     "PLAIN_REFUSED",
     "PLAN_USAGE",
     "REFUSED",
+    "RESUMED",
     "SHARD_HEADERS",
     "SUBMITTED",
     "TOKEN_MADE",
@@ -105,12 +107,18 @@
     "{address} would carry the token without encryption beyond this machine; use an "
     "https address, or set ALMONDSPAN_ALLOW_PLAIN=1"
 )
+NOT_TRUSTED: Final = (
+    "{address}: its certificate is not trusted; set ALMONDSPAN_CA to the file of the "
+    "authority that signed it"
+)
 UNREADABLE_REVISION: Final = (
     "revision {revision} cannot be read by this release of almondspan: {fault}"
 )
 DRAINING: Final = (
-    "{agent_id} drains: it takes no new work and leaves when its work has ended"
+    "{agent_id} drains: it takes no new work; stop its process when it shows no task "
+    "and no shard any more"
 )
+RESUMED: Final = "{agent_id} takes work again"
 LOSS_NEXT: Final = (
     "to declare it, within five minutes: almondspan lost {kind} {name} --token {token}"
 )
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -5,7 +5,8 @@
 end of a checkpoint. Between events every attempt progresses at a constant rate: the
 share that it is throttled to, over the slowdown that its neighbours cause.
 
-An attempt that reaches its end adds its effect to the ledger. The worker never
+An attempt that reaches its end, or the part of its run that its payload names, adds
+its effect to the ledger. The worker never
 forgets which attempts it has started, so that a late start can't run one again.
 """
 
@@ -26,8 +27,8 @@
     WorkerInfo,
     WorkerUsage,
 )
+from almondspan_standins.duplicate_runs import DuplicateRunDetector
 from almondspan_standins.faults import WorkerFaults
-from almondspan_standins.task_witness import TaskWitness
 from almondspan_standins.usage_log import UsageLog
 from almondspan_standins.worker_attempt import Attempt, AttemptEnd, AttemptKey
 from almondspan_standins.worker_payload import (
@@ -39,7 +40,13 @@
     task_payload,
 )
 
-__all__ = ["Effect", "TaskWitness", "WorkerCore", "WorkerOptions", "task_payload"]
+__all__ = [
+    "Effect",
+    "DuplicateRunDetector",
+    "WorkerCore",
+    "WorkerOptions",
+    "task_payload",
+]
 
 SlowdownOf = Callable[[TaskClass], float]
 
@@ -72,13 +79,13 @@
         capacity: Shape,
         now: Callable[[], float],
         options: WorkerOptions = WorkerOptions(),
-        witness: TaskWitness | None = None,
+        detector: DuplicateRunDetector | None = None,
     ) -> None:
         self.worker_id: Final = worker_id
         self.capacity: Final = capacity
         self._now: Final = now
         self._options: Final = options
-        self._witness: Final = witness
+        self._detector: Final = detector
         self._attempts: dict[AttemptKey, Attempt] = {}
         self._forgotten: set[AttemptKey] = set()
         self._usage: Final = UsageLog(now(), options.usage_lag_s)
@@ -90,8 +97,8 @@
         self.n_evicted = 0
         self.n_over_capacity = 0
         self.n_duplicate_running = 0
-        if witness is not None:
-            witness.add_worker(self)
+        if detector is not None:
+            detector.add_worker(self)
 
     def info(self) -> WorkerInfo:
         """Return the capacity and the lease time."""
@@ -224,6 +231,7 @@
             if attempt.checkpoint_ends_s is None:
                 done_s = attempt.done_s + elapsed_s * attempt.rate
                 attempt.done_s = min(done_s, attempt.payload.run_s)
+                self._take_due_effect(attempt)
         self._advanced_s = max(at_s, self._advanced_s)
 
     def _begin(self, request: StartAttempt, payload: Payload) -> None:
@@ -236,10 +244,13 @@
             done_s=read_progress(request.checkpoint).done_s,
             checkpoint=request.checkpoint,
         )
+        # What a checkpoint was saved after is not done again.
+        if request.checkpoint:
+            attempt.had_effect = payload.has_early_effect(attempt.done_s)
         self._attempts[attempt.key] = attempt
         self.n_started += 1
-        if self._witness is not None:
-            self._witness.on_started(self.worker_id, attempt.key)
+        if self._detector is not None:
+            self._detector.on_started(self.worker_id, attempt.key)
         if payload.fail == "infeasible":
             self._end(attempt, AttemptEnd.FINISHED)
         self._on_load_changed()
@@ -256,8 +267,8 @@
             )
         if end is AttemptEnd.CHECKPOINTED:
             attempt.checkpoint = msgspec.json.encode(Progress(attempt.done_s))
-        if self._witness is not None:
-            self._witness.on_ended(self.worker_id, attempt.key)
+        if self._detector is not None:
+            self._detector.on_ended(self.worker_id, attempt.key)
         self._on_load_changed()
 
     def _finish(self, attempt: Attempt) -> Outcome:
@@ -266,10 +277,21 @@
             return Outcome(OutcomeKind.INFEASIBLE, reason="it can never run")
         if payload.fail or self.faults.fail_all:
             return Outcome(OutcomeKind.FAILED, "the task failed", may_have_run=True)
-        self.ledger.append(Effect(payload.record, payload.effect, *attempt.key))
+        self._take_effect(attempt)
         result = msgspec.json.encode(WorkResult(payload.record, payload.effect))
         return Outcome(OutcomeKind.DONE, result=result, may_have_run=True)
 
+    def _take_due_effect(self, attempt: Attempt) -> None:
+        """Let an effect take place that comes before the end of the run."""
+        if attempt.payload.has_early_effect(attempt.done_s):
+            self._take_effect(attempt)
+
+    def _take_effect(self, attempt: Attempt) -> None:
+        if not attempt.had_effect:
+            attempt.had_effect = True
+            payload = attempt.payload
+            self.ledger.append(Effect(payload.record, payload.effect, *attempt.key))
+
     def _on_load_changed(self) -> None:
         running = self.running()
         for attempt in running:
--- a/packages/tasks/almondspan_tasks/placing.py
+++ b/packages/tasks/almondspan_tasks/placing.py
@@ -30,6 +30,7 @@
 from almondspan_tasks.options import OwnerOptions
 from almondspan_tasks.shard_book import ShardBook, Waiting
 from almondspan_tasks.state import Job
+from almondspan_tasks.team_usage import UsageByTeam
 from almondspan_wire.mail import Mailer
 from almondspan_wire.membership import CandidatesFound, FindCandidates, FoundAgent
 from almondspan_wire.task_messages import ReserveReply, ReserveRoom
@@ -56,6 +57,7 @@
         options: OwnerOptions,
         rng: random.Random,
         wall_clock: Callable[[], float],
+        usage_elsewhere: Callable[[], UsageByTeam],
     ) -> None:
         self._book = book
         self._attempts = attempts
@@ -64,6 +66,7 @@
         self._options = options
         self._rng = rng
         self._wall_clock = wall_clock
+        self._usage_elsewhere = usage_elsewhere
         self._policy = QUEUE_POLICIES[_DEFAULT_POLICY]
         self._quota: dict[TeamName, float] = {}
         self._fleet = EMPTY_SHAPE
@@ -143,11 +146,9 @@
         )
 
     def _team_shares(self) -> dict[TeamName, float]:
-        used: dict[TeamName, Shape] = {}
-        for job_id in self._book.followed:
-            job = self._book.jobs[job_id]
-            team = job.spec.team
-            used[team] = used.get(team, EMPTY_SHAPE) + job.stage.shape
+        used = self._book.usage()
+        for team, shape in self._usage_elsewhere().items():
+            used[team] = used.get(team, EMPTY_SHAPE) + shape
         return {
             team: shape.dominant_share(self._fleet)
             / max(1e-9, self._quota.get(team, 1))
@@ -170,7 +171,9 @@
     async def _try_agents(self, job_id: JobId, waiting: Waiting) -> str:
         """Return why no agent was found; empty when the matter is settled."""
         job = self._book.jobs[job_id]
-        found = await self._find(job)
+        found = await self._find(job, job.stage.shape)
+        if found is not None and found.feasible and not found.agents:
+            found = await self._find_full(job, found)
         if not self._still_waits(job_id, waiting):
             return ""
         if found is None:
@@ -194,11 +197,17 @@
     def _still_waits(self, job_id: JobId, waiting: Waiting) -> bool:
         return self._book.waiting.get(job_id) is waiting
 
-    async def _find(self, job: Job) -> CandidatesFound | None:
+    async def _find_full(self, job: Job, found: CandidatesFound) -> CandidatesFound:
+        """Look for agents that might make room for an urgent task."""
+        if not job.spec.urgent:
+            return found
+        return await self._find(job, EMPTY_SHAPE) or found
+
+    async def _find(self, job: Job, shape: Shape) -> CandidatesFound | None:
         self._query_id += 1
         query = FindCandidates(
             query_id=self._query_id,
-            shape=job.stage.shape,
+            shape=shape,
             task_class=job.stage.task_class,
             n_wanted=self._options.n_candidates,
             avoid=job.failed_on,
