Wait for a late renewal before an attempt is given up

Cause: A keeper checks an attempt's horizon and then renews the worker's lease. When its process pauses between the two, the renewal goes out late and still takes effect as long as the worker's lease has not lapsed: the attempt then runs for up to twice the worker's lease past the horizon. The owner waited for one lease and a margin, so with a worker's lease that is long against the margin it started the next attempt while the first one ran. Change: The owner waits for the horizon, twice the worker's lease and the margin. Conclusion: One place holds for a pause between check and renewal of any length. A lost attempt is given up one worker's lease later than before.

--- a/misc/mutant_table.py
+++ b/misc/mutant_table.py
@@ -98,15 +98,21 @@
     mutant(
         "give up without the horizon",
         "attempt_owner.py",
-        "return followed.evidence_s + wait_s + job.assignment.worker_lease_s",
+        "return followed.evidence_s + wait_s + worker_s",
         "return followed.evidence_s + 0.3 * wait_s",
     ),
     mutant(
         "give up without the worker's lease",
         "attempt_owner.py",
-        "return followed.evidence_s + wait_s + job.assignment.worker_lease_s",
+        "return followed.evidence_s + wait_s + worker_s",
         "return followed.evidence_s + self._options.horizon_s",
     ),
+    mutant(
+        "give up without time for a late renewal",
+        "attempt_owner.py",
+        "_N_WORKER_LEASES: Final = 2",
+        "_N_WORKER_LEASES: Final = 1",
+    ),
     mutant(
         "take over without waiting",
         "shard_book.py",
--- a/packages/tasks/almondspan_tasks/attempt_owner.py
+++ b/packages/tasks/almondspan_tasks/attempt_owner.py
@@ -3,8 +3,9 @@
 An attempt that may have been started is given up only on evidence:
 
 1. its keeper reports that it ended, was evicted, or will never start; or
-2. the horizon has passed: ``horizon_s`` + the worker's lease + a margin since
-   ``Followed.evidence_s``.
+2. the horizon has passed: ``horizon_s`` + twice the worker's lease + a margin since
+   ``Followed.evidence_s``. Twice, because a keeper that pauses between its check of
+   the horizon and the sending of a renewal still renews a lease that has not lapsed.
 
 Renewals and acknowledgements are sent only after a commit that began after the
 question arrived, so an owner that was replaced without noticing answers neither.
@@ -12,6 +13,7 @@
 
 import random
 from functools import partial
+from typing import Final
 
 from almondspan_decisions.ids import AgentId, TaskId
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
@@ -34,6 +36,9 @@
 
 __all__ = ["AttemptOwner"]
 
+_N_WORKER_LEASES: Final = 2
+"""The lease that holds at the horizon, and one that a late renewal adds to it."""
+
 
 class AttemptOwner:
     """Follows the assigned attempts of one shard."""
@@ -264,4 +269,5 @@
     def _lost_at_s(self, job: Job, followed: Followed) -> float:
         assert job.assignment is not None
         wait_s: float = self._options.horizon_s + self._options.drift_margin_s
-        return followed.evidence_s + wait_s + job.assignment.worker_lease_s
+        worker_s = _N_WORKER_LEASES * job.assignment.worker_lease_s
+        return followed.evidence_s + wait_s + worker_s
