--- a/packages/tasks/almondspan_tasks/options.py
+++ b/packages/tasks/almondspan_tasks/options.py
@@ -37,7 +37,9 @@
     """Settings of a `ShardHost` and its owners.
 
     ``drift_margin_s`` covers clock drift over the horizon, and the time that a
-    call to a worker may take to come into effect.
+    call to a worker may take to come into effect. ``answer_kept_s`` is how long a job's
+    answer is kept after its end, ``order_answer_kept_s`` that of an order's record:
+    while it is kept, the record is in the order's ledger and is not delivered again.
     """
 
     horizon_s: float = 60.0
@@ -69,6 +71,7 @@
     infeasible_min_workers: int = 3
     quarantine_n_workers: int = 3
     answer_kept_s: float = 3_600.0
+    order_answer_kept_s: float = 2_592_000.0
     claim_kept_s: float = 86_400.0
     max_jobs: int = 20_000
     max_claims: int = 50_000
--- a/packages/tasks/almondspan_tasks/shard_book.py
+++ b/packages/tasks/almondspan_tasks/shard_book.py
@@ -216,12 +216,21 @@
 
     def drop_outdated(self) -> None:
         """Drop the answers of jobs that ended long ago."""
-        limit = self._wall_clock() - self._options.answer_kept_s
-        outdated = [job_id for job_id, at in self.ended.items() if at < limit]
+        now_unix_s = self._wall_clock()
+        outdated = [
+            job_id
+            for job_id, ended_unix_s in self.ended.items()
+            if ended_unix_s + self._answer_kept_s(job_id) < now_unix_s
+        ]
         for job_id in outdated:
             del self.ended[job_id]
             self._append(job_id, JobDropped(job_id))
 
+    def _answer_kept_s(self, job_id: JobId) -> float:
+        if self.jobs[job_id].spec.order_name:
+            return self._options.order_answer_kept_s
+        return self._options.answer_kept_s
+
     def _append(self, job_id: JobId, delta: Delta) -> None:
         self.log.append(delta)
         self._n_uncommitted[job_id] = self._n_uncommitted.get(job_id, 0) + 1
