--- /dev/null
+++ b/tests/daemon/test_review_bounds.py
@@ -0,0 +1,22 @@
+"""Bounds that safety needs between settings of different parts."""
+
+import pytest
+
+from almondspan_daemon.platform_clients import make_worker
+from almondspan_daemon.settings_model import LeasesSection
+from almondspan_platform.http_json import HttpJsonWorker
+from almondspan_platform.registry import WORKER_ADAPTERS
+from almondspan_tasks.options import KeeperOptions
+
+
+@pytest.mark.parametrize(
+    "adapter", [pytest.param(name, id=name) for name in sorted(WORKER_ADAPTERS)]
+)
+def test_a_call_to_the_worker_ends_within_the_keepers_bound(adapter: str) -> None:
+    worker = make_worker(adapter, "http://127.0.0.1:1", None)
+    assert isinstance(worker, HttpJsonWorker)
+    assert worker._options.limits.timeout_s < KeeperOptions().call_bound_s
+
+
+def test_the_margin_covers_a_late_call_to_the_worker() -> None:
+    assert LeasesSection().margin_s >= KeeperOptions().call_bound_s
