Tell a call as unknown when its record may be forgotten

Cause: A gate remembers a bounded number of runs of entries. When the ledger of one was forgotten, its calls looked like ones that never came: an entry that returned and asked was told 'not run' of a call that ran, and would have sent it elsewhere. Change: Once the ledger of an entry was forgotten, a call without a record is told as unknown and marked as ended, so that it is not dispatched later either. Conclusion: 'Not run' is said with proof whatever the ledger has forgotten.

--- a/packages/service/almondspan_service/gate.py
+++ b/packages/service/almondspan_service/gate.py
@@ -431,8 +431,7 @@
         call = self._calls.get(key)
         state = self._ledger.state(key)
         if state is CallState.NEW:
-            self._ledger.record(key, CallState.REFUSED)
-            self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "withdrawn early")
+            self._refuse_unknown(key, "withdrawn early")
         elif state is CallState.QUEUED and call is not None:
             self._refuse(call, "withdrawn")
         elif call is not None and call.task is not None:
@@ -440,6 +439,17 @@
             if call.opened.idempotent:
                 self._stop(call, call.task, message.superseded)
 
+    def _refuse_unknown(self, key: CallKey, reason: str) -> None:
+        """See to it that a call of which there is no record is not dispatched."""
+        if self._ledger.n_entries_forgotten:
+            # The ledger may have lost its record, so it may have run before.
+            self._ledger.record(key, CallState.ENDED)
+            reason = "no record is left of it"
+            self._outbox.notify_end(key, OutcomeKind.UNKNOWN, reason)
+            return
+        self._ledger.record(key, CallState.REFUSED)
+        self._outbox.notify_end(key, OutcomeKind.NOT_RUN, reason)
+
     def _stop(self, call: GateCall, task: asyncio.Task[None], superseded: bool) -> None:
         """Stop a running call; one that is superseded may first end by itself.
 
@@ -466,8 +476,7 @@
         call = self._calls.get(key)
         state = self._ledger.state(key)
         if state is CallState.NEW:
-            self._ledger.record(key, CallState.REFUSED)
-            self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "it never came")
+            self._refuse_unknown(key, "it never came")
         elif state is CallState.REFUSED:
             self._outbox.notify_end(key, OutcomeKind.NOT_RUN, "refused before")
         elif state is CallState.QUEUED and call is not None:
--- a/packages/service/almondspan_service/ledger.py
+++ b/packages/service/almondspan_service/ledger.py
@@ -4,7 +4,8 @@
 or refused. A call is dispatched at most once: an open that comes again, or after
 its call was withdrawn, finds the call here. The ledger of an entry is bounded. It
 forgets the lowest ended numbers first and then treats every number up to the
-highest forgotten one as one that may have run.
+highest forgotten one as one that may have run. Whole ledgers of entries are forgotten
+too; from then on a call that is not known may have run.
 """
 
 from collections import OrderedDict
@@ -66,6 +67,7 @@
         self._n_calls = n_calls
         self._n_answers = n_answers
         self._n_entries = n_entries
+        self.n_entries_forgotten = 0
         self._entries: OrderedDict[tuple[EntryId, int], _EntryLedger] = OrderedDict()
 
     def state(self, key: CallKey) -> CallState:
@@ -104,6 +106,7 @@
             entry = self._entries[name] = _EntryLedger()
             if len(self._entries) > self._n_entries:
                 self._entries.popitem(last=False)
+                self.n_entries_forgotten += 1
         self._entries.move_to_end(name)
         return entry
 
