--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -66,6 +66,7 @@
     max_jobs=3,
     max_claims=2,
     answer_kept_s=100.0,
+    order_answer_kept_s=400.0,
     claim_kept_s=200.0,
     page_jobs=2,
 )
