Stop at once where an eviction asks for no checkpoint

Cause: an eviction without a checkpoint still took one. Change: the keeper stops such an attempt instead.

--- a/packages/tasks/almondspan_tasks/held.py
+++ b/packages/tasks/almondspan_tasks/held.py
@@ -48,7 +48,8 @@
     renewal was answered yet. Only answers to renewals from ``first_renewal_id`` on
     count for it. ``doubt_until_s`` is set while the answer to its start is lost.
     ``n_list`` is the number of the last list call that had begun when it was
-    found running: only a later list can show that it is gone. ``refusal`` says why
+    found running: only a later list can show that it is gone. An eviction stops it at
+    once unless it ``saves_checkpoint``. ``refusal`` says why
     it will be refused for good once its shard has confirmed the assignment.
     """
 
@@ -72,6 +73,7 @@
     n_list: int = 0
     ran_s: float = 0.0
     abandoned: bool = False
+    saves_checkpoint: bool = True
     next_evict_s: float = 0.0
     report: AttemptReport | None = None
     next_report_s: float = 0.0
--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -173,6 +173,7 @@
         held = self._running_attempt(task)
         if held is None or not _may_evict(held, checkpoint):
             return False
+        held.saves_checkpoint = checkpoint
         self._evict_held(held)
         return True
 
@@ -371,7 +372,7 @@
         self._background.spawn(self._evict_on_worker(held))
 
     async def _evict_on_worker(self, held: Held) -> None:
-        if held.abandoned:
+        if held.abandoned or not held.saves_checkpoint:
             await self._state.worker.stop(held.task_id, held.attempt)
         else:
             await self._state.worker.checkpoint(held.task_id, held.attempt)
--- a/tests/tasks/test_keeper.py
+++ b/tests/tasks/test_keeper.py
@@ -75,6 +75,7 @@
         agent: AgentId = ME,
         shape: Shape = HALF,
         run_s: float = 3.0,
+        idempotent: bool = False,
     ) -> None:
         body = StartTask(
             shard_id=SHARD,
@@ -87,7 +88,7 @@
             shape=shape,
             payload=task_payload(run_s, "effect", "record"),
             checkpoint=b"",
-            idempotent=False,
+            idempotent=idempotent,
             checkpointable=False,
         )
         self.keeper.on_mail("owner", body)
@@ -275,6 +276,27 @@
     assert report.checkpoint
 
 
+async def an_eviction_saves_a_checkpoint_if_asked(desk: Desk) -> None:
+    for attempt, checkpoint in ((1, True), (2, False)):
+        reservation = desk.reserve(attempt=attempt)
+        desk.start(reservation, attempt=attempt, run_s=100.0, idempotent=True)
+        await asyncio.sleep(1.0)
+        assert desk.keeper.evict(TASK, checkpoint)
+        await asyncio.sleep(2.0)
+        report = desk.last(AttemptReport)
+        assert isinstance(report, AttemptReport)
+        assert (report.attempt, bool(report.checkpoint)) == (attempt, checkpoint)
+        desk.keeper.on_mail("owner", ReportAck(SHARD, Epoch(5), TASK, attempt))
+
+
+async def work_that_cannot_resume_is_not_evicted(desk: Desk) -> None:
+    desk.start(desk.reserve(), run_s=100.0)
+    await asyncio.sleep(1.0)
+    assert not desk.keeper.evict(TASK, True)
+    assert not desk.keeper.evict(TASK, False)
+    assert desk.core.running_keys() == [(TASK, 1)]
+
+
 async def draining_refuses_at_once(desk: Desk) -> None:
     await desk.keeper.drain()
     assert desk.reserve() == ""
@@ -304,6 +326,8 @@
             an_adopted_attempt_has_no_lease,
             an_adopted_attempt_goes_on_once_confirmed,
             an_urgent_task_gets_room,
+            an_eviction_saves_a_checkpoint_if_asked,
+            work_that_cannot_resume_is_not_evicted,
             draining_refuses_at_once,
             resting_refuses,
         )
