--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -330,7 +330,7 @@
     def _note_running(self, held: Held) -> None:
         advance(held, LifeStep.STARTED)
         held.doubt_until_s = 0.0
-        held.n_list = self._list.n_list
+        held.n_list = self._state.n_list
         self._state.counters.n_started += 1
         if held.abandoned:
             self._begin_evict(held)
--- a/packages/tasks/almondspan_tasks/keeper_state.py
+++ b/packages/tasks/almondspan_tasks/keeper_state.py
@@ -8,7 +8,7 @@
 from almondspan_platform.worker import Worker
 from almondspan_tasks.attempt_life import LifeStep, advance
 from almondspan_tasks.background import Background
-from almondspan_tasks.held import Books, Held
+from almondspan_tasks.held import AttemptKey, Books, Held
 from almondspan_tasks.options import KeeperOptions
 from almondspan_tasks.resting import RestingRule
 from almondspan_wire.mail import Mailer
@@ -37,7 +37,8 @@
 
     ``ready`` is set while the books are whole; ``changed`` is set whenever room may
     have become free. Nothing is admitted before ``shared_until_s``, since another
-    agent of the worker was seen at work.
+    agent of the worker was seen at work. ``n_list`` numbers the list calls by their
+    begin; ``dropped`` names the last one that may still show an attempt let go.
     """
 
     agent_id: AgentId
@@ -56,6 +57,8 @@
     shared_until_s: float = 0.0
     draining: bool = False
     epochs: dict[ShardId, Epoch] = field(default_factory=dict)
+    n_list: int = 0
+    dropped: dict[AttemptKey, int] = field(default_factory=dict)
 
     def now_s(self) -> float:
         """Return the monotonic time of this process."""
@@ -95,4 +98,5 @@
         """Hold an attempt no longer."""
         advance(held, LifeStep.CLOSE)
         self.books.drop(held)
+        self.dropped[held.key] = self.n_list
         self.changed.set()
--- a/packages/tasks/almondspan_tasks/reports.py
+++ b/packages/tasks/almondspan_tasks/reports.py
@@ -1,5 +1,7 @@
 """Reports of ended attempts, each repeated until its shard has committed it."""
 
+from typing import Final
+
 from almondspan_decisions.outcomes import Outcome
 from almondspan_tasks.attempt_life import AttemptPhase
 from almondspan_tasks.held import AttemptKey, Held
@@ -8,6 +10,9 @@
 
 __all__ = ["Reports"]
 
+_ANY_LIST: Final = 2**62
+"""Above the number of any list call."""
+
 
 class Reports:
     """Keeps ended attempts, here and at the worker, until they are acknowledged."""
@@ -55,7 +60,13 @@
     def forget(self, held: Held) -> None:
         """Let go of an attempt, here and at the worker."""
         self._state.drop(held)
+        self._state.dropped[held.key] = _ANY_LIST
         self._state.background.spawn(self._forget_on_worker(held.key))
 
     async def _forget_on_worker(self, key: AttemptKey) -> None:
-        await self._state.worker.forget((key,))
+        answer = await self._state.worker.forget((key,))
+        if answer is True:
+            self._state.dropped[key] = self._state.n_list
+        else:
+            # The worker lists it again, and its report begins anew.
+            self._state.dropped.pop(key, None)
--- a/packages/tasks/almondspan_tasks/worker_list.py
+++ b/packages/tasks/almondspan_tasks/worker_list.py
@@ -25,6 +25,9 @@
 
 __all__ = ["WorkerList"]
 
+_MAX_LISTS: Final = 16
+"""More list calls than this are never under way together."""
+
 _FRESH_POLLS: Final = 3
 """A list older than this many poll intervals is taken anew before a start."""
 
@@ -44,7 +47,6 @@
         self._renewals = renewals
         self._on_running = on_running
         self._listed_s = 0.0
-        self.n_list = 0
         self.ticked_s = 0.0
 
     async def learn_worker(self) -> None:
@@ -101,8 +103,8 @@
             await asyncio.sleep(self._state.options.retry_s)
 
     async def _list(self) -> bool:
-        self.n_list += 1
-        n_list = self.n_list
+        self._state.n_list += 1
+        n_list = self._state.n_list
         begun_s = self._state.now_s()
         answer = await self._state.worker.list_attempts()
         if isinstance(answer, WorkerUnavailable):
@@ -114,11 +116,21 @@
         for held in self._state.books.all():
             if held.key not in listed:
                 self._note_absent(held, n_list, begun_s)
+        self._forget_dropped(n_list)
         return True
 
+    def _forget_dropped(self, n_list: int) -> None:
+        """Forget what only lists before this one may still show."""
+        dropped = self._state.dropped
+        outdated = [key for key, last in dropped.items() if last < n_list - _MAX_LISTS]
+        for key in outdated:
+            del dropped[key]
+
     def _compare(self, found: WorkerAttempt, n_list: int) -> None:
         held = self._state.books.get((found.task_id, found.attempt))
         if held is None:
+            if n_list <= self._state.dropped.get((found.task_id, found.attempt), 0):
+                return
             held = self._adopt(found)
         held.ran_s = found.ran_s
         if held.phase is AttemptPhase.FINISHING:
