Test that long stopped runs are learned

Cause: of 37 deliberate breakages of the service path, one survived: stopped runs that are not learned. Change: a test of it. Conclusion: none.

--- a/tests/service/test_adaptive_pieces.py
+++ b/tests/service/test_adaptive_pieces.py
@@ -184,3 +184,13 @@
         estimate.add(0.5 if n % 20 == 0 else 0.01)
     assert estimate.median_s == pytest.approx(0.01, rel=0.2)
     assert 0.02 < estimate.mean_s < 0.06
+
+
+def test_only_long_stopped_runs_are_learned() -> None:
+    estimate = RunEstimate(0.01)
+    for _ in range(20):
+        estimate.add_stopped(0.005)
+    assert estimate.median_s == 0.01
+    for _ in range(20):
+        estimate.add_stopped(0.05)
+    assert estimate.median_s == 0.05
