--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -7,6 +7,7 @@
 import pytest
 from virtual_loop import VirtualLoop
 
+from almondspan_decisions.fleet import FleetConfig, OrderConfig, TeamConfig
 from almondspan_decisions.ids import (
     AgentId,
     JobId,
@@ -25,10 +26,11 @@
 from almondspan_platform.store import Found
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.memory_store import MemoryStore
-from almondspan_standins.store_core import StoreCore
+from almondspan_standins.store_core import CallKind, StoreCore
 from almondspan_tasks.desk import ClaimState, SubmitState
 from almondspan_tasks.host import ShardHost
 from almondspan_tasks.options import OwnerOptions
+from almondspan_tasks.team_usage import TeamUsage
 from almondspan_wire.codec import Message
 from almondspan_wire.membership import CandidatesFound, FindCandidates, FoundAgent
 from almondspan_wire.task_messages import (
@@ -37,7 +39,9 @@
     CancelJobs,
     ClaimAnswer,
     ClaimRequest,
+    DeclareLost,
     JobAnswer,
+    LossAnswer,
     OrderAnswer,
     OrderQuery,
     RenewAttempts,
@@ -195,6 +199,20 @@
     assert outcome.reason
 
 
+async def work_on_a_lost_worker_is_given_up_at_once(rig: Rig) -> None:
+    await rig.submit(job("a"), job("b", idempotent=False))
+    rig.host.on_mail("desk", DeclareLost(SHARD, "q", (WorkerId("other"),)))
+    await asyncio.sleep(1.0)
+    assert rig.last(LossAnswer) == LossAnswer("q", 0)
+    rig.host.on_mail("desk", DeclareLost(SHARD, "q", (WORKER,)))
+    await asyncio.sleep(1.0)
+    assert rig.last(LossAnswer) == LossAnswer("q", 2)
+    assert (await rig.view("a")).jobs[0].outcome is None
+    outcome = (await rig.view("b")).jobs[0].outcome
+    assert outcome is not None
+    assert outcome.kind is OutcomeKind.UNKNOWN
+
+
 async def submissions_are_idempotent(rig: Rig) -> None:
     other = job("a", urgent=True)
     assert await rig.submit(job("a")) == [SubmitState.ACCEPTED]
@@ -205,6 +223,14 @@
     assert await rig.submit(JobSpec(JobId("e"), TEAM, ())) == [SubmitState.REFUSED]
 
 
+async def an_ended_job_is_still_known(rig: Rig) -> None:
+    await rig.submit(job("a"))
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
+    await asyncio.sleep(1.0)
+    assert await rig.submit(job("a")) == [SubmitState.ALREADY_KNOWN]
+    assert await rig.submit(job("a", urgent=True)) == [SubmitState.CONFLICT]
+
+
 async def answers_are_kept_and_then_dropped(rig: Rig) -> None:
     await rig.submit(job("a"))
     rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
@@ -215,6 +241,25 @@
     assert (await rig.view("a")).jobs[0].state == "absent"
 
 
+async def records_are_known_while_their_order_is_configured(rig: Rig) -> None:
+    order = OrderConfig(OrderName("return"), TEAM, 1e9, (TaskClass("cut"),))
+    record = job("return/a", order_name=OrderName("return"), record_name="a")
+    rig.host.set_fleet(FleetConfig(revision=1, orders=(order,)))
+    await rig.submit(record)
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE, "", b"whole")))
+    await asyncio.sleep(3 * OPTIONS.answer_kept_s)
+    assert await rig.submit(record) == [SubmitState.ALREADY_KNOWN]
+    successor = rig.new_host("owner-2")
+    await rig.host.drain()
+    await rig.own(successor)
+    rig.host = successor
+    await asyncio.sleep(3 * OPTIONS.answer_kept_s)
+    assert await rig.submit(record) == [SubmitState.ALREADY_KNOWN]
+    successor.set_fleet(FleetConfig(revision=2))
+    await asyncio.sleep(OPTIONS.answer_kept_s)
+    assert (await rig.view("return/a")).jobs[0].state == "absent"
+
+
 async def cancelled_jobs_say_whether_they_may_have_run(rig: Rig) -> None:
     rig.feasible = False
     await rig.submit(job("a"))
@@ -293,6 +338,29 @@
     assert (await claim("t", "1")).state == ClaimState.GRANTED.value
 
 
+async def a_teams_use_counts_over_all_shards(rig: Rig) -> None:
+    await rig.host.start()
+    rig.host.set_fleet(FleetConfig(teams=(TeamConfig(TEAM, 0.5, ""),)))
+    await rig.submit(job("a"))
+    await asyncio.sleep(10.0)
+    other = TeamUsage(
+        RegionName("viti"), MemoryStore(rig.core), 1.0, random.Random(1), dict
+    )
+    other.is_wanted = True
+    assert other.elsewhere(ShardId(1)) == {}
+    item = rig.core.get("usage/viti/0")
+    assert item is not None
+    n_writes = rig.core.n_calls[CallKind.WRITE]
+    await other._read_all()
+    assert other.elsewhere(ShardId(1)) == {TEAM: SHAPE}
+    assert other.elsewhere(SHARD) == {}
+    assert rig.core.n_calls[CallKind.WRITE] == n_writes
+    rig.host.on_mail(KEEPER, report(rig, Outcome(OutcomeKind.DONE)))
+    await asyncio.sleep(10.0)
+    await other._read_all()
+    assert other.elsewhere(ShardId(1)) == {}
+
+
 async def a_silent_owner_is_replaced_within_seconds(rig: Rig) -> None:
     await rig.submit(job("a"))
     await rig.host.close()
@@ -351,13 +419,17 @@
             renewals_wait_for_a_fresh_commit,
             lost_attempts_are_given_up_after_the_whole_wait,
             lost_work_that_may_have_run_is_unknown,
+            work_on_a_lost_worker_is_given_up_at_once,
             submissions_are_idempotent,
+            an_ended_job_is_still_known,
             answers_are_kept_and_then_dropped,
+            records_are_known_while_their_order_is_configured,
             cancelled_jobs_say_whether_they_may_have_run,
             jobs_that_fit_nowhere_are_infeasible,
             failing_jobs_use_up_their_attempts,
             orders_come_in_pages,
             claims_are_granted_once,
+            a_teams_use_counts_over_all_shards,
             a_silent_owner_is_replaced_within_seconds,
             a_live_owner_is_not_replaced,
             a_hand_over_takes_less_than_a_second,
