--- a/tests/tasks/test_review_horizon.py
+++ b/tests/tasks/test_review_horizon.py
@@ -30,7 +30,7 @@
 
     async def renew(self, attempts: Any) -> Any:
         world, loop = self._world, self._world.loop
-        held = self._agent.keeper._books.all()
+        held = self._agent.keeper._state.books.all()
         left_s = held[0].lease_until_s - loop.time()
         if left_s > WORKER_LEASE_S / 4:
             self._renewed_s = loop.time()
@@ -73,7 +73,7 @@
     await asyncio.sleep(4.0)
     runner = next(agent for agent in agents if agent.keeper.n_tasks())
     held = HeldWorker(world, runner)
-    runner.keeper._worker = held
+    runner.keeper._state.worker = held
     world.cut.add(runner.agent_id)
     await asyncio.sleep(5 * HORIZON_S)
     assert held.is_over
