--- a/tests/tasks/test_review_horizon.py
+++ b/tests/tasks/test_review_horizon.py
@@ -1,6 +1,7 @@
 """Attempts past their horizon, when an agent pauses between a check and its call."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import pytest
@@ -50,6 +51,24 @@
         return await renewing
 
 
+class HeldStart(SimWorker):
+    """Holds the first start back until long after the horizon."""
+
+    def __init__(self, world: World, agent: Agent) -> None:
+        super().__init__(world, agent.worker_id)
+        self._agent = agent
+        self.is_over = False
+
+    async def start_attempt(self, request: Any) -> Any:
+        if not self.is_over:
+            self.is_over = True
+            process = self._agent.process
+            process.is_paused = True
+            self._world.later(4 * HORIZON_S, self._world.loop.resume, process)
+            await asyncio.sleep(0)
+        return await super().start_attempt(request)
+
+
 def long_job() -> JobSpec:
     payload = task_payload(60.0, "effect", "record")
     stage = StageSpec(
@@ -58,18 +77,27 @@
     return JobSpec(JobId("job-0"), TEAM, (stage,), max_attempts=50)
 
 
-async def lose_the_runner(world: World) -> None:
+async def begin(world: World) -> list[Agent]:
+    """Let the first agent own the shard, and the others run tasks."""
     agents = [world.start_agent(worker_id) for worker_id in world.cores]
     world.entry.run(world.entry.desk.start())
-    owner = agents[0]
-    world.nominate(SHARD, owner.agent_id)
-    world.known_owners[SHARD] = owner.agent_id
+    world.nominate(SHARD, agents[0].agent_id)
+    world.known_owners[SHARD] = agents[0].agent_id
     await asyncio.sleep(6.0)
-    owner.keeper.set_resting(True)
+    agents[0].keeper.set_resting(True)
+    return agents[1:]
+
+
+async def submit(world: World) -> None:
     spec = long_job()
     world.checks.specs[spec.job_id] = spec
     answer = await world.entry.run(world.entry.desk.submit((spec,)))
     assert answer[0].state is SubmitState.ACCEPTED
+
+
+async def lose_the_runner(world: World) -> None:
+    agents = await begin(world)
+    await submit(world)
     await asyncio.sleep(4.0)
     runner = next(agent for agent in agents if agent.keeper.n_tasks())
     held = HeldWorker(world, runner)
@@ -80,15 +108,25 @@
     assert world.checks.counts["starts"] == 2
 
 
-@pytest.mark.parametrize("seed", [pytest.param(n, id=f"seed{n}") for n in range(3)])
-def test_a_late_renewal_does_not_outlast_the_wait(
-    seed: int, monkeypatch: pytest.MonkeyPatch
+async def hold_a_start(world: World) -> None:
+    agents = await begin(world)
+    held = HeldStart(world, agents[0])
+    agents[0].keeper._state.worker = held
+    agents[1].keeper.set_resting(True)
+    await submit(world)
+    await asyncio.sleep(2.0)
+    assert held.is_over
+    agents[1].keeper.set_resting(False)
+    await asyncio.sleep(5 * HORIZON_S)
+    assert world.checks.counts["starts"] >= 1
+
+
+def run_checked(
+    world: World, case: Callable[[World], Coroutine[Any, Any, None]]
 ) -> None:
-    monkeypatch.setattr(sim_world, "WORKER_LEASE_S", WORKER_LEASE_S)
-    world = World(seed, n_shards=1)
     asyncio.set_event_loop(world.loop)
     try:
-        world.loop.run_until_complete(lose_the_runner(world))
+        world.loop.run_until_complete(case(world))
     finally:
         for runnable in [*world.agents.values(), world.entry]:
             runnable.process.is_dead = True
@@ -96,3 +134,15 @@
         asyncio.set_event_loop(None)
         world.loop.close()
     assert world.checks.violations == []
+
+
+@pytest.mark.parametrize("seed", [pytest.param(n, id=f"seed{n}") for n in range(3)])
+def test_a_late_renewal_does_not_outlast_the_wait(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(sim_world, "WORKER_LEASE_S", WORKER_LEASE_S)
+    run_checked(World(seed, n_shards=1), lose_the_runner)
+
+
+def test_a_late_start_does_not_meet_the_next_attempt() -> None:
+    run_checked(World(0, n_shards=1), hold_a_start)
