--- a/packages/tasks/almondspan_tasks/shard_book.py
+++ b/packages/tasks/almondspan_tasks/shard_book.py
@@ -228,14 +228,13 @@
         """Drop the answers of jobs that ended long ago.
 
         The records of an order are known for as long as the configuration names
-        the order, and longer: submitting one again must not hand it back twice.
+        the order: submitting one again must not hand it back twice.
         """
-        now_unix_s = self._wall_clock()
+        limit = self._wall_clock() - self._options.answer_kept_s
         outdated = [
             job_id
-            for job_id, ended_unix_s in self.ended.items()
-            if ended_unix_s + self._answer_kept_s(job_id) < now_unix_s
-            and not self._is_of_live_order(job_id)
+            for job_id, at in self.ended.items()
+            if at < limit and not self._is_of_live_order(job_id)
         ]
         for job_id in outdated:
             del self.ended[job_id]
@@ -250,11 +249,6 @@
         name = self.jobs[job_id].spec.order_name
         return bool(name) and (not self._knows_orders or name in self._orders)
 
-    def _answer_kept_s(self, job_id: JobId) -> float:
-        if self.jobs[job_id].spec.order_name:
-            return self._options.order_answer_kept_s
-        return self._options.answer_kept_s
-
     def _append(self, job_id: JobId, delta: Delta) -> None:
         self.log.append(delta)
         self._n_uncommitted[job_id] = self._n_uncommitted.get(job_id, 0) + 1
