--- a/tests/decisions/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -43,7 +43,6 @@
     team_shares,
     units_to_give,
 )
-from almondspan_decisions.resting import FailureBook, RestingOptions
 from almondspan_decisions.room import RoomTask, choose_victims
 from almondspan_decisions.run_times import RunTimes
 from almondspan_decisions.shapes import Shape
@@ -221,42 +220,6 @@
 WORKER = WorkerId("worker-1")
 
 
-def test_worker_that_fails_everything_rests_and_is_probed() -> None:
-    book = FailureBook(RestingOptions(first_rest_s=30.0))
-    for n in range(3):
-        assert not book.is_resting(WORKER, float(n))
-        book.record_failed(WORKER, TaskId(f"task-{n}"), float(n))
-    assert book.is_resting(WORKER, 10.0)
-    assert not book.begin_probe(WORKER, 10.0)
-    assert book.begin_probe(WORKER, 33.0)
-    assert not book.begin_probe(WORKER, 33.0)
-    book.record_failed(WORKER, TaskId("task-9"), 35.0)
-    assert book.is_resting(WORKER, 35.0 + 59.0)
-    assert book.begin_probe(WORKER, 35.0 + 61.0)
-    book.record_done(WORKER, TaskId("task-9"), 100.0)
-    assert not book.is_resting(WORKER, 100.0)
-
-
-def test_task_that_fails_everywhere_does_not_rest_the_workers() -> None:
-    book = FailureBook()
-    bad = TaskId("bad")
-    for n in range(5):
-        book.record_failed(WorkerId(f"worker-{n}"), bad, float(n))
-    assert book.is_quarantined(bad)
-    assert not book.rests
-    book.record_done(WorkerId("worker-9"), bad, 6.0)
-    assert not book.is_quarantined(bad)
-
-
-def test_mostly_good_worker_does_not_rest() -> None:
-    book = FailureBook()
-    for n in range(20):
-        book.record_done(WORKER, TaskId(f"good-{n}"), float(n))
-    for n in range(4):
-        book.record_failed(WORKER, TaskId(f"bad-{n}"), 20.0 + n)
-    assert not book.is_resting(WORKER, 25.0)
-
-
 def room_task(name: str, cores: int, at_risk_s: float, **fields: bool) -> RoomTask:
     flags = {"checkpointable": True, "urgent": False, **fields}
     return RoomTask(TaskId(name), 1, Shape(cores * 1_000), at_risk_s, **flags)
