Split the agent's role; drain, losses and broken invariants in every phase

Cause: agent_role.py built the status, dispatched messages and drained in one class. A long call in flight kept the keeper taking work during a drain; a resume could take back the drain of an ending process; shards that could not be handed over, as in an outage of the store, held up the end without limit; a broken invariant during start, drain or close did not end the process; a declared loss was answered as unavailable. Conclusion: the agent's parts can be read and tested by themselves.

--- /dev/null
+++ b/packages/daemon/almondspan_daemon/agent_messages.py
@@ -0,0 +1,89 @@
+"""Hands each message of an entry to the part of the agent that it is for."""
+
+from almondspan_admin.burn_collect import answer_burn
+from almondspan_admin.burn_messages import BurnAsk
+from almondspan_admin.config_learner import ConfigAsk
+from almondspan_admin.holder import ConfigHolder
+from almondspan_daemon.agent_drain import AgentDrain
+from almondspan_daemon.agent_parts import AgentParts
+from almondspan_daemon.burn_evidence import GateEvidence
+from almondspan_daemon.candidate_finder import CandidateFinder
+from almondspan_daemon.entry_links import EntryLinks
+from almondspan_daemon.post_office import AgentPost
+from almondspan_decisions.ids import EntryId
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import (
+    CandidatesFound,
+    ConfigPush,
+    DrainRequest,
+    NominateOwner,
+    Post,
+    ReleaseShard,
+)
+
+__all__ = ["AgentMessages"]
+
+
+class AgentMessages:
+    """The agent's `LinkListener`."""
+
+    def __init__(
+        self,
+        parts: AgentParts,
+        drain: AgentDrain,
+        links: EntryLinks,
+        post: AgentPost,
+        finder: CandidateFinder,
+        holder: ConfigHolder,
+    ) -> None:
+        self._parts = parts
+        self._drain = drain
+        self._links = links
+        self._post = post
+        self._finder = finder
+        self._holder = holder
+        self._push: ConfigPush | None = None
+
+    def entry_joined(self, entry_id: EntryId) -> None:
+        """Nothing to do; the status follows by itself."""
+
+    def entry_left(self, entry_id: EntryId) -> None:
+        """Tell the gates that answers to this entry can't be sent any more."""
+        self._parts.gates.entry_left(entry_id)
+
+    def on_entry_message(self, entry_id: EntryId, body: Message) -> None:
+        """Hand a message of an entry to the part that it is for."""
+        match body:
+            case Post():
+                self._post.on_post(body)
+            case CandidatesFound():
+                self._finder.on_found(body)
+            case NominateOwner():
+                self._parts.host.nominate(body.shard_id)
+            case ReleaseShard():
+                self._parts.host.release(body.shard_id, body.epoch)
+            case ConfigPush():
+                self._accept_config(body)
+            case ConfigAsk():
+                self._answer(entry_id, self._push)
+            case BurnAsk():
+                self._answer(entry_id, answer_burn(body, self._evidence()))
+            case DrainRequest():
+                self._drain.on_request(body)
+            case _:
+                self._parts.gates.on_message(entry_id, body)
+
+    def _accept_config(self, push: ConfigPush) -> None:
+        if not self._holder.accept(push):
+            return
+        self._parts.set_fleet(self._holder.fleet)
+        self._push = push
+        self._links.status_changed()
+
+    def _answer(self, entry_id: EntryId, body: Message | None) -> None:
+        if body is not None:
+            self._links.post(entry_id, body)
+
+    def _evidence(self) -> list[GateEvidence]:
+        colocator = self._parts.colocator
+        return [GateEvidence(gate, colocator) for gate in self._parts.gates.gates]
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -1,28 +1,35 @@
 """The agent: the process beside a worker, a runner, or both.
 
-It holds an `AttemptKeeper` for its worker, a `RunnerGate` for each runner, a
-`ShardHost` for the shards that it owns, and channels to all entries of its region.
+Its `AgentParts` admit work: an `AttemptKeeper` for its worker, a `RunnerGate` for
+each runner, a `ShardHost` for the shards that it owns. `EntryLinks` are its channels
+to all entries of its region, `AgentMessages` hands what they bring to the parts, and
+`AgentDrain` drains them.
 
 Phases: `start` opens the platform's clients, rebuilds the keeper's books, finds
 the entries and dials them; `drain` refuses new work, waits for what is in flight
 and hands the shards over; `close` ends everything.
+
+Who restarts what: the process's supervisor runs ``find-entries``, ``watch-shards``
+and an operator's ``drain``; below it, the links' supervisor runs one child for
+each address and one for the statuses. The keeper, the gates, the colocator and
+the shard owners keep their own tasks. A broken invariant in any task of the
+process ends it.
 """
 
 import asyncio
 import logging
 import random
 import time
+from typing import Final
 
 from aiohttp import web
 
-from almondspan_admin.burn_collect import answer_burn
-from almondspan_admin.burn_messages import BurnAsk
-from almondspan_admin.config_learner import ConfigAsk
 from almondspan_admin.holder import ConfigHolder
-from almondspan_daemon.burn_evidence import GateEvidence
+from almondspan_daemon.agent_drain import AgentDrain
+from almondspan_daemon.agent_messages import AgentMessages
+from almondspan_daemon.agent_parts import AgentParts
+from almondspan_daemon.agent_status import agent_hello, agent_status
 from almondspan_daemon.candidate_finder import CandidateFinder
-from almondspan_daemon.colocation import Colocator
-from almondspan_daemon.colocation_views import GateView
 from almondspan_daemon.entry_links import EntryAddressPair, EntryLinks
 from almondspan_daemon.entry_registration import decode_address, entries_prefix
 from almondspan_daemon.gate_set import GateSet
@@ -37,14 +44,10 @@
 from almondspan_daemon.web_server import WebServer
 from almondspan_decisions.ids import (
     AgentId,
-    EntryId,
     PlaceName,
     RegionName,
     ServiceName,
-    ShardId,
-    WorkerId,
 )
-from almondspan_decisions.shapes import EMPTY_SHAPE
 from almondspan_platform.store import Unavailable
 from almondspan_platform.worker import Worker, WorkerInfo
 from almondspan_service.gate import GateOptions, RunnerGate
@@ -52,24 +55,15 @@
 from almondspan_tasks.keeper import AttemptKeeper
 from almondspan_tasks.options import KeeperOptions, OwnerOptions
 from almondspan_wire.channel import ChannelOptions
-from almondspan_wire.codec import Message
-from almondspan_wire.membership import (
-    AgentHello,
-    AgentStatus,
-    CandidatesFound,
-    ConfigPush,
-    DrainRequest,
-    NominateOwner,
-    Post,
-    ReleaseShard,
-)
+from almondspan_wire.membership import AgentHello, AgentStatus
 
 __all__ = ["AgentRole"]
 
-WORKER_RETRY_S = 1.0
-ENTRIES_RETRY_S = 5.0
-RENEWALS_PER_HORIZON = 6
-MAX_RENEW_S = 5.0
+WORKER_RETRY_S: Final = 1.0
+ENTRIES_RETRY_S: Final = 5.0
+SHARDS_TICK_S: Final = 0.1
+RENEWALS_PER_HORIZON: Final = 6
+MAX_RENEW_S: Final = 5.0
 
 _log = logging.getLogger(__name__)
 
@@ -93,44 +87,49 @@
         self._tls = ProcessTls.of(settings.tls)
         self._store = make_store(settings, self._tls.client_source)
         self._holder = ConfigHolder()
-        self._links = EntryLinks(
+        self._links = self._make_links()
+        self._post = AgentPost(self.agent_id, self._links.post_mail)
+        self._finder = CandidateFinder(self._links.entry_ids, self._links.post, rng)
+        gates = [self._make_gate(runner) for runner in settings.agent.services]
+        self._parts = AgentParts(GateSet(gates, self._links.post), self._make_host())
+        self._drain = AgentDrain(supervisor, self._parts, self._links.status_changed)
+        self._messages = AgentMessages(
+            self._parts,
+            self._drain,
+            self._links,
+            self._post,
+            self._finder,
+            self._holder,
+        )
+        self._links.set_listener(self._messages)
+        self._status_sequence = 0
+        self._health: WebServer | None = None
+        self.health_port = 0
+
+    def _make_links(self) -> EntryLinks:
+        streams = self._settings.streams
+        return EntryLinks(
             self._hello,
             self._status,
-            self,
-            ChannelOptions(settings.streams.heartbeat_s, settings.streams.silence_s),
+            ChannelOptions(streams.heartbeat_s, streams.silence_s),
             self._tls.stream_client,
-            rng,
-            supervisor.child("links"),
+            self._rng,
+            self._supervisor.child("links"),
         )
-        self._post = AgentPost(self.agent_id, self._links.post_mail)
-        self._finder = CandidateFinder(self._links.entry_ids, self._links.post, rng)
-        self._host = ShardHost(
+
+    def _make_host(self) -> ShardHost:
+        leases = self._settings.leases
+        return ShardHost(
             self.agent_id,
             self._store,
             self._post,
             self._finder.find,
-            OwnerOptions(
-                horizon_s=settings.leases.horizon_s,
-                drift_margin_s=settings.leases.margin_s,
-            ),
-            rng,
-            settings.shards.n_shards,
-            RegionName(settings.process.region),
+            OwnerOptions(horizon_s=leases.horizon_s, drift_margin_s=leases.margin_s),
+            self._rng,
+            self._settings.shards.n_shards,
+            RegionName(self._settings.process.region),
             time.time,
         )
-        self._worker: Worker | None = None
-        self._worker_info: WorkerInfo | None = None
-        self._keeper: AttemptKeeper | None = None
-        self._colocator: Colocator | None = None
-        self._gates = GateSet(
-            [self._make_gate(runner) for runner in settings.agent.services],
-            self._links.post,
-        )
-        self._push: ConfigPush | None = None
-        self._is_draining = False
-        self._status_sequence = 0
-        self._health: WebServer | None = None
-        self.health_port = 0
 
     def _make_gate(self, runner: RunnerSection) -> RunnerGate:
         return RunnerGate(
@@ -146,12 +145,11 @@
         """Start every part; returns when the agent is ready to be dialled back."""
         await self._tls.start()
         await self._store.start()
-        await self._start_keeper()
-        await self._gates.start()
-        if self._colocator is not None:
-            await self._colocator.start()
-        await self._host.start()
-        self._post.set_handlers(self._keeper, self._host, self._owns)
+        await self._open_worker()
+        await self._parts.start()
+        self._post.set_handlers(
+            self._parts.keeper, self._parts.host, self._parts.owns_shard
+        )
         await self._start_health()
         known = [split_address(address) for address in self._settings.agent.entries]
         await self._links.start(known)
@@ -159,28 +157,20 @@
         self._supervisor.spawn("watch-shards", self._announce_shard_changes)
         _log.info("agent started", extra={"health_port": self.health_port})
 
-    async def _start_keeper(self) -> None:
+    async def _open_worker(self) -> None:
         address = self._settings.agent.worker_address
         if address is None:
             return
         adapter = self._settings.agent.worker_adapter
-        self._worker = make_worker(adapter, address, self._tls.client_source)
-        await self._worker.start()
-        self._worker_info = await self._ask_worker_info(self._worker)
-        self._keeper = AttemptKeeper(
-            self.agent_id,
-            self._worker,
-            self._post,
-            self._keeper_options(),
-            self._rng,
-        )
-        await self._keeper.start()
-        self._colocator = Colocator(
-            self._keeper,
-            [GateView(gate) for gate in self._gates.gates],
-            self._worker,
-            self._worker_info.capacity.cpu_millicores,
+        worker = make_worker(adapter, address, self._tls.client_source)
+        await worker.start()
+        info = await self._ask_worker_info(worker)
+        keeper = AttemptKeeper(
+            self.agent_id, worker, self._post, self._keeper_options(), self._rng
         )
+        # The books are rebuilt before anything can ask for room.
+        await keeper.start()
+        self._parts.set_worker(worker, info, keeper)
 
     def _keeper_options(self) -> KeeperOptions:
         horizon_s = self._settings.leases.horizon_s
@@ -209,8 +199,8 @@
     def _add_metrics(self) -> None:
         gauge, counter = self._metrics.gauge, self._metrics.counter
         gauge("agent.entries", lambda: len(self._links.entry_ids()), "Open channels.")
-        gauge("agent.shards", lambda: len(self._host.owned()), "Shards owned.")
-        gauge("agent.tasks", self._n_tasks, "Attempts held.")
+        gauge("agent.shards", lambda: len(self._parts.host.owned()), "Shards owned.")
+        gauge("agent.tasks", self._parts.n_tasks, "Attempts held.")
         gauge("agent.config_revision", lambda: self._holder.revision, "Revision held.")
         counter("agent.bytes", self._links.n_bytes, "Bytes on channels, both ways.")
         counter("agent.dials", lambda: self._links.n_dials, "Dials of entries.")
@@ -223,130 +213,32 @@
 
     async def drain(self) -> None:
         """Refuse new work, finish what is in flight, hand the shards over."""
-        self._set_draining(True)
-        await self._gates.drain()
-        if self._keeper is not None:
-            await self._keeper.drain()
-        await self._host.drain()
+        await self._drain.drain_to_end()
 
     async def close(self) -> None:
         """Close every part in the reverse order of its start."""
         await self._links.close()
-        await self._host.close()
-        if self._colocator is not None:
-            await self._colocator.close()
-        await self._gates.close()
-        if self._keeper is not None:
-            await self._keeper.close()
-        if self._worker is not None:
-            await self._worker.close()
+        await self._parts.close()
         if self._health is not None:
             await self._health.close()
         await self._store.close()
         await self._tls.close()
         self._metrics.close()
 
-    def entry_joined(self, entry_id: EntryId) -> None:
-        """Nothing to do; the status follows by itself."""
-
-    def entry_left(self, entry_id: EntryId) -> None:
-        """Tell the gates that answers to this entry can't be sent any more."""
-        self._gates.entry_left(entry_id)
-
-    def on_entry_message(self, entry_id: EntryId, body: Message) -> None:
-        """Hand a message of an entry to the part that it is for."""
-        match body:
-            case Post():
-                self._post.on_post(body)
-            case CandidatesFound():
-                self._finder.on_found(body)
-            case NominateOwner():
-                self._host.nominate(body.shard_id)
-            case ReleaseShard():
-                self._host.release(body.shard_id, body.epoch)
-            case ConfigPush():
-                self._accept_config(body)
-            case ConfigAsk():
-                self._answer_config(entry_id)
-            case BurnAsk():
-                self._links.post(entry_id, answer_burn(body, self._evidence()))
-            case DrainRequest():
-                self._on_drain_request(body)
-            case _:
-                self._gates.on_message(entry_id, body)
-
-    def _accept_config(self, push: ConfigPush) -> None:
-        if self._holder.accept(push):
-            self._host.set_fleet(self._holder.fleet)
-            self._gates.set_fleet(self._holder.fleet)
-            if self._colocator is not None:
-                self._colocator.set_policy(self._holder.fleet.policies.ladder)
-            self._push = push
-            self._links.status_changed()
-
-    def _answer_config(self, entry_id: EntryId) -> None:
-        if self._push is not None:
-            self._links.post(entry_id, self._push)
-
-    def _evidence(self) -> list[GateEvidence]:
-        return [GateEvidence(gate, self._colocator) for gate in self._gates.gates]
-
-    def _on_drain_request(self, request: DrainRequest) -> None:
-        if request.resume:
-            # A drain under way would still release shards after the resume.
-            self._supervisor.stop("drain")
-            self._set_draining(False)
-            return
-        self._supervisor.spawn("drain", self.drain)
-
-    def _set_draining(self, is_draining: bool) -> None:
-        self._is_draining = is_draining
-        if not is_draining:
-            self._gates.resume()
-            self._host.resume()
-            if self._keeper is not None:
-                self._keeper.resume()
-        _log.info("draining" if is_draining else "taking work again")
-        self._links.status_changed()
-
-    def _owns(self, shard_id: ShardId) -> bool:
-        return any(owned == shard_id for owned, _ in self._host.owned())
-
-    def _n_tasks(self) -> int:
-        return 0 if self._keeper is None else self._keeper.n_tasks()
-
     def _hello(self) -> AgentHello:
-        info = self._worker_info
-        return AgentHello(
-            self.agent_id,
-            WorkerId("") if info is None else info.worker_id,
-            self._place,
-            EMPTY_SHAPE if info is None else info.capacity,
-        )
+        return agent_hello(self.agent_id, self._place, self._parts)
 
     def _status(self) -> AgentStatus:
         self._status_sequence += 1
-        keeper, colocator = self._keeper, self._colocator
-        return AgentStatus(
-            sequence=self._status_sequence,
-            free=EMPTY_SHAPE if keeper is None else keeper.free(),
-            n_tasks=self._n_tasks(),
-            draining=self._is_draining,
-            config_revision=self._holder.revision,
-            owned=self._host.owned(),
-            runners=self._gates.statuses(),
-            classes=() if keeper is None else keeper.classes(),
-            resting=keeper is not None and keeper.is_resting,
-            ladder_level=0 if colocator is None else colocator.ladder_level,
-            cpu_used_millicores=0
-            if colocator is None
-            else colocator.cpu_used_millicores,
-            harms=() if colocator is None else colocator.harms(),
-            crest_millicores=0 if colocator is None else colocator.crest_millicores,
+        return agent_status(
+            self._status_sequence,
+            self._drain.is_draining,
+            self._holder.revision,
+            self._parts,
         )
 
     def _not_ready_reason(self) -> str:
-        if self._is_draining:
+        if self._drain.is_draining:
             return "draining"
         if not self._links.entry_ids():
             return "no channel to an entry"
@@ -372,11 +264,12 @@
                     self._links.add(_pair(address.host, address.port))
 
     async def _announce_shard_changes(self) -> None:
-        owned = self._host.owned()
+        host = self._parts.host
+        owned = host.owned()
         while True:
-            await asyncio.sleep(0.1)
-            if self._host.owned() != owned:
-                owned = self._host.owned()
+            await asyncio.sleep(SHARDS_TICK_S)
+            if host.owned() != owned:
+                owned = host.owned()
                 self._links.status_changed()
 
 
--- a/packages/daemon/almondspan_daemon/command.py
+++ b/packages/daemon/almondspan_daemon/command.py
@@ -87,28 +87,32 @@
         role = EntryRole(settings, process_id, supervisor, rng)
     else:
         role = AgentRole(settings, process_id, supervisor, rng)
-    await role.start()
-    code = await _until_end(supervisor)
-    if code == EXIT_DRAINED:
-        await role.drain()
-        await role.close()
-        await supervisor.close()
-    return code
+    return await _until_end(role, supervisor)
+
+
+async def _until_end(role: _Role, supervisor: Supervisor) -> int:
+    """Run `role` to the end of its drain, or until an invariant is broken."""
+    living = asyncio.create_task(_live(role, supervisor))
+    failing = asyncio.create_task(supervisor.wait_failed())
+    await asyncio.wait({living, failing}, return_when=asyncio.FIRST_COMPLETED)
+    if failing.done():
+        traceback.print_exception(failing.result())
+        return EXIT_BROKEN
+    failing.cancel()
+    await living
+    return EXIT_DRAINED
 
 
-async def _until_end(supervisor: Supervisor) -> int:
+async def _live(role: _Role, supervisor: Supervisor) -> None:
+    await role.start()
     loop = asyncio.get_running_loop()
     asked_to_end = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked_to_end.set)
-    ended = asyncio.create_task(asked_to_end.wait())
-    failed = asyncio.create_task(supervisor.wait_failed())
-    await asyncio.wait({ended, failed}, return_when=asyncio.FIRST_COMPLETED)
-    if failed.done():
-        traceback.print_exception(failed.result())
-        return EXIT_BROKEN
-    failed.cancel()
-    return EXIT_DRAINED
+    await asked_to_end.wait()
+    await role.drain()
+    await role.close()
+    await supervisor.close()
 
 
 if __name__ == "__main__":
--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -86,7 +86,6 @@
         self,
         hello: Callable[[], AgentHello],
         status: Callable[[], AgentStatus],
-        listener: LinkListener,
         channel_options: ChannelOptions,
         tls: Callable[[], ssl.SSLContext | None],
         rng: random.Random,
@@ -96,7 +95,7 @@
     ) -> None:
         self._hello = hello
         self._status = status
-        self._listener = listener
+        self._listener: LinkListener | None = None
         self._channel_options = channel_options
         self._tls = tls
         self._rng = rng
@@ -112,6 +111,10 @@
         self.n_dials = 0
         self.n_posts_without_entry = 0
 
+    def set_listener(self, listener: LinkListener) -> None:
+        """Name who hears of entries and their messages, before `start`."""
+        self._listener = listener
+
     async def start(self, addresses: list[EntryAddressPair]) -> None:
         """Begin to dial `addresses` and to send the status each interval."""
         for address in addresses:
@@ -262,21 +265,25 @@
         return answer.entry_id if isinstance(answer, EntryHello) else None
 
     async def _follow(self, entry_id: EntryId, channel: StreamChannel) -> None:
+        listener = self._listener
+        assert listener is not None
         self._channels[entry_id] = channel
         try:
             channel.post(self._status())
             _log.info("linked to entry", extra={"entry": entry_id})
-            self._listener.entry_joined(entry_id)
-            await self._read(entry_id, channel)
+            listener.entry_joined(entry_id)
+            await self._read(entry_id, channel, listener)
         finally:
             del self._channels[entry_id]
             self._n_bytes_of_ended += channel.n_bytes_sent + channel.n_bytes_received
             # Wakes those that wait now; whoever waits later waits for the next.
             self._link_ended.set()
             self._link_ended = asyncio.Event()
-            self._listener.entry_left(entry_id)
+            listener.entry_left(entry_id)
 
-    async def _read(self, entry_id: EntryId, channel: StreamChannel) -> None:
+    async def _read(
+        self, entry_id: EntryId, channel: StreamChannel, listener: LinkListener
+    ) -> None:
         while True:
             body = await channel.receive()
             if isinstance(body, ChannelClosed):
@@ -290,4 +297,4 @@
             if isinstance(body, EntryList):
                 self.replace_list(body)
                 continue
-            self._listener.on_entry_message(entry_id, body)
+            listener.on_entry_message(entry_id, body)
--- a/packages/daemon/almondspan_daemon/entry_role.py
+++ b/packages/daemon/almondspan_daemon/entry_role.py
@@ -102,7 +102,10 @@
         self._learner = ConfigLearner(self._relay, self._directory.post)
         self._burn = BurnCollector(self._directory.post, lambda: self._holder.fleet)
         self._view = EntryFleetView(
-            settings.shards.n_shards, self._shard_map.owners, self._directory.post
+            settings.shards.n_shards,
+            self._shard_map.owners,
+            self._directory.post,
+            self._desk.declare_lost,
         )
         self._registration: EntryRegistration | None = None
         self._servers: list[WebServer] = []
--- a/packages/daemon/almondspan_daemon/fleet_view.py
+++ b/packages/daemon/almondspan_daemon/fleet_view.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -18,6 +19,7 @@
 )
 from almondspan_decisions.ids import AgentId, Epoch, ShardId, WorkerId
 from almondspan_decisions.shapes import EMPTY_SHAPE
+from almondspan_tasks.desk import DeskUnavailable
 from almondspan_wire.codec import Message
 from almondspan_wire.membership import (
     AgentHello,
@@ -32,6 +34,12 @@
 """Time after which an agent that left is no longer listed."""
 
 
+DeclareLost = Callable[[tuple[WorkerId, ...]], Awaitable[int | DeskUnavailable]]
+"""Tells the owners of all shards; returns how many attempts were given up."""
+
+_log = logging.getLogger(__name__)
+
+
 @dataclass(slots=True)
 class _Known:
     hello: AgentHello
@@ -48,8 +56,10 @@
         n_shards: int,
         owners: Callable[[], dict[ShardId, tuple[AgentId, Epoch]]],
         post: Callable[[AgentId, Message], bool],
+        declare_lost: DeclareLost,
     ) -> None:
         self._n_shards = n_shards
+        self._declare_lost = declare_lost
         self._owners = owners
         self._post = post
         self._known: dict[AgentId, _Known] = {}
@@ -113,8 +123,15 @@
         return ChangeResult.DONE
 
     async def declare_lost(self, workers: tuple[WorkerId, ...]) -> ChangeResult:
-        """Take these workers' running attempts for ended."""
-        return ChangeResult.UNAVAILABLE
+        """Have every shard's owner take these workers' attempts for ended.
+
+        `UNAVAILABLE` when an owner did not answer; others may have done it.
+        """
+        n_attempts = await self._declare_lost(workers)
+        if isinstance(n_attempts, DeskUnavailable):
+            return ChangeResult.UNAVAILABLE
+        _log.info("workers lost", extra={"workers": workers, "attempts": n_attempts})
+        return ChangeResult.DONE
 
 
 def _summary(agent_id: AgentId, known: _Known, now_s: float) -> AgentSummary:
--- a/tests/daemon/loopback_members.py
+++ b/tests/daemon/loopback_members.py
@@ -71,7 +71,6 @@
         self.links = EntryLinks(
             hello,
             self.status,
-            self,
             QUICK,
             lambda: None,
             random.Random(2),
@@ -79,6 +78,7 @@
             status_interval_s=0.1,
             greet_timeout_s=greet_timeout_s,
         )
+        self.links.set_listener(self)
         self.heard: list[str] = []
         self.messages: list[Message] = []
         self.fails = 0
--- /dev/null
+++ b/tests/daemon/test_agent_drain.py
@@ -0,0 +1,141 @@
+"""Drain, resume and the end of an agent, in any order, in virtual time."""
+
+import asyncio
+import random
+from typing import cast
+
+import pytest
+
+from almondspan_daemon.agent_drain import (
+    HAND_OVER_TIMEOUT_S,
+    AgentDrain,
+    DrainState,
+)
+from almondspan_daemon.agent_parts import AgentParts
+from almondspan_daemon.supervisor import Supervisor
+from almondspan_standins.virtual_time import run_in_virtual_time
+from almondspan_wire.membership import DrainRequest
+
+DRAIN = DrainRequest()
+RESUME = DrainRequest(resume=True)
+
+
+class Part:
+    """A part that takes ``drain_s`` to drain."""
+
+    def __init__(self, name: str, drain_s: float, log: list[str]) -> None:
+        self.name = name
+        self.drain_s = drain_s
+        self.log = log
+        self.refuses = False
+
+    async def drain(self) -> None:
+        self.refuses = True
+        self.log.append(f"{self.name} drains")
+        await asyncio.sleep(self.drain_s)
+        self.log.append(f"{self.name} is empty")
+
+    def resume(self) -> None:
+        self.refuses = False
+
+
+class Rig:
+    """An agent of three parts."""
+
+    def __init__(self, gate_s: float = 1.0, keeper_s: float = 2.0, host_s: float = 1.0):
+        self.log: list[str] = []
+        self.gates = Part("gates", gate_s, self.log)
+        self.keeper = Part("keeper", keeper_s, self.log)
+        self.host = Part("host", host_s, self.log)
+        self.n_changes = 0
+        self.supervisor = Supervisor("agent", random.Random(1))
+        self.parts = cast(AgentParts, self)
+        self.drain = AgentDrain(self.supervisor, self.parts, self.on_change)
+
+    def on_change(self) -> None:
+        self.n_changes += 1
+
+    def refusing(self) -> list[str]:
+        parts = (self.gates, self.keeper, self.host)
+        return [part.name for part in parts if part.refuses]
+
+
+def test_gates_and_keeper_refuse_at_once_and_shards_go_last() -> None:
+    async def main() -> None:
+        rig = Rig(gate_s=100.0)
+        rig.drain.on_request(DRAIN)
+        assert rig.drain.is_draining
+        await asyncio.sleep(0.1)
+        assert rig.refusing() == ["gates", "keeper"]
+        await asyncio.sleep(5.0)
+        assert rig.log[2:] == ["keeper is empty", "host drains", "host is empty"]
+        await rig.supervisor.close()
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize(
+    ("requests", "state"),
+    [
+        pytest.param([DRAIN], DrainState.DRAINING, id="drain"),
+        pytest.param([DRAIN, DRAIN], DrainState.DRAINING, id="drain twice"),
+        pytest.param([RESUME], DrainState.SERVING, id="resume alone"),
+        pytest.param([DRAIN, RESUME], DrainState.SERVING, id="drain, resume"),
+        pytest.param([DRAIN, RESUME, DRAIN], DrainState.DRAINING, id="and drain"),
+        pytest.param([DRAIN, RESUME, RESUME], DrainState.SERVING, id="resume twice"),
+    ],
+)
+@pytest.mark.parametrize("pause_s", [0.0, 0.5, 1.5, 2.5, 10.0])
+def test_the_last_request_holds(
+    requests: list[DrainRequest], state: DrainState, pause_s: float
+) -> None:
+    async def main() -> None:
+        rig = Rig()
+        for request in requests:
+            rig.drain.on_request(request)
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        await asyncio.sleep(20.0)
+        assert rig.drain.state is state
+        assert len(rig.refusing()) == (3 if state is DrainState.DRAINING else 0)
+        await rig.supervisor.close()
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize("before_s", [0.0, 0.5, 2.5, 10.0])
+def test_the_end_during_a_drain_is_not_blocked_nor_undone(before_s: float) -> None:
+    async def main() -> None:
+        rig = Rig()
+        rig.drain.on_request(DRAIN)
+        await asyncio.sleep(before_s)
+        ending = asyncio.create_task(rig.drain.drain_to_end())
+        await asyncio.sleep(0.1)
+        rig.drain.on_request(RESUME)
+        assert rig.drain.state is DrainState.ENDING
+        async with asyncio.timeout(10.0):
+            await ending
+        assert len(rig.refusing()) == 3
+        await rig.supervisor.close()
+
+    run_in_virtual_time(main())
+
+
+def test_shards_that_cannot_be_handed_over_do_not_hold_up_the_end() -> None:
+    async def main() -> None:
+        rig = Rig(host_s=1e6)
+        async with asyncio.timeout(HAND_OVER_TIMEOUT_S + 5.0):
+            await rig.drain.drain_to_end()
+        await rig.supervisor.close()
+
+    run_in_virtual_time(main())
+
+
+def test_calls_in_flight_are_waited_for() -> None:
+    async def main() -> None:
+        rig = Rig(gate_s=300.0)
+        await rig.drain.drain_to_end()
+        assert rig.log[-1] == "gates is empty"
+        await rig.supervisor.close()
+
+    run_in_virtual_time(main())
--- /dev/null
+++ b/tests/daemon/test_entry_index.py
@@ -0,0 +1,209 @@
+"""What an entry answers owners and operators from what agents told it."""
+
+import asyncio
+import random
+
+import pytest
+
+from almondspan_admin.fleet_view import ChangeResult
+from almondspan_daemon.capacity_index import CapacityIndex
+from almondspan_daemon.fleet_view import FORGET_S, EntryFleetView
+from almondspan_decisions.ids import (
+    AgentId,
+    Epoch,
+    PlaceName,
+    ShardId,
+    TaskClass,
+    WorkerId,
+)
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_standins.virtual_time import run_in_virtual_time
+from almondspan_tasks.desk import DeskUnavailable
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import (
+    AgentHello,
+    AgentStatus,
+    CandidatesFound,
+    DrainRequest,
+    FindCandidates,
+)
+
+WHOLE = Shape(16_000, 60_000)
+HALF = Shape(8_000, 30_000)
+AGENTS = [AgentId(f"a{n}") for n in range(3)]
+
+
+def hello(agent_id: AgentId, worker: str = "") -> AgentHello:
+    worker_id = WorkerId(worker or f"w-{agent_id}")
+    return AgentHello(agent_id, worker_id, PlaceName("p1"), WHOLE)
+
+
+def status(free: Shape, draining: bool = False, resting: bool = False) -> AgentStatus:
+    return AgentStatus(1, free, 0, draining, 3, resting=resting)
+
+
+def index_of(*statuses: AgentStatus) -> CapacityIndex:
+    index = CapacityIndex(lambda agent_id, body: True, random.Random(1))
+    for agent_id, told in zip(AGENTS, statuses, strict=False):
+        index.agent_joined(agent_id, hello(agent_id))
+        index.on_status(agent_id, told)
+    return index
+
+
+def query(shape: Shape, n_wanted: int = 3, avoid: str = "") -> FindCandidates:
+    avoided = (WorkerId(avoid),) if avoid else ()
+    return FindCandidates(1, shape, TaskClass("align"), n_wanted, avoided)
+
+
+def found(answer: CandidatesFound) -> set[str]:
+    return {agent.agent_id for agent in answer.agents}
+
+
+@pytest.mark.parametrize(
+    ("statuses", "asked", "names", "feasible"),
+    [
+        pytest.param([], query(HALF), set(), False, id="no agent"),
+        pytest.param([status(WHOLE)] * 2, query(HALF), {"a0", "a1"}, True, id="free"),
+        pytest.param(
+            [status(EMPTY_SHAPE), status(WHOLE)], query(HALF), {"a1"}, True, id="full"
+        ),
+        pytest.param([status(EMPTY_SHAPE)], query(HALF), set(), True, id="all full"),
+        pytest.param(
+            [status(WHOLE)], query(Shape(16_001, 1)), set(), False, id="too large"
+        ),
+        pytest.param(
+            [status(WHOLE, draining=True), status(WHOLE)],
+            query(HALF),
+            {"a1"},
+            True,
+            id="draining",
+        ),
+        pytest.param(
+            [status(WHOLE, resting=True), status(WHOLE)],
+            query(HALF),
+            {"a1"},
+            True,
+            id="resting",
+        ),
+    ],
+)
+def test_candidates_fit(
+    statuses: list[AgentStatus], asked: FindCandidates, names: set[str], feasible: bool
+) -> None:
+    answer = index_of(*statuses).find(asked)
+    assert found(answer) == names
+    assert answer.feasible is feasible
+    assert answer.n_workers_known == len(statuses)
+
+
+def test_questions_at_one_moment_are_promised_different_room() -> None:
+    index = index_of(status(WHOLE), status(WHOLE))
+    best = [index.find(query(HALF, n_wanted=1)).agents for _ in range(5)]
+    counts = [sum(a[0].agent_id == name for a in best if a) for name in AGENTS[:2]]
+    assert counts == [2, 2]
+    assert best[4] == ()
+    index.on_status(AGENTS[0], status(HALF))
+    assert found(index.find(query(HALF))) == {"a0"}
+
+
+def test_an_avoided_worker_comes_last() -> None:
+    index = index_of(status(WHOLE), status(HALF), status(HALF))
+    answer = index.find(query(HALF, avoid="w-a0"))
+    assert answer.agents[-1].agent_id == "a0"
+    assert found(answer) == {"a0", "a1", "a2"}
+
+
+def test_an_agent_that_left_is_no_candidate() -> None:
+    index = index_of(status(WHOLE), status(WHOLE))
+    index.agent_left(AGENTS[0])
+    answer = index.find(query(HALF))
+    assert found(answer) == {"a1"}
+    assert answer.n_workers_known == 1
+
+
+class Rig:
+    """A fleet view with two shards and a desk that answers ``lost``."""
+
+    def __init__(self, lost: int | DeskUnavailable = 2, takes: bool = True) -> None:
+        self.sent: list[tuple[AgentId, Message]] = []
+        self.declared: list[tuple[WorkerId, ...]] = []
+        self.lost = lost
+        self.takes = takes
+        owners = {ShardId(1): (AGENTS[0], Epoch(4))}
+        self.view = EntryFleetView(2, lambda: owners, self.post, self.declare)
+
+    def post(self, agent_id: AgentId, body: Message) -> bool:
+        self.sent.append((agent_id, body))
+        return self.takes
+
+    async def declare(self, workers: tuple[WorkerId, ...]) -> int | DeskUnavailable:
+        self.declared.append(workers)
+        return self.lost
+
+
+def test_a_silent_agent_shows_until_it_is_forgotten_or_replaced() -> None:
+    async def main() -> None:
+        view = Rig().view
+        for agent_id in AGENTS[:2]:
+            view.agent_joined(agent_id, hello(agent_id))
+            view.on_status(agent_id, status(HALF))
+        view.agent_left(AGENTS[0])
+        view.agent_left(AGENTS[1])
+        await asyncio.sleep(5.0)
+        view.agent_joined(AGENTS[2], hello(AGENTS[2], worker="w-a1"))
+        shown = {agent.agent_id: agent for agent in view.agents()}
+        assert set(shown) == {"a0", "a2"}
+        assert shown[AGENTS[0]].silent_s == 5.0
+        assert shown[AGENTS[0]].free == HALF
+        assert shown[AGENTS[2]].free == EMPTY_SHAPE
+        await asyncio.sleep(FORGET_S)
+        assert {agent.agent_id for agent in view.agents()} == {"a2"}
+
+    run_in_virtual_time(main())
+
+
+def test_every_shard_shows_with_its_owner() -> None:
+    shown = [(s.shard_id, s.owner, s.epoch) for s in Rig().view.shards()]
+    assert shown == [(0, "", 0), (1, "a0", 4)]
+
+
+@pytest.mark.parametrize("resume", [False, True])
+@pytest.mark.parametrize(
+    ("agent_id", "takes", "result"),
+    [
+        pytest.param("a0", True, ChangeResult.DONE, id="connected"),
+        pytest.param("a0", False, ChangeResult.UNAVAILABLE, id="not connected"),
+        pytest.param("a9", True, ChangeResult.NOT_FOUND, id="unknown"),
+    ],
+)
+def test_drain(agent_id: str, takes: bool, result: ChangeResult, resume: bool) -> None:
+    async def main() -> None:
+        rig = Rig(takes=takes)
+        rig.view.agent_joined(AGENTS[0], hello(AGENTS[0]))
+        assert await rig.view.drain(AgentId(agent_id), resume) is result
+        asked = [] if agent_id == "a9" else [(AGENTS[0], DrainRequest(resume))]
+        assert rig.sent == asked
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize(
+    ("lost", "result"),
+    [
+        pytest.param(0, ChangeResult.DONE, id="nothing ran there"),
+        pytest.param(3, ChangeResult.DONE, id="some ran there"),
+        pytest.param(
+            DeskUnavailable("a shard"), ChangeResult.UNAVAILABLE, id="no answer"
+        ),
+    ],
+)
+def test_a_loss_is_told_to_the_owners(
+    lost: int | DeskUnavailable, result: ChangeResult
+) -> None:
+    async def main() -> None:
+        rig = Rig(lost)
+        workers = (WorkerId("w1"), WorkerId("w2"))
+        assert await rig.view.declare_lost(workers) is result
+        assert rig.declared == [workers]
+
+    run_in_virtual_time(main())
