Ask for burn in one way only

Cause: the administration API knew two ways to a burn report, a source and the fleet view, of which the second answered nothing. Conclusion: none further.

--- a/packages/admin/almondspan_admin/api.py
+++ b/packages/admin/almondspan_admin/api.py
@@ -18,7 +18,6 @@
 
 from almondspan_admin import config_routes, fleet_routes, job_routes
 from almondspan_admin.auth import Identity, identify
-from almondspan_admin.burn_collect import BurnSource
 from almondspan_admin.fleet_view import FleetView
 from almondspan_admin.rate import RateLimiter
 from almondspan_admin.relay import ConfigRelay
@@ -75,8 +74,6 @@
     relay : ConfigRelay
     fleet_view : FleetView
     options : AdminOptions, optional
-    burn_source : BurnSource, optional
-        Answers burn reports in place of `FleetView.burn`.
     """
 
     def __init__(
@@ -85,12 +82,9 @@
         relay: ConfigRelay,
         fleet_view: FleetView,
         options: AdminOptions | None = None,
-        burn_source: BurnSource | None = None,
     ) -> None:
         self._options = options or AdminOptions()
-        self._context = ApiContext(
-            desk, relay, fleet_view, self._options.wall_clock, burn_source
-        )
+        self._context = ApiContext(desk, relay, fleet_view, self._options.wall_clock)
         self._limiter = RateLimiter()
         self._openapi = (
             resources.files("almondspan_admin").joinpath("openapi.json").read_bytes()
--- a/packages/admin/almondspan_admin/burn_collect.py
+++ b/packages/admin/almondspan_admin/burn_collect.py
@@ -21,7 +21,6 @@
 __all__ = [
     "BurnCollector",
     "BurnOptions",
-    "BurnSource",
     "EvidenceSource",
     "answer_burn",
 ]
@@ -40,14 +39,6 @@
     return BurnAnswer(ask.query_id, tuple(source.evidence() for source in sources))
 
 
-class BurnSource(Protocol):
-    """What answers a burn report."""
-
-    async def burn(self) -> tuple[ServiceBurn, ...]:
-        """Return the burn of every service of the configuration."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class BurnOptions:
     """How long a collection waits for answers."""
--- a/packages/admin/almondspan_admin/fleet_routes.py
+++ b/packages/admin/almondspan_admin/fleet_routes.py
@@ -33,9 +33,7 @@
 @route("GET", "/v1/burn", Access.OPERATOR, BurnBody)
 async def list_burn(context: ApiContext, call: ApiCall) -> Reply:
     """Return how fast each service spends its error budget."""
-    if context.burn_source is not None:
-        return Reply(BurnBody(await context.burn_source.burn()))
-    return Reply(BurnBody(context.fleet_view.burn()))
+    return Reply(BurnBody(await context.fleet_view.burn()))
 
 
 @route("POST", "/v1/fleet/agents/{agent_id}/drain", Access.OPERATOR, DrainBody)
--- a/packages/admin/almondspan_admin/fleet_view.py
+++ b/packages/admin/almondspan_admin/fleet_view.py
@@ -168,7 +168,7 @@
         """Return every shard of the region."""
         ...
 
-    def burn(self) -> tuple[ServiceBurn, ...]:
+    async def burn(self) -> tuple[ServiceBurn, ...]:
         """Return the burn of every service of the configuration."""
         ...
 
--- a/packages/admin/almondspan_admin/routes.py
+++ b/packages/admin/almondspan_admin/routes.py
@@ -14,7 +14,6 @@
 from msgspec import Struct
 
 from almondspan_admin.auth import Identity
-from almondspan_admin.burn_collect import BurnSource
 from almondspan_admin.fleet_view import FleetView
 from almondspan_admin.holder import ConfigHolder
 from almondspan_admin.messages import ErrorBody
@@ -51,7 +50,6 @@
     relay: ConfigRelay
     fleet_view: FleetView
     wall_clock: Callable[[], float]
-    burn_source: BurnSource | None = None
     holder: ConfigHolder = field(default_factory=ConfigHolder)
 
     def fleet(self) -> FleetConfig:
--- a/packages/daemon/almondspan_daemon/entry_role.py
+++ b/packages/daemon/almondspan_daemon/entry_role.py
@@ -106,6 +106,7 @@
             self._shard_map.owners,
             self._directory.post,
             self._desk.declare_lost,
+            self._burn.burn,
         )
         self._registration: EntryRegistration | None = None
         self._servers: list[WebServer] = []
@@ -170,9 +171,7 @@
             max_body_bytes=admin.max_body_bytes,
             max_requests_per_s=admin.max_requests_per_s,
         )
-        AdminApi(self._desk, self._relay, self._view, options, self._burn).add_routes(
-            app
-        )
+        AdminApi(self._desk, self._relay, self._view, options).add_routes(app)
         add_health_routes(app, self._metrics, self._not_ready_reason)
         self._add_metrics()
         return app
--- a/packages/daemon/almondspan_daemon/fleet_view.py
+++ b/packages/daemon/almondspan_daemon/fleet_view.py
@@ -34,6 +34,9 @@
 """Time after which an agent that left is no longer listed."""
 
 
+CollectBurn = Callable[[], Awaitable[tuple[ServiceBurn, ...]]]
+"""Asks every agent for its figures and merges them."""
+
 DeclareLost = Callable[[tuple[WorkerId, ...]], Awaitable[int | DeskUnavailable]]
 """Tells the owners of all shards; returns how many attempts were given up."""
 
@@ -57,8 +60,10 @@
         owners: Callable[[], dict[ShardId, tuple[AgentId, Epoch]]],
         post: Callable[[AgentId, Message], bool],
         declare_lost: DeclareLost,
+        collect_burn: CollectBurn,
     ) -> None:
         self._n_shards = n_shards
+        self._collect_burn = collect_burn
         self._declare_lost = declare_lost
         self._owners = owners
         self._post = post
@@ -109,9 +114,9 @@
             for shard in range(self._n_shards)
         )
 
-    def burn(self) -> tuple[ServiceBurn, ...]:
-        """Return nothing: the entry's `BurnCollector` answers burn reports."""
-        return ()
+    async def burn(self) -> tuple[ServiceBurn, ...]:
+        """Ask every agent and return the burn of every service."""
+        return await self._collect_burn()
 
     async def drain(self, agent_id: AgentId, resume: bool = False) -> ChangeResult:
         """Ask an agent to drain, or to take work again."""
--- a/tests/admin/admin_api.py
+++ b/tests/admin/admin_api.py
@@ -133,7 +133,7 @@
     def shards(self):
         return (ShardSummary(ShardId(0), AgentId("agent-1"), Epoch(3)),)
 
-    def burn(self):
+    async def burn(self):
         return ()
 
     async def drain(self, agent_id, resume=False):
--- a/tests/daemon/test_entry_index.py
+++ b/tests/daemon/test_entry_index.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from almondspan_admin.fleet_view import ChangeResult
+from almondspan_admin.fleet_view import ChangeResult, ServiceBurn
 from almondspan_daemon.capacity_index import CapacityIndex
 from almondspan_daemon.fleet_view import FORGET_S, EntryFleetView
 from almondspan_decisions.ids import (
@@ -130,12 +130,17 @@
         self.lost = lost
         self.takes = takes
         owners = {ShardId(1): (AGENTS[0], Epoch(4))}
-        self.view = EntryFleetView(2, lambda: owners, self.post, self.declare)
+        self.view = EntryFleetView(
+            2, lambda: owners, self.post, self.declare, self.burn
+        )
 
     def post(self, agent_id: AgentId, body: Message) -> bool:
         self.sent.append((agent_id, body))
         return self.takes
 
+    async def burn(self) -> tuple[ServiceBurn, ...]:
+        return ()
+
     async def declare(self, workers: tuple[WorkerId, ...]) -> int | DeskUnavailable:
         self.declared.append(workers)
         return self.lost
