Test who may join over TLS and replaced certificates

Cause: the channels' TLS was tested in the platform package alone. Change: contract tests of directory and links over TLS on loopback.

--- a/tests/daemon/loopback_members.py
+++ b/tests/daemon/loopback_members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import ssl
 from collections.abc import Callable
 
 from almondspan_daemon.agent_directory import AgentDirectory
@@ -46,8 +47,10 @@
         if self.greeting is not None:
             channel.post(self.greeting)
 
-    async def start(self, port: int = 0) -> EntryAddressPair:
-        self.port = await self.directory.start(LOOPBACK, port, None)
+    async def start(
+        self, port: int = 0, tls: ssl.SSLContext | None = None
+    ) -> EntryAddressPair:
+        self.port = await self.directory.start(LOOPBACK, port, tls)
         return LOOPBACK, self.port
 
     def agent_joined(self, agent_id: AgentId, hello: AgentHello) -> None:
@@ -66,13 +69,17 @@
 class Agent:
     """An agent's links with a listener that writes down what it hears."""
 
-    def __init__(self, greet_timeout_s: float = 5.0) -> None:
+    def __init__(
+        self,
+        greet_timeout_s: float = 5.0,
+        tls: Callable[[], ssl.SSLContext | None] = lambda: None,
+    ) -> None:
         self.supervisor = Supervisor("agent", random.Random(1))
         self.links = EntryLinks(
             hello,
             self.status,
             QUICK,
-            lambda: None,
+            tls,
             random.Random(2),
             self.supervisor.child("links"),
             status_interval_s=0.1,
