Give the leases' margin room for the drift of clocks

Cause: The margin's default of 2.0 s was just the keeper's call_bound_s, the time in which a call to the worker may still take effect. Nothing was left for the drift of two machines' clocks over the horizon. Change: The default is 3.0 s. The case of test_settings.py that sets the horizon to the default margin, which must lie below it, names 3 in place of 2: the same boundary. Measured: tests/daemon/test_review_bounds.py before: the margin failed (2.0 s against 2.0 s and 1% of the horizon of 30 s); after: passed, and all of tests/daemon and tests/operator passed. Conclusion: A lost attempt is given up a second later.

--- a/packages/daemon/almondspan_daemon/settings_model.py
+++ b/packages/daemon/almondspan_daemon/settings_model.py
@@ -190,7 +190,7 @@
         default=30.0, gt=0, le=3600, description="seconds, above 0 and at most 3600"
     )
     margin_s: float = Field(
-        default=2.0,
+        default=3.0,
         gt=0,
         le=600,
         description="seconds, above 0 and below leases.horizon_s",
--- a/tests/daemon/test_review_bounds.py
+++ b/tests/daemon/test_review_bounds.py
@@ -8,6 +8,9 @@
 from almondspan_platform.registry import WORKER_ADAPTERS
 from almondspan_tasks.options import KeeperOptions
 
+DRIFT = 0.01
+"""The most by which two machines' monotonic clocks differ, as a share of the time."""
+
 
 @pytest.mark.parametrize(
     "adapter", [pytest.param(name, id=name) for name in sorted(WORKER_ADAPTERS)]
@@ -18,5 +21,7 @@
     assert worker._options.limits.timeout_s < KeeperOptions().call_bound_s
 
 
-def test_the_margin_covers_a_late_call_to_the_worker() -> None:
-    assert LeasesSection().margin_s >= KeeperOptions().call_bound_s
+def test_the_margin_covers_a_late_call_and_the_drift_of_clocks() -> None:
+    leases = LeasesSection()
+    drift_s = DRIFT * leases.horizon_s
+    assert leases.margin_s >= KeeperOptions().call_bound_s + drift_s
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -104,10 +104,10 @@
             id="not finite",
         ),
         pytest.param(
-            ENTRY + "\n[leases]\nhorizon_s = 2",
+            ENTRY + "\n[leases]\nhorizon_s = 3",
             "leases.margin_s",
-            "2.0",
-            "below leases.horizon_s (2)",
+            "3.0",
+            "below leases.horizon_s (3)",
             id="margin not below the horizon",
         ),
         pytest.param(
