Tell free room when it changes, not once a second

Cause: entries learned of free room with the next status, up to a second after a task had ended; with tasks of one second half the fleet stood empty. Change: an agent sends its status within 0.1 s when its room or shards change.

--- a/misc/load_starts.py
+++ b/misc/load_starts.py
@@ -246,10 +246,12 @@
     parser.add_argument("--shards", type=int, default=64)
     parser.add_argument("--nodes", type=int, default=10)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--cpu-millicores", type=int, default=16_000)
     options = parser.parse_args()
     shape = FleetShape(
         n_nodes=options.nodes,
         n_shards=options.shards,
+        cpu_millicores=options.cpu_millicores,
         seed=options.seed,
     )
     load = StartLoad(options.seconds, options.rate, shape)
--- a/packages/daemon/almondspan_daemon/agent_parts.py
+++ b/packages/daemon/almondspan_daemon/agent_parts.py
@@ -7,6 +7,7 @@
 from almondspan_daemon.gate_set import GateSet
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.ids import ShardId
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_platform.worker import Worker, WorkerInfo
 from almondspan_tasks.host import ShardHost
 from almondspan_tasks.keeper import AttemptKeeper
@@ -50,6 +51,10 @@
         """Tell whether the shard's owner is in this process."""
         return self.host.owner(shard_id) is not None
 
+    def free(self) -> Shape:
+        """Return the room that the keeper would grant now."""
+        return EMPTY_SHAPE if self.keeper is None else self.keeper.free()
+
     def n_tasks(self) -> int:
         """Return the number of attempts that take room."""
         return 0 if self.keeper is None else self.keeper.n_tasks()
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -61,7 +61,7 @@
 
 WORKER_RETRY_S: Final = 1.0
 ENTRIES_RETRY_S: Final = 5.0
-SHARDS_TICK_S: Final = 0.1
+CHANGES_TICK_S: Final = 0.1
 RENEWALS_PER_HORIZON: Final = 6
 MAX_RENEW_S: Final = 5.0
 
@@ -154,7 +154,7 @@
         known = [split_address(address) for address in self._settings.agent.entries]
         await self._links.start(known)
         self._supervisor.spawn("find-entries", self._find_entries)
-        self._supervisor.spawn("watch-shards", self._announce_shard_changes)
+        self._supervisor.spawn("announce-changes", self._announce_changes)
         _log.info("agent started", extra={"health_port": self.health_port})
 
     async def _open_worker(self) -> None:
@@ -263,13 +263,19 @@
                 if address is not None:
                     self._links.add(_pair(address.host, address.port))
 
-    async def _announce_shard_changes(self) -> None:
-        host = self._parts.host
-        owned = host.owned()
+    async def _announce_changes(self) -> None:
+        """Send the status at once when shards or free room have changed.
+
+        Entries place tasks by the room that they know of: room told a second late
+        stays empty for a second after every task.
+        """
+        parts = self._parts
+        told = (parts.host.owned(), parts.free())
         while True:
-            await asyncio.sleep(SHARDS_TICK_S)
-            if host.owned() != owned:
-                owned = host.owned()
+            await asyncio.sleep(CHANGES_TICK_S)
+            now = (parts.host.owned(), parts.free())
+            if now != told:
+                told = now
                 self._links.status_changed()
 
 
--- a/packages/daemon/almondspan_daemon/agent_status.py
+++ b/packages/daemon/almondspan_daemon/agent_status.py
@@ -26,7 +26,7 @@
     keeper, colocator = parts.keeper, parts.colocator
     return AgentStatus(
         sequence=sequence,
-        free=EMPTY_SHAPE if keeper is None else keeper.free(),
+        free=parts.free(),
         n_tasks=parts.n_tasks(),
         draining=is_draining,
         config_revision=config_revision,
