Search for room again after a quarter of a second

Cause: a shard that found no room paused 0.3 to 1 s, longer than room stays free. Change: room_retry_s of 0.25 s, apart from the backoff of failed attempts.

--- a/packages/tasks/almondspan_tasks/options.py
+++ b/packages/tasks/almondspan_tasks/options.py
@@ -61,6 +61,7 @@
     make_room_timeout_s: float = 3.0
     reservation_ttl_s: float = 10.0
     start_retry_s: float = 1.0
+    room_retry_s: float = 0.25
     backoff_s: float = 1.0
     backoff_max_s: float = 30.0
     starts_per_s: float = 20.0
--- a/packages/tasks/almondspan_tasks/placing.py
+++ b/packages/tasks/almondspan_tasks/placing.py
@@ -192,7 +192,7 @@
         return "no worker has room now"
 
     def _pause_s(self) -> float:
-        return self._options.backoff_s * (0.3 + 0.7 * self._rng.random())
+        return self._options.room_retry_s * (0.3 + 0.7 * self._rng.random())
 
     def _still_waits(self, job_id: JobId, waiting: Waiting) -> bool:
         return self._book.waiting.get(job_id) is waiting
