Look at the worker's attempts four times a second

Cause: an ended attempt was noticed up to half a second late, and its room with it. Change: the keeper's poll_interval_s is 0.25 s.

--- a/packages/tasks/almondspan_tasks/options.py
+++ b/packages/tasks/almondspan_tasks/options.py
@@ -21,7 +21,7 @@
 
     horizon_s: float = 60.0
     renew_interval_s: float = 5.0
-    poll_interval_s: float = 0.5
+    poll_interval_s: float = 0.25
     report_interval_s: float = 2.0
     call_bound_s: float = 2.0
     retry_s: float = 0.5
