Let the worker refuse a start that comes past the horizon

Change: a worker may tell its monotonic clock; a start names the last moment of that clock at which it may take effect, worked out from the latest reading, never late. Ruled out: a shorter horizon, since a pause has no bound.

--- a/misc/mutant_table.py
+++ b/misc/mutant_table.py
@@ -307,4 +307,10 @@
         "        self._reports.keep(held, outcome, found.evicted, found.checkpoint)\n"
         "        self._reports.forget(held)",
     ),
+    mutant(
+        "start without the worker's clock",
+        "keeper.py",
+        "        not_after_s = self._state.worker_clock.at(held.lease_until_s)\n",
+        "        not_after_s = None\n",
+    ),
 )
--- a/packages/platform/almondspan_platform/worker.py
+++ b/packages/platform/almondspan_platform/worker.py
@@ -36,11 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerInfo:
-    """A worker's capacity and the time that it grants an unrenewed attempt."""
+    """A worker's capacity and the time that it grants an unrenewed attempt.
+
+    ``clock_s`` is the worker's monotonic clock when it answered, or None when the
+    worker can't refuse a start by its clock.
+    """
 
     worker_id: WorkerId
     capacity: Shape
     lease_s: float
+    clock_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +54,8 @@
 
     ``checkpoint`` is what an earlier attempt left, empty for a fresh start.
     ``labels`` come back unread in the list (the agent stores the shard and epoch).
+    A worker with a clock refuses a start that reaches it after ``not_after_s`` of
+    that clock, so that a start held back by a pause takes no effect.
     """
 
     task_id: TaskId
@@ -60,6 +67,7 @@
     shard_id: ShardId
     epoch: int
     idempotent: bool
+    not_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/standins/almondspan_standins/worker_core.py
+++ b/packages/standins/almondspan_standins/worker_core.py
@@ -102,7 +102,9 @@
 
     def info(self) -> WorkerInfo:
         """Return the capacity and the lease time."""
-        return WorkerInfo(self.worker_id, self.capacity, self._options.lease_s)
+        return WorkerInfo(
+            self.worker_id, self.capacity, self._options.lease_s, self._now()
+        )
 
     def list_attempts(self) -> tuple[WorkerAttempt, ...]:
         """Return every attempt that was not forgotten."""
@@ -116,6 +118,8 @@
         key = (request.task_id, request.attempt)
         if key in self._attempts or key in self._forgotten:
             return StartResult.ALREADY_KNOWN
+        if request.not_after_s is not None and self._now() > request.not_after_s:
+            return StartResult.REFUSED
         payload = read_payload(request.payload, request.task_class)
         if payload.fail == "refuse":
             return StartResult.REFUSED
--- a/packages/tasks/almondspan_tasks/keeper.py
+++ b/packages/tasks/almondspan_tasks/keeper.py
@@ -299,7 +299,8 @@
             self._refuse(held, refusal)
             return
         assert held.start is not None
-        request = _start_request(held.start)
+        not_after_s = self._state.worker_clock.at(held.lease_until_s)
+        request = _start_request(held.start, not_after_s)
         answer = await self._state.worker.start_attempt(request)
         if held.phase is not AttemptPhase.STARTING:
             return
@@ -443,7 +444,7 @@
     return checkpoint and held.checkpointable
 
 
-def _start_request(body: StartTask) -> StartAttempt:
+def _start_request(body: StartTask, not_after_s: float | None) -> StartAttempt:
     return StartAttempt(
         task_id=body.task_id,
         attempt=body.attempt,
@@ -454,4 +455,5 @@
         shard_id=body.shard_id,
         epoch=body.epoch,
         idempotent=body.idempotent,
+        not_after_s=not_after_s,
     )
--- a/packages/tasks/almondspan_tasks/keeper_state.py
+++ b/packages/tasks/almondspan_tasks/keeper_state.py
@@ -11,6 +11,7 @@
 from almondspan_tasks.held import AttemptKey, Books, Held
 from almondspan_tasks.options import KeeperOptions
 from almondspan_tasks.resting import RestingRule
+from almondspan_tasks.worker_clock import WorkerClock
 from almondspan_wire.mail import Mailer
 
 __all__ = ["KeeperCounters", "KeeperState"]
@@ -54,6 +55,7 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     worker_id: WorkerId = WorkerId("")
     worker_lease_s: float = 0.0
+    worker_clock: WorkerClock = field(default_factory=WorkerClock)
     shared_until_s: float = 0.0
     draining: bool = False
     epochs: dict[ShardId, Epoch] = field(default_factory=dict)
--- a/packages/tasks/almondspan_tasks/worker_list.py
+++ b/packages/tasks/almondspan_tasks/worker_list.py
@@ -51,15 +51,21 @@
 
     async def learn_worker(self) -> None:
         """Ask for the worker's capacity until it answers."""
-        state = self._state
         while True:
-            info = await state.worker.info()
-            if isinstance(info, WorkerInfo):
-                state.worker_id = info.worker_id
-                state.worker_lease_s = info.lease_s
-                state.books.capacity = info.capacity
+            if await self._read_info():
                 return
-            await asyncio.sleep(state.options.retry_s)
+            await asyncio.sleep(self._state.options.retry_s)
+
+    async def _read_info(self) -> bool:
+        state = self._state
+        info = await state.worker.info()
+        if not isinstance(info, WorkerInfo):
+            return False
+        state.worker_id = info.worker_id
+        state.worker_lease_s = info.lease_s
+        state.worker_clock.note(info.clock_s, state.now_s())
+        state.books.capacity = info.capacity
+        return True
 
     async def settle(self) -> None:
         """Make the books whole, whatever another agent may have sent before."""
@@ -85,6 +91,8 @@
             await asyncio.sleep(self._state.options.poll_interval_s)
             if len(self._state.books) or not self.is_fresh():
                 await self._list()
+            if self._state.worker_clock.is_due(self._state.now_s()):
+                await self._read_info()
 
     def is_fresh(self) -> bool:
         """Tell whether the last list is young enough for a start."""
