--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -9,8 +9,8 @@
 the entries and dials them; `drain` refuses new work, waits for what is in flight
 and hands the shards over; `close` ends everything.
 
-Who restarts what: the process's supervisor runs ``find-entries``, ``watch-shards``
-and an operator's ``drain``; below it, the links' supervisor runs one child for
+Who restarts what: the process's supervisor runs ``find-entries``,
+``announce-changes`` and an operator's ``drain``; below it, the links' supervisor runs one child for
 each address and one for the statuses. The keeper, the gates, the colocator and
 the shard owners keep their own tasks. A broken invariant in any task of the
 process ends it.
--- /dev/null
+++ b/tests/daemon/test_gate_set.py
@@ -0,0 +1,89 @@
+"""Which gate of an agent a message about a call reaches."""
+
+import pytest
+
+from almondspan_daemon.gate_set import GateSet
+from almondspan_decisions.ids import CallerId, EntryId, RequestId, ServiceName
+from almondspan_decisions.outcomes import OutcomeKind
+from almondspan_wire.codec import Message
+from almondspan_wire.membership import Goodbye
+from almondspan_wire.service_messages import AnswerCredit, CallEnded, CallOpen
+
+ENTRY = EntryId("e1")
+
+
+class Gate:
+    """A gate that remembers which calls reached it."""
+
+    def __init__(self, service: str) -> None:
+        self.service = ServiceName(service)
+        self.known: set[int] = set()
+        self.got: list[Message] = []
+
+    def knows(self, entry_id: EntryId, incarnation: int, call_id: int) -> bool:
+        return call_id in self.known
+
+    def on_message(self, entry_id: EntryId, message: Message) -> bool:
+        self.got.append(message)
+        if isinstance(message, CallOpen):
+            self.known.add(message.call_id)
+        return True
+
+
+def opened(service: str, call_id: int) -> CallOpen:
+    return CallOpen(
+        1,
+        call_id,
+        ServiceName(service),
+        RequestId("r"),
+        CallerId("c"),
+        "GET",
+        "/",
+        (),
+        True,
+        100.0,
+        1024,
+    )
+
+
+def credit(call_id: int) -> AnswerCredit:
+    return AnswerCredit(1, call_id, 10)
+
+
+@pytest.mark.parametrize(
+    ("messages", "n_clips", "n_bills"),
+    [
+        pytest.param([opened("clips", 1)], 1, 0, id="by service"),
+        pytest.param([opened("bills", 1)], 0, 1, id="by the other service"),
+        pytest.param([opened("bills", 1), credit(1)], 0, 2, id="later, by call"),
+        pytest.param([credit(1)], 1, 1, id="an unknown call reaches all"),
+        pytest.param([opened("maps", 1)], 0, 0, id="no such service"),
+    ],
+)
+def test_a_message_reaches_its_gate(
+    messages: list[Message], n_clips: int, n_bills: int
+) -> None:
+    clips, bills = Gate("clips"), Gate("bills")
+    gates = GateSet([clips, bills], lambda entry_id, body: True)
+    assert all(gates.on_message(ENTRY, message) for message in messages)
+    assert (len(clips.got), len(bills.got)) == (n_clips, n_bills)
+
+
+def test_a_call_of_a_missing_service_is_refused() -> None:
+    sent: list[Message] = []
+
+    def post(entry_id: EntryId, body: Message) -> bool:
+        sent.append(body)
+        return True
+
+    gates = GateSet([Gate("clips")], post)
+    gates.on_message(ENTRY, opened("maps", 7))
+    (refusal,) = sent
+    assert isinstance(refusal, CallEnded)
+    assert (refusal.call_id, refusal.kind) == (7, OutcomeKind.NOT_RUN)
+
+
+def test_other_messages_are_left_to_others() -> None:
+    assert not GateSet([Gate("clips")], lambda entry_id, body: True).on_message(
+        ENTRY, Goodbye()
+    )
