Expose the counts of routers, the API, keepers and hosts

Change: Metrics.counters exposes the whole numbers of a dataclass of counts; entries and agents expose theirs.

--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -10,10 +10,10 @@
 and hands the shards over; `close` ends everything.
 
 Who restarts what: the process's supervisor runs ``find-entries``,
-``announce-changes`` and an operator's ``drain``; below it, the links' supervisor runs one child for
-each address and one for the statuses. The keeper, the gates, the colocator and
-the shard owners keep their own tasks. A broken invariant in any task of the
-process ends it.
+``announce-changes`` and an operator's ``drain``; below it, the links' supervisor runs
+one child for each address and one for the statuses. The keeper, the gates, the
+colocator and the shard owners keep their own tasks. A broken invariant in any task of
+the process ends it.
 """
 
 import asyncio
@@ -209,6 +209,9 @@
             lambda: self._post.n_undeliverable,
             "Mail that no entry took.",
         )
+        self._metrics.counters("agent.host", self._parts.host.counters)
+        if self._parts.keeper is not None:
+            self._metrics.counters("agent.keeper", self._parts.keeper.counters)
         counter("agent.restarts", lambda: self._supervisor.n_restarts, "Restarts.")
 
     async def drain(self) -> None:
--- a/packages/daemon/almondspan_daemon/entry_role.py
+++ b/packages/daemon/almondspan_daemon/entry_role.py
@@ -11,6 +11,7 @@
 import asyncio
 import logging
 import random
+from functools import partial
 from typing import Final
 
 from aiohttp import web
@@ -171,7 +172,9 @@
             max_body_bytes=admin.max_body_bytes,
             max_requests_per_s=admin.max_requests_per_s,
         )
-        AdminApi(self._desk, self._relay, self._view, options).add_routes(app)
+        api = AdminApi(self._desk, self._relay, self._view, options)
+        api.add_routes(app)
+        self._metrics.counters("entry.admin", api.counters)
         add_health_routes(app, self._metrics, self._not_ready_reason)
         self._add_metrics()
         return app
@@ -187,6 +190,12 @@
         counter("entry.undeliverable", lambda: post.n_undeliverable, "Mail dropped.")
         counter("entry.nominations", lambda: shards.n_nominations, "Nominations.")
         counter("entry.agents_left", lambda: directory.n_left, "Agents that left.")
+        self._metrics.counters("entry.router", self._router.counters)
+        for kind in self._router.counters.n_outcomes:
+            read = partial(self._router.counters.n_outcomes.__getitem__, kind)
+            counter(
+                f"entry.calls.{kind.value}", read, f"Calls that ended {kind.value}."
+            )
         counter("entry.restarts", lambda: self._supervisor.n_restarts, "Restarts.")
 
     def _spawn_loops(self) -> None:
--- a/packages/daemon/almondspan_daemon/metrics.py
+++ b/packages/daemon/almondspan_daemon/metrics.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Callable, Iterable
+from dataclasses import fields, is_dataclass
+from functools import partial
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -33,6 +35,15 @@
             name, callbacks=[self._observer(read)], description=text
         )
 
+    def counters(self, prefix: str, counts: object) -> None:
+        """Expose every whole number of a dataclass of counts, without its ``n_``."""
+        assert is_dataclass(counts)
+        for field in fields(counts):
+            if isinstance(getattr(counts, field.name), int):
+                name = f"{prefix}.{field.name.removeprefix('n_')}"
+                read = partial(getattr, counts, field.name)
+                self.counter(name, read, f"{prefix}: {field.name} since the start.")
+
     def gauge(self, name: str, read: Callable[[], float], text: str) -> None:
         """Expose a value that goes up and down."""
         self._meter.create_observable_gauge(
--- a/tests/daemon/test_health.py
+++ b/tests/daemon/test_health.py
@@ -1,6 +1,7 @@
 """The routes that the platform probes."""
 
 import asyncio
+from dataclasses import dataclass
 
 import aiohttp
 import pytest
@@ -11,10 +12,19 @@
 from almondspan_daemon.web_server import WebServer
 
 
+@dataclass
+class ProbeCounts:
+    """Counts of which only the whole numbers are exposed."""
+
+    n_seen: int = 3
+    waited_s: float = 1.5
+
+
 async def ask(path: str, reason: str) -> tuple[int, str]:
     metrics = Metrics("agent-0-test", "agent")
     metrics.counter("probe.asked", lambda: 7, "Asked.")
     metrics.gauge("probe.level", lambda: 2.5, "Level.")
+    metrics.counters("probe.counts", ProbeCounts())
     app = web.Application()
     add_health_routes(app, metrics, lambda: reason)
     server = WebServer(app)
@@ -39,6 +49,7 @@
         pytest.param("/readyz", "draining", 503, "draining", id="not ready"),
         pytest.param("/metrics", "", 200, "probe_asked_total{", id="counter"),
         pytest.param("/metrics", "", 200, "probe_level{", id="gauge"),
+        pytest.param("/metrics", "", 200, "probe_counts_seen_total{", id="counts"),
         pytest.param("/nothing", "", 404, "Not Found", id="no such route"),
     ],
 )
