--- a/misc/check_imports.py
+++ b/misc/check_imports.py
@@ -18,6 +18,9 @@
     "almondspan_tasks": frozenset(
         {"almondspan_decisions", "almondspan_wire", "almondspan_platform"}
     ),
+    "almondspan_jobs": frozenset(
+        {"almondspan_decisions", "almondspan_wire", "almondspan_platform"}
+    ),
     "almondspan_service": frozenset(
         {"almondspan_decisions", "almondspan_wire", "almondspan_tasks"}
     ),
--- /dev/null
+++ b/packages/decisions/almondspan_decisions/job_book.py
@@ -0,0 +1,291 @@
+"""The progress of one job: which tasks wait, where the others are, how they ended.
+
+A task is waiting, placed (one attempt is assigned to one life of one worker) or
+done. `place` numbers the attempts; an end or a release counts only for the attempt
+that is assigned, so what is heard twice or late changes nothing. The book decides
+nothing about time: the caller says when an occurrence is due.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+from almondspan_decisions.ids import JobId, WorkerId
+from almondspan_decisions.job_graph import JobSpec, StepSpec, TaskKey
+
+__all__ = [
+    "EndKind",
+    "JobBook",
+    "JobState",
+    "StepState",
+    "TaskPhase",
+    "TaskState",
+    "WorkerLife",
+]
+
+MAX_AVOIDED: Final = 3
+"""Workers that a task remembers as avoided."""
+
+
+class JobState(Enum):
+    """What callers are told of a job."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class TaskPhase(Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+class EndKind(Enum):
+    """How an attempt ended on its worker."""
+
+    DONE = "done"
+    FAILED = "failed"
+    INTERRUPTED = "interrupted"
+    """Stopped, lapsed or lost: the task runs again, nobody is to blame."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLife:
+    """One lifetime of a worker; what an earlier one ran has ended with it."""
+
+    worker_id: WorkerId
+    born_ms: int
+
+
+@dataclass(slots=True)
+class TaskState:
+    """One task; the fields up to `checkpoint` are stored, the others are not."""
+
+    phase: TaskPhase = TaskPhase.WAITING
+    n_attempts: int = 0
+    """Number of the latest attempt, 0 before the first."""
+    n_failed: int = 0
+    life: WorkerLife | None = None
+    checkpoint: str = ""
+    is_stored: bool = False
+    """The assignment is in the store, so its order may leave."""
+    n_sends: int = 0
+    sent_s: float = 0.0
+    """When the latest order about the attempt left."""
+    placed_s: float = 0.0
+    listed_s: float = 0.0
+    """When the worker last listed the attempt as running; 0 if never."""
+    is_stopping: bool = False
+    is_voiding: bool = False
+    """The attempt is being proved absent."""
+    percent: int = 0
+    percent_s: float = 0.0
+    """When `percent` last rose."""
+    avoided: tuple[WorkerId, ...] = ()
+    """Workers on which the task failed or stood still."""
+
+    def clear_orders(self) -> None:
+        """Forget what was ordered and heard of an earlier attempt."""
+        self.is_stored = self.is_stopping = self.is_voiding = False
+        self.n_sends = self.percent = 0
+        self.sent_s = self.listed_s = 0.0
+
+    def avoid(self, worker_id: WorkerId) -> None:
+        """Prefer other workers for the next attempts."""
+        self.avoided = (*self.avoided[-(MAX_AVOIDED - 1) :], worker_id)
+
+
+@dataclass(slots=True)
+class StepState:
+    """The tasks of one step in one occurrence, with their counts by phase."""
+
+    tasks: list[TaskState]
+    n_waiting: int = 0
+    n_done: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task has ended as done."""
+        return self.n_done == len(self.tasks)
+
+    def recount(self) -> None:
+        """Count the tasks again, after their states were read from the store."""
+        self.n_waiting = sum(task.phase is TaskPhase.WAITING for task in self.tasks)
+        self.n_done = sum(task.phase is TaskPhase.DONE for task in self.tasks)
+
+
+@dataclass(slots=True)
+class JobBook:
+    """A job's specification with the state of every task that has become due."""
+
+    job_id: JobId
+    spec: JobSpec
+    rounds: dict[int, list[StepState]] = field(default_factory=dict)
+    """Steps by occurrence; an occurrence enters when it is due."""
+    is_cancelled: bool = False
+    is_failed: bool = False
+    n_placed: int = 0
+    n_steps_done: int = 0
+    has_started: bool = False
+    finished_ms: int = 0
+    """Milliseconds since 1970 when the job reached its last state; 0 before."""
+
+    def open_rounds(self, now_ms: int) -> bool:
+        """Enter the occurrences due by `now_ms`; tell whether there was one."""
+        opened = False
+        while len(self.rounds) < self.spec.n_rounds:
+            occurrence = len(self.rounds)
+            if self.spec.due_ms(occurrence) > now_ms:
+                break
+            self.rounds[occurrence] = [
+                StepState([TaskState() for _ in range(step.n_tasks)], step.n_tasks)
+                for step in self.spec.steps
+            ]
+            opened = True
+        return opened
+
+    def recount(self) -> None:
+        """Derive every count from the tasks, after they were read from the store."""
+        steps = [step for steps in self.rounds.values() for step in steps]
+        for step in steps:
+            step.recount()
+        self.n_steps_done = sum(step.is_done for step in steps)
+        self.n_placed = sum(
+            len(step.tasks) - step.n_waiting - step.n_done for step in steps
+        )
+
+    def step_state(self, key: TaskKey) -> StepState | None:
+        """Return the step of a task; None when the job has no such step yet."""
+        steps = self.rounds.get(key.occurrence)
+        if steps is None or not 0 <= key.step < len(steps):
+            return None
+        return steps[key.step]
+
+    def task(self, key: TaskKey) -> TaskState | None:
+        """Return a task's state; None when the job has no such task yet."""
+        step = self.step_state(key)
+        if step is None or not 0 <= key.position < len(step.tasks):
+            return None
+        return step.tasks[key.position]
+
+    def step_of(self, key: TaskKey) -> StepSpec:
+        """Return the step that a task belongs to."""
+        return self.spec.steps[key.step]
+
+    @property
+    def state(self) -> JobState:
+        """What callers are told."""
+        if self.is_cancelled:
+            return JobState.CANCELLED
+        if self.is_failed:
+            return JobState.FAILED
+        if self.n_steps_done == self.spec.n_rounds * len(self.spec.steps):
+            return JobState.COMPLETED
+        return JobState.RUNNING if self.has_started else JobState.PENDING
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether tasks may still be started."""
+        return self.state in (JobState.PENDING, JobState.RUNNING)
+
+    def ready_steps(self) -> Iterator[tuple[int, int]]:
+        """Yield occurrence and number of each step with tasks that may start."""
+        for occurrence, steps in self.rounds.items():
+            for number, step in enumerate(steps):
+                if step.n_waiting and self._may_begin(steps, number):
+                    yield occurrence, number
+
+    def _may_begin(self, steps: list[StepState], number: int) -> bool:
+        return all(steps[earlier].is_done for earlier in self.spec.steps[number].after)
+
+    def waiting(self, occurrence: int, number: int) -> list[TaskKey]:
+        """Return the tasks of a step that wait for a worker."""
+        return [
+            TaskKey(occurrence, number, index)
+            for index, task in enumerate(self.rounds[occurrence][number].tasks)
+            if task.phase is TaskPhase.WAITING
+        ]
+
+    def placed(self) -> Iterator[tuple[TaskKey, TaskState]]:
+        """Yield every task that is assigned to a worker."""
+        if self.n_placed == 0:
+            return
+        for occurrence, steps in self.rounds.items():
+            for number, step in enumerate(steps):
+                for index, task in enumerate(step.tasks):
+                    if task.phase is TaskPhase.PLACED:
+                        yield TaskKey(occurrence, number, index), task
+
+    def n_on_worker(self, occurrence: int, number: int, worker_id: WorkerId) -> int:
+        """Return how many tasks of a step are assigned to a worker."""
+        return sum(
+            task.life is not None and task.life.worker_id == worker_id
+            for task in self.rounds[occurrence][number].tasks
+        )
+
+    def place(self, key: TaskKey, life: WorkerLife, now_s: float) -> TaskState:
+        """Assign the next attempt of a waiting task to a worker.
+
+        Raises
+        ------
+        RuntimeError
+            When the task does not wait or the job may start nothing more.
+        """
+        task, step = self.task(key), self.step_state(key)
+        if task is None or step is None or task.phase is not TaskPhase.WAITING:
+            raise RuntimeError(f"{self.job_id} {key} does not wait")
+        if not self.is_active or not self._may_begin(
+            self.rounds[key.occurrence], key.step
+        ):
+            raise RuntimeError(f"{self.job_id} {key} may not start")
+        task.phase = TaskPhase.PLACED
+        task.n_attempts += 1
+        task.life = life
+        task.placed_s = task.percent_s = now_s
+        task.clear_orders()
+        step.n_waiting -= 1
+        self.n_placed += 1
+        self.has_started = True
+        return task
+
+    def is_assigned(self, key: TaskKey, attempt: int, life: WorkerLife) -> bool:
+        """Tell whether this attempt is the one assigned, and to this life."""
+        task = self.task(key)
+        return (
+            task is not None
+            and task.phase is TaskPhase.PLACED
+            and task.n_attempts == attempt
+            and task.life == life
+        )
+
+    def end(
+        self, key: TaskKey, kind: EndKind, checkpoint: str, max_failures: int
+    ) -> None:
+        """Record how the assigned attempt of a task ended."""
+        task, state = self.task(key), self.step_state(key)
+        assert task is not None and task.life is not None and state is not None
+        worker_id = task.life.worker_id
+        step = self.step_of(key)
+        self.n_placed -= 1
+        task.life = None
+        task.clear_orders()
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if kind is EndKind.DONE and not step.lasts:
+            task.phase = TaskPhase.DONE
+            state.n_done += 1
+            self.n_steps_done += state.is_done
+            return
+        task.phase = TaskPhase.WAITING
+        state.n_waiting += 1
+        if kind is EndKind.FAILED:
+            task.n_failed += 1
+            task.avoid(worker_id)
+            if task.n_failed >= max_failures and not step.lasts:
+                self.is_failed = True
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/committer.py
@@ -0,0 +1,124 @@
+"""Stores the owner's decisions in groups, under the head key.
+
+Every group is conditioned on the head's revision and changes it, so the groups of all
+owners are in one order. A group without an answer is sent again under the same
+condition: only one of the two can take effect, and the nonce in the head tells that
+it did. A head written by somebody else means that the ownership is lost; it is never
+regained under the same epoch.
+"""
+
+import asyncio
+import secrets
+from typing import Final
+
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import HEAD_KEY, HeadRecord, decode_record, encode_record
+from almondspan_platform.group_store import (
+    GroupConflict,
+    GroupStore,
+    Write,
+    WriteGroup,
+)
+from almondspan_platform.store import Found, Revision, Swapped
+
+__all__ = ["HeadCommitter"]
+
+
+class HeadCommitter:
+    """The writer of one epoch."""
+
+    def __init__(
+        self,
+        store: GroupStore,
+        head: HeadRecord,
+        revision: Revision,
+        confirmed_s: float,
+        options: JobOptions,
+        log: EventLog,
+        meters: Meters,
+    ) -> None:
+        self._store: Final = store
+        self._head = head
+        self._revision = revision
+        self._options: Final = options
+        self._log: Final = log
+        self._meters: Final = meters
+        self._lock: Final = asyncio.Lock()
+        self.confirmed_s = confirmed_s
+        """When the call left that last proved this process to be the owner."""
+        self.is_lost = False
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of this owner."""
+        return self._head.epoch
+
+    async def commit(
+        self, writes: tuple[Write, ...], removals: tuple[str, ...] = ()
+    ) -> bool:
+        """Store a group; False when the ownership is lost and nothing was stored."""
+        async with self._lock:
+            if self.is_lost:
+                return False
+            nonce = secrets.token_hex(8)
+            head = HeadRecord(self.epoch, self._head.node, nonce)
+            group = WriteGroup(
+                ((HEAD_KEY, self._revision),),
+                (Write(HEAD_KEY, encode_record(head)), *writes),
+                removals,
+            )
+            return await self._send(group, head)
+
+    async def _send(self, group: WriteGroup, head: HeadRecord) -> bool:
+        n_tries = 0
+        while True:
+            n_tries += 1
+            sent_s = steady_s()
+            outcome = await self._store.commit(group)
+            self._meters.observe_s("commit", steady_s() - sent_s)
+            if isinstance(outcome, Swapped):
+                self._adopt(head, outcome.revision, sent_s)
+                return True
+            if isinstance(outcome, GroupConflict):
+                return self._on_conflict(outcome, head, sent_s)
+            self._log.line(
+                "commit_unanswered", reason=str(outcome), n_tries=n_tries, of=head.nonce
+            )
+            await asyncio.sleep(self._options.retry_s)
+
+    def _adopt(self, head: HeadRecord, revision: Revision, sent_s: float) -> None:
+        self._head = head
+        self._revision = revision
+        self.confirmed_s = sent_s
+
+    def _on_conflict(
+        self, conflict: GroupConflict, head: HeadRecord, sent_s: float
+    ) -> bool:
+        """Tell whether an earlier send of the group had taken effect."""
+        item = conflict.item(HEAD_KEY)
+        found = decode_record(HeadRecord, item.value) if item is not None else None
+        if item is not None and found == head:
+            self._adopt(head, item.revision, sent_s)
+            return True
+        self._lose(str(found))
+        return False
+
+    async def confirm(self) -> None:
+        """Read the head to prove that this process is still the owner."""
+        async with self._lock:
+            sent_s = steady_s()
+            outcome = await self._store.get(HEAD_KEY)
+            if not isinstance(outcome, Found):
+                self._log.line("confirm_unanswered", reason=str(outcome))
+                return
+            if outcome.item is None or outcome.item.revision != self._revision:
+                self._lose(f"head is at {outcome.item and outcome.item.revision}")
+                return
+            self.confirmed_s = sent_s
+
+    def _lose(self, reason: str) -> None:
+        self.is_lost = True
+        self._log.line("ownership_lost", epoch=self.epoch, reason=reason)
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -0,0 +1,84 @@
+"""An entry's part in jobs: its door for callers, its link, its turn as the owner."""
+
+import asyncio
+import random
+from typing import Final
+
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.job_door import JobDoor
+from almondspan_jobs.leadership import Leadership
+from almondspan_jobs.link_server import LinkServer
+from almondspan_jobs.messages import StoreJob
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.owner_link import OwnerLink
+from almondspan_platform.group_store import GroupStore
+from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.codec import Message
+
+__all__ = ["JobEntry"]
+
+
+class JobEntry:
+    """Everything of jobs that runs in one entry."""
+
+    def __init__(
+        self,
+        node: str,
+        host: str,
+        port: int,
+        store: GroupStore,
+        options: JobOptions,
+        log: EventLog,
+        meters: Meters,
+        rng: random.Random,
+    ) -> None:
+        self._log: Final = log
+        self._link: Final = OwnerLink(node, self._answer, options, log, rng)
+        self.leadership: Final = Leadership(
+            node,
+            host,
+            port,
+            store,
+            options,
+            log,
+            meters,
+            rng,
+            self._link.set_owner,
+        )
+        self.door: Final = JobDoor(store, self._link, options, log, meters)
+        self._server: Final = LinkServer(host, port, self._serve_entry)
+
+    async def start(self) -> None:
+        """Listen for other entries, and begin to follow or to own."""
+        await self._server.start()
+        await self.leadership.start()
+
+    async def close(self) -> None:
+        """Give the ownership up and end the links."""
+        await self.leadership.close()
+        await self._link.close()
+        await self._server.close()
+
+    async def _serve_entry(self, channel: StreamChannel) -> None:
+        """Answer the questions of one entry, each in its own task."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                body = await channel.receive()
+                if isinstance(body, ChannelClosed):
+                    return
+                if isinstance(body, StoreJob):
+                    group.create_task(self._reply(channel, body))
+                    continue
+                answer = await self._answer(body)
+                if answer is not None:
+                    await channel.send(answer)
+
+    async def _reply(self, channel: StreamChannel, body: StoreJob) -> None:
+        await channel.send(await self.door.relay(body))
+
+    async def _answer(self, body: Message) -> Message | None:
+        if isinstance(body, StoreJob):
+            return await self.door.relay(body)
+        owner = self.leadership.owner
+        return owner.answer(body) if owner is not None else None
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/event_log.py
@@ -0,0 +1,106 @@
+"""Structured log lines on the standard output, bounded and never waited for.
+
+Each line is one JSON object: the time, the process, the event and its fields. Lines
+are collected and written together a few milliseconds later. When the reader of the
+output is slow, what exceeds the buffer is dropped and counted; the count is logged
+once there is room again. Each event has a budget of lines a second as well.
+"""
+
+import asyncio
+import os
+import time
+from typing import Any, Final, Protocol
+
+import msgspec
+
+from almondspan_jobs.clocks import steady_s
+
+__all__ = ["EventLog", "StdoutLog"]
+
+FLUSH_S: Final = 0.02
+BUFFER_LIMIT_BYTES: Final = 512 * 1024
+MAX_LINES_PER_S: Final = 400
+"""Lines of one event in one second; the rest is counted and named in a line."""
+
+STDOUT: Final = 1
+
+
+class EventLog(Protocol):
+    """Takes log lines."""
+
+    def line(self, event: str, **fields: Any) -> None:
+        """Log an event with its fields."""
+        ...
+
+
+class StdoutLog:
+    """An `EventLog` on the standard output."""
+
+    def __init__(self, process: str, descriptor: int = STDOUT) -> None:
+        self._process: Final = process
+        self._descriptor: Final = descriptor
+        self._encoder: Final = msgspec.json.Encoder()
+        self._buffer = bytearray()
+        self._is_scheduled = False
+        self._window_s = 0.0
+        self._n_by_event: dict[str, int] = {}
+        self.n_dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def line(self, event: str, **fields: Any) -> None:
+        """Add a line; drops it when the event or the buffer is over its bound."""
+        if not self._is_within_budget(event):
+            return
+        head = {"time": round(time.time(), 3), "process": self._process}
+        self._add({**head, "event": event, **fields})
+
+    def _is_within_budget(self, event: str) -> bool:
+        now_s = steady_s()
+        if now_s - self._window_s >= 1.0:
+            self._report_suppressed()
+            self._window_s = now_s
+        n_lines = self._n_by_event.get(event, 0) + 1
+        self._n_by_event[event] = n_lines
+        return n_lines <= MAX_LINES_PER_S
+
+    def _report_suppressed(self) -> None:
+        counts, self._n_by_event = self._n_by_event, {}
+        for event, n_lines in counts.items():
+            if n_lines > MAX_LINES_PER_S:
+                n_suppressed = n_lines - MAX_LINES_PER_S
+                self._add({"event": "lines_suppressed", "of": event, "n": n_suppressed})
+
+    def _add(self, body: dict[str, Any]) -> None:
+        if len(self._buffer) > BUFFER_LIMIT_BYTES:
+            self.n_dropped += 1
+            return
+        self._buffer += self._encoder.encode(body) + b"\n"
+        if not self._is_scheduled:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.flush()
+            return
+        self._is_scheduled = True
+        loop.call_later(FLUSH_S, self.flush)
+
+    def flush(self) -> None:
+        """Write what the reader takes now; the rest waits for the next flush."""
+        self._is_scheduled = False
+        try:
+            n_written = os.write(self._descriptor, self._buffer)
+        except BlockingIOError:
+            n_written = 0
+        except OSError:
+            # Nobody reads the output any more: there is nowhere to report it.
+            self._buffer.clear()
+            return
+        del self._buffer[:n_written]
+        if self._buffer:
+            self._schedule()
+        elif self.n_dropped:
+            n_dropped, self.n_dropped = self.n_dropped, 0
+            self.line("lines_dropped", n=n_dropped)
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/job_door.py
@@ -0,0 +1,265 @@
+"""An entry's side of jobs: store, cancel, look up and count them for callers.
+
+- A job is stored by a write that requires its key to be absent, so the same job
+  coming in at several entries is one job. It is accepted when it lies in the store.
+- A refusal is given only when no write of the job can ever take effect. A write that
+  got no answer is repeated, then tried through the owner; if neither tells, the
+  outcome is unknown and the caller asks again.
+- States come from the owner's stored decisions. Without an owner they are read from
+  the store; only the store may say that a job does not exist.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from almondspan_decisions.ids import JobId
+from almondspan_decisions.job_book import JobState
+from almondspan_decisions.job_graph import JobSpec, QueueName, spec_fault
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.messages import (
+    AskPending,
+    AskState,
+    JobCancelled,
+    JobStored,
+    PendingReply,
+    StateReply,
+    StoreJob,
+    StoreReply,
+)
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.owner_link import NoAnswer, OwnerLink
+from almondspan_jobs.records import (
+    Unreadable,
+    cancel_key,
+    decode_progress,
+    decode_spec,
+    encode_spec,
+    job_key,
+    run_key,
+)
+from almondspan_platform.group_store import GroupConflict, GroupStore, Write, WriteGroup
+from almondspan_platform.store import ABSENT_REVISION, Found, Swapped, Unavailable
+
+__all__ = ["JobAnswer", "JobDoor", "StateAnswer", "StoreResult"]
+
+
+class StoreResult(Enum):
+    """What became of a write for a caller."""
+
+    STORED = "stored"
+    NOT_DONE = "not_done"
+    """It has not taken effect and never will."""
+    UNKNOWN = "unknown"
+    NO_JOB = "no_job"
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """The outcome of a submission or a cancellation."""
+
+    result: StoreResult
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class StateAnswer:
+    """A job's state; None with `is_known` when the store holds no such job."""
+
+    state: JobState | None
+    is_known: bool
+    reason: str = ""
+
+
+class JobDoor:
+    """Serves one entry's callers."""
+
+    def __init__(
+        self,
+        store: GroupStore,
+        owner: OwnerLink,
+        options: JobOptions,
+        log: EventLog,
+        meters: Meters,
+    ) -> None:
+        self._store: Final = store
+        self._owner: Final = owner
+        self._options: Final = options
+        self._log: Final = log
+        self._meters: Final = meters
+
+    async def submit(self, job_id: JobId, spec: JobSpec, budget_s: float) -> JobAnswer:
+        """Store a job; the budget is the time in which the caller waits, in seconds."""
+        began_s = steady_s()
+        fault = self._fault(spec)
+        if fault:
+            answer = JobAnswer(StoreResult.NOT_DONE, fault)
+        else:
+            record = encode_spec(spec)
+            answer = await self._store_job(job_id, record, began_s + budget_s)
+            if answer.result is StoreResult.STORED:
+                self._owner.tell(JobStored(job_id, record))
+        self._finish("job_submitted", "submit", job_id, answer, began_s)
+        return answer
+
+    def _fault(self, spec: JobSpec) -> str:
+        n_tasks = sum(step.n_tasks for step in spec.steps)
+        if n_tasks > self._options.max_tasks_per_job:
+            return f"{n_tasks} tasks are more than {self._options.max_tasks_per_job}"
+        if any(step.is_gang for step in spec.steps):
+            return "gangs are not supported yet"
+        return spec_fault(spec)
+
+    def _finish(
+        self, event: str, name: str, job_id: JobId, answer: JobAnswer, began_s: float
+    ) -> None:
+        took_s = steady_s() - began_s
+        self._meters.observe_s(name, took_s)
+        self._meters.count(f"{name}_{answer.result.value}")
+        self._log.line(
+            event,
+            job=job_id,
+            result=answer.result.value,
+            reason=answer.reason,
+            took_ms=int(took_s * 1000),
+        )
+
+    async def _store_job(
+        self, job_id: JobId, record: bytes, until_s: float
+    ) -> JobAnswer:
+        key = job_key(job_id)
+        group = WriteGroup(((key, ABSENT_REVISION),), (Write(key, record),))
+        return await self._write(job_id, record, group, until_s)
+
+    async def _write(
+        self, job_id: JobId, record: bytes, group: WriteGroup, until_s: float
+    ) -> JobAnswer:
+        """Write here or through the owner until it is in effect or time is up."""
+        refuse_s = steady_s() + self._options.refuse_after_s
+        is_doubtful = False
+        while True:
+            outcome = await self.write_once(group)
+            if outcome.result is not StoreResult.STORED and not self._owner.is_local:
+                is_doubtful |= outcome.result is StoreResult.UNKNOWN
+                outcome = await self._write_by_owner(job_id, record, outcome.reason)
+            if outcome.result is StoreResult.STORED:
+                return outcome
+            is_doubtful |= outcome.result is StoreResult.UNKNOWN
+            now_s = steady_s()
+            if now_s > (until_s if is_doubtful else refuse_s):
+                break
+            await asyncio.sleep(self._options.retry_s)
+        result = StoreResult.UNKNOWN if is_doubtful else StoreResult.NOT_DONE
+        return JobAnswer(result, outcome.reason)
+
+    async def _write_by_owner(
+        self, job_id: JobId, record: bytes, reason: str
+    ) -> JobAnswer:
+        reply = await self._owner.ask(
+            lambda number: StoreJob(number, job_id, record),
+            self._options.store_timeout_s,
+        )
+        if isinstance(reply, StoreReply):
+            return JobAnswer(StoreResult(reply.result), f"through the owner; {reason}")
+        was_sent = isinstance(reply, NoAnswer) and reply.was_sent
+        result = StoreResult.UNKNOWN if was_sent else StoreResult.NOT_DONE
+        return JobAnswer(result, f"the owner gave no answer; {reason}")
+
+    async def write_once(self, group: WriteGroup) -> JobAnswer:
+        """Send a group once; a key that exists already counts as stored."""
+        outcome = await self._store.commit(group)
+        if isinstance(outcome, Swapped):
+            return JobAnswer(StoreResult.STORED)
+        if isinstance(outcome, GroupConflict):
+            return JobAnswer(StoreResult.STORED, "it was stored before")
+        if isinstance(outcome, Unavailable) and outcome.may_have_applied:
+            return JobAnswer(StoreResult.UNKNOWN, outcome.reason)
+        return JobAnswer(StoreResult.NOT_DONE, str(outcome))
+
+    async def relay(self, body: StoreJob) -> StoreReply:
+        """Store a job or a cancellation for another entry."""
+        if body.record:
+            key = job_key(body.job_id)
+            group = WriteGroup(((key, ABSENT_REVISION),), (Write(key, body.record),))
+        else:
+            group = _cancellation(body.job_id)
+        answer = await self.write_once(group)
+        if answer.result is StoreResult.STORED:
+            self._owner.tell(
+                JobStored(body.job_id, body.record)
+                if body.record
+                else JobCancelled(body.job_id)
+            )
+        return StoreReply(body.number, answer.result.value)
+
+    async def cancel(self, job_id: JobId, budget_s: float) -> JobAnswer:
+        """Cancel a job for good."""
+        began_s = steady_s()
+        found = await self.state(job_id)
+        if found.is_known and found.state is None:
+            answer = JobAnswer(StoreResult.NO_JOB)
+        else:
+            answer = await self._write(
+                job_id, b"", _cancellation(job_id), began_s + budget_s
+            )
+            if answer.result is StoreResult.STORED:
+                self._owner.tell(JobCancelled(job_id))
+        self._finish("job_cancel", "cancel", job_id, answer, began_s)
+        return answer
+
+    async def state(self, job_id: JobId) -> StateAnswer:
+        """Return a job's state."""
+        began_s = steady_s()
+        reply = await self._owner.ask(
+            lambda number: AskState(number, job_id), self._options.ask_timeout_s
+        )
+        if isinstance(reply, StateReply) and reply.state:
+            answer = StateAnswer(JobState(reply.state), True)
+        else:
+            answer = await self._stored_state(job_id)
+            self._log.line(
+                "state_from_store",
+                job=job_id,
+                owner=type(reply).__name__,
+                state=answer.state.value if answer.state is not None else "",
+                known=answer.is_known,
+                reason=answer.reason,
+            )
+        self._meters.observe_s("state", steady_s() - began_s)
+        return answer
+
+    async def _stored_state(self, job_id: JobId) -> StateAnswer:
+        found = await self._store.get(job_key(job_id))
+        if not isinstance(found, Found):
+            return StateAnswer(None, False, found.reason)
+        if found.item is None:
+            return StateAnswer(None, True)
+        spec = decode_spec(found.item.value)
+        run = await self._store.get(run_key(job_id))
+        if not isinstance(run, Found):
+            return StateAnswer(None, False, run.reason)
+        if run.item is None:
+            return StateAnswer(JobState.PENDING, True)
+        if isinstance(spec, Unreadable):
+            return StateAnswer(None, False, spec.reason)
+        book = decode_progress(job_id, spec, run.item.value)
+        if isinstance(book, Unreadable):
+            return StateAnswer(None, False, book.reason)
+        return StateAnswer(book.state, True)
+
+    async def n_pending(self, queue: QueueName) -> int | None:
+        """Return how many jobs of a queue have not begun; None if nobody can tell."""
+        reply = await self._owner.ask(
+            lambda number: AskPending(number, queue), self._options.ask_timeout_s
+        )
+        if isinstance(reply, PendingReply) and reply.n_jobs >= 0:
+            return reply.n_jobs
+        return None
+
+
+def _cancellation(job_id: JobId) -> WriteGroup:
+    key = cancel_key(job_id)
+    return WriteGroup(((key, ABSENT_REVISION),), (Write(key, b"1"),))
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -0,0 +1,438 @@
+"""The agent beside one worker: looks, orders, pace.
+
+1. The worker reports itself; the latest report names its present lifetime.
+2. An owner dials. The owner with the highest epoch is obeyed; its epoch is the fence
+   of every order, so the worker refuses what earlier owners have under way.
+3. Looks follow one another, each waiting for an end. Each passes on the lease that the
+   owner gave and the ends that it noted, and its listing goes to the owner.
+4. Orders run beside the looks. A void is answered only after a look that began once
+   the worker had answered the stop no longer lists the attempt.
+5. `FillPacer` sets the pace of the tasks that fill from the listed tail latencies.
+
+Without an owner the agent lengthens no lease.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any, Final
+
+from almondspan_decisions.fill_pace import FillPacer
+from almondspan_decisions.ids import WorkerId
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.link_server import LinkServer
+from almondspan_jobs.messages import (
+    FactsPush,
+    LeaseRenewal,
+    OwnerHello,
+    StartOrder,
+    StartReply,
+    StopOrder,
+    StopReply,
+    TaskFacts,
+    WorkerListing,
+    WorkerReport,
+)
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_platform.task_worker import (
+    LookFailed,
+    LookOrder,
+    RunningTask,
+    StartTask,
+    TaskWorker,
+    Verdict,
+    WorkerLook,
+    WorkerState,
+)
+from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.codec import Message
+
+__all__ = ["TaskKeeper"]
+
+
+@dataclass(slots=True)
+class _Life:
+    """What the agent holds of its worker's present lifetime."""
+
+    state: WorkerState
+    until_ms: int = 0
+    n_noted: int = 0
+    n_listed: int = 0
+    """Number of the last end that was passed on."""
+
+
+class TaskKeeper:
+    """One worker's agent."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        worker: TaskWorker,
+        options: JobOptions,
+        log: EventLog,
+        meters: Meters,
+    ) -> None:
+        self._worker: Final = worker
+        self._options: Final = options
+        self._log: Final = log
+        self._meters: Final = meters
+        self._server: Final = LinkServer(host, port, self._serve_owner)
+        self._life: _Life | None = None
+        self._epoch = 0
+        self._channel: StreamChannel | None = None
+        self._facts: dict[str, TaskFacts] = {}
+        self._pacer = FillPacer()
+        self._paces: dict[tuple[str, int], tuple[int, float]] = {}
+        self._changed: Final = asyncio.Event()
+        self._slots: Final = asyncio.Semaphore(options.n_orders_at_once)
+        self._orders: Final[set[asyncio.Task[None]]] = set()
+        self._look_task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen for owners and begin to look."""
+        await self._server.start()
+        self._look_task = asyncio.create_task(self._look_on())
+
+    async def close(self) -> None:
+        """Stop looking and end the channels; the worker's lease then passes."""
+        if self._look_task is not None:
+            self._look_task.cancel()
+            await asyncio.gather(self._look_task, return_exceptions=True)
+        for task in tuple(self._orders):
+            task.cancel()
+        await asyncio.gather(*self._orders, return_exceptions=True)
+        await self._server.close()
+
+    # The worker's own reports
+
+    def on_report(self, state: WorkerState) -> bool:
+        """Take in a report; False when a later lifetime is known already."""
+        life = self._life
+        if life is not None and life.state.born_ms > state.born_ms:
+            self._log.line(
+                "report_outdated", born=state.born_ms, known=life.state.born_ms
+            )
+            return False
+        is_new = life is None or (
+            (life.state.worker_id, life.state.born_ms)
+            != (state.worker_id, state.born_ms)
+        )
+        if is_new or life is None:
+            self._log.line(
+                "worker_life",
+                worker=state.worker_id,
+                born=state.born_ms,
+                before=str(life.state.worker_id) if life is not None else "",
+            )
+            self._life = life = _Life(state)
+            self._pacer = FillPacer()
+            self._paces.clear()
+        if state.is_leaving and (is_new or not life.state.is_leaving):
+            self._log.line(
+                "worker_leaving", worker=state.worker_id, leaves_ms=state.leaves_ms
+            )
+        life.state = state
+        self._changed.set()
+        self._send_report(has_left=False)
+        return True
+
+    def on_left(self, worker_id: WorkerId) -> None:
+        """Take in that the worker ends now."""
+        life = self._life
+        if life is None or life.state.worker_id != worker_id:
+            self._log.line("leave_unknown", worker=worker_id)
+            return
+        self._log.line("worker_left", worker=worker_id, born=life.state.born_ms)
+        self._send_report(has_left=True)
+
+    def _send_report(self, has_left: bool) -> None:
+        life = self._life
+        if life is None:
+            return
+        state = life.state
+        self._post(
+            WorkerReport(
+                state.worker_id,
+                state.born_ms,
+                state.service,
+                state.place,
+                state.capacity.cpu_millicores,
+                state.capacity.memory_mb,
+                state.capacity.n_accelerators,
+                list(state.labels),
+                state.is_leaving,
+                state.leaves_ms,
+                has_left,
+            )
+        )
+
+    def _post(self, body: Message) -> None:
+        if self._channel is not None:
+            self._channel.post(body)
+
+    # The owner
+
+    async def _serve_owner(self, channel: StreamChannel) -> None:
+        hello = await channel.receive()
+        if not isinstance(hello, OwnerHello):
+            self._log.line("link_malformed", got=type(hello).__name__)
+            return
+        if hello.epoch < self._epoch:
+            self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
+            return
+        self._log.line("owner_linked", owner=hello.owner, epoch=hello.epoch)
+        self._epoch = hello.epoch
+        self._channel = channel
+        self._send_report(has_left=False)
+        self._changed.set()
+        while True:
+            body = await channel.receive()
+            if isinstance(body, ChannelClosed):
+                break
+            if hello.epoch < self._epoch:
+                self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
+                break
+            self._on_message(body)
+        if self._channel is channel:
+            self._channel = None
+            self._log.line("owner_lost", owner=hello.owner, epoch=hello.epoch)
+
+    def _on_message(self, body: Message) -> None:
+        if isinstance(body, LeaseRenewal):
+            self._on_renewal(body)
+        elif isinstance(body, StartOrder):
+            self._facts[body.facts.task] = body.facts
+            self._spawn(self._start_task(body))
+        elif isinstance(body, StopOrder):
+            self._spawn(self._stop_task(body))
+        elif isinstance(body, FactsPush):
+            self._facts = {facts.task: facts for facts in body.tasks}
+
+    def _on_renewal(self, renewal: LeaseRenewal) -> None:
+        life = self._life
+        if life is None or life.state.born_ms != renewal.born_ms:
+            return
+        life.until_ms = max(life.until_ms, renewal.until_ms)
+        life.n_noted = max(life.n_noted, renewal.n_noted)
+        self._changed.set()
+
+    def _spawn(self, body: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(body)
+        self._orders.add(task)
+        task.add_done_callback(self._on_order_done)
+
+    def _on_order_done(self, task: asyncio.Task[None]) -> None:
+        self._orders.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.line("order_broken", error=repr(task.exception()))
+
+    # Orders
+
+    async def _start_task(self, order: StartOrder) -> None:
+        life = self._life
+        name = order.facts.task
+        if life is None or life.state.born_ms != order.born_ms:
+            verdict = Verdict.OTHER_LIFE
+        elif life.state.is_leaving:
+            verdict = Verdict.NOT_TAKEN
+        else:
+            async with self._slots:
+                verdict = await self._worker.start_task(
+                    life.state.worker_id,
+                    StartTask(
+                        name,
+                        order.attempt,
+                        order.payload,
+                        order.checkpoint,
+                        max(order.until_ms, life.until_ms),
+                        self._epoch,
+                    ),
+                )
+        self._meters.count(f"start_{verdict.value}")
+        self._log.line(
+            "start_answered",
+            task=name,
+            attempt=order.attempt,
+            born=order.born_ms,
+            fence=self._epoch,
+            verdict=verdict.value,
+        )
+        self._post(StartReply(order.born_ms, name, order.attempt, verdict.value))
+
+    async def _stop_task(self, order: StopOrder) -> None:
+        life = self._life
+        if life is None:
+            return
+        async with self._slots:
+            verdict = await self._worker.stop_task(
+                life.state.worker_id, order.task, order.attempt, self._epoch
+            )
+        self._log.line(
+            "stop_answered",
+            task=order.task,
+            attempt=order.attempt,
+            void=order.is_void,
+            verdict=verdict.value,
+        )
+        if order.is_void and verdict is Verdict.DONE:
+            await self._prove_absent(life, order)
+
+    async def _prove_absent(self, life: _Life, order: StopOrder) -> None:
+        """Answer a void after a look that no longer lists the attempt."""
+        look = await self._worker.look(
+            life.state.worker_id,
+            LookOrder(self._epoch, life.n_noted, life.until_ms, wait_ms=0),
+        )
+        if not isinstance(look, WorkerLook) or look.born_ms != life.state.born_ms:
+            return
+        self._pass_on(life, look)
+        if all(
+            (task.task, task.attempt) != (order.task, order.attempt)
+            for task in look.running
+        ):
+            self._post(StopReply(look.born_ms, order.task, order.attempt))
+
+    # Looks
+
+    async def _look_on(self) -> None:
+        while True:
+            life = self._life
+            if life is None or self._channel is None:
+                self._changed.clear()
+                await self._changed.wait()
+                continue
+            look = await self._look(life)
+            if isinstance(look, LookFailed):
+                self._log.line(
+                    "look_failed",
+                    worker=life.state.worker_id,
+                    verdict=look.verdict.value,
+                    reason=look.reason,
+                )
+                await asyncio.sleep(self._options.look_retry_s)
+                continue
+            if look.born_ms != life.state.born_ms:
+                self._log.line(
+                    "look_of_other_life", born=look.born_ms, known=life.state.born_ms
+                )
+                await asyncio.sleep(self._options.look_retry_s)
+                continue
+            self._pass_on(life, look)
+            await self._pace(life, look)
+            await self._wait_for_note(life, look)
+
+    async def _look(self, life: _Life) -> WorkerLook | LookFailed:
+        is_pacing = self._pacer.percent < 100 or self._has_both_kinds()
+        wait_ms = (
+            self._options.paced_look_wait_ms
+            if is_pacing
+            else self._options.look_wait_ms
+        )
+        if life.until_ms == 0:
+            wait_ms = 0
+        self._meters.count("looks")
+        return await self._worker.look(
+            life.state.worker_id,
+            LookOrder(self._epoch, life.n_noted, life.until_ms, wait_ms),
+        )
+
+    def _has_both_kinds(self) -> bool:
+        has_target = any(facts.tail_target_ms for facts in self._facts.values())
+        return has_target and any(facts.fills for facts in self._facts.values())
+
+    def _pass_on(self, life: _Life, look: WorkerLook) -> None:
+        self._post(
+            WorkerListing(
+                look.born_ms,
+                look.clock_ms,
+                [
+                    (
+                        task.task,
+                        task.attempt,
+                        task.checkpoint,
+                        task.percent,
+                        task.figure,
+                    )
+                    for task in look.running
+                ],
+                [
+                    (end.number, end.task, end.attempt, end.how.value, end.checkpoint)
+                    for end in look.ended
+                ],
+                self._pacer.percent,
+            )
+        )
+        for end in look.ended:
+            if end.number > life.n_listed:
+                life.n_listed = end.number
+                self._facts.pop(end.task, None)
+                self._meters.count(f"ended_{end.how.value}")
+
+    async def _wait_for_note(self, life: _Life, look: WorkerLook) -> None:
+        """Let the owner store the listed ends, so that the next look can wait."""
+        if not look.ended:
+            return
+        last = look.ended[-1].number
+        until_s = steady_s() + self._options.note_wait_s
+        while life is self._life and life.n_noted < last:
+            left_s = until_s - steady_s()
+            if left_s <= 0:
+                return
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
+    # Pace
+
+    async def _pace(self, life: _Life, look: WorkerLook) -> None:
+        worst: float | None = None
+        fills: list[RunningTask] = []
+        for task in look.running:
+            facts = self._facts.get(task.task)
+            if facts is None:
+                continue
+            if facts.tail_target_ms:
+                worst = max(worst or 0.0, task.figure / facts.tail_target_ms)
+            if facts.fills:
+                fills.append(task)
+        before = self._pacer.percent
+        percent = self._pacer.look(worst if fills else None)
+        if percent != before:
+            self._log.line(
+                "pace_changed",
+                before=before,
+                now=percent,
+                worst_share=round(worst or 0.0, 3),
+                n_fills=len(fills),
+            )
+        now_s = steady_s()
+        due = [task for task in fills if self._is_pace_due(task, percent, now_s)]
+        await asyncio.gather(
+            *(self._pace_task(life, task, percent, now_s) for task in due)
+        )
+        running = {(task.task, task.attempt) for task in look.running}
+        self._paces = {key: pace for key, pace in self._paces.items() if key in running}
+
+    def _is_pace_due(self, task: RunningTask, percent: int, now_s: float) -> bool:
+        sent, sent_s = self._paces.get((task.task, task.attempt), (100, 0.0))
+        if sent != percent:
+            return True
+        is_old = now_s - sent_s > self._options.pace_repeat_s
+        return percent < 100 and is_old
+
+    async def _pace_task(
+        self, life: _Life, task: RunningTask, percent: int, now_s: float
+    ) -> None:
+        verdict = await self._worker.pace_task(
+            life.state.worker_id, task.task, task.attempt, percent, self._epoch
+        )
+        if verdict is Verdict.DONE:
+            self._paces[(task.task, task.attempt)] = (percent, now_s)
+        else:
+            self._log.line("pace_refused", task=task.task, verdict=verdict.value)
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -0,0 +1,342 @@
+"""Which entry owns the jobs: beliefs about members, takeover, step-down.
+
+Every entry watches the members' keys: the owner's, which lies under the owner's lease,
+and one for each agent. An entry that sees no owner's key takes over by one group of
+writes: the key must be absent, and the head, which gets the next epoch, unchanged.
+The owner renews its lease; when its key was lost while the head is still its own, it
+writes the key again. It ends when the head was changed by somebody else.
+
+The states: FOLLOWING, TAKING, OWNING, CLOSED.
+"""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Mapping
+from typing import Any, Final
+
+from transitions import Machine
+
+from almondspan_decisions.job_graph import QueueName, QueueRules
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.committer import HeadCommitter
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.owner import Owner
+from almondspan_jobs.records import (
+    AGENT_PREFIX,
+    HEAD_KEY,
+    MEMBERS_PREFIX,
+    OWNER_KEY,
+    AgentRecord,
+    HeadRecord,
+    OwnerRecord,
+    Unreadable,
+    decode_record,
+    encode_record,
+)
+from almondspan_platform.group_store import GroupStore, Write, WriteGroup
+from almondspan_platform.store import (
+    ABSENT_REVISION,
+    Found,
+    KeyValue,
+    LeaseGranted,
+    LeaseId,
+    LeaseLapsed,
+    RangeFound,
+    Revision,
+    Swapped,
+    WatchEvent,
+    WatchLost,
+)
+
+__all__ = ["Leadership"]
+
+STATES: Final = ["following", "taking", "owning", "closed"]
+
+
+class Leadership:
+    """One entry's part in the ownership of jobs."""
+
+    state: str
+
+    def __init__(
+        self,
+        node: str,
+        host: str,
+        port: int,
+        store: GroupStore,
+        options: JobOptions,
+        log: EventLog,
+        meters: Meters,
+        rng: random.Random,
+        on_owner: Callable[[OwnerRecord | None], None],
+    ) -> None:
+        self._node: Final = node
+        self._host: Final = host
+        self._port: Final = port
+        self._store: Final = store
+        self._options: Final = options
+        self._log: Final = log
+        self._meters: Final = meters
+        self._rng: Final = rng
+        self._on_owner: Final = on_owner
+        self._machine = Machine(model=self, states=STATES, initial="following")
+        self._machine.add_transition("begin", "following", "taking")
+        self._machine.add_transition("give_up", "taking", "following")
+        self._machine.add_transition("win", "taking", "owning")
+        self._machine.add_transition("step_down", "owning", "following")
+        self._machine.add_transition("end", "*", "closed")
+        self._agents: dict[str, AgentRecord] = {}
+        self._rules: Mapping[QueueName, QueueRules] = {}
+        self.owner_record: OwnerRecord | None = None
+        self.owner: Owner | None = None
+        self._lease: LeaseId | None = None
+        self._is_vacant: Final = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to watch the members, ready to take over."""
+        self._tasks = [
+            asyncio.create_task(self._watch_members()),
+            asyncio.create_task(self._take_turns()),
+        ]
+        for task in self._tasks:
+            task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.line("leadership_failed", error=repr(task.exception()))
+
+    async def close(self) -> None:
+        """Give the ownership up at once and stop watching."""
+        self.trigger_event("end")
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.owner is not None:
+            await self.owner.close()
+            await self._resign()
+            self.owner = None
+
+    def trigger_event(self, name: str) -> None:
+        """Change the state and log it."""
+        before = self.state
+        trigger: Any = getattr(self, name)
+        trigger()
+        self._log.line("leadership", before=before, now=self.state)
+
+    def set_rules(self, rules: Mapping[QueueName, QueueRules]) -> None:
+        """Take in the queues of a newer configuration."""
+        self._rules = rules
+        if self.owner is not None:
+            self.owner.scheduler.rules = rules
+            self.owner.scheduler.wants_plan = True
+            self.owner.wake()
+
+    # Members
+
+    async def _watch_members(self) -> None:
+        after: Revision | None = None
+        while True:
+            if after is None:
+                after = await self._read_members()
+                continue
+            event = await self._store.changes(
+                MEMBERS_PREFIX, after, self._options.watch_wait_s
+            )
+            if isinstance(event, WatchEvent):
+                after = event.revision
+                await self._take_changes(event.changed, event.deleted)
+            elif isinstance(event, WatchLost):
+                self._log.line("watch_lost", prefix=MEMBERS_PREFIX, why=event.reason)
+                after = None
+            else:
+                self._log.line("watch_unanswered", reason=event.reason)
+                await asyncio.sleep(self._options.retry_s)
+                after = None
+
+    async def _read_members(self) -> Revision | None:
+        found = await self._store.get_range(MEMBERS_PREFIX)
+        if not isinstance(found, RangeFound):
+            self._log.line("members_unanswered", reason=found.reason)
+            await asyncio.sleep(self._options.retry_s)
+            return None
+        keys = {item.key for item in found.items}
+        known = {AGENT_PREFIX + node for node in self._agents}
+        missing = known - keys
+        if OWNER_KEY not in keys:
+            missing.add(OWNER_KEY)
+        await self._take_changes(found.items, tuple(missing))
+        return found.revision
+
+    async def _take_changes(
+        self, changed: tuple[KeyValue, ...], deleted: tuple[str, ...]
+    ) -> None:
+        for item in changed:
+            self._take_item(item)
+        for key in deleted:
+            if key == OWNER_KEY:
+                self._set_owner(None)
+            else:
+                self._agents.pop(key.removeprefix(AGENT_PREFIX), None)
+        if self.owner is not None:
+            await self.owner.set_agents(self._agents)
+
+    def _take_item(self, item: KeyValue) -> None:
+        if item.key == OWNER_KEY:
+            record = decode_record(OwnerRecord, item.value)
+            if not isinstance(record, Unreadable):
+                self._set_owner(record)
+                return
+        elif item.key.startswith(AGENT_PREFIX):
+            agent = decode_record(AgentRecord, item.value)
+            if not isinstance(agent, Unreadable):
+                self._agents[item.key.removeprefix(AGENT_PREFIX)] = agent
+                return
+        self._log.line("record_unreadable", key=item.key, revision=item.revision)
+
+    def _set_owner(self, record: OwnerRecord | None) -> None:
+        if record == self.owner_record:
+            if record is None:
+                self._is_vacant.set()
+            return
+        self.owner_record = record
+        self._log.line("owner_known", owner=str(record))
+        if record is None:
+            self._is_vacant.set()
+        else:
+            self._is_vacant.clear()
+        self._on_owner(record)
+
+    # Taking over
+
+    async def _take_turns(self) -> None:
+        while True:
+            await self._is_vacant.wait()
+            jitter_s = self._rng.uniform(0, self._options.takeover_jitter_s)
+            await asyncio.sleep(jitter_s)
+            if not self._is_vacant.is_set():
+                continue
+            self.trigger_event("begin")
+            committer = await self._take_over()
+            if committer is None:
+                self.trigger_event("give_up")
+                await asyncio.sleep(self._options.retry_s)
+                continue
+            self.trigger_event("win")
+            await self._own(committer)
+            self.trigger_event("step_down")
+
+    async def _take_over(self) -> HeadCommitter | None:
+        lease = await self._store.grant_lease(self._options.owner_ttl_s)
+        found = await self._store.get(HEAD_KEY)
+        if not isinstance(lease, LeaseGranted) or not isinstance(found, Found):
+            self._log.line("takeover_failed", lease=str(lease), head=str(found)[:200])
+            return None
+        epoch, revision = _epoch_of(found)
+        if epoch is None:
+            self._log.line("record_unreadable", key=HEAD_KEY, revision=revision)
+            return None
+        head = HeadRecord(epoch + 1, self._node, secrets.token_hex(8))
+        record = OwnerRecord(head.epoch, self._node, self._host, self._port)
+        group = WriteGroup(
+            ((OWNER_KEY, ABSENT_REVISION), (HEAD_KEY, revision)),
+            (
+                Write(OWNER_KEY, encode_record(record), lease.lease_id),
+                Write(HEAD_KEY, encode_record(head)),
+            ),
+        )
+        sent_s = steady_s()
+        outcome = await self._store.commit(group)
+        if not isinstance(outcome, Swapped):
+            # A write without an answer that comes into effect later is not kept
+            # alive: its key goes with the lease.
+            self._log.line("takeover_refused", outcome=str(outcome)[:200])
+            return None
+        self._lease = lease.lease_id
+        self._set_owner(record)
+        self._log.line("takeover", epoch=head.epoch, revision=outcome.revision)
+        return HeadCommitter(
+            self._store,
+            head,
+            outcome.revision,
+            sent_s,
+            self._options,
+            self._log,
+            self._meters,
+        )
+
+    async def _own(self, committer: HeadCommitter) -> None:
+        owner = Owner(
+            self._node,
+            self._store,
+            committer,
+            self._options,
+            self._log,
+            self._meters,
+            self._rng,
+        )
+        self.owner = owner
+        try:
+            await owner.start(self._rules)
+            await owner.set_agents(self._agents)
+            await self._keep_until_end(owner, committer)
+        finally:
+            if self.state != "closed":
+                await owner.close()
+                self.owner = None
+
+    async def _keep_until_end(self, owner: Owner, committer: HeadCommitter) -> None:
+        while not owner.ended.is_set():
+            try:
+                async with asyncio.timeout(self._options.keep_interval_s):
+                    await owner.ended.wait()
+            except TimeoutError:
+                await self._keep(committer)
+
+    async def _keep(self, committer: HeadCommitter) -> None:
+        assert self._lease is not None
+        kept = await self._store.keep_lease(self._lease)
+        if isinstance(kept, LeaseLapsed) or self.owner_record is None:
+            self._log.line("owner_key_lost", epoch=committer.epoch, lease=str(kept))
+            await self._restore_key(committer)
+        elif not isinstance(kept, LeaseGranted):
+            self._log.line("keep_unanswered", reason=str(kept))
+
+    async def _restore_key(self, committer: HeadCommitter) -> None:
+        lease = await self._store.grant_lease(self._options.owner_ttl_s)
+        if not isinstance(lease, LeaseGranted):
+            self._log.line("lease_refused", reason=str(lease))
+            return
+        record = OwnerRecord(committer.epoch, self._node, self._host, self._port)
+        write = Write(OWNER_KEY, encode_record(record), lease.lease_id)
+        if await committer.commit((write,)):
+            self._lease = lease.lease_id
+            self._set_owner(record)
+
+    async def _resign(self) -> None:
+        """Remove the owner's key so that another entry takes over at once."""
+        record = self.owner_record
+        if record is None or record.node != self._node:
+            return
+        found = await self._store.get(OWNER_KEY)
+        if not isinstance(found, Found) or found.item is None:
+            self._log.line("resign_skipped", found=str(found)[:200])
+            return
+        if decode_record(OwnerRecord, found.item.value) != record:
+            return
+        group = WriteGroup(((OWNER_KEY, found.item.revision),), removals=(OWNER_KEY,))
+        outcome = await self._store.commit(group)
+        self._log.line("resigned", epoch=record.epoch, outcome=type(outcome).__name__)
+
+
+def _epoch_of(found: Found) -> tuple[int | None, Revision]:
+    """Return the stored epoch and the head's revision; None if it is unreadable."""
+    if found.item is None:
+        return 0, ABSENT_REVISION
+    head = decode_record(HeadRecord, found.item.value)
+    if isinstance(head, Unreadable):
+        return None, found.item.revision
+    return head.epoch, found.item.revision
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -0,0 +1,203 @@
+"""Messages between entries, the owner and agents.
+
+The owner dials every agent and opens with `OwnerHello`; entries dial the owner. All
+orders name the worker's lifetime, so that none reaches a later one, and every message
+to an agent is valid for the epoch of its channel only. A repeated order has no further
+effect.
+"""
+
+from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
+from almondspan_decisions.job_graph import QueueName
+from almondspan_wire.codec import Message, message
+
+__all__ = [
+    "AskPending",
+    "AskState",
+    "FactsPush",
+    "JobCancelled",
+    "JobStored",
+    "LeaseRenewal",
+    "OwnerHello",
+    "PendingReply",
+    "StartOrder",
+    "StartReply",
+    "StateReply",
+    "StopOrder",
+    "StopReply",
+    "StoreJob",
+    "StoreReply",
+    "TaskFacts",
+    "WorkerListing",
+    "WorkerReport",
+]
+
+
+@message
+class OwnerHello(Message, frozen=True, tag="j-hello"):
+    """The owner's first message to an agent; the epoch is the fence of its orders."""
+
+    epoch: int
+    owner: str
+
+
+@message
+class LeaseRenewal(Message, frozen=True, tag="j-renew"):
+    """Lengthens a worker's lease and notes the ends whose effect is stored."""
+
+    born_ms: int
+    until_ms: int
+    n_noted: int
+
+
+class TaskFacts(Message, frozen=True):
+    """What an agent must know of a task to pace it."""
+
+    task: str
+    image: str
+    tail_target_ms: int
+    fills: bool
+
+
+@message
+class FactsPush(Message, frozen=True, tag="j-facts"):
+    """The facts of every task assigned to the agent's worker."""
+
+    tasks: list[TaskFacts]
+
+
+@message
+class StartOrder(Message, frozen=True, tag="j-start"):
+    """Starts one attempt."""
+
+    born_ms: int
+    attempt: int
+    payload: str
+    checkpoint: str
+    until_ms: int
+    facts: TaskFacts
+
+
+@message
+class StartReply(Message, frozen=True, tag="j-started"):
+    """What the worker answered to a start."""
+
+    born_ms: int
+    task: str
+    attempt: int
+    verdict: str
+
+
+@message
+class StopOrder(Message, frozen=True, tag="j-stop"):
+    """Stops an attempt; `is_void` also asks for proof that it is not there."""
+
+    task: str
+    attempt: int
+    is_void: bool = False
+
+
+@message
+class StopReply(Message, frozen=True, tag="j-void"):
+    """The attempt can't start any more on the life that was asked.
+
+    Sent after a listing that began once the worker had answered the stop.
+    """
+
+    born_ms: int
+    task: str
+    attempt: int
+
+
+@message
+class WorkerReport(Message, frozen=True, tag="j-worker"):
+    """The agent's worker as it last described itself."""
+
+    worker_id: WorkerId
+    born_ms: int
+    service: ServiceName
+    place: PlaceName
+    cpu_millicores: int
+    memory_mb: int
+    n_accelerators: int
+    labels: list[str]
+    is_leaving: bool
+    leaves_ms: int
+    has_left: bool = False
+
+
+@message
+class WorkerListing(Message, frozen=True, tag="j-list"):
+    """What the worker listed: rows of task, attempt, checkpoint, percent, figure
+    and rows of number, task, attempt, how, checkpoint.
+    """
+
+    born_ms: int
+    clock_ms: int
+    running: list[tuple[str, int, str, int, float]]
+    ended: list[tuple[int, str, int, str, str]]
+    fill_percent: int = 100
+
+
+@message
+class AskState(Message, frozen=True, tag="j-state?"):
+    """Asks the owner for a job's state."""
+
+    number: int
+    job_id: JobId
+
+
+@message
+class StateReply(Message, frozen=True, tag="j-state"):
+    """The state as callers are told it; empty when the owner does not know the job."""
+
+    number: int
+    state: str
+
+
+@message
+class AskPending(Message, frozen=True, tag="j-pending?"):
+    """Asks the owner how many jobs of a queue have not begun."""
+
+    number: int
+    queue: QueueName
+
+
+@message
+class PendingReply(Message, frozen=True, tag="j-pending"):
+    """The count; -1 when the owner can't tell now."""
+
+    number: int
+    n_jobs: int
+
+
+@message
+class JobStored(Message, frozen=True, tag="j-stored"):
+    """Tells the owner of a stored job before its watch does."""
+
+    job_id: JobId
+    record: bytes
+
+
+@message
+class JobCancelled(Message, frozen=True, tag="j-cancelled"):
+    """Tells the owner of a stored cancellation before its watch does."""
+
+    job_id: JobId
+
+
+@message
+class StoreJob(Message, frozen=True, tag="j-store"):
+    """Asks the owner to store a job or a cancellation for an entry without a store."""
+
+    number: int
+    job_id: JobId
+    record: bytes
+    """Empty for a cancellation."""
+
+
+@message
+class StoreReply(Message, frozen=True, tag="j-store-reply"):
+    """What became of it, as the name of a `StoreResult`."""
+
+    number: int
+    result: str
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -0,0 +1,76 @@
+"""Options of jobs, with their defaults.
+
+The bounds that a platform sets (lease, stop, drain, retention) come from its settings;
+the others are the product's own.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["JobOptions"]
+
+
+@dataclass(frozen=True, slots=True)
+class JobOptions:
+    """Times and limits of entries, the owner and agents."""
+
+    # The worker's lease.
+    lease_ms: int = 5_500
+    """Length of a renewal, on the worker's clock."""
+    lease_step_ms: int = 400
+    """A lease is renewed once it can grow by this."""
+    clock_drift: float = 0.02
+    """A worker's clock may be slower than ours by this share."""
+    lease_margin_s: float = 0.3
+    unconfirmed_s: float = 9.0
+    """Leases never reach further than this past the owner's last proof of ownership."""
+
+    # The agent.
+    look_wait_ms: int = 1_000
+    """A look waits this long for an end."""
+    paced_look_wait_ms: int = 400
+    """The same while tasks that fill run beside tasks with a tail target."""
+    order_timeout_s: float = 0.4
+    look_timeout_s: float = 0.6
+    """Beyond the time that the look itself waits."""
+    look_retry_s: float = 0.15
+    note_wait_s: float = 0.2
+    """After ends were listed, the next look waits so long for them to be noted."""
+    n_orders_at_once: int = 12
+    pace_repeat_s: float = 1.5
+
+    # The owner.
+    owner_ttl_s: float = 1.5
+    keep_interval_s: float = 0.4
+    confirm_interval_s: float = 1.0
+    takeover_jitter_s: float = 0.1
+    watch_wait_s: float = 4.0
+    config_wait_s: float = 1.0
+    retry_s: float = 0.1
+    dial_timeout_s: float = 0.6
+    dial_retry_s: float = 0.4
+    plan_delay_s: float = 0.003
+    """Events within this time are planned together."""
+    tick_s: float = 0.2
+    max_jobs_per_commit: int = 14
+    order_repeat_s: float = 0.6
+    """An order without a sign of effect is sent again."""
+    absent_s: float = 1.6
+    """A task placed so long ago that its worker does not list is made void."""
+    gone_delay_s: float = 0.5
+    """A worker that said it has left is taken as empty after this."""
+    stall_s: float = 1.5
+    """A task whose progress does not rise for this long stands still."""
+    fill_stall_s: float = 6.0
+    finished_retention_s: float = 150.0
+    """A finished job is forgotten after this."""
+
+    # The entry.
+    store_timeout_s: float = 1.2
+    refuse_after_s: float = 0.3
+    """A write that was refused for certain is tried again for this long."""
+    answer_margin_s: float = 0.4
+    """An answer leaves this long before its caller stops waiting."""
+    ask_timeout_s: float = 0.5
+    max_payload_bytes: int = 4_000
+    max_tasks_per_job: int = 5_000
+    retry_after_ms: int = 500
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -0,0 +1,304 @@
+"""The owner of all jobs for one epoch.
+
+1. Load: read every job with its progress, after the takeover made earlier owners
+   unable to write.
+2. Serve: keep a channel to each agent; plan and store decisions in groups; watch for
+   jobs and cancellations; repeat what has had no effect.
+3. End: when the head was written by another owner, or the process drains. Nothing of
+   the owner's memory outlives it.
+"""
+
+import asyncio
+import random
+from collections.abc import Coroutine, Mapping
+from typing import Any, Final
+
+from almondspan_decisions.ids import JobId, WorkerId
+from almondspan_decisions.job_graph import QueueName, QueueRules
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.committer import HeadCommitter
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.messages import (
+    AskPending,
+    AskState,
+    JobCancelled,
+    JobStored,
+    PendingReply,
+    StateReply,
+)
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import (
+    JOBS_PREFIX,
+    RUNS_PREFIX,
+    AgentRecord,
+    Unreadable,
+    decode_progress,
+    decode_spec,
+)
+from almondspan_jobs.scheduler import Scheduler
+from almondspan_jobs.worker_link import WorkerLink
+from almondspan_platform.group_store import GroupStore
+from almondspan_platform.store import (
+    KeyValue,
+    RangeFound,
+    Revision,
+    WatchEvent,
+    WatchLost,
+)
+from almondspan_wire.codec import Message
+
+__all__ = ["Owner"]
+
+TICKS_PER_SWEEP: Final = 50
+"""Finished jobs are forgotten every so many ticks."""
+
+
+class Owner:
+    """One epoch's owner, from its takeover to its end."""
+
+    def __init__(
+        self,
+        node: str,
+        store: GroupStore,
+        committer: HeadCommitter,
+        options: JobOptions,
+        log: EventLog,
+        meters: Meters,
+        rng: random.Random,
+    ) -> None:
+        self._node: Final = node
+        self._store: Final = store
+        self._committer: Final = committer
+        self._options: Final = options
+        self._log: Final = log
+        self._meters: Final = meters
+        self._rng: Final = rng
+        self._links_by_worker: Final[dict[WorkerId, WorkerLink]] = {}
+        self._links: Final[dict[str, WorkerLink]] = {}
+        self.scheduler: Final = Scheduler(
+            options, log, meters, self._post, lambda: committer.confirmed_s
+        )
+        self._tasks: Final[list[asyncio.Task[None]]] = []
+        self._wake: Final = asyncio.Event()
+        self._loaded_at: Revision | None = None
+        self.ended: Final = asyncio.Event()
+
+    @property
+    def epoch(self) -> int:
+        """The owner's epoch."""
+        return self._committer.epoch
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether the books are loaded and the ownership was proved lately."""
+        age_s = steady_s() - self._committer.confirmed_s
+        is_recent = age_s < 2 * self._options.confirm_interval_s
+        return self._loaded_at is not None and is_recent and not self.ended.is_set()
+
+    async def start(self, rules: Mapping[QueueName, QueueRules]) -> None:
+        """Begin to load and serve."""
+        self.scheduler.rules = rules
+        self._spawn(self._run())
+
+    def _spawn(self, body: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(body)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.append(task)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.line("owner_task_failed", error=repr(task.exception()))
+            self.ended.set()
+
+    async def close(self) -> None:
+        """End every task and channel."""
+        self.ended.set()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._links.values():
+            await link.close()
+
+    async def set_agents(self, agents: Mapping[str, AgentRecord]) -> None:
+        """Link the agents that are registered now."""
+        for node, link in tuple(self._links.items()):
+            if agents.get(node) != link.address:
+                del self._links[node]
+                await link.close()
+        for node, address in agents.items():
+            if node not in self._links:
+                await self._link(node, address)
+
+    async def _link(self, node: str, address: AgentRecord) -> None:
+        link = WorkerLink(
+            node,
+            address,
+            self.epoch,
+            self._node,
+            self.scheduler,
+            self._links_by_worker,
+            self.wake,
+            self._options,
+            self._log,
+            self._rng,
+        )
+        self._links[node] = link
+        await link.start()
+
+    def _post(self, worker_id: WorkerId, body: Message) -> bool:
+        link = self._links_by_worker.get(worker_id)
+        return link is not None and link.post(body)
+
+    def wake(self) -> None:
+        """Plan and store soon."""
+        self._wake.set()
+
+    # Loading
+
+    async def _run(self) -> None:
+        loaded_at = await self._load()
+        self._loaded_at = loaded_at
+        self._spawn(self._watch_jobs(loaded_at))
+        self._spawn(self._tick())
+        self._spawn(self._confirm())
+        await self._decide()
+
+    async def _range(self, prefix: str) -> RangeFound:
+        while True:
+            found = await self._store.get_range(prefix)
+            if isinstance(found, RangeFound):
+                return found
+            self._log.line("load_unanswered", prefix=prefix, reason=found.reason)
+            await asyncio.sleep(self._options.retry_s)
+
+    async def _load(self) -> Revision:
+        began_s = steady_s()
+        jobs = await self._range(JOBS_PREFIX)
+        runs = await self._range(RUNS_PREFIX)
+        progress = {item.key.removeprefix(RUNS_PREFIX): item for item in runs.items}
+        for item in jobs.items:
+            self._load_job(item, progress)
+        self._take_items(jobs.items)
+        self._log.line(
+            "owner_loaded",
+            epoch=self.epoch,
+            n_jobs=len(self.scheduler.jobs),
+            revision=jobs.revision,
+            took_ms=int((steady_s() - began_s) * 1000),
+        )
+        return jobs.revision
+
+    def _load_job(self, item: KeyValue, progress: Mapping[str, KeyValue]) -> None:
+        name, _, kind = item.key.removeprefix(JOBS_PREFIX).partition("/")
+        run = progress.get(name)
+        if kind != "job" or run is None:
+            return
+        spec = decode_spec(item.value)
+        if isinstance(spec, Unreadable):
+            self._log.line("record_unreadable", key=item.key, reason=spec.reason)
+            return
+        book = decode_progress(JobId(name), spec, run.value)
+        if isinstance(book, Unreadable):
+            self._log.line("record_unreadable", key=run.key, reason=book.reason)
+            return
+        self.scheduler.load(book)
+
+    # Jobs
+
+    def _take_items(self, items: tuple[KeyValue, ...]) -> None:
+        """Take in stored jobs first, then cancellations."""
+        cancelled = []
+        for item in items:
+            name, _, kind = item.key.removeprefix(JOBS_PREFIX).partition("/")
+            if kind == "job":
+                self.take_job(JobId(name), item.value)
+            elif kind == "cancel":
+                cancelled.append(JobId(name))
+        for job_id in cancelled:
+            self.scheduler.cancel_job(job_id)
+        self.wake()
+
+    def take_job(self, job_id: JobId, record: bytes) -> None:
+        """Take in a job that lies in the store."""
+        if job_id in self.scheduler.jobs:
+            return
+        spec = decode_spec(record)
+        if isinstance(spec, Unreadable):
+            self._log.line("record_unreadable", key=job_id, reason=spec.reason)
+            return
+        self.scheduler.add_job(job_id, spec)
+
+    async def _watch_jobs(self, after: Revision) -> None:
+        while True:
+            event = await self._store.changes(
+                JOBS_PREFIX, after, self._options.watch_wait_s
+            )
+            if isinstance(event, WatchEvent):
+                self._take_items(event.changed)
+                after = event.revision
+            elif isinstance(event, WatchLost):
+                self._log.line("watch_lost", prefix=JOBS_PREFIX, reason=event.reason)
+                found = await self._range(JOBS_PREFIX)
+                self._take_items(found.items)
+                after = found.revision
+            else:
+                self._log.line("watch_unanswered", reason=event.reason)
+                await asyncio.sleep(self._options.retry_s)
+
+    def answer(self, body: Message) -> Message | None:
+        """Answer an entry's message; None for one that needs no answer."""
+        if isinstance(body, AskState):
+            state = self.scheduler.shown.get(body.job_id) if self.is_serving else None
+            return StateReply(body.number, state.value if state is not None else "")
+        if isinstance(body, AskPending):
+            n_jobs = self.scheduler.n_pending(body.queue) if self.is_serving else -1
+            return PendingReply(body.number, n_jobs)
+        if isinstance(body, JobStored) and self._loaded_at is not None:
+            self.take_job(body.job_id, body.record)
+        elif isinstance(body, JobCancelled) and self._loaded_at is not None:
+            self.scheduler.cancel_job(body.job_id)
+        self.wake()
+        return None
+
+    # Deciding
+
+    async def _decide(self) -> None:
+        """Plan what waits and store what changed, group by group."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(self._options.plan_delay_s)
+            self._wake.clear()
+            if self.scheduler.wants_plan:
+                began_s = steady_s()
+                self.scheduler.plan()
+                self._meters.observe_s("plan", steady_s() - began_s)
+            while self.scheduler.is_dirty:
+                snapshot = self.scheduler.snapshot()
+                if not await self._committer.commit(snapshot.writes):
+                    self.ended.set()
+                    return
+                self.scheduler.on_stored(snapshot)
+
+    async def _tick(self) -> None:
+        n_ticks = 0
+        while True:
+            await asyncio.sleep(self._options.tick_s)
+            self.scheduler.tick()
+            self.wake()
+            n_ticks += 1
+            if n_ticks % TICKS_PER_SWEEP == 0:
+                keys = self.scheduler.forget_finished()
+                if keys and not await self._committer.commit((), keys):
+                    self.ended.set()
+
+    async def _confirm(self) -> None:
+        """Prove the ownership by a read while nothing is stored."""
+        while True:
+            await asyncio.sleep(self._options.confirm_interval_s / 4)
+            age_s = steady_s() - self._committer.confirmed_s
+            if age_s >= self._options.confirm_interval_s:
+                await self._committer.confirm()
+            if self._committer.is_lost:
+                self.ended.set()
+                return
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/owner_link.py
@@ -0,0 +1,139 @@
+"""An entry's link to the owner: questions with answers, and things to tell.
+
+The owner may be this process; then nothing is sent. Otherwise one channel is kept to
+the owner that the store names, and dialled again when it ends. A question has a number;
+its answer ends the wait, and so do the end of the channel and the time limit.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.link_server import dial
+from almondspan_jobs.messages import PendingReply, StateReply, StoreReply
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import OwnerRecord
+from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.codec import Message
+
+__all__ = ["NoAnswer", "OwnerLink"]
+
+Local = Callable[[Message], Awaitable[Message | None]]
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A question without an answer; the owner has not seen it unless it was sent."""
+
+    was_sent: bool
+
+
+class OwnerLink:
+    """Reaches whichever process owns the jobs."""
+
+    def __init__(
+        self,
+        node: str,
+        local: Local,
+        options: JobOptions,
+        log: EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._node: Final = node
+        self._local: Final = local
+        self._options: Final = options
+        self._log: Final = log
+        self._rng: Final = rng
+        self._record: OwnerRecord | None = None
+        self._channel: StreamChannel | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._waits: Final[dict[int, asyncio.Future[Message]]] = {}
+        self._background: Final[set[asyncio.Task[Message | None]]] = set()
+        self._number = 0
+
+    def set_owner(self, record: OwnerRecord | None) -> None:
+        """Follow the owner that the store names now; keep the last when it is None."""
+        if record is None or record == self._record:
+            return
+        self._record = record
+        if self._task is not None:
+            self._task.cancel()
+        self._task = None
+        if record.node != self._node:
+            self._task = asyncio.create_task(self._run(record))
+
+    async def close(self) -> None:
+        """End the channel."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def tell(self, body: Message) -> None:
+        """Send without an answer; what is lost here the owner's watch still sees."""
+        if self.is_local:
+            task = asyncio.ensure_future(self._local(body))
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+        elif self._channel is not None:
+            self._channel.post(body)
+
+    @property
+    def is_local(self) -> bool:
+        """Tell whether this process is the owner."""
+        return self._record is not None and self._record.node == self._node
+
+    async def ask(
+        self, make: Callable[[int], Message], timeout_s: float
+    ) -> Message | NoAnswer:
+        """Return the owner's answer, or that there was none in time."""
+        self._number += 1
+        number = self._number
+        if self.is_local:
+            return await self._local(make(number)) or NoAnswer(was_sent=False)
+        if self._channel is None or not self._channel.post(make(number)):
+            return NoAnswer(was_sent=False)
+        wait: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._waits[number] = wait
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await wait
+        except (TimeoutError, ConnectionError):
+            return NoAnswer(was_sent=True)
+        finally:
+            self._waits.pop(number, None)
+
+    async def _run(self, record: OwnerRecord) -> None:
+        while True:
+            channel = await dial(record.host, record.port, self._options.dial_timeout_s)
+            if isinstance(channel, str):
+                self._log.line("owner_unreachable", owner=record.node, why=channel)
+                jitter = self._rng.uniform(0.5, 1.5)
+                await asyncio.sleep(self._options.dial_retry_s * jitter)
+                continue
+            self._log.line("owner_linked", owner=record.node, epoch=record.epoch)
+            self._channel = channel
+            try:
+                await self._read(channel, record)
+            finally:
+                self._channel = None
+                self._fail_waits()
+                await channel.close()
+
+    async def _read(self, channel: StreamChannel, record: OwnerRecord) -> None:
+        while True:
+            body = await channel.receive()
+            if isinstance(body, ChannelClosed):
+                self._log.line("owner_lost", owner=record.node, cause=body.cause.value)
+                return
+            if isinstance(body, StateReply | PendingReply | StoreReply):
+                wait = self._waits.get(body.number)
+                if wait is not None and not wait.done():
+                    wait.set_result(body)
+
+    def _fail_waits(self) -> None:
+        for wait in self._waits.values():
+            if not wait.done():
+                wait.set_exception(ConnectionError("the channel ended"))
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -0,0 +1,223 @@
+"""What lies in the store of jobs, and under which keys.
+
+=====================  ==================================================
+key                    value
+=====================  ==================================================
+``as/m/owner``         `OwnerRecord`, under the owner's lease
+``as/m/agent/<node>``  `AgentRecord`: where an agent listens
+``as/head``            `HeadRecord`, written with every group of decisions
+``as/in/<job>/job``    the `JobSpec`, written once by an entry
+``as/in/<job>/cancel`` the cancellation, written by an entry
+``as/run/<job>``       the progress of the job, written by the owner
+=====================  ==================================================
+
+A record that can't be read is an outcome (`Unreadable`), never an empty record.
+"""
+
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import msgspec
+
+from almondspan_decisions.ids import JobId, WorkerId
+from almondspan_decisions.job_book import (
+    JobBook,
+    StepState,
+    TaskPhase,
+    TaskState,
+    WorkerLife,
+)
+from almondspan_decisions.job_graph import JobSpec
+
+__all__ = [
+    "AGENT_PREFIX",
+    "HEAD_KEY",
+    "JOBS_PREFIX",
+    "MEMBERS_PREFIX",
+    "OWNER_KEY",
+    "RUNS_PREFIX",
+    "AgentRecord",
+    "HeadRecord",
+    "OwnerRecord",
+    "Unreadable",
+    "cancel_key",
+    "decode_progress",
+    "decode_record",
+    "decode_spec",
+    "encode_progress",
+    "encode_record",
+    "encode_spec",
+    "job_key",
+    "run_key",
+]
+
+MEMBERS_PREFIX: Final = "as/m/"
+OWNER_KEY: Final = "as/m/owner"
+AGENT_PREFIX: Final = "as/m/agent/"
+HEAD_KEY: Final = "as/head"
+JOBS_PREFIX: Final = "as/in/"
+RUNS_PREFIX: Final = "as/run/"
+
+_PHASES: Final = {
+    TaskPhase.WAITING: 0,
+    TaskPhase.PLACED: 1,
+    TaskPhase.DONE: 2,
+}
+_PHASES_BY_CODE: Final = {code: phase for phase, code in _PHASES.items()}
+
+
+class OwnerRecord(msgspec.Struct, frozen=True):
+    """Who owns the jobs and where it listens for entries."""
+
+    epoch: int
+    node: str
+    host: str
+    port: int
+
+
+class AgentRecord(msgspec.Struct, frozen=True):
+    """Where an agent listens for the owner."""
+
+    host: str
+    port: int
+
+
+class HeadRecord(msgspec.Struct, frozen=True):
+    """Orders all writes of decisions: each changes the head's revision."""
+
+    epoch: int
+    node: str
+    nonce: str
+
+
+class _TaskRow(msgspec.Struct, frozen=True, array_like=True):
+    phase: int
+    n_attempts: int
+    n_failed: int
+    worker_id: str = ""
+    born_ms: int = 0
+    checkpoint: str = ""
+
+
+class _Progress(msgspec.Struct, frozen=True, array_like=True):
+    rounds: dict[int, list[list[_TaskRow]]]
+    is_cancelled: bool
+    is_failed: bool
+    has_started: bool
+    finished_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A stored value that is no record of the expected kind."""
+
+    reason: str
+
+
+AnyRecord = TypeVar("AnyRecord", OwnerRecord, AgentRecord, HeadRecord)
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_SPECS: Final = msgspec.msgpack.Decoder(JobSpec)
+_PROGRESSES: Final = msgspec.msgpack.Decoder(_Progress)
+_FAULTS: Final = (msgspec.DecodeError, msgspec.ValidationError, ValueError)
+
+
+def job_key(job_id: JobId) -> str:
+    """Return the key of a job's specification."""
+    return f"{JOBS_PREFIX}{job_id}/job"
+
+
+def cancel_key(job_id: JobId) -> str:
+    """Return the key of a job's cancellation."""
+    return f"{JOBS_PREFIX}{job_id}/cancel"
+
+
+def run_key(job_id: JobId) -> str:
+    """Return the key of a job's progress."""
+    return f"{RUNS_PREFIX}{job_id}"
+
+
+def encode_record(record: OwnerRecord | AgentRecord | HeadRecord) -> bytes:
+    """Return a record's bytes."""
+    return _ENCODER.encode(record)
+
+
+def decode_record(kind: type[AnyRecord], data: bytes) -> AnyRecord | Unreadable:
+    """Return the record of a kind that `data` holds."""
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except _FAULTS as error:
+        return Unreadable(str(error))
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Return a job's bytes."""
+    return _ENCODER.encode(spec)
+
+
+def decode_spec(data: bytes) -> JobSpec | Unreadable:
+    """Return the job that `data` holds."""
+    try:
+        return _SPECS.decode(data)
+    except _FAULTS as error:
+        return Unreadable(str(error))
+
+
+def encode_progress(book: JobBook) -> bytes:
+    """Return the bytes of a job's progress."""
+    rounds = {
+        occurrence: [[_row(task) for task in step.tasks] for step in steps]
+        for occurrence, steps in book.rounds.items()
+    }
+    return _ENCODER.encode(
+        _Progress(
+            rounds,
+            book.is_cancelled,
+            book.is_failed,
+            book.has_started,
+            book.finished_ms,
+        )
+    )
+
+
+def _row(task: TaskState) -> _TaskRow:
+    phase = _PHASES[task.phase]
+    if task.life is None:
+        return _TaskRow(phase, task.n_attempts, task.n_failed, "", 0, task.checkpoint)
+    return _TaskRow(
+        phase,
+        task.n_attempts,
+        task.n_failed,
+        task.life.worker_id,
+        task.life.born_ms,
+        task.checkpoint,
+    )
+
+
+def decode_progress(job_id: JobId, spec: JobSpec, data: bytes) -> JobBook | Unreadable:
+    """Return the book of a job with the progress that `data` holds."""
+    try:
+        progress = _PROGRESSES.decode(data)
+        book = JobBook(job_id, spec)
+        for occurrence, steps in progress.rounds.items():
+            book.rounds[occurrence] = [
+                StepState([_task(row) for row in rows]) for rows in steps
+            ]
+    except (*_FAULTS, KeyError) as error:
+        return Unreadable(str(error))
+    book.is_cancelled = progress.is_cancelled
+    book.is_failed = progress.is_failed
+    book.has_started = progress.has_started
+    book.finished_ms = progress.finished_ms
+    book.recount()
+    return book
+
+
+def _task(row: _TaskRow) -> TaskState:
+    phase = _PHASES_BY_CODE[row.phase]
+    life = None
+    if phase is TaskPhase.PLACED:
+        life = WorkerLife(WorkerId(row.worker_id), row.born_ms)
+    return TaskState(
+        phase, row.n_attempts, row.n_failed, life, row.checkpoint, is_stored=True
+    )
--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -10,9 +10,10 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final
 
 import aiohttp
@@ -23,6 +24,7 @@
 __all__ = ["CallFailed", "HttpCaller", "HttpOptions"]
 
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
+NO_HEADERS: Final[Mapping[str, str]] = MappingProxyType({})
 
 MAX_LINE_BYTES: Final = 64_000_000
 """The longest line that a stream may send."""
@@ -110,6 +112,7 @@
         body: bytes | None,
         deadline_s: float,
         try_timeout_s: float = math.inf,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> bytes | CallFailed:
         """Send once and return the body of the answer (status 200).
 
@@ -119,6 +122,8 @@
             A time of the running loop, for the wait for the rate bound as well.
         try_timeout_s : float
             Time from the send until the answer is whole, in seconds.
+        headers : mapping
+            Headers besides the content type.
         """
         pool = await self._enter(deadline_s)
         if isinstance(pool, CallFailed):
@@ -127,7 +132,7 @@
         timeout_s = min(left_s, try_timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._request(pool, method, url, body) as response:
+                async with self._request(pool, method, url, body, headers) as response:
                     data = await response.read()
         except _EXPECTED_ERRORS as error:
             return self._on_error(pool, error)
@@ -177,13 +182,18 @@
         return self._pool
 
     def _request(
-        self, pool: _Pool, method: str, url: str, body: bytes | None
+        self,
+        pool: _Pool,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         return pool.session.request(
             method,
             url,
             data=body,
-            headers=JSON_HEADERS,
+            headers={**JSON_HEADERS, **headers},
             ssl=self._tls() if self._tls is not None else True,
             allow_redirects=False,
         )
