Link agents only after the owner's books are loaded

Cause: a new owner linked agents while it was still reading the store; listings met empty books, their ends were taken as unknown and the tasks ran again (TWICE, BUDGET). Change: agents are linked when the books are loaded.

--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -82,6 +82,7 @@
         self._tasks: Final[list[asyncio.Task[None]]] = []
         self._wake: Final = asyncio.Event()
         self._loaded_at: Revision | None = None
+        self._agents: Mapping[str, AgentRecord] = {}
         self.ended: Final = asyncio.Event()
 
     @property
@@ -121,7 +122,13 @@
             await link.close()
 
     async def set_agents(self, agents: Mapping[str, AgentRecord]) -> None:
-        """Link the agents that are registered now."""
+        """Link the agents that are registered now, once the books are loaded.
+
+        A listing that met empty books would be taken as one of unknown tasks.
+        """
+        self._agents = agents
+        if self._loaded_at is None:
+            return
         for node, link in tuple(self._links.items()):
             if agents.get(node) != link.address:
                 del self._links[node]
@@ -159,6 +166,7 @@
     async def _run(self) -> None:
         loaded_at = await self._load()
         self._loaded_at = loaded_at
+        await self.set_agents(self._agents)
         self._spawn(self._watch_jobs(loaded_at))
         self._spawn(self._tick())
         self._spawn(self._confirm())
