Learn which tasks that fill harm which that serve; pace and place by it

Cause: all tasks that fill were paced together by the worst tail on their worker, so they were late (archive: 1 of 13 in time) while tails still exceeded their targets. Change: the owner sums all looks into normal equations per serving image and sends the weights; agents pace each filling image by what its neighbours bear; placing expects the pace. Lasting tasks are packed by image, so that workers remain for the others.

--- a/packages/decisions/almondspan_decisions/graph_placing.py
+++ b/packages/decisions/almondspan_decisions/graph_placing.py
@@ -2,9 +2,9 @@
 
 1. Workers that may run the task at all: of the queue's service, with the label,
    not leaving, with room, under the step's limit of tasks on one worker.
-2. Among them the lowest cost. A task that fills goes where the tasks that fill have
-   the largest share of what the others leave; any other task goes where it keeps the
-   room balanced. Data on another rack, a task's failure on the worker before and a
+2. Among them the lowest cost. A task that fills goes where it is expected to run
+   fastest: by what the others leave, and by the pace that keeps the tails there within
+   their targets. Any other task goes where it keeps the room balanced. Data on another rack, a task's failure on the worker before and a
    rested worker add to the cost.
 3. No worker: `victims_on` names the tasks of less urgent queues whose end makes room
    at the lowest loss of unsaved work.
@@ -14,10 +14,12 @@
 from dataclasses import dataclass
 from typing import Final
 
+from almondspan_decisions.fill_pace import AIM_SHARE, HARMLESS
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_book import JobBook, TaskState
 from almondspan_decisions.job_graph import StepSpec, TaskKey
 from almondspan_decisions.shapes import Shape
+from almondspan_decisions.tail_model import HarmTable, Image
 from almondspan_decisions.worker_book import WorkerRecord, counted_shape
 
 __all__ = ["Candidate", "choose_worker", "may_ever_run", "victims_on"]
@@ -27,6 +29,9 @@
 OTHER_RACK_COST: Final = 0.5
 SERVING_USE_SHARE: Final = 0.5
 """The share of their processors that lasting tasks use on average."""
+OTHER_IMAGE_COST: Final = 0.1
+MIN_SPEED: Final = 0.05
+FILL_SHARE_COST: Final = 0.3
 MIN_LEFT_MILLICORES: Final = 100.0
 """Keeps the share of the tasks that fill finite on a full worker."""
 
@@ -43,7 +48,11 @@
 
 
 def choose_worker(
-    book: JobBook, key: TaskKey, workers: Iterable[WorkerRecord], now_s: float
+    book: JobBook,
+    key: TaskKey,
+    workers: Iterable[WorkerRecord],
+    table: HarmTable,
+    now_s: float,
 ) -> WorkerRecord | None:
     """Return the cheapest worker for a waiting task; None when none has room."""
     step = book.step_of(key)
@@ -54,7 +63,7 @@
     for worker in workers:
         if not may_run(book, key, step, worker):
             continue
-        cost = placing_cost(step, task, worker, now_s)
+        cost = placing_cost(step, task, worker, table, now_s)
         if best is None or cost < best_cost:
             best, best_cost = worker, cost
     return best
@@ -80,10 +89,21 @@
 
 
 def placing_cost(
-    step: StepSpec, task: TaskState, worker: WorkerRecord, now_s: float
+    step: StepSpec,
+    task: TaskState,
+    worker: WorkerRecord,
+    table: HarmTable,
+    now_s: float,
 ) -> float:
     """Return the cost of running a task on a worker; only its order matters."""
-    cost = fill_share(step, worker) if step.fills else load_after(step, worker)
+    if step.fills:
+        share = fill_share(step, worker)
+        speed = min(1 / max(share, 1.0), pace_after(step, worker, table))
+        cost = 1 / max(speed, MIN_SPEED) + FILL_SHARE_COST * share
+    elif step.lasts:
+        cost = serving_cost(step, worker)
+    else:
+        cost = load_after(step, worker)
     if step.data_rack and step.data_rack not in worker.labels:
         cost += OTHER_RACK_COST
     if worker.life.worker_id in task.avoided:
@@ -105,6 +125,33 @@
     return asked / max(left, MIN_LEFT_MILLICORES)
 
 
+def serving_cost(step: StepSpec, worker: WorkerRecord) -> float:
+    """Return the cost of a lasting task: full workers first, images kept together.
+
+    Workers without lasting tasks remain for the tasks that fill, and an image that
+    bears a filling image badly is then not on every worker.
+    """
+    n_others = sum(
+        n_tasks for image, n_tasks in worker.n_serving.items() if image != step.image
+    )
+    return OTHER_IMAGE_COST * n_others - load_after(step, worker)
+
+
+def pace_after(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> float:
+    """Return the expected pace of a task that fills, from 0 to 1."""
+    image = Image(step.image)
+    cores = dict(worker.fill_cores)
+    cores[image] = cores.get(image, 0.0) + step.shape.cpu_millicores / 1000
+    pace = 1.0
+    for served, n_tasks in worker.n_serving.items():
+        if not n_tasks or table.weight(served, image) * cores[image] <= HARMLESS:
+            continue
+        added = sum(table.weight(served, fill) * used for fill, used in cores.items())
+        room = max(AIM_SHARE - table.bases.get(served, 0.0), 0.0)
+        pace = min(pace, room / added)
+    return pace
+
+
 def load_after(step: StepSpec, worker: WorkerRecord) -> float:
     """Return the dominant share of a worker with one more task."""
     return (worker.used + counted_shape(step)).dominant_share(worker.capacity)
--- a/packages/decisions/almondspan_decisions/worker_book.py
+++ b/packages/decisions/almondspan_decisions/worker_book.py
@@ -13,6 +13,7 @@
 from almondspan_decisions.job_book import WorkerLife
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_decisions.tail_model import Image
 
 __all__ = ["WorkerRecord", "counted_shape"]
 
@@ -47,6 +48,10 @@
     """Processors asked for by the tasks that fill."""
     serving_millicores: int = 0
     """Processors asked for by lasting tasks, which rarely use all of them."""
+    fill_cores: dict[Image, float] = field(default_factory=dict)
+    """Processors asked for by the tasks that fill, by image."""
+    n_serving: dict[Image, int] = field(default_factory=dict)
+    """Tasks with a tail target, by image."""
     failed_jobs: list[JobId] = field(default_factory=list)
     """Jobs whose tasks failed here since the last success."""
     rested_until_s: float = 0.0
@@ -59,18 +64,24 @@
     def take(self, step: StepSpec) -> None:
         """Count a task that was assigned."""
         self.used = self.used + counted_shape(step)
-        if step.fills:
-            self.fill_millicores += step.shape.cpu_millicores
-        elif step.lasts:
-            self.serving_millicores += step.shape.cpu_millicores
+        self._count_shared(step, 1)
 
     def give_back(self, step: StepSpec) -> None:
         """Count a task that has ended."""
         self.used = self.used - counted_shape(step)
+        self._count_shared(step, -1)
+
+    def _count_shared(self, step: StepSpec, sign: int) -> None:
+        image = Image(step.image)
+        millicores = sign * step.shape.cpu_millicores
         if step.fills:
-            self.fill_millicores -= step.shape.cpu_millicores
+            self.fill_millicores += millicores
+            cores = self.fill_cores.get(image, 0.0) + millicores / 1000
+            self.fill_cores[image] = max(cores, 0.0)
         elif step.lasts:
-            self.serving_millicores -= step.shape.cpu_millicores
+            self.serving_millicores += millicores
+        if step.tail_target_ms:
+            self.n_serving[image] = self.n_serving.get(image, 0) + sign
 
     def note_success(self) -> None:
         """Forget earlier failures: the worker runs tasks to their end."""
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -17,13 +17,15 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from almondspan_decisions.fill_pace import FillPacer
+from almondspan_decisions.fill_pace import Filling, FillPacer, Serving
 from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.tail_model import HarmTable, Image
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.link_server import LinkServer
 from almondspan_jobs.messages import (
     FactsPush,
+    HarmPush,
     LeaseRenewal,
     OwnerHello,
     StartOrder,
@@ -51,6 +53,8 @@
 
 __all__ = ["TaskKeeper"]
 
+FULL_PERCENT: Final = 100
+
 
 @dataclass(slots=True)
 class _Life:
@@ -84,7 +88,9 @@
         self._epoch = 0
         self._channel: StreamChannel | None = None
         self._facts: dict[str, TaskFacts] = {}
+        self._table = HarmTable({}, {})
         self._pacer = FillPacer()
+        self._image_paces: dict[Image, int] = {}
         self._paces: dict[tuple[str, int], tuple[int, float]] = {}
         self._changed: Final = asyncio.Event()
         self._slots: Final = asyncio.Semaphore(options.n_orders_at_once)
@@ -208,6 +214,12 @@
             self._spawn(self._start_task(body))
         elif isinstance(body, StopOrder):
             self._spawn(self._stop_task(body))
+        elif isinstance(body, HarmPush):
+            weights = {
+                (Image(serving), Image(filling)): weight
+                for serving, filling, weight in body.weights
+            }
+            self._table = HarmTable(weights, {})
         elif isinstance(body, FactsPush):
             self._facts = {facts.task: facts for facts in body.tasks}
 
@@ -325,10 +337,9 @@
             await self._wait_for_note(life, look)
 
     async def _look(self, life: _Life) -> WorkerLook | LookFailed:
-        is_pacing = self._pacer.percent < 100 or self._has_both_kinds()
         wait_ms = (
             self._options.paced_look_wait_ms
-            if is_pacing
+            if self._has_both_kinds()
             else self._options.look_wait_ms
         )
         if life.until_ms == 0:
@@ -362,7 +373,7 @@
                     (end.number, end.task, end.attempt, end.how.value, end.checkpoint)
                     for end in look.ended
                 ],
-                self._pacer.percent,
+                any(percent < FULL_PERCENT for percent in self._image_paces.values()),
             )
         )
         for end in look.ended:
@@ -391,40 +402,56 @@
     # Pace
 
     async def _pace(self, life: _Life, look: WorkerLook) -> None:
-        worst: float | None = None
-        fills: list[RunningTask] = []
-        for task in look.running:
-            facts = self._facts.get(task.task)
-            if facts is None:
-                continue
-            if facts.tail_target_ms:
-                worst = max(worst or 0.0, task.figure / facts.tail_target_ms)
-            if facts.fills:
-                fills.append(task)
-        before = self._pacer.percent
-        percent = self._pacer.look(worst if fills else None)
-        if percent != before:
+        now_s = steady_s()
+        if now_s - self._pacer.looked_s < self._options.pace_interval_s:
+            return
+        serving, filling = self._shared_tasks(look)
+        before = self._image_paces
+        self._image_paces = self._pacer.look(
+            serving, _by_image(filling), self._table, now_s
+        )
+        if self._image_paces != before and serving:
             self._log.line(
                 "pace_changed",
-                before=before,
-                now=percent,
-                worst_share=round(worst or 0.0, 3),
-                n_fills=len(fills),
+                paces=self._image_paces,
+                cut=round(self._pacer.cut, 2),
+                tails=[(task.image, round(task.share, 2)) for task in serving],
             )
-        now_s = steady_s()
-        due = [task for task in fills if self._is_pace_due(task, percent, now_s)]
-        await asyncio.gather(
-            *(self._pace_task(life, task, percent, now_s) for task in due)
-        )
+        due = []
+        for task, facts in filling:
+            percent = self._image_paces[Image(facts.image)]
+            if self._is_pace_due(task, percent, now_s):
+                due.append(self._pace_task(life, task, percent, now_s))
+        await asyncio.gather(*due)
         running = {(task.task, task.attempt) for task in look.running}
-        self._paces = {key: pace for key, pace in self._paces.items() if key in running}
+        self._paces = {
+            key: pace for key, pace in self._paces.items() if key in running
+        }
+
+    def _shared_tasks(
+        self, look: WorkerLook
+    ) -> tuple[list[Serving], list[tuple[RunningTask, TaskFacts]]]:
+        """Return the tasks with a tail target and the tasks that fill."""
+        serving = []
+        filling = []
+        for task in look.running:
+            facts = self._facts.get(task.task)
+            if facts is None:
+                continue
+            if facts.tail_target_ms and task.percent == FULL_PERCENT:
+                share = task.figure / facts.tail_target_ms
+                serving.append(Serving(task.task, Image(facts.image), share))
+            elif facts.fills:
+                filling.append((task, facts))
+        return serving, filling
 
     def _is_pace_due(self, task: RunningTask, percent: int, now_s: float) -> bool:
-        sent, sent_s = self._paces.get((task.task, task.attempt), (100, 0.0))
+        known = self._paces.get((task.task, task.attempt), (FULL_PERCENT, 0.0))
+        sent, sent_s = known
         if sent != percent:
             return True
         is_old = now_s - sent_s > self._options.pace_repeat_s
-        return percent < 100 and is_old
+        return percent < FULL_PERCENT and is_old
 
     async def _pace_task(
         self, life: _Life, task: RunningTask, percent: int, now_s: float
@@ -436,3 +463,14 @@
             self._paces[(task.task, task.attempt)] = (percent, now_s)
         else:
             self._log.line("pace_refused", task=task.task, verdict=verdict.value)
+
+
+def _by_image(filling: list[tuple[RunningTask, TaskFacts]]) -> list[Filling]:
+    """Sum the processors of the tasks that fill by their image."""
+    used: dict[Image, float] = {}
+    full: dict[Image, float] = {}
+    for task, facts in filling:
+        image = Image(facts.image)
+        used[image] = used.get(image, 0.0) + task.figure / 1000
+        full[image] = full.get(image, 0.0) + facts.cpu_millicores / 1000
+    return [Filling(image, used[image], full[image]) for image in full]
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -14,6 +14,7 @@
     "AskPending",
     "AskState",
     "FactsPush",
+    "HarmPush",
     "JobCancelled",
     "JobStored",
     "LeaseRenewal",
@@ -56,6 +57,7 @@
     image: str
     tail_target_ms: int
     fills: bool
+    cpu_millicores: int
 
 
 @message
@@ -65,6 +67,13 @@
     tasks: list[TaskFacts]
 
 
+@message
+class HarmPush(Message, frozen=True, tag="j-harm"):
+    """What a processor of each filling image adds to the tails of serving images."""
+
+    weights: list[tuple[str, str, float]]
+
+
 @message
 class StartOrder(Message, frozen=True, tag="j-start"):
     """Starts one attempt."""
@@ -135,7 +144,8 @@
     clock_ms: int
     running: list[tuple[str, int, str, int, float]]
     ended: list[tuple[int, str, int, str, str]]
-    fill_percent: int = 100
+    is_paced: bool = False
+    """Tasks that fill work at a lower pace than they could."""
 
 
 @message
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -36,6 +36,7 @@
     note_wait_s: float = 0.2
     """After ends were listed, the next look waits so long for them to be noted."""
     n_orders_at_once: int = 12
+    pace_interval_s: float = 0.3
     pace_repeat_s: float = 1.5
 
     # The owner.
@@ -58,6 +59,10 @@
     """A task placed so long ago that its worker does not list is made void."""
     gone_delay_s: float = 0.5
     """A worker that said it has left is taken as empty after this."""
+    model_interval_s: float = 1.0
+    """How often the weights of tasks that fill are solved and sent to agents."""
+    observe_interval_s: float = 0.3
+    """A worker's tails are observed at most this often."""
     stall_s: float = 1.5
     """A task whose progress does not rise for this long stands still."""
     fill_stall_s: float = 6.0
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -41,12 +41,14 @@
     parse_task_name,
 )
 from almondspan_decisions.shapes import Shape
+from almondspan_decisions.tail_model import HarmTable, Image, TailModel
 from almondspan_decisions.worker_book import WorkerRecord, counted_shape
 from almondspan_decisions.worker_lease import LeaseTerms, WorkerLease
 from almondspan_jobs.clocks import steady_s, wall_ms
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
     FactsPush,
+    HarmPush,
     LeaseRenewal,
     StartOrder,
     StartReply,
@@ -65,6 +67,10 @@
 
 __all__ = ["Scheduler", "Snapshot"]
 
+FULL_PERCENT: Final = 100
+MIN_WEIGHT: Final = 0.02
+"""Smaller weights are not sent to agents."""
+
 MAX_START_SENDS: Final = 3
 """After so many unanswered orders an attempt is proved absent instead."""
 
@@ -152,6 +158,10 @@
         self._unlisted_stops: dict[tuple[str, int], float] = {}
         self._gone_s: dict[WorkerLife, float] = {}
         self._preempted_s: dict[WorkerId, float] = {}
+        self._model: Final = TailModel()
+        self._table = HarmTable({}, {})
+        self._solved_s = 0.0
+        self._observed_s: dict[WorkerLife, float] = {}
         self.wants_plan = False
 
     # Jobs
@@ -348,7 +358,8 @@
         for end in listing.ended:
             self._on_end(life, lease, end)
         for row in listing.running:
-            self._on_running(life, row, now_s, listing.fill_percent)
+            self._on_running(life, row, now_s, listing.is_paced)
+        self._observe_tails(life, listing, now_s)
         grew = lease.renewal(listing.clock_ms, now_s, self._confirmed_s())
         noted = lease.note_stored(self._stored_version)
         if grew or noted:
@@ -431,7 +442,7 @@
         life: WorkerLife,
         row: tuple[str, int, str, int, float],
         now_s: float,
-        fill_percent: int,
+        is_paced: bool,
     ) -> None:
         name, attempt, checkpoint, percent, _ = row
         parsed = parse_task_name(name)
@@ -450,11 +461,60 @@
         task.listed_s = now_s
         if checkpoint:
             task.checkpoint = checkpoint
-        is_paced = book.step_of(parsed[1]).fills and fill_percent < 100
-        if percent > task.percent or is_paced:
+        is_held = is_paced and book.step_of(parsed[1]).fills
+        if percent > task.percent or is_held:
             task.percent = percent
             task.percent_s = now_s
 
+    def _observe_tails(
+        self, life: WorkerLife, listing: WorkerListing, now_s: float
+    ) -> None:
+        """Show the model the tails on a worker with what fills beside them."""
+        last_s = self._observed_s.get(life, 0.0)
+        if now_s - last_s < self._options.observe_interval_s:
+            return
+        self._observed_s[life] = now_s
+        serving: list[tuple[Image, float]] = []
+        filling: dict[Image, float] = {}
+        for name, _, _, percent, figure in listing.running:
+            parsed = parse_task_name(name)
+            book = self.jobs.get(parsed[0]) if parsed is not None else None
+            if parsed is None or book is None or book.task(parsed[1]) is None:
+                continue
+            step = book.step_of(parsed[1])
+            image = Image(step.image)
+            if step.tail_target_ms and percent == FULL_PERCENT:
+                serving.append((image, figure / step.tail_target_ms))
+            elif step.fills:
+                filling[image] = filling.get(image, 0.0) + figure / 1000
+        self._model.observe(serving, filling)
+
+    def _solve_model(self, now_s: float) -> None:
+        """Solve the model now and then, and send the weights to the agents."""
+        if now_s - self._solved_s < self._options.model_interval_s:
+            return
+        self._solved_s = now_s
+        self._table = self._model.solve()
+        push = self.harm_push()
+        for worker_id in self.workers:
+            self._post(worker_id, push)
+        self._log.line(
+            "tail_model",
+            n_observed=self._model.n_observed,
+            weights=push.weights,
+            bases={image: round(base, 2) for image, base in self._table.bases.items()},
+        )
+
+    def harm_push(self) -> HarmPush:
+        """Return the weights that matter."""
+        return HarmPush(
+            [
+                (serving, filling, round(weight, 3))
+                for (serving, filling), weight in self._table.weights.items()
+                if weight >= MIN_WEIGHT
+            ]
+        )
+
     def _stop_unassigned(
         self, life: WorkerLife, name: str, attempt: int, now_s: float
     ) -> None:
@@ -545,7 +605,7 @@
         placed = False
         for occurrence, step in tuple(book.ready_steps()):
             for key in book.waiting(occurrence, step):
-                worker = choose_worker(book, key, workers, now_s)
+                worker = choose_worker(book, key, workers, self._table, now_s)
                 if worker is None:
                     self._preempt(book, key, rules, workers, now_s)
                     break
@@ -745,7 +805,13 @@
     def _facts(self, book: JobBook, key: TaskKey) -> TaskFacts:
         step = book.step_of(key)
         name = format_task_name(book.job_id, key)
-        return TaskFacts(name, step.image, step.tail_target_ms, step.fills)
+        return TaskFacts(
+            name,
+            step.image,
+            step.tail_target_ms,
+            step.fills,
+            step.shape.cpu_millicores,
+        )
 
     def facts_for(self, worker_id: WorkerId) -> FactsPush:
         """Return the facts of the tasks assigned to a worker."""
@@ -766,6 +832,7 @@
         for life, lease in tuple(self._leases.items()):
             self._tick_life(life, lease, now_s)
         self._open_due_rounds()
+        self._solve_model(now_s)
         self._unlisted_stops = {
             name: sent_s
             for name, sent_s in self._unlisted_stops.items()
--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -131,3 +131,4 @@
             self._scheduler.on_replaced(old, life)
         if old != life:
             self.post(self._scheduler.facts_for(life.worker_id))
+            self.post(self._scheduler.harm_push())
