Raise the bases of tails at once, let them fall slowly; aim at 0.75

Cause: a serving task whose own load rose kept the room of calmer looks for a second. Change: the base is the larger of the newest and the smoothed one.

--- a/packages/decisions/almondspan_decisions/fill_pace.py
+++ b/packages/decisions/almondspan_decisions/fill_pace.py
@@ -19,7 +19,7 @@
 __all__ = ["Filling", "FillPacer", "Serving"]
 
 FULL_PERCENT: Final = 100
-AIM_SHARE: Final = 0.8
+AIM_SHARE: Final = 0.75
 """The tail latency over target that the paces aim at."""
 OVER_SHARE: Final = 1.0
 CALM_SHARE: Final = 0.85
@@ -99,7 +99,8 @@
             )
             base = max(task.share - added, 0.0)
             last = before.get(task.task, base)
-            self.bases[task.task] = last + BASE_SMOOTHING * (base - last)
+            smooth = last + BASE_SMOOTHING * (base - last)
+            self.bases[task.task] = max(base, smooth)
 
     def _judge_excess(
         self, serving: Sequence[Serving], filling: Sequence[Filling], now_s: float
