--- a/packages/decisions/almondspan_decisions/graph_placing.py
+++ b/packages/decisions/almondspan_decisions/graph_placing.py
@@ -4,8 +4,8 @@
    not leaving, with room, under the step's limit of tasks on one worker.
 2. Among them the lowest cost. A task that fills goes where it is expected to run
    fastest: by what the others leave, and by the pace that keeps the tails there within
-   their targets. Any other task goes where it keeps the room balanced. Data on another rack, a task's failure on the worker before and a
-   rested worker add to the cost.
+   their targets. Any other task goes where it keeps the room balanced. Data on another
+   rack, a task's failure on the worker before and a rested worker add to the cost.
 3. No worker: `victims_on` names the tasks of less urgent queues whose end makes room
    at the lowest loss of unsaved work.
 """
--- a/packages/decisions/almondspan_decisions/job_book.py
+++ b/packages/decisions/almondspan_decisions/job_book.py
@@ -264,6 +264,25 @@
             and task.life == life
         )
 
+    def adopt(self, key: TaskKey, attempt: int, life: WorkerLife) -> bool:
+        """Follow the assigned attempt into a later life of its worker.
+
+        An order that was under way when the worker was replaced under the same name
+        begins the attempt in the later life. Tells whether the attempt is assigned to
+        `life` then.
+        """
+        task = self.task(key)
+        if (
+            task is None
+            or task.life is None
+            or task.n_attempts != attempt
+            or task.life.worker_id != life.worker_id
+            or task.life.born_ms > life.born_ms
+        ):
+            return False
+        task.life = life
+        return True
+
     def end(
         self, key: TaskKey, kind: EndKind, checkpoint: str, max_failures: int
     ) -> None:
--- a/packages/decisions/almondspan_decisions/worker_lease.py
+++ b/packages/decisions/almondspan_decisions/worker_lease.py
@@ -11,6 +11,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from almondspan_decisions.ids import JobId
@@ -87,12 +88,18 @@
         self.sure_empty_s = max(self.sure_empty_s, passed_s)
         return True
 
-    def note_stored(self, stored_version: dict[JobId, int]) -> bool:
-        """Advance `n_noted` over the ends that are stored; tell whether it moved."""
+    def note_stored(self, is_stored: Callable[[JobId, int], bool]) -> bool:
+        """Advance `n_noted` over the ends that are stored; tell whether it moved.
+
+        Parameters
+        ----------
+        is_stored : callable of job and version
+            Whether a job's state lies in the store at this version or a later one.
+        """
         before = self.n_noted
         while self.unnoted:
             number, job_id, version = self.unnoted[0]
-            if job_id is not None and stored_version.get(job_id, version) < version:
+            if job_id is not None and not is_stored(job_id, version):
                 break
             self.n_noted = number
             self.unnoted.popleft()
--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -7,13 +7,13 @@
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.job_door import JobDoor
 from almondspan_jobs.leadership import Leadership
-from almondspan_jobs.link_server import LinkServer
 from almondspan_jobs.messages import StoreJob
 from almondspan_jobs.meters import Meters
+from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.owner_link import OwnerLink
 from almondspan_platform.group_store import GroupStore
-from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
 
 __all__ = ["JobEntry"]
@@ -27,6 +27,7 @@
         node: str,
         host: str,
         port: int,
+        network: Network,
         store: GroupStore,
         options: JobOptions,
         log: EventLog,
@@ -34,11 +35,12 @@
         rng: random.Random,
     ) -> None:
         self._log: Final = log
-        self._link: Final = OwnerLink(node, self._answer, options, log, rng)
+        self._link: Final = OwnerLink(node, network, self._answer, options, log, rng)
         self.leadership: Final = Leadership(
             node,
             host,
             port,
+            network,
             store,
             options,
             log,
@@ -47,20 +49,26 @@
             self._link.set_owner,
         )
         self.door: Final = JobDoor(store, self._link, options, log, meters)
-        self._server: Final = LinkServer(host, port, self._serve_entry)
+        self._host: Final = host
+        self._port: Final = port
+        self._network: Final = network
+        self._listener: Listener | None = None
 
     async def start(self) -> None:
         """Listen for other entries, and begin to follow or to own."""
-        await self._server.start()
+        self._listener = await self._network.listen(
+            self._host, self._port, self._serve_entry
+        )
         await self.leadership.start()
 
     async def close(self) -> None:
         """Give the ownership up and end the links."""
         await self.leadership.close()
         await self._link.close()
-        await self._server.close()
+        if self._listener is not None:
+            await self._listener.close()
 
-    async def _serve_entry(self, channel: StreamChannel) -> None:
+    async def _serve_entry(self, channel: Channel) -> None:
         """Answer the questions of one entry, each in its own task."""
         async with asyncio.TaskGroup() as group:
             while True:
@@ -74,7 +82,7 @@
                 if answer is not None:
                     await channel.send(answer)
 
-    async def _reply(self, channel: StreamChannel, body: StoreJob) -> None:
+    async def _reply(self, channel: Channel, body: StoreJob) -> None:
         await channel.send(await self.door.relay(body))
 
     async def _answer(self, body: Message) -> Message | None:
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -22,7 +22,6 @@
 from almondspan_decisions.tail_model import HarmTable, Image
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.link_server import LinkServer
 from almondspan_jobs.messages import (
     FactsPush,
     HarmPush,
@@ -37,6 +36,7 @@
     WorkerReport,
 )
 from almondspan_jobs.meters import Meters
+from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
 from almondspan_platform.task_worker import (
     LookFailed,
@@ -48,7 +48,7 @@
     WorkerLook,
     WorkerState,
 )
-from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
 
 __all__ = ["TaskKeeper"]
@@ -74,6 +74,7 @@
         self,
         host: str,
         port: int,
+        network: Network,
         worker: TaskWorker,
         options: JobOptions,
         log: EventLog,
@@ -83,10 +84,13 @@
         self._options: Final = options
         self._log: Final = log
         self._meters: Final = meters
-        self._server: Final = LinkServer(host, port, self._serve_owner)
+        self._host: Final = host
+        self._port: Final = port
+        self._network: Final = network
+        self._listener: Listener | None = None
         self._life: _Life | None = None
         self._epoch = 0
-        self._channel: StreamChannel | None = None
+        self._channel: Channel | None = None
         self._facts: dict[str, TaskFacts] = {}
         self._table = HarmTable({}, {})
         self._pacer = FillPacer()
@@ -99,7 +103,9 @@
 
     async def start(self) -> None:
         """Listen for owners and begin to look."""
-        await self._server.start()
+        self._listener = await self._network.listen(
+            self._host, self._port, self._serve_owner
+        )
         self._look_task = asyncio.create_task(self._look_on())
 
     async def close(self) -> None:
@@ -110,7 +116,8 @@
         for task in tuple(self._orders):
             task.cancel()
         await asyncio.gather(*self._orders, return_exceptions=True)
-        await self._server.close()
+        if self._listener is not None:
+            await self._listener.close()
 
     # The worker's own reports
 
@@ -181,7 +188,7 @@
 
     # The owner
 
-    async def _serve_owner(self, channel: StreamChannel) -> None:
+    async def _serve_owner(self, channel: Channel) -> None:
         hello = await channel.receive()
         if not isinstance(hello, OwnerHello):
             self._log.line("link_malformed", got=type(hello).__name__)
@@ -424,9 +431,7 @@
                 due.append(self._pace_task(life, task, percent, now_s))
         await asyncio.gather(*due)
         running = {(task.task, task.attempt) for task in look.running}
-        self._paces = {
-            key: pace for key, pace in self._paces.items() if key in running
-        }
+        self._paces = {key: pace for key, pace in self._paces.items() if key in running}
 
     def _shared_tasks(
         self, look: WorkerLook
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -22,6 +22,7 @@
 from almondspan_jobs.committer import HeadCommitter
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.meters import Meters
+from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.owner import Owner
 from almondspan_jobs.records import (
@@ -66,6 +67,7 @@
         node: str,
         host: str,
         port: int,
+        network: Network,
         store: GroupStore,
         options: JobOptions,
         log: EventLog,
@@ -76,6 +78,7 @@
         self._node: Final = node
         self._host: Final = host
         self._port: Final = port
+        self._network: Final = network
         self._store: Final = store
         self._options: Final = options
         self._log: Final = log
@@ -271,6 +274,7 @@
     async def _own(self, committer: HeadCommitter) -> None:
         owner = Owner(
             self._node,
+            self._network,
             self._store,
             committer,
             self._options,
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/network.py
@@ -0,0 +1,91 @@
+"""Channels between processes of almondspan: listening and dialling.
+
+`TcpNetwork` serves processes on machines; tests put a network in memory in its place.
+One task per accepted channel runs the handler that the listener was given.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final, Protocol
+
+from almondspan_wire.channel import Channel, ChannelOptions, StreamChannel
+
+__all__ = ["LINK_OPTIONS", "Handler", "Listener", "Network", "TcpNetwork"]
+
+LINK_OPTIONS: Final = ChannelOptions(heartbeat_s=0.5, silence_s=1.6, send_timeout_s=1.6)
+
+Handler = Callable[[Channel], Awaitable[None]]
+
+
+class Listener(Protocol):
+    """An address that is listened on."""
+
+    async def close(self) -> None:
+        """Stop listening and end every channel."""
+        ...
+
+
+class Network(Protocol):
+    """Opens channels."""
+
+    async def listen(self, host: str, port: int, handler: Handler) -> Listener:
+        """Run `handler` for each channel that others open to the address."""
+        ...
+
+    async def dial(self, host: str, port: int, timeout_s: float) -> Channel | str:
+        """Open a channel; return the reason when that fails."""
+        ...
+
+
+class TcpNetwork:
+    """A `Network` over TCP."""
+
+    async def listen(self, host: str, port: int, handler: Handler) -> Listener:
+        """Listen on an address of this machine."""
+        listener = _TcpListener(handler)
+        await listener.start(host, port)
+        return listener
+
+    async def dial(self, host: str, port: int, timeout_s: float) -> Channel | str:
+        """Open a channel to another process."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError) as error:
+            return f"{type(error).__name__} {error}"
+        channel = StreamChannel(reader, writer, LINK_OPTIONS)
+        await channel.start()
+        return channel
+
+
+class _TcpListener:
+    """A listening socket and the channels accepted on it."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler: Final = handler
+        self._server: asyncio.Server | None = None
+        self._tasks: Final[set[asyncio.Task[None]]] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        self._server = await asyncio.start_server(self._accept, host, port)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        channel = StreamChannel(reader, writer, LINK_OPTIONS)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await channel.start()
+            await self._handler(channel)
+        finally:
+            self._tasks.discard(task)
+            await channel.close()
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -55,6 +55,8 @@
     max_jobs_per_commit: int = 14
     order_repeat_s: float = 0.6
     """An order without a sign of effect is sent again."""
+    late_order_s: float = 16.0
+    """An order without an answer may be carried out until then."""
     absent_s: float = 1.6
     """A task placed so long ago that its worker does not list is made void."""
     gone_delay_s: float = 0.5
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -27,6 +27,7 @@
     StateReply,
 )
 from almondspan_jobs.meters import Meters
+from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import (
     JOBS_PREFIX,
@@ -60,6 +61,7 @@
     def __init__(
         self,
         node: str,
+        network: Network,
         store: GroupStore,
         committer: HeadCommitter,
         options: JobOptions,
@@ -68,6 +70,7 @@
         rng: random.Random,
     ) -> None:
         self._node: Final = node
+        self._network: Final = network
         self._store: Final = store
         self._committer: Final = committer
         self._options: Final = options
@@ -143,6 +146,7 @@
             address,
             self.epoch,
             self._node,
+            self._network,
             self.scheduler,
             self._links_by_worker,
             self.wake,
--- a/packages/jobs/almondspan_jobs/owner_link.py
+++ b/packages/jobs/almondspan_jobs/owner_link.py
@@ -12,11 +12,11 @@
 from typing import Final
 
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.link_server import dial
 from almondspan_jobs.messages import PendingReply, StateReply, StoreReply
+from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import OwnerRecord
-from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
 
 __all__ = ["NoAnswer", "OwnerLink"]
@@ -37,18 +37,20 @@
     def __init__(
         self,
         node: str,
+        network: Network,
         local: Local,
         options: JobOptions,
         log: EventLog,
         rng: random.Random,
     ) -> None:
         self._node: Final = node
+        self._network: Final = network
         self._local: Final = local
         self._options: Final = options
         self._log: Final = log
         self._rng: Final = rng
         self._record: OwnerRecord | None = None
-        self._channel: StreamChannel | None = None
+        self._channel: Channel | None = None
         self._task: asyncio.Task[None] | None = None
         self._waits: Final[dict[int, asyncio.Future[Message]]] = {}
         self._background: Final[set[asyncio.Task[Message | None]]] = set()
@@ -107,7 +109,9 @@
 
     async def _run(self, record: OwnerRecord) -> None:
         while True:
-            channel = await dial(record.host, record.port, self._options.dial_timeout_s)
+            channel = await self._network.dial(
+                record.host, record.port, self._options.dial_timeout_s
+            )
             if isinstance(channel, str):
                 self._log.line("owner_unreachable", owner=record.node, why=channel)
                 jitter = self._rng.uniform(0.5, 1.5)
@@ -122,7 +126,7 @@
                 self._fail_waits()
                 await channel.close()
 
-    async def _read(self, channel: StreamChannel, record: OwnerRecord) -> None:
+    async def _read(self, channel: Channel, record: OwnerRecord) -> None:
         while True:
             body = await channel.receive()
             if isinstance(body, ChannelClosed):
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -156,6 +156,8 @@
         self._dirty: dict[JobId, None] = {}
         self._hungry: set[JobId] = set()
         self._unlisted_stops: dict[tuple[str, int], float] = {}
+        self._open_orders: dict[WorkerId, dict[tuple[str, int], float]] = {}
+        """Starts without a definite answer: task and attempt, when sent."""
         self._gone_s: dict[WorkerLife, float] = {}
         self._preempted_s: dict[WorkerId, float] = {}
         self._model: Final = TailModel()
@@ -176,6 +178,9 @@
             task.is_stored = True
             task.n_sends = 1
             task.placed_s = task.percent_s = steady_s()
+            orders = self._open_orders.setdefault(task.life.worker_id, {})
+            name = format_task_name(book.job_id, key)
+            orders[(name, task.n_attempts)] = steady_s()
             self._on_life.setdefault(task.life, set()).add((book.job_id, key))
             self._lease(task.life)
         self._note_hunger(book)
@@ -279,7 +284,7 @@
         )
         earlier = [
             old
-            for old in self._on_life
+            for old in self._leases
             if old.worker_id == life.worker_id and old.born_ms < life.born_ms
         ]
         self.workers[life.worker_id] = record
@@ -303,19 +308,24 @@
     def on_replaced(self, old: WorkerLife, new: WorkerLife) -> None:
         """Learn that the place of a life is taken by a later one.
 
-        What surely arrived there ended with it. An order that may still be under way
-        could reach the later life if that has the same name, so it is made void first.
+        What was listed there ended with it. An order that is not known to have reached
+        the old life may reach a later one of the same name, so it is made void there.
         """
         self._log.line("worker_replaced", old=str(old), new=str(new))
+        is_renamed = old.worker_id != new.worker_id
+        open_orders = {} if is_renamed else self._open_orders.get(new.worker_id, {})
         for job_id, key in tuple(self._on_life.get(old, ())):
             task = self.jobs[job_id].task(key)
             assert task is not None
-            is_sure = task.listed_s > 0 or task.n_sends == 0
-            if is_sure or old.worker_id != new.worker_id:
+            name = format_task_name(job_id, key)
+            was_here = task.listed_s and (name, task.n_attempts) not in open_orders
+            if is_renamed or was_here or task.n_sends == 0:
                 self._release(job_id, key, "worker_replaced")
             else:
                 task.is_voiding = True
                 task.sent_s = 0.0
+        for name, attempt in open_orders:
+            self._post(new.worker_id, StopOrder(name, attempt))
         self._forget_worker(old)
 
     def _on_left(self, life: WorkerLife) -> None:
@@ -361,14 +371,48 @@
             self._on_running(life, row, now_s, listing.is_paced)
         self._observe_tails(life, listing, now_s)
         grew = lease.renewal(listing.clock_ms, now_s, self._confirmed_s())
-        noted = lease.note_stored(self._stored_version)
+        noted = lease.note_stored(self._is_stored)
         if grew or noted:
             self._send_renewal(life, lease)
 
+    def _is_stored(self, job_id: JobId, version: int) -> bool:
+        """Tell whether a version of a job is stored, or the job is forgotten."""
+        if job_id not in self.jobs:
+            return True
+        return self._stored_version.get(job_id, 0) >= version
+
     def _send_renewal(self, life: WorkerLife, lease: WorkerLease) -> None:
         renewal = LeaseRenewal(life.born_ms, lease.until_ms, lease.n_noted)
         self._post(life.worker_id, renewal)
 
+    def _is_held(
+        self, book: JobBook, key: TaskKey, attempt: int, life: WorkerLife
+    ) -> bool:
+        """Tell whether a listed attempt is the assigned one; follow it if need be."""
+        if book.is_assigned(key, attempt, life):
+            return True
+        task = book.task(key)
+        old = task.life if task is not None else None
+        if task is None or old is None or not book.adopt(key, attempt, life):
+            return False
+        held = (book.job_id, key)
+        task.is_voiding = False
+        self._on_life[old].discard(held)
+        self._on_life.setdefault(life, set()).add(held)
+        record = self.workers.get(life.worker_id)
+        if record is not None and record.life == life:
+            record.take(book.step_of(key))
+        self._touch(book)
+        self._log.line(
+            "task_followed",
+            task=format_task_name(book.job_id, key),
+            attempt=attempt,
+            worker=life.worker_id,
+            born=life.born_ms,
+            before=old.born_ms,
+        )
+        return True
+
     def _on_end(
         self, life: WorkerLife, lease: WorkerLease, row: tuple[int, str, int, str, str]
     ) -> None:
@@ -381,7 +425,7 @@
         if (
             parsed is None
             or book is None
-            or not book.is_assigned(parsed[1], attempt, life)
+            or not self._is_held(book, parsed[1], attempt, life)
         ):
             lease.unnoted.append((number, None, 0))
             self._log.line(
@@ -450,7 +494,7 @@
         if (
             parsed is None
             or book is None
-            or not book.is_assigned(parsed[1], attempt, life)
+            or not self._is_held(book, parsed[1], attempt, life)
         ):
             self._stop_unassigned(life, name, attempt, now_s)
             return
@@ -541,6 +585,9 @@
             return
         task = book.task(key)
         assert task is not None
+        if reply.verdict != Verdict.NO_ANSWER.value and task.n_sends == 1:
+            orders = self._open_orders.get(worker_id, {})
+            orders.pop((reply.task, reply.attempt), None)
         if reply.verdict == Verdict.DONE.value:
             self._meters.observe_s("order", steady_s() - task.sent_s)
             return
@@ -734,7 +781,7 @@
                 task.is_stored = True
                 self._order(book, key, task, now_s)
         for life, lease in self._leases.items():
-            if lease.unnoted and lease.note_stored(self._stored_version):
+            if lease.unnoted and lease.note_stored(self._is_stored):
                 self._send_renewal(life, lease)
 
     # Orders
@@ -801,6 +848,8 @@
         if self._post(life.worker_id, order):
             task.n_sends += 1
             task.sent_s = now_s
+            orders = self._open_orders.setdefault(life.worker_id, {})
+            orders[(order.facts.task, task.n_attempts)] = now_s
 
     def _facts(self, book: JobBook, key: TaskKey) -> TaskFacts:
         step = book.step_of(key)
@@ -833,6 +882,10 @@
             self._tick_life(life, lease, now_s)
         self._open_due_rounds()
         self._solve_model(now_s)
+        for orders in self._open_orders.values():
+            for name, sent_s in tuple(orders.items()):
+                if now_s - sent_s > self._options.late_order_s:
+                    del orders[name]
         self._unlisted_stops = {
             name: sent_s
             for name, sent_s in self._unlisted_stops.items()
--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -8,7 +8,6 @@
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_book import WorkerLife
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.link_server import dial
 from almondspan_jobs.messages import (
     OwnerHello,
     StartReply,
@@ -16,10 +15,11 @@
     WorkerListing,
     WorkerReport,
 )
+from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import AgentRecord
 from almondspan_jobs.scheduler import Scheduler
-from almondspan_wire.channel import ChannelClosed, StreamChannel
+from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
 
 __all__ = ["WorkerLink"]
@@ -34,6 +34,7 @@
         address: AgentRecord,
         epoch: int,
         owner: str,
+        network: Network,
         scheduler: Scheduler,
         links: dict[WorkerId, "WorkerLink"],
         wake: Callable[[], None],
@@ -44,13 +45,14 @@
         self._node: Final = node
         self.address: Final = address
         self._hello: Final = OwnerHello(epoch, owner)
+        self._network: Final = network
         self._scheduler: Final = scheduler
         self._links: Final = links
         self._wake: Final = wake
         self._options: Final = options
         self._log: Final = log
         self._rng: Final = rng
-        self._channel: StreamChannel | None = None
+        self._channel: Channel | None = None
         self._life: WorkerLife | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -71,7 +73,7 @@
     async def _run(self) -> None:
         was_up = False
         while True:
-            channel = await dial(
+            channel = await self._network.dial(
                 self.address.host, self.address.port, self._options.dial_timeout_s
             )
             if isinstance(channel, str):
@@ -88,7 +90,7 @@
                 self._channel = None
                 await channel.close()
 
-    async def _serve(self, channel: StreamChannel) -> None:
+    async def _serve(self, channel: Channel) -> None:
         self._log.line("agent_linked", agent=self._node, epoch=self._hello.epoch)
         await channel.send(self._hello)
         self._channel = channel
--- /dev/null
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -0,0 +1,308 @@
+"""The key-value service with groups of writes, in memory, with faults by client.
+
+`MemoryGroupStore` holds the state; `client` returns what one process calls. A fault
+concerns one client: no answers, refusals, slow answers, writes that are done without
+an answer or seconds later. The history of changes can be dropped.
+"""
+
+import asyncio
+import contextvars
+import random
+from dataclasses import dataclass, field
+from typing import Final
+
+from almondspan_platform.group_store import (
+    CommitOutcome,
+    GroupConflict,
+    Write,
+    WriteGroup,
+)
+from almondspan_platform.store import (
+    ABSENT_REVISION,
+    Found,
+    GetOutcome,
+    KeyValue,
+    LeaseGranted,
+    LeaseId,
+    LeaseLapsed,
+    LeaseOutcome,
+    RangeFound,
+    Revision,
+    Swapped,
+    Unavailable,
+    WatchEvent,
+    WatchLost,
+)
+
+__all__ = ["GroupStoreClient", "MemoryGroupStore", "StoreFaults"]
+
+CALL_TIMEOUT_S: Final = 1.0
+ANSWER_S: Final = 0.004
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What one client meets at present."""
+
+    is_silent: bool = False
+    is_refusing: bool = False
+    answer_s: float = ANSWER_S
+    lost_share: float = 0.0
+    """Share of the writes that are done and not answered."""
+    late_share: float = 0.0
+    """Share of the writes that are done 1 to 6 s later and not answered."""
+
+
+@dataclass(slots=True)
+class _Change:
+    revision: int
+    key: str
+    value: bytes | None
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    until_s: float
+    keys: set[str] = field(default_factory=set)
+
+
+class MemoryGroupStore:
+    """The service's state."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng: Final = rng
+        self.items: dict[str, KeyValue] = {}
+        self._leases: dict[LeaseId, _Lease] = {}
+        self._history: list[_Change] = []
+        self._revision = 1
+        self._first_kept = 0
+        self._n_leases = 0
+        self._wakers: list[asyncio.Future[None]] = []
+        self.n_commits = 0
+        self.watch_delay_s = 0.0
+        """Watches hear of changes this much later."""
+
+    def client(self, faults: StoreFaults) -> "GroupStoreClient":
+        """Return a client that meets `faults`."""
+        return GroupStoreClient(self, faults, self._rng)
+
+    @property
+    def revision(self) -> Revision:
+        """The revision of the last change."""
+        return Revision(self._revision)
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return a key as it is now."""
+        self._expire()
+        return self.items.get(key)
+
+    def get_range(self, prefix: str) -> tuple[KeyValue, ...]:
+        """Return all keys with a prefix as they are now."""
+        self._expire()
+        return tuple(
+            self.items[key] for key in sorted(self.items) if key.startswith(prefix)
+        )
+
+    def commit(self, group: WriteGroup) -> CommitOutcome:
+        """Apply a group now."""
+        self._expire()
+        for key, expected in group.conditions:
+            item = self.items.get(key)
+            if (item.revision if item is not None else ABSENT_REVISION) != expected:
+                found = [self.items.get(name) for name, _ in group.conditions]
+                return GroupConflict(tuple(item for item in found if item is not None))
+        for write in group.writes:
+            if write.lease_id is not None and write.lease_id not in self._leases:
+                return LeaseLapsed()
+        self.n_commits += 1
+        self._revision += 1
+        for write in group.writes:
+            self._put(write)
+        for key in group.removals:
+            self._remove(key)
+        self._notify()
+        return Swapped(self.revision)
+
+    def _put(self, write: Write) -> None:
+        for lease in self._leases.values():
+            lease.keys.discard(write.key)
+        if write.lease_id is not None:
+            self._leases[write.lease_id].keys.add(write.key)
+        self.items[write.key] = KeyValue(write.key, write.value, self.revision)
+        self._history.append(_Change(self._revision, write.key, write.value))
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self._history.append(_Change(self._revision, key, None))
+
+    def revoke_keys(self, prefix: str) -> None:
+        """Remove keys under leases at once, as an operator of the store might."""
+        for lease in self._leases.values():
+            for key in [key for key in lease.keys if key.startswith(prefix)]:
+                lease.keys.discard(key)
+                self._revision += 1
+                self._remove(key)
+        self._notify()
+
+    def drop_history(self) -> None:
+        """Forget all changes; watches from before end."""
+        self._first_kept = self._revision
+        self._history.clear()
+        self._notify()
+
+    def grant(self, ttl_s: float) -> LeaseGranted:
+        """Grant a lease now."""
+        self._n_leases += 1
+        lease_id = LeaseId(self._n_leases)
+        now_s = asyncio.get_running_loop().time()
+        self._leases[lease_id] = _Lease(ttl_s, now_s + ttl_s)
+        return LeaseGranted(lease_id, ttl_s)
+
+    def keep(self, lease_id: LeaseId) -> LeaseOutcome:
+        """Renew a lease now."""
+        self._expire()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            return LeaseLapsed()
+        lease.until_s = asyncio.get_running_loop().time() + lease.ttl_s
+        return LeaseGranted(lease_id, lease.ttl_s)
+
+    def _expire(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for lease_id, lease in tuple(self._leases.items()):
+            if lease.until_s <= now_s:
+                del self._leases[lease_id]
+                for key in sorted(lease.keys):
+                    self._revision += 1
+                    self._remove(key)
+                self._notify()
+
+    def _notify(self) -> None:
+        loop = asyncio.get_running_loop()
+        # The context of no process: the service outlives its callers.
+        context = contextvars.Context()
+        loop.call_later(self.watch_delay_s, self._wake, context=context)
+
+    def _wake(self) -> None:
+        self._wakers, wakers = [], self._wakers
+        for waker in wakers:
+            if not waker.done():
+                waker.set_result(None)
+
+    async def wait_changed(self, limit_s: float) -> None:
+        """Wait for a change, at most until a time of the loop."""
+        loop = asyncio.get_running_loop()
+        waker: asyncio.Future[None] = loop.create_future()
+        self._wakers = [*self._wakers, waker]
+        left_s = min(limit_s - loop.time(), 0.25)
+        # Short waits let leases lapse while nobody calls.
+        await asyncio.wait({waker}, timeout=max(left_s, 0.0))
+        self._expire()
+
+    def changes(self, prefix: str, after: Revision) -> WatchEvent | WatchLost:
+        """Return the changes under a prefix later than a revision."""
+        if after < self._first_kept:
+            return WatchLost("history is gone")
+        changed: dict[str, KeyValue] = {}
+        deleted: dict[str, None] = {}
+        for change in self._history:
+            if change.revision <= after or not change.key.startswith(prefix):
+                continue
+            if change.value is None:
+                changed.pop(change.key, None)
+                deleted[change.key] = None
+            else:
+                deleted.pop(change.key, None)
+                changed[change.key] = KeyValue(
+                    change.key, change.value, Revision(change.revision)
+                )
+        return WatchEvent(tuple(changed.values()), tuple(deleted), self.revision)
+
+
+class GroupStoreClient:
+    """A `GroupStore` of one process."""
+
+    def __init__(
+        self, store: MemoryGroupStore, faults: StoreFaults, rng: random.Random
+    ) -> None:
+        self._store: Final = store
+        self.faults: Final = faults
+        self._rng: Final = rng
+
+    async def _reach(self) -> Unavailable | None:
+        """Take the time of a call; return why it fails before it has an effect."""
+        if self.faults.is_refusing:
+            await asyncio.sleep(ANSWER_S)
+            return Unavailable("status 503", may_have_applied=False)
+        if self.faults.is_silent or self.faults.answer_s > CALL_TIMEOUT_S:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return Unavailable("no answer in time", may_have_applied=True)
+        await asyncio.sleep(self.faults.answer_s / 2)
+        return None
+
+    async def _answer(self) -> Unavailable | None:
+        if self._rng.random() < self.faults.lost_share:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return Unavailable("no answer in time", may_have_applied=True)
+        await asyncio.sleep(self.faults.answer_s / 2)
+        return None
+
+    async def get(self, key: str) -> GetOutcome:
+        """Read one key."""
+        failed = await self._reach()
+        if failed is not None:
+            return failed
+        found = Found(self._store.get(key))
+        await asyncio.sleep(self.faults.answer_s / 2)
+        return found
+
+    async def get_range(self, prefix: str) -> RangeFound | Unavailable:
+        """Read all keys with a prefix."""
+        failed = await self._reach()
+        if failed is not None:
+            return failed
+        found = RangeFound(self._store.get_range(prefix), self._store.revision)
+        await asyncio.sleep(self.faults.answer_s / 2)
+        return found
+
+    async def commit(self, group: WriteGroup) -> CommitOutcome:
+        """Apply a group of writes, perhaps late or without an answer."""
+        failed = await self._reach()
+        if failed is not None:
+            return failed
+        if self._rng.random() < self.faults.late_share:
+            delay_s = self._rng.uniform(1.0, 6.0)
+            loop = asyncio.get_running_loop()
+            context = contextvars.Context()
+            loop.call_later(delay_s, self._store.commit, group, context=context)
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return Unavailable("no answer in time", may_have_applied=True)
+        outcome = self._store.commit(group)
+        return await self._answer() or outcome
+
+    async def grant_lease(self, ttl_s: float) -> LeaseOutcome:
+        """Grant a lease."""
+        failed = await self._reach()
+        return failed or await self._answer() or self._store.grant(ttl_s)
+
+    async def keep_lease(self, lease_id: LeaseId) -> LeaseOutcome:
+        """Renew a lease."""
+        failed = await self._reach()
+        return failed or self._store.keep(lease_id)
+
+    async def changes(
+        self, prefix: str, after: Revision, wait_s: float
+    ) -> WatchEvent | WatchLost | Unavailable:
+        """Wait for changes under a prefix."""
+        failed = await self._reach()
+        if failed is not None:
+            return failed
+        limit_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            event = self._store.changes(prefix, after)
+            if isinstance(event, WatchLost) or event.changed or event.deleted:
+                return event
+            if asyncio.get_running_loop().time() >= limit_s:
+                return event
+            await self._store.wait_changed(limit_s)
--- /dev/null
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -0,0 +1,326 @@
+"""A worker that runs tasks under one lease, in memory, with its own clock.
+
+Each `MemoryTaskWorker` is one machine; `restart` begins a new lifetime, under the same
+or another id. What ran is recorded in `runs` for whoever checks it. An order may be
+carried out seconds later without an answer.
+"""
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_platform.task_worker import (
+    EndedTask,
+    EndWord,
+    LookFailed,
+    LookOrder,
+    RunningTask,
+    StartTask,
+    Verdict,
+    WorkerLook,
+)
+
+__all__ = ["MemoryTaskWorker", "TaskScript", "WorkerRun"]
+
+ANSWER_S: Final = 0.001
+ORDER_TIMEOUT_S: Final = 0.4
+STOP_S: Final = 0.2
+MAX_LEASE_S: Final = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class TaskScript:
+    """How a task behaves: what it takes, how long it runs, how it ends."""
+
+    shape: Shape
+    duration_s: float
+    how: EndWord = EndWord.DONE
+
+
+@dataclass(slots=True)
+class WorkerRun:
+    """One run of an attempt, for whoever checks."""
+
+    task: str
+    attempt: int
+    worker_id: WorkerId
+    born_ms: int
+    begun_s: float
+    ended_s: float | None = None
+    how: EndWord | None = None
+    noted_s: float | None = None
+
+
+@dataclass(slots=True)
+class _Running:
+    run: WorkerRun
+    script: TaskScript
+    done_s: float
+    stop_s: float | None = None
+
+
+Script = Callable[[str, int], TaskScript]
+
+
+@dataclass(slots=True)
+class _Life:
+    worker_id: WorkerId
+    born_ms: int
+    born_s: float
+    fence: int = 0
+    until_ms: int = 0
+    n_ended: int = 0
+    lapsed_s: float = 0.0
+    running: dict[str, _Running] = field(default_factory=dict)
+    ended: list[tuple[EndedTask, WorkerRun]] = field(default_factory=list)
+    highest: dict[str, int] = field(default_factory=dict)
+    """The highest attempt of each task that was stopped or has ended here."""
+
+
+class MemoryTaskWorker:
+    """One machine that runs tasks."""
+
+    def __init__(
+        self,
+        worker_id: WorkerId,
+        capacity: Shape,
+        script: Script,
+        rng: random.Random,
+        clock_rate: float = 1.0,
+    ) -> None:
+        self.capacity: Final = capacity
+        self._script: Final = script
+        self._rng: Final = rng
+        self._clock_rate: Final = clock_rate
+        self.runs: Final[list[WorkerRun]] = []
+        self.late_share = 0.0
+        """Share of the orders that are carried out 2 to 8 s later, unanswered."""
+        self.is_down = False
+        self._life = _Life(worker_id, 1_000, self._now_s())
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The id of the present lifetime."""
+        return self._life.worker_id
+
+    @property
+    def born_ms(self) -> int:
+        """When the present lifetime began."""
+        return self._life.born_ms
+
+    def clock_ms(self) -> int:
+        """Return the worker's own steady clock."""
+        return int((self._now_s() - self._life.born_s) * 1000 * self._clock_rate)
+
+    def crash(self) -> None:
+        """End everything at once; nothing answers until `restart`."""
+        self._advance()
+        for running in self._life.running.values():
+            running.run.ended_s = self._now_s()
+        self._life.running.clear()
+        self.is_down = True
+
+    def restart(self, worker_id: WorkerId | None = None) -> None:
+        """Begin a new lifetime that knows nothing of before."""
+        if not self.is_down:
+            self.crash()
+        born_ms = self._life.born_ms + 1 + int(self._now_s() * 1000)
+        self._life = _Life(worker_id or self.worker_id, born_ms, self._now_s())
+        self.is_down = False
+
+    # Time
+
+    def _advance(self) -> None:
+        """Let everything end that is due by now, in the order of its time."""
+        now_s = self._now_s()
+        while True:
+            due = sorted(
+                (min(item.done_s, item.stop_s or item.done_s), name)
+                for name, item in self._life.running.items()
+            )
+            lapse_s = self._lapse_s()
+            if due and due[0][0] <= min(now_s, lapse_s):
+                self._end_due(due[0][1], due[0][0])
+            elif self._life.running and lapse_s <= now_s:
+                for name in tuple(self._life.running):
+                    self._end(name, EndWord.LAPSED, lapse_s)
+            else:
+                return
+
+    def _lapse_s(self) -> float:
+        return self._life.born_s + self._life.until_ms / 1000 / self._clock_rate
+
+    def _end_due(self, name: str, at_s: float) -> None:
+        item = self._life.running[name]
+        is_stopped = item.stop_s is not None and item.stop_s <= item.done_s
+        self._end(name, EndWord.STOPPED if is_stopped else item.script.how, at_s)
+
+    def _end(self, name: str, how: EndWord, at_s: float) -> None:
+        life = self._life
+        item = life.running.pop(name)
+        life.n_ended += 1
+        item.run.ended_s = at_s
+        item.run.how = how
+        attempt = item.run.attempt
+        life.highest[name] = max(life.highest.get(name, 0), attempt)
+        row = EndedTask(life.n_ended, name, attempt, how, "")
+        life.ended.append((row, item.run))
+
+    def settle(self) -> None:
+        """Bring `runs` up to now, for whoever checks."""
+        if not self.is_down:
+            self._advance()
+
+    # Calls
+
+    async def _deliver(
+        self, worker_id: WorkerId, act: Callable[[], Verdict]
+    ) -> Verdict:
+        """Carry an order out now or late; tell what its sender hears."""
+        await asyncio.sleep(ANSWER_S)
+        if self._rng.random() < self.late_share:
+            delay_s = self._rng.uniform(2.0, 8.0)
+            asyncio.get_running_loop().call_later(
+                delay_s, self._act, worker_id, act, context=contextvars.Context()
+            )
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            return Verdict.NO_ANSWER
+        if self.is_down:
+            return Verdict.NOT_TAKEN
+        return self._act(worker_id, act)
+
+    def _act(self, worker_id: WorkerId, act: Callable[[], Verdict]) -> Verdict:
+        if self.is_down:
+            return Verdict.NOT_TAKEN
+        if worker_id != self.worker_id:
+            return Verdict.OTHER_LIFE
+        self._advance()
+        return act()
+
+    def _check_fence(self, fence: int) -> bool:
+        if fence < self._life.fence:
+            return False
+        self._life.fence = fence
+        return True
+
+    def _note_lapse(self) -> None:
+        """Remember that the lease has passed, even if nothing ran under it."""
+        if self._life.until_ms and self.clock_ms() > self._life.until_ms:
+            self._life.lapsed_s = self._lapse_s()
+
+    def _extend(self, until_ms: int) -> None:
+        self._note_lapse()
+        limit_ms = self.clock_ms() + int(MAX_LEASE_S * 1000)
+        self._life.until_ms = max(self._life.until_ms, min(until_ms, limit_ms))
+
+    async def start_task(self, worker_id: WorkerId, order: StartTask) -> Verdict:
+        """Start an attempt."""
+        return await self._deliver(worker_id, lambda: self._start(order))
+
+    def _start(self, order: StartTask) -> Verdict:
+        life = self._life
+        if not self._check_fence(order.fence):
+            return Verdict.FENCED
+        if order.until_ms <= self.clock_ms():
+            return Verdict.TOO_LATE
+        self._extend(order.until_ms)
+        present = life.running.get(order.task)
+        if present is not None and present.run.attempt == order.attempt:
+            return Verdict.DONE
+        if present is not None or order.attempt <= life.highest.get(order.task, 0):
+            return Verdict.OLD_ATTEMPT
+        script = self._script(order.task, order.attempt)
+        used = EMPTY_SHAPE
+        for item in life.running.values():
+            used = used + item.script.shape
+        if not (used + script.shape).fits_in(self.capacity):
+            return Verdict.NO_ROOM
+        now_s = self._now_s()
+        run = WorkerRun(order.task, order.attempt, life.worker_id, life.born_ms, now_s)
+        self.runs.append(run)
+        life.running[order.task] = _Running(run, script, now_s + script.duration_s)
+        return Verdict.DONE
+
+    async def stop_task(
+        self, worker_id: WorkerId, task: str, attempt: int, fence: int
+    ) -> Verdict:
+        """Stop an attempt."""
+        return await self._deliver(worker_id, lambda: self._stop(task, attempt, fence))
+
+    def _stop(self, task: str, attempt: int, fence: int) -> Verdict:
+        if not self._check_fence(fence):
+            return Verdict.FENCED
+        highest = self._life.highest
+        highest[task] = max(highest.get(task, 0), attempt)
+        item = self._life.running.get(task)
+        if item is not None and item.run.attempt <= attempt and item.stop_s is None:
+            item.stop_s = self._now_s() + STOP_S
+        return Verdict.DONE
+
+    async def pace_task(
+        self, worker_id: WorkerId, task: str, attempt: int, percent: int, fence: int
+    ) -> Verdict:
+        """Take a pace; it has no effect here."""
+        return await self._deliver(
+            worker_id,
+            lambda: Verdict.DONE if self._check_fence(fence) else Verdict.FENCED,
+        )
+
+    async def look(
+        self, worker_id: WorkerId, order: LookOrder
+    ) -> WorkerLook | LookFailed:
+        """Return what runs and what has ended since the noted end."""
+        verdict = await self._deliver(worker_id, lambda: self._begin_look(order))
+        if verdict is not Verdict.DONE:
+            return LookFailed(verdict, verdict.value)
+        life = self._life
+        limit_s = self._now_s() + order.wait_ms / 1000
+        while not life.ended and self._now_s() < limit_s and life is self._life:
+            next_s = [
+                min(item.done_s, item.stop_s or item.done_s)
+                for item in life.running.values()
+            ]
+            until_s = min([limit_s, self._now_s() + 0.05, *next_s])
+            await asyncio.sleep(max(until_s - self._now_s(), 0.0005))
+            self._advance()
+        if self.is_down or life is not self._life:
+            return LookFailed(Verdict.NO_ANSWER, "the worker has gone")
+        return WorkerLook(
+            life.born_ms,
+            self.clock_ms(),
+            tuple(self._running_rows()),
+            tuple(row for row, _ in life.ended),
+        )
+
+    def _begin_look(self, order: LookOrder) -> Verdict:
+        life = self._life
+        if not self._check_fence(order.fence):
+            return Verdict.FENCED
+        self._note_lapse()
+        for row, run in life.ended:
+            # An end whose note comes after the lease has passed is never noted.
+            is_in_time = (run.ended_s or 0.0) >= life.lapsed_s
+            if row.number <= order.n_noted and run.noted_s is None and is_in_time:
+                run.noted_s = self._now_s()
+        life.ended = [pair for pair in life.ended if pair[0].number > order.n_noted]
+        if order.until_ms:
+            self._extend(order.until_ms)
+        return Verdict.DONE
+
+    def _running_rows(self) -> list[RunningTask]:
+        now_s = self._now_s()
+        rows = []
+        for name, item in self._life.running.items():
+            done_share = (now_s - item.run.begun_s) / item.script.duration_s
+            percent = min(99, int(done_share * 100))
+            rows.append(RunningTask(name, item.run.attempt, "", percent))
+        return rows
--- /dev/null
+++ b/tests/decisions/test_graph_placing.py
@@ -0,0 +1,151 @@
+"""Where a task of a job graph may run, and where it runs best."""
+
+import pytest
+
+from almondspan_decisions.graph_placing import (
+    Candidate,
+    choose_worker,
+    victims_on,
+)
+from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
+from almondspan_decisions.job_book import JobBook, WorkerLife
+from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec, TaskKey
+from almondspan_decisions.shapes import Shape
+from almondspan_decisions.tail_model import HarmTable, Image
+from almondspan_decisions.worker_book import WorkerRecord
+
+KEY = TaskKey(0, 0, 0)
+NO_HARM = HarmTable({}, {})
+
+
+def worker(name: str, cpu: int = 8_000, labels: tuple[str, ...] = ()) -> WorkerRecord:
+    return WorkerRecord(
+        WorkerLife(WorkerId(name), 1),
+        ServiceName("pool"),
+        PlaceName("here"),
+        Shape(cpu, 16_000, 0),
+        frozenset(labels),
+    )
+
+
+def book(step: StepSpec) -> JobBook:
+    found = JobBook(JobId("j"), JobSpec(QueueName("q"), "", (step,)))
+    found.open_rounds(0)
+    return found
+
+
+def chosen(step: StepSpec, workers: list[WorkerRecord]) -> str | None:
+    found = choose_worker(book(step), KEY, workers, NO_HARM, 0.0)
+    return found.life.worker_id if found is not None else None
+
+
+def leaving(record: WorkerRecord) -> WorkerRecord:
+    record.is_leaving = True
+    return record
+
+
+def rested(record: WorkerRecord) -> WorkerRecord:
+    record.rested_until_s = 5.0
+    return record
+
+
+SMALL = Shape(1_000, 1_000, 0)
+
+
+@pytest.mark.parametrize(
+    ("step", "workers", "name"),
+    [
+        pytest.param(
+            StepSpec(1, SMALL, label="b"),
+            [worker("a"), worker("b", labels=("b",))],
+            "b",
+            id="label",
+        ),
+        pytest.param(
+            StepSpec(1, Shape(9_000, 1, 0)), [worker("a")], None, id="no_room"
+        ),
+        pytest.param(StepSpec(1, SMALL), [leaving(worker("a"))], None, id="leaving"),
+        pytest.param(
+            StepSpec(1, SMALL), [rested(worker("a")), worker("b")], "b", id="rested"
+        ),
+        pytest.param(
+            StepSpec(1, SMALL),
+            [rested(worker("a"))],
+            "a",
+            id="rested_is_better_than_none",
+        ),
+        pytest.param(
+            StepSpec(1, SMALL, data_rack="r2"),
+            [worker("a", labels=("r1",)), worker("b", labels=("r2",))],
+            "b",
+            id="rack_of_the_data",
+        ),
+        pytest.param(
+            StepSpec(1, Shape(9_000, 1_000, 0), fills=True),
+            [worker("a")],
+            "a",
+            id="fills_beyond_the_processors",
+        ),
+    ],
+)
+def test_choice(step: StepSpec, workers: list[WorkerRecord], name: str | None) -> None:
+    assert chosen(step, workers) == name
+
+
+def test_limit_of_tasks_on_one_worker() -> None:
+    jobs = book(StepSpec(3, SMALL, max_per_worker=1))
+    first, second = worker("a"), worker("b")
+    for position, expected in enumerate(["a", "b", None]):
+        key = TaskKey(0, 0, position)
+        found = choose_worker(jobs, key, [first, second], NO_HARM, 0.0)
+        assert (found.life.worker_id if found is not None else None) == expected
+        if found is not None:
+            jobs.place(key, found.life, 0.0)
+            found.take(jobs.step_of(key))
+
+
+def test_task_that_fills_keeps_away_from_what_it_hurts() -> None:
+    table = HarmTable({(Image("live"), Image("heavy")): 0.5}, {Image("live"): 0.5})
+    beside, free = worker("a", 64_000), worker("b")
+    beside.take(StepSpec(1, SMALL, lasts=True, image="live", tail_target_ms=10))
+    step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image="heavy")
+    found = choose_worker(book(step), KEY, [beside, free], table, 0.0)
+    assert found is free
+
+
+def test_lasting_tasks_of_one_image_are_kept_together() -> None:
+    same, other, empty = worker("a"), worker("b"), worker("c")
+    same.take(StepSpec(1, SMALL, lasts=True, image="x", tail_target_ms=10))
+    other.take(StepSpec(1, SMALL, lasts=True, image="y", tail_target_ms=10))
+    step = StepSpec(1, SMALL, lasts=True, image="x", tail_target_ms=10)
+    found = choose_worker(book(step), KEY, [empty, other, same], NO_HARM, 0.0)
+    assert found is same
+
+
+def candidate(name: str, cpu: int, loss_s: float) -> Candidate:
+    return Candidate(JobId(name), KEY, Shape(cpu, 0, 0), loss_s)
+
+
+@pytest.mark.parametrize(
+    ("wanted", "candidates", "names"),
+    [
+        pytest.param(
+            3_000,
+            [candidate("dear", 4_000, 9.0), candidate("cheap", 4_000, 1.0)],
+            ["cheap"],
+            id="lowest_loss",
+        ),
+        pytest.param(
+            6_000,
+            [candidate("a", 4_000, 2.0), candidate("b", 4_000, 1.0)],
+            ["b", "a"],
+            id="as_many_as_needed",
+        ),
+        pytest.param(9_000, [candidate("a", 4_000, 1.0)], [], id="never_in_vain"),
+    ],
+)
+def test_victims(wanted: int, candidates: list[Candidate], names: list[str]) -> None:
+    full = worker("a")
+    full.take(StepSpec(1, Shape(8_000, 0, 0)))
+    found = victims_on(StepSpec(1, Shape(wanted, 0, 0)), full, candidates)
+    assert [item.job_id for item in found] == names
--- /dev/null
+++ b/tests/decisions/test_job_book.py
@@ -0,0 +1,177 @@
+"""The progress of a job, by hand and by random operations."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondspan_decisions.ids import JobId, WorkerId
+from almondspan_decisions.job_book import (
+    EndKind,
+    JobBook,
+    JobState,
+    TaskPhase,
+    WorkerLife,
+)
+from almondspan_decisions.job_graph import (
+    JobSpec,
+    QueueName,
+    StepSpec,
+    TaskKey,
+    format_task_name,
+    parse_task_name,
+    spec_fault,
+)
+from almondspan_decisions.shapes import Shape
+
+SHAPE = Shape(1, 1, 0)
+LIFE = WorkerLife(WorkerId("w"), 1)
+MAX_FAILURES = 2
+
+
+def make(*steps: StepSpec, n_occurrences: int = 0) -> JobBook:
+    spec = JobSpec(
+        QueueName("q"), "", steps, 0, n_occurrences, first_due_ms=100, interval_ms=50
+    )
+    book = JobBook(JobId("j"), spec)
+    book.open_rounds(1_000_000)
+    return book
+
+
+@pytest.mark.parametrize(
+    ("name", "parsed"),
+    [
+        pytest.param("ab.0.1.17", ("ab", TaskKey(0, 1, 17)), id="task"),
+        pytest.param("ab.0.1", None, id="short"),
+        pytest.param("ab.0.x.1", None, id="no_number"),
+        pytest.param("ab.0.-1.1", None, id="negative"),
+    ],
+)
+def test_task_names(name: str, parsed: tuple[str, TaskKey] | None) -> None:
+    assert parse_task_name(name) == parsed
+    if parsed is not None:
+        assert format_task_name(JobId(parsed[0]), parsed[1]) == name
+
+
+@pytest.mark.parametrize(
+    ("steps", "fault"),
+    [
+        pytest.param((), "a job needs a step", id="none"),
+        pytest.param((StepSpec(0, SHAPE),), "step 0 has no tasks", id="empty"),
+        pytest.param(
+            (StepSpec(1, SHAPE, after=(0,)),),
+            "step 0 waits for a step that is not before it",
+            id="itself",
+        ),
+        pytest.param((StepSpec(1, SHAPE), StepSpec(1, SHAPE, after=(0,))), "", id="ok"),
+    ],
+)
+def test_spec_fault(steps: tuple[StepSpec, ...], fault: str) -> None:
+    assert spec_fault(JobSpec(QueueName("q"), "", steps)) == fault
+
+
+def test_occurrences_enter_when_they_are_due() -> None:
+    spec = JobSpec(QueueName("q"), "", (StepSpec(1, SHAPE),), 0, 3, 100, 50)
+    book = JobBook(JobId("j"), spec)
+    assert not book.open_rounds(99)
+    assert book.open_rounds(150) and len(book.rounds) == 2
+    for occurrence in (0, 1):
+        key = TaskKey(occurrence, 0, 0)
+        book.place(key, LIFE, 0.0)
+        book.end(key, EndKind.DONE, "", MAX_FAILURES)
+    assert book.state is JobState.RUNNING
+    book.open_rounds(200)
+    book.place(TaskKey(2, 0, 0), LIFE, 0.0)
+    book.end(TaskKey(2, 0, 0), EndKind.DONE, "", MAX_FAILURES)
+    assert book.state is JobState.COMPLETED
+
+
+@pytest.mark.parametrize(
+    ("attempt", "life", "is_assigned"),
+    [
+        pytest.param(1, LIFE, True, id="assigned"),
+        pytest.param(2, LIFE, False, id="other_attempt"),
+        pytest.param(1, WorkerLife(WorkerId("w"), 2), False, id="later_life"),
+        pytest.param(1, WorkerLife(WorkerId("v"), 1), False, id="other_worker"),
+    ],
+)
+def test_assignment(attempt: int, life: WorkerLife, is_assigned: bool) -> None:
+    book = make(StepSpec(1, SHAPE))
+    book.place(TaskKey(0, 0, 0), LIFE, 0.0)
+    assert book.is_assigned(TaskKey(0, 0, 0), attempt, life) is is_assigned
+
+
+@pytest.mark.parametrize(
+    ("life", "follows"),
+    [
+        pytest.param(WorkerLife(WorkerId("w"), 2), True, id="later_life"),
+        pytest.param(WorkerLife(WorkerId("w"), 0), False, id="earlier_life"),
+        pytest.param(WorkerLife(WorkerId("v"), 2), False, id="other_worker"),
+    ],
+)
+def test_attempt_follows_only_into_later_lives(life: WorkerLife, follows: bool) -> None:
+    book = make(StepSpec(1, SHAPE))
+    book.place(TaskKey(0, 0, 0), LIFE, 0.0)
+    assert book.adopt(TaskKey(0, 0, 0), 1, life) is follows
+
+
+def test_placing_what_may_not_start_is_a_broken_invariant() -> None:
+    book = make(StepSpec(1, SHAPE), StepSpec(1, SHAPE, after=(0,)))
+    with pytest.raises(RuntimeError):
+        book.place(TaskKey(0, 1, 0), LIFE, 0.0)
+    book.place(TaskKey(0, 0, 0), LIFE, 0.0)
+    with pytest.raises(RuntimeError):
+        book.place(TaskKey(0, 0, 0), LIFE, 0.0)
+
+
+def test_lasting_task_waits_again_however_it_ends() -> None:
+    book = make(StepSpec(1, SHAPE, lasts=True))
+    key = TaskKey(0, 0, 0)
+    for kind in (EndKind.DONE, EndKind.FAILED, EndKind.FAILED, EndKind.FAILED):
+        book.place(key, LIFE, 0.0)
+        book.end(key, kind, "", MAX_FAILURES)
+        assert book.state is JobState.RUNNING
+        assert book.waiting(0, 0) == [key]
+
+
+operations = st.lists(
+    st.tuples(
+        st.sampled_from(["place", "done", "failed", "interrupted", "cancel"]),
+        st.integers(0, 1),
+        st.integers(0, 2),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(operations)
+def test_counts_and_order_under_random_operations(
+    chosen: list[tuple[str, int, int]],
+) -> None:
+    book = make(StepSpec(3, SHAPE), StepSpec(3, SHAPE, after=(0,)))
+    kinds = {
+        "done": EndKind.DONE,
+        "failed": EndKind.FAILED,
+        "interrupted": EndKind.INTERRUPTED,
+    }
+    for name, step, position in chosen:
+        key = TaskKey(0, step, position)
+        task = book.task(key)
+        assert task is not None
+        if name == "cancel":
+            book.is_cancelled = position == 0
+        elif name == "place" and (0, step) in set(book.ready_steps()):
+            if task.phase is TaskPhase.WAITING and book.is_active:
+                book.place(key, LIFE, 0.0)
+        elif name in kinds and task.phase is TaskPhase.PLACED:
+            book.end(key, kinds[name], "", MAX_FAILURES)
+        steps = book.rounds[0]
+        phases = [[task.phase for task in state.tasks] for state in steps]
+        for state, row in zip(steps, phases, strict=True):
+            assert state.n_waiting == row.count(TaskPhase.WAITING)
+            assert state.n_done == row.count(TaskPhase.DONE)
+        assert book.n_placed == sum(row.count(TaskPhase.PLACED) for row in phases)
+        if any(phase is not TaskPhase.WAITING for phase in phases[1]):
+            assert steps[0].is_done
+        if all(state.is_done for state in steps) and not book.is_cancelled:
+            assert book.state in (JobState.COMPLETED, JobState.FAILED)
--- /dev/null
+++ b/tests/jobs/job_world.py
@@ -0,0 +1,470 @@
+"""The whole job system in one loop with virtual time: entries, agents, workers, store.
+
+`JobWorld` starts the parts, each in a simulated process that can be paused or killed
+and comes back; callers submit, cancel and ask through the entries. `violations` judges
+what the workers ran and what callers were told.
+"""
+
+import asyncio
+import contextvars
+import gc
+import random
+import sys
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from memory_network import Hub, MemoryNetwork
+from virtual_loop import Process, VirtualLoop
+
+from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
+from almondspan_decisions.job_book import JobState
+from almondspan_decisions.job_graph import (
+    JobSpec,
+    QueueName,
+    QueueRules,
+    StepSpec,
+    parse_task_name,
+)
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_jobs import clocks
+from almondspan_jobs.entry import JobEntry
+from almondspan_jobs.job_door import JobAnswer, StateAnswer, StoreResult
+from almondspan_jobs.keeper import TaskKeeper
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import AGENT_PREFIX, AgentRecord, encode_record
+from almondspan_platform.group_store import Write, WriteGroup
+from almondspan_platform.task_worker import EndWord, WorkerState
+from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
+from almondspan_standins.memory_task_worker import (
+    MemoryTaskWorker,
+    TaskScript,
+    WorkerRun,
+)
+
+QUEUE = QueueName("batch")
+SERVICE = ServiceName("pool")
+MAX_FAILURES = 3
+CAPACITY = Shape(8_000, 16_000, 0)
+REPORT_S = 1.0
+RESTART_S = 0.8
+EPOCH_S = 1_700_000_000
+RULES = {QUEUE: QueueRules(SERVICE, 0, MAX_FAILURES, 2.0, 500)}
+
+
+class ListLog:
+    """Keeps every line with its time."""
+
+    def __init__(self, world: "JobWorld", process: str) -> None:
+        self._world = world
+        self._process = process
+
+    def line(self, event: str, **fields: Any) -> None:
+        now_s = self._world.loop.now_s
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        self._world.trace.append(f"{now_s:9.3f} {self._process} {event} {text}")
+
+
+@dataclass
+class Submitted:
+    """A job as its caller knows it."""
+
+    job_id: JobId
+    spec: JobSpec
+    answers: list[StoreResult] = field(default_factory=list)
+    cancelled_s: float | None = None
+    cancel_asked: bool = False
+    states: list[tuple[float, JobState]] = field(default_factory=list)
+
+    @property
+    def is_accepted(self) -> bool:
+        return StoreResult.STORED in self.answers
+
+    @property
+    def is_refused(self) -> bool:
+        return bool(self.answers) and set(self.answers) == {StoreResult.NOT_DONE}
+
+
+class EntrySite:
+    """One entry machine: its process comes back after a kill."""
+
+    def __init__(self, world: "JobWorld", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.faults = StoreFaults()
+        self.boot()
+
+    def boot(self) -> None:
+        self.process = Process(self.name)
+        self.entry: JobEntry | None = None
+        self.world.spawn(self.process, self._run())
+
+    async def _run(self) -> None:
+        world = self.world
+        entry = JobEntry(
+            self.name,
+            self.name,
+            1,
+            MemoryNetwork(world.hub),
+            world.store.client(self.faults),
+            world.options,
+            ListLog(world, self.name),
+            Meters(),
+            random.Random(world.rng.random()),
+        )
+        await entry.start()
+        entry.leadership.set_rules(RULES)
+        self.entry = entry
+
+    def kill(self) -> None:
+        self.world.kill(self.process)
+        self.entry = None
+        self.world.later(RESTART_S, self.boot)
+
+
+class AgentSite:
+    """One machine with a worker and its agent."""
+
+    def __init__(self, world: "JobWorld", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.n_lives = 1
+        self.is_leaving = False
+        self.worker = MemoryTaskWorker(
+            WorkerId(f"w-{name}"),
+            CAPACITY,
+            world.script,
+            random.Random(world.rng.random()),
+            clock_rate=world.rng.choice([0.98, 1.0, 1.0]),
+        )
+        record = encode_record(AgentRecord(name, 1))
+        world.store.commit(WriteGroup(writes=(Write(AGENT_PREFIX + name, record),)))
+        self.boot()
+        self._report()
+
+    def boot(self) -> None:
+        self.process = Process(self.name)
+        self.keeper: TaskKeeper | None = None
+        self.world.spawn(self.process, self._run())
+
+    async def _run(self) -> None:
+        keeper = TaskKeeper(
+            self.name,
+            1,
+            MemoryNetwork(self.world.hub),
+            self.worker,
+            self.world.options,
+            ListLog(self.world, self.name),
+            Meters(),
+        )
+        await keeper.start()
+        self.keeper = keeper
+
+    def _report(self) -> None:
+        """Let the worker report itself, as it does every second."""
+        keeper = self.keeper
+        if keeper is not None and not self.worker.is_down:
+            state = WorkerState(
+                self.worker.worker_id,
+                self.worker.born_ms,
+                SERVICE,
+                PlaceName("here"),
+                CAPACITY,
+                ("r1",),
+                self.is_leaving,
+                3_000 if self.is_leaving else 0,
+            )
+            self.world.hub.call_in(self.process, 0.0, _call_report, keeper, state)
+        self.world.later(REPORT_S, self._report)
+
+    def kill(self) -> None:
+        self.world.kill(self.process)
+        self.keeper = None
+        self.world.later(RESTART_S, self.boot)
+
+    def crash_worker(self, down_s: float, keeps_id: bool) -> None:
+        self.worker.crash()
+        self.n_lives += 1
+        worker_id = None if keeps_id else WorkerId(f"w-{self.name}-{self.n_lives}")
+        self.world.later(down_s, self.worker.restart, worker_id)
+
+
+def _call_report(keeper: TaskKeeper, state: WorkerState) -> None:
+    keeper.on_report(state)
+
+
+class JobWorld:
+    """The simulated system and its callers."""
+
+    def __init__(self, seed: int, n_entries: int = 3, n_agents: int = 4) -> None:
+        self.rng = random.Random(seed)
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        clocks.use_clocks(self.loop.time, lambda: EPOCH_S + self.loop.now_s)
+        self.trace: list[str] = []
+        self.options = JobOptions()
+        self.jobs: dict[JobId, Submitted] = {}
+        self.scripts: dict[str, TaskScript] = {}
+        self._holders: list[asyncio.Task[Any]] = []
+        self.loop.run_until_complete(self._build(n_entries, n_agents))
+
+    async def _build(self, n_entries: int, n_agents: int) -> None:
+        self.hub = Hub(self.loop)
+        self.store = MemoryGroupStore(self.rng)
+        self.agents = [AgentSite(self, f"agent{n}") for n in range(n_agents)]
+        self.entries = [EntrySite(self, f"entry{n}") for n in range(n_entries)]
+
+    # Processes
+
+    def spawn(self, process: Process, body: Coroutine[Any, Any, Any]) -> None:
+        task = self.loop.create_task(body, context=process.new_context())
+        self._holders.append(task)
+
+    def later(self, delay_s: float, call: Any, *args: Any) -> None:
+        self.loop.call_later(delay_s, call, *args, context=contextvars.Context())
+
+    def kill(self, process: Process) -> None:
+        process.is_dead = True
+        self.hub.kill(process)
+
+    def pause(self, process: Process, for_s: float) -> None:
+        process.is_paused = True
+        self.later(for_s, self.loop.resume, process)
+
+    def act(self, body: Callable[["JobWorld"], None]) -> None:
+        """Do something within the loop, as nobody's process."""
+
+        async def run() -> None:
+            body(self)
+
+        self.loop.run_until_complete(run())
+
+    def owner(self) -> EntrySite | None:
+        for site in self.entries:
+            entry = site.entry
+            if entry is not None and entry.leadership.owner is not None:
+                return site
+        return None
+
+    # Callers
+
+    def script(self, task: str, attempt: int) -> TaskScript:
+        parsed = parse_task_name(task)
+        assert parsed is not None
+        job_id, key = parsed
+        step = self.jobs[job_id].spec.steps[key.step]
+        rng = random.Random(f"{task}/{attempt}")
+        is_failing = rng.random() < 0.05 and not step.lasts
+        duration_s = 1e6 if step.lasts else step.estimate_ms / 1000
+        how = EndWord.FAILED if is_failing else EndWord.DONE
+        return TaskScript(step.shape, duration_s * rng.uniform(0.7, 1.3), how)
+
+    def make_job(self, steps: tuple[StepSpec, ...] | None = None) -> Submitted:
+        job_id = JobId(f"{self.rng.getrandbits(64):016x}")
+        if steps is None:
+            steps = self._random_steps()
+        spec = JobSpec(QUEUE, "payload", steps, int(self.loop.now_s * 1000))
+        job = self.jobs[job_id] = Submitted(job_id, spec)
+        return job
+
+    def _random_steps(self) -> tuple[StepSpec, ...]:
+        rng = self.rng
+        lasts = rng.random() < 0.15
+        steps = []
+        for number in range(1 if lasts else rng.randint(1, 3)):
+            shape = Shape(rng.choice([200, 500, 1_500]), rng.choice([200, 1_000]), 0)
+            steps.append(
+                StepSpec(
+                    rng.randint(1, 5),
+                    shape,
+                    rng.randint(100, 2_500),
+                    after=(number - 1,) if number else (),
+                    lasts=lasts,
+                    max_per_worker=rng.choice([0, 0, 2]),
+                )
+            )
+        return tuple(steps)
+
+    def submit(self, job: Submitted, site: EntrySite) -> None:
+        """Submit a job at an entry; what it answers is kept with the job."""
+        if site.entry is None:
+            return
+        door = site.entry.door
+
+        async def ask() -> None:
+            answer: JobAnswer = await door.submit(job.job_id, job.spec, 2.5)
+            job.answers.append(answer.result)
+            self.trace.append(
+                f"{self.loop.now_s:9.3f} caller {job.job_id} {answer.result.value}"
+            )
+
+        self.spawn(site.process, ask())
+
+    def cancel(self, job: Submitted, site: EntrySite) -> None:
+        """Cancel a job at an entry."""
+        if site.entry is None:
+            return
+        door = site.entry.door
+        job.cancel_asked = True
+
+        async def ask() -> None:
+            answer = await door.cancel(job.job_id, 2.5)
+            if answer.result is StoreResult.STORED and job.cancelled_s is None:
+                job.cancelled_s = self.loop.now_s
+
+        self.spawn(site.process, ask())
+
+    def ask_state(self, job: Submitted, site: EntrySite) -> None:
+        """Ask an entry for a job's state."""
+        if site.entry is None:
+            return
+        door = site.entry.door
+        was_accepted = job.is_accepted
+
+        async def ask() -> None:
+            answer: StateAnswer = await door.state(job.job_id)
+            if answer.state is not None:
+                job.states.append((self.loop.now_s, answer.state))
+            elif answer.is_known and was_accepted:
+                self.broken.append(f"{job.job_id} is accepted and said to be unknown")
+
+        self.spawn(site.process, ask())
+
+    broken: list[str]
+
+    def run(self, for_s: float) -> None:
+        """Let time pass."""
+        if not hasattr(self, "broken"):
+            self.broken = []
+        self.loop.run_until_complete(asyncio.sleep(for_s))
+        for site in self.agents:
+            self.loop.run_until_complete(_settle(site.worker))
+
+    def close(self) -> None:
+        """Drop everything that still runs."""
+        clocks.use_clocks()
+        for process in [site.process for site in (*self.agents, *self.entries)]:
+            process.is_dead = True
+        self.loop.close()
+        asyncio.set_event_loop(None)
+        _collect_dead(self)
+
+    # Judgement
+
+    def runs(self) -> list[WorkerRun]:
+        found = [run for site in self.agents for run in site.worker.runs]
+        return sorted(found, key=lambda run: run.begun_s)
+
+    def state_of(self, job: Submitted) -> JobState | None:
+        return job.states[-1][1] if job.states else None
+
+    def violations(self) -> list[str]:
+        """Return every broken promise, as text."""
+        found = [*self.broken, *self.loop.errors]
+        by_task: dict[str, list[WorkerRun]] = {}
+        for run in self.runs():
+            by_task.setdefault(run.task, []).append(run)
+        for task, runs in by_task.items():
+            found += _judge_task(task, runs)
+        for run in self.runs():
+            found += self._judge_start(run, by_task)
+        for job in self.jobs.values():
+            found += self._judge_job(job, by_task)
+        found += self._judge_room()
+        return found
+
+    def _judge_start(
+        self, run: WorkerRun, by_task: dict[str, list[WorkerRun]]
+    ) -> list[str]:
+        parsed = parse_task_name(run.task)
+        assert parsed is not None
+        job_id, key = parsed
+        job = self.jobs.get(job_id)
+        if job is None:
+            return [f"UNASKED {run.task}"]
+        found = []
+        if job.is_refused:
+            found.append(f"REFUSED {run.task} began though its job was refused")
+        limit_s = 8.0
+        if job.cancelled_s is not None and run.begun_s > job.cancelled_s + limit_s:
+            found.append(f"UNASKED {run.task} began long after the cancelling")
+        for earlier in job.spec.steps[key.step].after:
+            for index in range(job.spec.steps[earlier].n_tasks):
+                name = f"{job_id}.{key.occurrence}.{earlier}.{index}"
+                if not any(
+                    other.how is EndWord.DONE and (other.ended_s or 0) <= run.begun_s
+                    for other in by_task.get(name, [])
+                ):
+                    found.append(f"ORDER {run.task} began before {name} was done")
+        return found
+
+    def _judge_job(
+        self, job: Submitted, by_task: dict[str, list[WorkerRun]]
+    ) -> list[str]:
+        shown_s = next(
+            (at_s for at_s, state in job.states if state is JobState.COMPLETED), None
+        )
+        if shown_s is None:
+            return []
+        found = []
+        for number, step in enumerate(job.spec.steps):
+            for index in range(step.n_tasks):
+                name = f"{job.job_id}.0.{number}.{index}"
+                if not any(
+                    run.how is EndWord.DONE and (run.ended_s or 0) <= shown_s
+                    for run in by_task.get(name, [])
+                ):
+                    found.append(f"MIXED {name} is not done, its job is completed")
+        return found
+
+    def _judge_room(self) -> list[str]:
+        found = []
+        for site in self.agents:
+            for moment in (run.begun_s for run in site.worker.runs):
+                used = EMPTY_SHAPE
+                for run in site.worker.runs:
+                    if run.begun_s <= moment < (run.ended_s or float("inf")):
+                        parsed = parse_task_name(run.task)
+                        assert parsed is not None
+                        job = self.jobs[parsed[0]]
+                        used = used + job.spec.steps[parsed[1].step].shape
+                if not used.fits_in(CAPACITY):
+                    found.append(f"LIMIT {site.name} at {moment}")
+        return found
+
+
+def _collect_dead(world: JobWorld) -> None:
+    """Collect the coroutines of dead processes, whose clean-up has no loop."""
+    world._holders.clear()
+    world.hub.channels.clear()
+    world.hub.handling.clear()
+    world.hub.listeners.clear()
+    before, sys.unraisablehook = sys.unraisablehook, lambda unraisable: None
+    gc.collect()
+    sys.unraisablehook = before
+
+
+async def _settle(worker: MemoryTaskWorker) -> None:
+    worker.settle()
+
+
+def _judge_task(task: str, runs: list[WorkerRun]) -> list[str]:
+    found = []
+    n_failed = 0
+    for index, run in enumerate(runs):
+        for earlier in runs[:index]:
+            if (earlier.ended_s or float("inf")) > run.begun_s + 1e-6:
+                found.append(
+                    f"TWICE {task} {earlier.attempt} on {earlier.worker_id} and"
+                    f" {run.attempt} on {run.worker_id} at {run.begun_s:.3f}"
+                )
+            elif earlier.how is EndWord.DONE and earlier.noted_s is not None:
+                found.append(f"TWICE {task} began again after a noted end as done")
+        n_failed = sum(
+            other.how is EndWord.FAILED and other.noted_s is not None
+            for other in runs[:index]
+        )
+        if n_failed >= MAX_FAILURES:
+            found.append(f"BUDGET {task} began after {n_failed} failures")
+    return found
--- /dev/null
+++ b/tests/jobs/test_scheduler.py
@@ -0,0 +1,338 @@
+"""The owner's books: evidence for releases, notes, budgets, orders."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
+from almondspan_decisions.job_book import JobState, WorkerLife
+from almondspan_decisions.job_graph import (
+    JobSpec,
+    QueueName,
+    QueueRules,
+    StepSpec,
+    TaskKey,
+)
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs import clocks
+from almondspan_jobs.messages import (
+    LeaseRenewal,
+    StartOrder,
+    StartReply,
+    StopOrder,
+    StopReply,
+    WorkerListing,
+    WorkerReport,
+)
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import decode_progress, encode_progress
+from almondspan_jobs.scheduler import Scheduler
+from almondspan_wire.codec import Message
+
+QUEUE = QueueName("q")
+SERVICE = ServiceName("pool")
+WORKER = WorkerId("w-1")
+BORN_MS = 5
+JOB = JobId("0123456789abcdef")
+TASK = f"{JOB}.0.0.0"
+KEY = TaskKey(0, 0, 0)
+STEP = StepSpec(1, Shape(1_000, 1_000), estimate_ms=1_000)
+
+
+class Log:
+    def __init__(self) -> None:
+        self.events: list[str] = []
+
+    def line(self, event: str, **fields: object) -> None:
+        self.events.append(event)
+
+
+class Bench:
+    """A scheduler with a clock by hand and the messages that it sent."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        clocks.use_clocks(lambda: self.now_s, lambda: 1_700_000_000 + self.now_s)
+        self.options = JobOptions()
+        self.sent: list[tuple[WorkerId, Message]] = []
+        self.log = Log()
+        self.make()
+
+    def make(self) -> None:
+        """Begin as a new owner with empty books."""
+        self.scheduler = Scheduler(
+            self.options, self.log, Meters(), self._post, lambda: self.now_s
+        )
+        self.scheduler.rules = {QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500)}
+
+    def _post(self, worker_id: WorkerId, body: Message) -> bool:
+        self.sent.append((worker_id, body))
+        return True
+
+    def take(self, kind: type[Message]) -> list[Message]:
+        """Return the messages of a kind sent so far and forget all."""
+        found = [body for _, body in self.sent if isinstance(body, kind)]
+        self.sent.clear()
+        return found
+
+    def meet(self, worker: WorkerId = WORKER, born_ms: int = BORN_MS) -> None:
+        self.scheduler.on_report(
+            WorkerReport(
+                worker,
+                born_ms,
+                SERVICE,
+                PlaceName("here"),
+                4_000,
+                8_000,
+                0,
+                ["r1"],
+                False,
+                0,
+            )
+        )
+        self.list_(worker, born_ms)
+
+    def list_(
+        self,
+        worker: WorkerId = WORKER,
+        born_ms: int = BORN_MS,
+        running: list[tuple[str, int, str, int, float]] | None = None,
+        ended: list[tuple[int, str, int, str, str]] | None = None,
+    ) -> None:
+        listing = WorkerListing(
+            born_ms, int(self.now_s * 1000), running or [], ended or []
+        )
+        self.scheduler.on_listing(WorkerLife(worker, born_ms), listing)
+
+    def add(self, *steps: StepSpec) -> None:
+        self.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", steps or (STEP,)))
+        self.decide()
+
+    def decide(self) -> None:
+        """Plan, store and let orders leave."""
+        self.scheduler.plan()
+        while self.scheduler.is_dirty:
+            self.scheduler.on_stored(self.scheduler.snapshot())
+
+    def pass_time(self, for_s: float) -> None:
+        self.now_s += for_s
+        self.scheduler.tick()
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    yield Bench()
+    clocks.use_clocks()
+
+
+def n_placed(bench: Bench) -> int:
+    return bench.scheduler.jobs[JOB].n_placed
+
+
+def test_start_leaves_after_its_assignment_is_stored(bench: Bench) -> None:
+    bench.meet()
+    bench.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    bench.scheduler.plan()
+    assert bench.take(StartOrder) == []
+    bench.scheduler.on_stored(bench.scheduler.snapshot())
+    assert [order.attempt for order in bench.take(StartOrder)] == [1]
+
+
+def test_end_is_noted_after_its_effect_is_stored(bench: Bench) -> None:
+    bench.meet()
+    bench.add()
+    bench.take(LeaseRenewal)
+    bench.list_(ended=[(1, TASK, 1, "done", "")])
+    assert all(body.n_noted == 0 for body in bench.take(LeaseRenewal))
+    assert bench.scheduler.shown[JOB] is not JobState.COMPLETED
+    bench.decide()
+    assert [body.n_noted for body in bench.take(LeaseRenewal)] == [1]
+    assert bench.scheduler.shown[JOB] is JobState.COMPLETED
+
+
+def test_new_owner_notes_an_end_only_after_storing_it(bench: Bench) -> None:
+    bench.meet()
+    bench.add()
+    book = bench.scheduler.jobs[JOB]
+    stored = decode_progress(JOB, book.spec, encode_progress(book))
+    bench.make()
+    bench.scheduler.load(stored)
+    bench.meet()
+    bench.sent.clear()
+    bench.list_(ended=[(1, TASK, 1, "done", "")])
+    assert all(body.n_noted == 0 for body in bench.take(LeaseRenewal))
+    bench.decide()
+    assert [body.n_noted for body in bench.take(LeaseRenewal)] == [1]
+
+
+@pytest.mark.parametrize(
+    ("how", "attempts", "state"),
+    [
+        pytest.param("stopped", 3, JobState.RUNNING, id="stops_are_no_failures"),
+        pytest.param("lapsed", 3, JobState.RUNNING, id="lapses_are_no_failures"),
+        pytest.param("failed", 2, JobState.FAILED, id="failures_use_up_the_budget"),
+    ],
+)
+def test_budget(bench: Bench, how: str, attempts: int, state: JobState) -> None:
+    bench.meet()
+    bench.add()
+    for attempt in (1, 2):
+        bench.list_(ended=[(attempt, TASK, attempt, how, "")])
+        bench.decide()
+    assert bench.scheduler.shown[JOB] is state
+    assert bench.scheduler.jobs[JOB].task(KEY).n_attempts == attempts
+
+
+@pytest.mark.parametrize(
+    ("verdict", "n_sends", "is_released"),
+    [
+        pytest.param("no_room", 1, True, id="refused_at_once"),
+        pytest.param("no_room", 2, False, id="refused_after_an_unanswered_order"),
+        pytest.param("old_attempt", 1, False, id="perhaps_ended_already"),
+        pytest.param("no_answer", 1, False, id="no_answer"),
+        pytest.param("fenced", 1, False, id="a_later_owner_is_there"),
+        pytest.param("done", 1, False, id="started"),
+    ],
+)
+def test_refused_start(
+    bench: Bench, verdict: str, n_sends: int, is_released: bool
+) -> None:
+    bench.meet()
+    bench.add()
+    for _ in range(n_sends - 1):
+        bench.scheduler.on_start_reply(
+            WORKER, StartReply(BORN_MS, TASK, 1, "no_answer")
+        )
+        bench.pass_time(0.0)
+    bench.scheduler.on_start_reply(WORKER, StartReply(BORN_MS, TASK, 1, verdict))
+    assert n_placed(bench) == (0 if is_released else 1)
+
+
+def test_attempt_that_is_not_listed_is_voided_then_released(bench: Bench) -> None:
+    bench.meet()
+    bench.add()
+    bench.scheduler.on_start_reply(WORKER, StartReply(BORN_MS, TASK, 1, "done"))
+    bench.now_s += 1.8
+    bench.list_()
+    bench.sent.clear()
+    bench.scheduler.tick()
+    assert [body.is_void for body in bench.take(StopOrder)] == [True]
+    assert n_placed(bench) == 1
+    bench.scheduler.on_stop_reply(StopReply(BORN_MS, TASK, 1))
+    assert n_placed(bench) == 0
+
+
+def test_silent_worker_keeps_its_tasks_until_the_lease_has_passed(
+    bench: Bench,
+) -> None:
+    # Leases of owners before this one have passed by now.
+    bench.pass_time(20.0)
+    bench.meet()
+    bench.add()
+    lease_s = bench.options.lease_ms / 1000
+    bench.pass_time(lease_s * (1 + bench.options.clock_drift))
+    assert n_placed(bench) == 1
+    bench.pass_time(1.0)
+    assert n_placed(bench) == 0
+
+
+def test_new_owner_waits_for_leases_of_earlier_owners(bench: Bench) -> None:
+    bench.meet()
+    bench.add()
+    book = bench.scheduler.jobs[JOB]
+    stored = decode_progress(JOB, book.spec, encode_progress(book))
+    bench.make()
+    bench.scheduler.load(stored)
+    bench.pass_time(bench.options.unconfirmed_s)
+    assert n_placed(bench) == 1
+    bench.pass_time(1.0)
+    assert n_placed(bench) == 0
+
+
+def test_lease_never_reaches_far_past_the_proof_of_ownership(bench: Bench) -> None:
+    bench.meet()
+    bench.sent.clear()
+    proved_s = bench.now_s
+    bench.scheduler._confirmed_s = lambda: proved_s
+    for _ in range(20):
+        bench.now_s += 1.0
+        bench.list_()
+    until_s = max(body.until_ms for body in bench.take(LeaseRenewal)) / 1000
+    assert until_s <= proved_s + bench.options.unconfirmed_s
+
+
+def test_later_life_releases_what_was_listed_before(bench: Bench) -> None:
+    bench.meet()
+    bench.add()
+    bench.scheduler.on_start_reply(WORKER, StartReply(BORN_MS, TASK, 1, "done"))
+    bench.list_(running=[(TASK, 1, "", 10, 0.0)])
+    bench.meet(born_ms=BORN_MS + 1)
+    assert n_placed(bench) == 0
+
+
+def test_later_life_of_the_same_name_may_have_taken_an_order(bench: Bench) -> None:
+    bench.meet()
+    bench.add()
+    bench.sent.clear()
+    bench.meet(born_ms=BORN_MS + 1)
+    assert n_placed(bench) == 1
+    bench.pass_time(0.0)
+    assert any(body.is_void for body in bench.take(StopOrder))
+    bench.list_(born_ms=BORN_MS + 1, ended=[(1, TASK, 1, "done", "")])
+    bench.decide()
+    assert bench.scheduler.shown[JOB] is JobState.COMPLETED
+
+
+def test_cancelled_job_starts_nothing_more(bench: Bench) -> None:
+    bench.add(STEP, STEP)
+    bench.scheduler.cancel_job(JOB)
+    bench.meet()
+    bench.decide()
+    assert bench.take(StartOrder) == []
+    assert bench.scheduler.shown[JOB] is JobState.CANCELLED
+
+
+def test_cancelled_between_the_decision_and_its_storing(bench: Bench) -> None:
+    bench.meet()
+    bench.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    bench.scheduler.plan()
+    snapshot = bench.scheduler.snapshot()
+    bench.scheduler.cancel_job(JOB)
+    bench.scheduler.on_stored(snapshot)
+    assert bench.take(StartOrder) == []
+    assert n_placed(bench) == 0
+
+
+def test_unknown_running_attempt_is_stopped(bench: Bench) -> None:
+    bench.meet()
+    bench.list_(running=[("feedfeedfeedfeed.0.0.0", 1, "", 5, 0.0)])
+    assert len(bench.take(StopOrder)) == 1
+
+
+def test_second_step_waits_for_the_whole_first(bench: Bench) -> None:
+    bench.meet()
+    bench.add(StepSpec(2, Shape(100, 100)), StepSpec(1, Shape(100, 100), after=(0,)))
+    bench.list_(ended=[(1, f"{JOB}.0.0.0", 1, "done", "")])
+    bench.decide()
+    names = [order.facts.task for order in bench.take(StartOrder)]
+    assert f"{JOB}.0.1.0" not in names
+    bench.list_(ended=[(2, f"{JOB}.0.0.1", 1, "done", "")])
+    bench.decide()
+    names = [order.facts.task for order in bench.take(StartOrder)]
+    assert names == [f"{JOB}.0.1.0"]
+
+
+def test_room_of_a_stopping_task_is_not_free(bench: Bench) -> None:
+    bench.meet()
+    big = StepSpec(1, Shape(4_000, 8_000))
+    bench.add(big)
+    bench.scheduler.cancel_job(JOB)
+    other = JobId("fedcba9876543210")
+    bench.scheduler.add_job(other, JobSpec(QUEUE, "payload", (big,)))
+    bench.sent.clear()
+    bench.decide()
+    assert bench.take(StartOrder) == []
+    bench.list_(ended=[(1, TASK, 1, "stopped", "")])
+    bench.decide()
+    assert len(bench.take(StartOrder)) == 1
