Keep which lives of workers each agent was beside

Change: as/homes holds agent and lives, stored with the first group after a worker is met; a later life beside the same agent releases the tasks of the earlier. Ruled out: a shorter wait for leases of earlier owners; it would lose a store outage.

--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -30,11 +30,14 @@
 from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import (
+    HOMES_KEY,
     JOBS_PREFIX,
     RUNS_PREFIX,
     AgentRecord,
+    HomesRecord,
     Unreadable,
     decode_progress,
+    decode_record,
     decode_spec,
 )
 from almondspan_jobs.scheduler import Scheduler
@@ -188,6 +191,7 @@
         began_s = steady_s()
         jobs = await self._range(JOBS_PREFIX)
         runs = await self._range(RUNS_PREFIX)
+        await self._load_homes()
         progress = {item.key.removeprefix(RUNS_PREFIX): item for item in runs.items}
         for item in jobs.items:
             self._load_job(item, progress)
@@ -201,6 +205,15 @@
         )
         return jobs.revision
 
+    async def _load_homes(self) -> None:
+        found = await self._range(HOMES_KEY)
+        for item in found.items:
+            record = decode_record(HomesRecord, item.value)
+            if isinstance(record, Unreadable):
+                self._log.line("record_unreadable", key=item.key, reason=record.reason)
+            else:
+                self.scheduler.load_homes(record.homes)
+
     def _load_job(self, item: KeyValue, progress: Mapping[str, KeyValue]) -> None:
         name, _, kind = item.key.removeprefix(JOBS_PREFIX).partition("/")
         run = progress.get(name)
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -6,6 +6,7 @@
 ``as/m/owner``         `OwnerRecord`, under the owner's lease
 ``as/m/agent/<node>``  `AgentRecord`: where an agent listens
 ``as/head``            `HeadRecord`, written with every group of decisions
+``as/homes``           `HomesRecord`: which lives of workers each agent was beside
 ``as/in/<job>/job``    the `JobSpec`, written once by an entry
 ``as/in/<job>/cancel`` the cancellation, written by an entry
 ``as/run/<job>``       the progress of the job, written by the owner
@@ -32,12 +33,14 @@
 __all__ = [
     "AGENT_PREFIX",
     "HEAD_KEY",
+    "HOMES_KEY",
     "JOBS_PREFIX",
     "MEMBERS_PREFIX",
     "OWNER_KEY",
     "RUNS_PREFIX",
     "AgentRecord",
     "HeadRecord",
+    "HomesRecord",
     "OwnerRecord",
     "Unreadable",
     "cancel_key",
@@ -55,6 +58,7 @@
 OWNER_KEY: Final = "as/m/owner"
 AGENT_PREFIX: Final = "as/m/agent/"
 HEAD_KEY: Final = "as/head"
+HOMES_KEY: Final = "as/homes"
 JOBS_PREFIX: Final = "as/in/"
 RUNS_PREFIX: Final = "as/run/"
 
@@ -90,6 +94,12 @@
     nonce: str
 
 
+class HomesRecord(msgspec.Struct, frozen=True):
+    """Lives of workers by the agent beside them: worker id and birth of each."""
+
+    homes: dict[str, list[tuple[str, int]]]
+
+
 class _TaskRow(msgspec.Struct, frozen=True, array_like=True):
     phase: int
     n_attempts: int
@@ -114,7 +124,7 @@
     reason: str
 
 
-AnyRecord = TypeVar("AnyRecord", OwnerRecord, AgentRecord, HeadRecord)
+AnyRecord = TypeVar("AnyRecord", OwnerRecord, AgentRecord, HeadRecord, HomesRecord)
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _SPECS: Final = msgspec.msgpack.Decoder(JobSpec)
@@ -137,7 +147,9 @@
     return f"{RUNS_PREFIX}{job_id}"
 
 
-def encode_record(record: OwnerRecord | AgentRecord | HeadRecord) -> bytes:
+def encode_record(
+    record: OwnerRecord | AgentRecord | HeadRecord | HomesRecord,
+) -> bytes:
     """Return a record's bytes."""
     return _ENCODER.encode(record)
 
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -60,7 +60,15 @@
 )
 from almondspan_jobs.meters import Meters
 from almondspan_jobs.options import JobOptions
-from almondspan_jobs.records import cancel_key, encode_progress, job_key, run_key
+from almondspan_jobs.records import (
+    HOMES_KEY,
+    HomesRecord,
+    cancel_key,
+    encode_progress,
+    encode_record,
+    job_key,
+    run_key,
+)
 from almondspan_platform.group_store import Write
 from almondspan_platform.task_worker import EndWord, Verdict
 from almondspan_wire.codec import Message
@@ -150,6 +158,9 @@
         """The stored states, which callers may be told."""
         self.workers: dict[WorkerId, WorkerRecord] = {}
         self._leases: dict[WorkerLife, WorkerLease] = {}
+        self._homes: dict[WorkerLife, str] = {}
+        """The agent that each life was beside."""
+        self._are_homes_dirty = False
         self._on_life: dict[WorkerLife, set[tuple[JobId, TaskKey]]] = {}
         self._progress: dict[JobId, _Progress] = {}
         self._stored_version: dict[JobId, int] = {}
@@ -251,8 +262,14 @@
             lease = self._leases[life] = WorkerLease(self._terms, empty_s)
         return lease
 
-    def on_report(self, report: WorkerReport) -> None:
-        """Take in what a worker says of itself."""
+    def load_homes(self, homes: Mapping[str, list[tuple[str, int]]]) -> None:
+        """Take in which lives each agent was beside, after a takeover."""
+        for node, lives in homes.items():
+            for worker_id, born_ms in lives:
+                self._homes[WorkerLife(WorkerId(worker_id), born_ms)] = node
+
+    def on_report(self, node: str, report: WorkerReport) -> None:
+        """Take in what the worker beside an agent says of itself."""
         life = WorkerLife(report.worker_id, report.born_ms)
         known = self.workers.get(report.worker_id)
         if known is not None and known.life.born_ms > report.born_ms:
@@ -262,7 +279,7 @@
             self._on_left(life)
             return
         if known is None or known.life != life:
-            self._meet(life, report)
+            self._meet(node, life, report)
             return
         if report.is_leaving and not known.is_leaving:
             self._log.line(
@@ -271,8 +288,8 @@
         known.is_leaving = report.is_leaving
         known.leaves_ms = report.leaves_ms
 
-    def _meet(self, life: WorkerLife, report: WorkerReport) -> None:
-        """Know a life for the first time; earlier lives of the worker are over."""
+    def _meet(self, node: str, life: WorkerLife, report: WorkerReport) -> None:
+        """Know a life for the first time; earlier ones in its place are over."""
         record = WorkerRecord(
             life,
             report.service,
@@ -285,12 +302,15 @@
         earlier = [
             old
             for old in self._leases
-            if old.worker_id == life.worker_id and old.born_ms < life.born_ms
+            if old.born_ms < life.born_ms
+            and (old.worker_id == life.worker_id or self._homes.get(old) == node)
         ]
+        self._homes[life] = node
+        self._are_homes_dirty = True
         self.workers[life.worker_id] = record
         self._lease(life)
         for old in earlier:
-            self.on_replaced(old, life)
+            self._on_replaced(old, life)
         for job_id, key in self._on_life.get(life, ()):
             record.take(self.jobs[job_id].step_of(key))
         self._log.line(
@@ -305,8 +325,8 @@
         )
         self.wants_plan = True
 
-    def on_replaced(self, old: WorkerLife, new: WorkerLife) -> None:
-        """Learn that the place of a life is taken by a later one.
+    def _on_replaced(self, old: WorkerLife, new: WorkerLife) -> None:
+        """Learn that a later life has taken the place of another.
 
         What was listed there ended with it. An order that is not known to have reached
         the old life may reach a later one of the same name, so it is made void there.
@@ -343,6 +363,8 @@
         if not self._on_life.get(life):
             self._on_life.pop(life, None)
             self._leases.pop(life, None)
+            self._observed_s.pop(life, None)
+            self._are_homes_dirty |= self._homes.pop(life, None) is not None
 
     def _empty(self, life: WorkerLife, reason: str) -> None:
         """Release every task of a life that surely runs nothing any more."""
@@ -748,11 +770,19 @@
         """Tell whether a decision waits to be stored."""
         return bool(self._dirty)
 
+    def _homes_write(self) -> Write:
+        """Return the record of homes, which is clean from now on."""
+        self._are_homes_dirty = False
+        homes: dict[str, list[tuple[str, int]]] = {}
+        for life, node in self._homes.items():
+            homes.setdefault(node, []).append((life.worker_id, life.born_ms))
+        return Write(HOMES_KEY, encode_record(HomesRecord(homes)))
+
     def snapshot(self) -> Snapshot:
         """Return the records of some dirty jobs, which are clean from now on."""
         chosen = list(self._dirty)[: self._options.max_jobs_per_commit]
         result = Snapshot((), {}, {}, [])
-        writes = []
+        writes = [self._homes_write()] if self._are_homes_dirty else []
         for job_id in chosen:
             del self._dirty[job_id]
             book = self.jobs[job_id]
--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -128,9 +128,7 @@
             return
         self._life = life
         self._links[life.worker_id] = self
-        self._scheduler.on_report(report)
-        if old is not None and old != life:
-            self._scheduler.on_replaced(old, life)
+        self._scheduler.on_report(self._node, report)
         if old != life:
             self.post(self._scheduler.facts_for(life.worker_id))
             self.post(self._scheduler.harm_push())
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -26,7 +26,13 @@
 )
 from almondspan_jobs.meters import Meters
 from almondspan_jobs.options import JobOptions
-from almondspan_jobs.records import decode_progress, encode_progress
+from almondspan_jobs.records import (
+    HOMES_KEY,
+    HomesRecord,
+    decode_progress,
+    decode_record,
+    encode_progress,
+)
 from almondspan_jobs.scheduler import Scheduler
 from almondspan_wire.codec import Message
 
@@ -76,8 +82,14 @@
         self.sent.clear()
         return found
 
-    def meet(self, worker: WorkerId = WORKER, born_ms: int = BORN_MS) -> None:
+    def meet(
+        self,
+        worker: WorkerId = WORKER,
+        born_ms: int = BORN_MS,
+        node: str = "node-1",
+    ) -> None:
         self.scheduler.on_report(
+            node,
             WorkerReport(
                 worker,
                 born_ms,
@@ -89,7 +101,7 @@
                 ["r1"],
                 False,
                 0,
-            )
+            ),
         )
         self.list_(worker, born_ms)
 
@@ -284,6 +296,24 @@
     assert bench.scheduler.shown[JOB] is JobState.COMPLETED
 
 
+def test_new_owner_knows_whose_place_a_new_worker_has_taken(bench: Bench) -> None:
+    bench.meet()
+    bench.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    bench.scheduler.plan()
+    snapshot = bench.scheduler.snapshot()
+    homes = next(write for write in snapshot.writes if write.key == HOMES_KEY)
+    record = decode_record(HomesRecord, homes.value)
+    book = bench.scheduler.jobs[JOB]
+    stored = decode_progress(JOB, book.spec, encode_progress(book))
+    bench.make()
+    bench.scheduler.load_homes(record.homes)
+    bench.scheduler.load(stored)
+    bench.meet(WorkerId("w-9"), BORN_MS + 1, node="node-2")
+    assert n_placed(bench) == 1
+    bench.meet(WorkerId("w-2"), BORN_MS + 1, node="node-1")
+    assert n_placed(bench) == 0
+
+
 def test_cancelled_job_starts_nothing_more(bench: Bench) -> None:
     bench.add(STEP, STEP)
     bench.scheduler.cancel_job(JOB)
