--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -68,6 +68,11 @@
         if self._listener is not None:
             await self._listener.close()
 
+    @property
+    def has_owner_link(self) -> bool:
+        """Tell whether the owner can be asked, here or over a channel."""
+        return self._link.is_up
+
     async def _serve_entry(self, channel: Channel) -> None:
         """Answer the questions of one entry, each in its own task."""
         async with asyncio.TaskGroup() as group:
--- a/packages/jobs/almondspan_jobs/job_door.py
+++ b/packages/jobs/almondspan_jobs/job_door.py
@@ -138,7 +138,9 @@
         self, job_id: JobId, record: bytes, group: WriteGroup, until_s: float
     ) -> JobAnswer:
         """Write here or through the owner until it is in effect or time is up."""
-        refuse_s = steady_s() + self._options.refuse_after_s
+        now_s = steady_s()
+        refuse_s = now_s + self._options.refuse_after_s
+        until_s = min(until_s, now_s + self._options.settle_s)
         is_doubtful = False
         while True:
             outcome = await self.write_once(group)
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -75,6 +75,8 @@
     store_timeout_s: float = 1.2
     refuse_after_s: float = 0.3
     """A write that was refused for certain is tried again for this long."""
+    settle_s: float = 1.2
+    """A write that may have taken effect is tried again for this long."""
     answer_margin_s: float = 0.4
     """An answer leaves this long before its caller stops waiting."""
     ask_timeout_s: float = 0.5
--- a/packages/jobs/almondspan_jobs/owner_link.py
+++ b/packages/jobs/almondspan_jobs/owner_link.py
@@ -87,6 +87,11 @@
         """Tell whether this process is the owner."""
         return self._record is not None and self._record.node == self._node
 
+    @property
+    def is_up(self) -> bool:
+        """Tell whether a question would reach the owner."""
+        return self.is_local or self._channel is not None
+
     async def ask(
         self, make: Callable[[int], Message], timeout_s: float
     ) -> Message | NoAnswer:
