Tell a deposed owner of its successor through the agents

Change: the agent that a later owner links tells the earlier one who that is; it steps down and passes its callers' jobs and questions on. Ruled out: stepping down when the store is silent; nobody could take over then, and the leases of running tasks would pass.

--- a/packages/jobs/almondspan_jobs/committer.py
+++ b/packages/jobs/almondspan_jobs/committer.py
@@ -84,6 +84,8 @@
                 return True
             if isinstance(outcome, GroupConflict):
                 return self._on_conflict(outcome, head, sent_s)
+            if self.is_lost:
+                return False
             self._log.line(
                 "commit_unanswered", reason=str(outcome), n_tries=n_tries, of=head.nonce
             )
@@ -103,7 +105,7 @@
         if item is not None and found == head:
             self._adopt(head, item.revision, sent_s)
             return True
-        self._lose(str(found))
+        self.lose(str(found))
         return False
 
     async def confirm(self) -> None:
@@ -115,10 +117,13 @@
                 self._log.line("confirm_unanswered", reason=str(outcome))
                 return
             if outcome.item is None or outcome.item.revision != self._revision:
-                self._lose(f"head is at {outcome.item and outcome.item.revision}")
+                self.lose(f"head is at {outcome.item and outcome.item.revision}")
                 return
             self.confirmed_s = sent_s
 
-    def _lose(self, reason: str) -> None:
+    def lose(self, reason: str) -> None:
+        """Give the ownership up for good."""
+        if self.is_lost:
+            return
         self.is_lost = True
         self._log.line("ownership_lost", epoch=self.epoch, reason=reason)
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -27,6 +27,7 @@
     HarmPush,
     LeaseRenewal,
     OwnerHello,
+    OwnerReplaced,
     StartOrder,
     StartReply,
     StopOrder,
@@ -198,6 +199,11 @@
             return
         self._log.line("owner_linked", owner=hello.owner, epoch=hello.epoch)
         self._epoch = hello.epoch
+        if self._channel is not None:
+            # An owner that has lost the store learns of its successor here.
+            self._channel.post(
+                OwnerReplaced(hello.epoch, hello.owner, hello.host, hello.port)
+            )
         self._channel = channel
         self._send_report(has_left=False)
         self._changed.set()
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -243,7 +243,7 @@
             self._log.line("record_unreadable", key=HEAD_KEY, revision=revision)
             return None
         head = HeadRecord(epoch + 1, self._node, secrets.token_hex(8))
-        record = OwnerRecord(head.epoch, self._node, self._host, self._port)
+        record = self._record_of(head.epoch)
         group = WriteGroup(
             ((OWNER_KEY, ABSENT_REVISION), (HEAD_KEY, revision)),
             (
@@ -271,9 +271,12 @@
             self._meters,
         )
 
+    def _record_of(self, epoch: int) -> OwnerRecord:
+        return OwnerRecord(epoch, self._node, self._host, self._port)
+
     async def _own(self, committer: HeadCommitter) -> None:
         owner = Owner(
-            self._node,
+            self._record_of(committer.epoch),
             self._network,
             self._store,
             committer,
@@ -291,6 +294,8 @@
             if self.state != "closed":
                 await owner.close()
                 self.owner = None
+                if owner.successor is not None:
+                    self._set_owner(owner.successor)
 
     async def _keep_until_end(self, owner: Owner, committer: HeadCommitter) -> None:
         while not owner.ended.is_set():
@@ -314,7 +319,7 @@
         if not isinstance(lease, LeaseGranted):
             self._log.line("lease_refused", reason=str(lease))
             return
-        record = OwnerRecord(committer.epoch, self._node, self._host, self._port)
+        record = self._record_of(committer.epoch)
         write = Write(OWNER_KEY, encode_record(record), lease.lease_id)
         if await committer.commit((write,)):
             self._lease = lease.lease_id
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -19,6 +19,7 @@
     "JobStored",
     "LeaseRenewal",
     "OwnerHello",
+    "OwnerReplaced",
     "PendingReply",
     "StartOrder",
     "StartReply",
@@ -39,6 +40,18 @@
 
     epoch: int
     owner: str
+    host: str
+    port: int
+
+
+@message
+class OwnerReplaced(Message, frozen=True, tag="j-replaced"):
+    """Tells an owner that a later one has linked the agent, and where that listens."""
+
+    epoch: int
+    owner: str
+    host: str
+    port: int
 
 
 @message
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -35,6 +35,7 @@
     RUNS_PREFIX,
     AgentRecord,
     HomesRecord,
+    OwnerRecord,
     Unreadable,
     decode_progress,
     decode_record,
@@ -63,7 +64,7 @@
 
     def __init__(
         self,
-        node: str,
+        record: OwnerRecord,
         network: Network,
         store: GroupStore,
         committer: HeadCommitter,
@@ -72,7 +73,9 @@
         meters: Meters,
         rng: random.Random,
     ) -> None:
-        self._node: Final = node
+        self._record: Final = record
+        self.successor: OwnerRecord | None = None
+        """The later owner that an agent told of."""
         self._network: Final = network
         self._store: Final = store
         self._committer: Final = committer
@@ -147,8 +150,8 @@
         link = WorkerLink(
             node,
             address,
-            self.epoch,
-            self._node,
+            self._record,
+            self._on_replaced,
             self._network,
             self.scheduler,
             self._links_by_worker,
@@ -160,6 +163,11 @@
         self._links[node] = link
         await link.start()
 
+    def _on_replaced(self, successor: OwnerRecord) -> None:
+        self.successor = successor
+        self._committer.lose(f"an agent was linked by {successor.node}")
+        self.ended.set()
+
     def _post(self, worker_id: WorkerId, body: Message) -> bool:
         link = self._links_by_worker.get(worker_id)
         return link is not None and link.post(body)
--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -10,6 +10,7 @@
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
     OwnerHello,
+    OwnerReplaced,
     StartReply,
     StopReply,
     WorkerListing,
@@ -17,7 +18,7 @@
 )
 from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
-from almondspan_jobs.records import AgentRecord
+from almondspan_jobs.records import AgentRecord, OwnerRecord
 from almondspan_jobs.scheduler import Scheduler
 from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
@@ -32,8 +33,8 @@
         self,
         node: str,
         address: AgentRecord,
-        epoch: int,
-        owner: str,
+        record: OwnerRecord,
+        on_replaced: Callable[[OwnerRecord], None],
         network: Network,
         scheduler: Scheduler,
         links: dict[WorkerId, "WorkerLink"],
@@ -44,7 +45,10 @@
     ) -> None:
         self._node: Final = node
         self.address: Final = address
-        self._hello: Final = OwnerHello(epoch, owner)
+        self._hello: Final = OwnerHello(
+            record.epoch, record.node, record.host, record.port
+        )
+        self._on_replaced: Final = on_replaced
         self._network: Final = network
         self._scheduler: Final = scheduler
         self._links: Final = links
@@ -111,6 +115,11 @@
     def _on_message(self, body: Message) -> None:
         if isinstance(body, WorkerReport):
             self._on_report(body)
+        elif isinstance(body, OwnerReplaced):
+            if body.epoch > self._hello.epoch:
+                self._on_replaced(
+                    OwnerRecord(body.epoch, body.owner, body.host, body.port)
+                )
         elif self._life is None:
             return
         elif isinstance(body, WorkerListing):
--- a/tests/jobs/job_world.py
+++ b/tests/jobs/job_world.py
@@ -436,6 +436,13 @@
 
 def _collect_dead(world: JobWorld) -> None:
     """Collect the coroutines of dead processes, whose clean-up has no loop."""
+    for site in (*world.entries, *world.agents):
+        site.process.held.clear()
+    for site in world.entries:
+        site.entry = None
+    for site in world.agents:
+        site.keeper = None
+    world.store._wakers.clear()
     world._holders.clear()
     world.hub.channels.clear()
     world.hub.handling.clear()
