--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGE_DIRS := $(wildcard packages/*)
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGE_DIRS)))
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGE_DIRS) platform))
 export PYTHONDONTWRITEBYTECODE := 1
 export PYTHONHASHSEED := 0
 PINS := $(shell cat constraints.txt requirements-dev.txt | cksum | cut -d' ' -f1)
@@ -20,7 +20,8 @@
 	@echo "install  make the virtual environment from the pinned versions"
 	@echo "test     lint, types, import rules, unit and feature tests"
 	@echo "demo     serve an order and live callers on this machine (FAULTS=1 adds faults)"
-	@echo "soak     2,000 random schedules of faults against the tasks (SEED=n)"
+	@echo "soak     2,000 random schedules of faults against the tasks, 200 against"
+	@echo "         the jobs (SEED=n)"
 	@echo "mutants  show that deliberate breakages are caught"
 	@echo "measure  compare the policies with baselines on real processes"
 	@echo "load     94 starts a second for a minute, with the store's calls counted"
@@ -35,15 +36,15 @@
 install: $(STAMP)
 
 format: install
-	$(VENV)/bin/ruff format packages tests misc
-	$(VENV)/bin/ruff check --fix packages tests misc
+	$(VENV)/bin/ruff format packages platform tests misc
+	$(VENV)/bin/ruff check --fix packages platform tests misc
 
 lint: install
-	$(VENV)/bin/ruff format --check packages tests misc
-	$(VENV)/bin/ruff check packages tests misc
+	$(VENV)/bin/ruff format --check packages platform tests misc
+	$(VENV)/bin/ruff check packages platform tests misc
 
 types: install
-	$(VENV)/bin/mypy --strict $(patsubst %/__init__.py,%,$(wildcard packages/*/almondspan*/__init__.py))
+	$(VENV)/bin/mypy --strict $(patsubst %/__init__.py,%,$(wildcard packages/*/almondspan*/__init__.py platform/almondspan*/__init__.py))
 
 test: install
 	$(RUN) misc/run_tests.py
@@ -53,6 +54,7 @@
 
 soak: install
 	$(RUN) misc/soak.py --seed $(SEED)
+	$(RUN) misc/soak.py --system jobs --schedules 200 --seed $(SEED)
 
 mutants: install
 	$(RUN) misc/mutants.py
--- /dev/null
+++ b/misc/job_mutant_table.py
@@ -0,0 +1,167 @@
+"""The deliberate breakages of the system that runs graphs of tasks."""
+
+from typing import Final
+
+from mutant_table import Change, Mutant
+
+__all__ = ["JOB_MUTANTS"]
+
+TESTS: Final = (
+    "tests/jobs",
+    "tests/decisions/test_job_book.py",
+    "tests/decisions/test_graph_placing.py",
+)
+
+
+def mutant(name: str, package: str, module: str, before: str, after: str) -> Mutant:
+    change = Change(module, before, after)
+    return Mutant(f"jobs: {name}", (change,), package, "jobs", TESTS)
+
+
+JOB_MUTANTS: Final = (
+    mutant(
+        "send before the store",
+        "jobs",
+        "scheduler.py",
+        "            if not task.is_stored:\n                continue\n",
+        "",
+    ),
+    mutant(
+        "note ends before the store",
+        "decisions",
+        "worker_lease.py",
+        "if job_id is not None and not is_stored(job_id, version):",
+        "if False:",
+    ),
+    mutant(
+        "commit without the head's revision",
+        "jobs",
+        "committer.py",
+        "                ((HEAD_KEY, self._revision),),\n",
+        "                (),\n",
+    ),
+    mutant(
+        "keep the epoch at a takeover",
+        "jobs",
+        "leadership.py",
+        "HeadRecord(epoch + 1, self._node",
+        "HeadRecord(max(1, epoch), self._node",
+    ),
+    mutant(
+        "obey earlier owners",
+        "jobs",
+        "keeper.py",
+        "        if hello.epoch < self._epoch:\n            self._log.line(",
+        "        if False:\n            self._log.line(",
+    ),
+    mutant(
+        "link agents before the books",
+        "jobs",
+        "owner.py",
+        "        if self._loaded_at is None:\n            return\n",
+        "",
+    ),
+    mutant(
+        "release a silent worker at once",
+        "jobs",
+        "scheduler.py",
+        "if now_s > lease.sure_empty_s:",
+        "if now_s > lease.listed_s + 2.0:",
+    ),
+    mutant(
+        "forget leases of earlier owners",
+        "decisions",
+        "worker_lease.py",
+        "return takeover_s + self.unconfirmed_s / (1 - self.drift) + self.margin_s",
+        "return takeover_s + self.margin_s",
+    ),
+    mutant(
+        "renew without proof of ownership",
+        "decisions",
+        "worker_lease.py",
+        "reach_s = min(terms.lease_s, left_s * (1 - terms.drift))",
+        "reach_s = terms.lease_s",
+    ),
+    mutant(
+        "release any refused start",
+        "jobs",
+        "scheduler.py",
+        "if reply.verdict in _NOTHING_DONE and task.n_sends == 1:",
+        "if reply.verdict != Verdict.FENCED.value:",
+    ),
+    mutant(
+        "release an absent attempt unproved",
+        "jobs",
+        "scheduler.py",
+        "        if task.is_voiding or is_unwanted:\n",
+        "        if task.is_voiding:\n"
+        '            self._release(book.job_id, key, "absent")\n'
+        "        elif is_unwanted:\n",
+    ),
+    mutant(
+        "answer a void without a look",
+        "jobs",
+        "keeper.py",
+        "        if all(\n            (task.task, task.attempt)",
+        "        if True or all(\n            (task.task, task.attempt)",
+    ),
+    mutant(
+        "release whatever a reborn worker held",
+        "jobs",
+        "scheduler.py",
+        "if is_renamed or was_here or task.n_sends == 0:",
+        "if True:",
+    ),
+    mutant(
+        "never follow into a later life",
+        "jobs",
+        "scheduler.py",
+        "if task is None or old is None or not book.adopt(key, attempt, life):",
+        "if True:",
+    ),
+    mutant(
+        "ignore the order of steps",
+        "decisions",
+        "job_book.py",
+        "        return all(steps[earlier].is_done for earlier in",
+        "        return True or all(steps[earlier].is_done for earlier in",
+    ),
+    mutant(
+        "count no failures",
+        "decisions",
+        "job_book.py",
+        "            task.n_failed += 1\n",
+        "",
+    ),
+    mutant(
+        "start after a cancelling",
+        "jobs",
+        "scheduler.py",
+        "        if is_unwanted and task.n_sends == 0:",
+        "        if False:",
+    ),
+    mutant(
+        "free the room of a stopping task",
+        "jobs",
+        "scheduler.py",
+        "        book.is_cancelled = True\n",
+        "        book.is_cancelled = True\n"
+        "        for key, task in tuple(book.placed()):\n"
+        '            self._release(job_id, key, "cancelled")\n',
+    ),
+    mutant(
+        "refuse in doubt",
+        "jobs",
+        "job_door.py",
+        "StoreResult.UNKNOWN if is_doubtful else StoreResult.NOT_DONE",
+        "StoreResult.NOT_DONE",
+    ),
+    mutant(
+        "show states before the store",
+        "jobs",
+        "scheduler.py",
+        "        self._progress[book.job_id].version += 1\n",
+        "        self._progress[book.job_id].version += 1\n"
+        "        self.shown[book.job_id] = book.state\n",
+    ),
+)
--- a/misc/mutant_table.py
+++ b/misc/mutant_table.py
@@ -21,6 +21,9 @@
 
     name: str
     changes: tuple[Change, ...]
+    package: str = "tasks"
+    system: str = "tasks"
+    tests: tuple[str, ...] = ("tests/tasks",)
 
 
 def mutant(name: str, module: str, before: str, after: str) -> Mutant:
--- a/misc/mutants.py
+++ b/misc/mutants.py
@@ -1,7 +1,7 @@
-"""Breaks the task system on purpose and checks that its tests notice.
+"""Breaks the systems of tasks and jobs on purpose and checks that tests notice.
 
 Each mutant is a replacement in one module, made on a scratch copy of the package.
-First the unit tests of tests/tasks run on it, then randomised schedules until one
+First the unit tests of its system run on it, then randomised schedules until one
 breaks. A mutant that survives both is a hole in the tests: the command ends with 1.
 
 Usage: ``mutants.py [--only NAME] [--schedules N]``.
@@ -19,10 +19,15 @@
 from pathlib import Path
 from typing import Final
 
+from job_mutant_table import JOB_MUTANTS
 from mutant_table import MUTANTS, Mutant
 
 ROOT: Final = Path(__file__).resolve().parent.parent
-SIMULATIONS: Final = ("test_faulty_schedules.py", "test_calm_schedules.py")
+SIMULATIONS: Final = (
+    "tests/tasks/test_faulty_schedules.py",
+    "tests/tasks/test_calm_schedules.py",
+    "tests/jobs/test_schedules.py",
+)
 TIMEOUT_S: Final = 600
 
 
@@ -35,9 +40,10 @@
 
 
 def make_copy(folder: Path, mutant: Mutant) -> None:
-    shutil.copytree(ROOT / "packages" / "tasks", folder / "tasks")
+    package = mutant.package
+    shutil.copytree(ROOT / "packages" / package, folder / package)
     for change in mutant.changes:
-        path = folder / "tasks" / "almondspan_tasks" / change.module
+        path = folder / package / f"almondspan_{package}" / change.module
         source = path.read_text()
         found = source.count(change.before)
         if found != 1:
@@ -47,7 +53,9 @@
 
 def environment(folder: Path) -> dict[str, str]:
     packages = [path for path in sorted((ROOT / "packages").iterdir())]
-    paths = [folder / "tasks"] + [path for path in packages if path.name != "tasks"]
+    copied = [path for path in sorted(folder.iterdir()) if path.is_dir()]
+    names = {path.name for path in copied}
+    paths = copied + [path for path in packages if path.name not in names]
     return {
         **os.environ,
         "PYTHONPATH": os.pathsep.join(map(str, paths)),
@@ -68,17 +76,18 @@
     )
 
 
-def try_unit_tests(folder: Path) -> Verdict | None:
-    ignored = [f"--ignore=tests/tasks/{name}" for name in SIMULATIONS]
-    done = run(["-m", "pytest", "tests/tasks", "-x", "-q", *ignored], folder)
+def try_unit_tests(folder: Path, mutant: Mutant) -> Verdict | None:
+    ignored = [f"--ignore={name}" for name in SIMULATIONS]
+    done = run(["-m", "pytest", *mutant.tests, "-x", "-q", *ignored], folder)
     if done.returncode == 0:
         return None
     failed = re.findall(r"^FAILED \S*::(\S+)", done.stdout, re.MULTILINE)
     return Verdict("unit test", failed[0] if failed else done.stdout[-60:].strip())
 
 
-def try_schedules(folder: Path, n_schedules: int) -> Verdict | None:
-    command = ["misc/soak.py", "--until-broken", "--schedules", str(n_schedules)]
+def try_schedules(folder: Path, mutant: Mutant, n_schedules: int) -> Verdict | None:
+    command = ["misc/soak.py", "--system", mutant.system, "--until-broken"]
+    command += ["--schedules", str(n_schedules)]
     done = run(command, folder)
     if done.returncode == 0:
         return None
@@ -90,7 +99,8 @@
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         make_copy(folder, mutant)
-        return try_unit_tests(folder) or try_schedules(folder, n_schedules)
+        found = try_unit_tests(folder, mutant)
+        return found or try_schedules(folder, mutant, n_schedules)
 
 
 def main() -> int:
@@ -98,7 +108,8 @@
     parser.add_argument("--only", default="")
     parser.add_argument("--schedules", type=int, default=2_000)
     options = parser.parse_args()
-    chosen = [mutant for mutant in MUTANTS if options.only in mutant.name]
+    every = (*MUTANTS, *JOB_MUTANTS)
+    chosen = [mutant for mutant in every if options.only in mutant.name]
     n_survived = 0
     for mutant in chosen:
         began_s = time.monotonic()
--- a/misc/run_tests.py
+++ b/misc/run_tests.py
@@ -31,11 +31,8 @@
 
 
 def package_dirs() -> list[str]:
-    return [
-        str(path)
-        for path in sorted(ROOT.glob("packages/*/almondspan*/"))
-        if (path / "__init__.py").exists()
-    ]
+    found = [*ROOT.glob("packages/*/almondspan*/"), *ROOT.glob("platform/almondspan*/")]
+    return [str(path) for path in sorted(found) if (path / "__init__.py").exists()]
 
 
 def run(command: list[str]) -> int:
@@ -96,7 +93,7 @@
 
 def main() -> int:
     os.environ.setdefault("PYTHONHASHSEED", "0")
-    sources = ["packages", "tests", "misc"]
+    sources = ["packages", "platform", "tests", "misc"]
     ruff = str(VENV_BIN / "ruff")
     tallies = [
         run_whole("ruff format", [ruff, "format", "--check", *sources]),
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -1,7 +1,8 @@
-"""Runs many randomised schedules of the task system and checks the invariants.
+"""Runs many randomised schedules of a system and checks the invariants.
 
-Usage: ``soak.py [--seed N] [--schedules N] [--processes N] [--until-broken]
-[--trace SEED]``. The seed gives the first schedule's seed. Ends with 1 when a
+Usage: ``soak.py [--system tasks|jobs] [--seed N] [--schedules N] [--processes N]
+[--until-broken] [--trace SEED]``. `jobs` is the system that runs graphs of tasks,
+`tasks` the earlier one. The seed gives the first schedule's seed. Ends with 1 when a
 schedule broke an invariant.
 """
 
@@ -15,15 +16,24 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests" / "tasks"))
+sys.path.insert(0, str(ROOT / "tests" / "jobs"))
 
-from sim_schedule import Result, run_schedule  # noqa: E402
+import job_schedule  # noqa: E402
+import sim_schedule  # noqa: E402
+
+Result = sim_schedule.Result | job_schedule.Result
+SYSTEMS: Final = {
+    "tasks": sim_schedule.run_schedule,
+    "jobs": job_schedule.run_schedule,
+}
 
 SEED_STRIDE: Final = 1_000_000
 """Seeds of one run are apart from those of the next by this many."""
 
 
-def run_one(seed: int) -> Result:
-    result = run_schedule(seed)
+def run_one(named_seed: tuple[str, int]) -> Result:
+    system, seed = named_seed
+    result = SYSTEMS[system](seed)
     if not result.violations:
         result.trace = []
     return result
@@ -31,6 +41,7 @@
 
 def parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--system", choices=sorted(SYSTEMS), default="tasks")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--schedules", type=int, default=2_000)
     parser.add_argument("--processes", type=int, default=4)
@@ -40,8 +51,8 @@
     return parser.parse_args()
 
 
-def print_trace(seed: int) -> int:
-    result = run_schedule(seed)
+def print_trace(system: str, seed: int) -> int:
+    result = SYSTEMS[system](seed)
     print("\n".join(result.trace))
     print("\n".join(result.violations) or "no violation")
     return 1 if result.violations else 0
@@ -50,9 +61,9 @@
 def main() -> int:
     options = parse()
     if options.trace is not None:
-        return print_trace(options.trace)
+        return print_trace(options.system, options.trace)
     first = options.seed * SEED_STRIDE
-    seeds = range(first, first + options.schedules)
+    seeds = [(options.system, first + n) for n in range(options.schedules)]
     began_s = time.monotonic()
     counts: Counter[str] = Counter()
     broken: list[Result] = []
--- a/tests/jobs/job_schedule.py
+++ b/tests/jobs/job_schedule.py
@@ -20,8 +20,7 @@
 
     seed: int
     violations: list[str]
-    n_runs: int
-    n_jobs: int
+    counts: dict[str, int]
     faults: list[str] = field(default_factory=list)
     trace: list[str] = field(default_factory=list)
 
@@ -186,9 +185,9 @@
     _end_faults(world)
     _finish(world)
     violations = world.violations() + _unfinished(world)
-    return Result(
-        seed, violations, len(world.runs()), len(world.jobs), list(faults), world.trace
-    )
+    counts = {"jobs": len(world.jobs), "runs": len(world.runs())}
+    counts |= {f"fault {name}": faults.count(name) for name in faults}
+    return Result(seed, violations, counts, list(faults), world.trace)
 
 
 def _call(world: JobWorld) -> None:
--- a/tests/jobs/test_schedules.py
+++ b/tests/jobs/test_schedules.py
@@ -21,11 +21,11 @@
 def test_random_faults(seed: int) -> None:
     result = run_schedule(seed)
     assert result.violations == []
-    assert result.n_runs > 0
+    assert result.counts["runs"] > 0
 
 
 @pytest.mark.parametrize("name", sorted(FAULTS))
 def test_each_fault_twice(name: str) -> None:
     result = run_schedule(len(name), (name, name))
     assert result.violations == []
-    assert result.n_runs > 0
+    assert result.counts["runs"] > 0
--- /dev/null
+++ b/tests/site/conftest.py
@@ -0,0 +1,8 @@
+"""Makes the adapter in platform/ and this folder's modules importable."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+sys.path.insert(0, str(Path(__file__).parent))
+sys.path.insert(0, str(ROOT / "platform"))
--- /dev/null
+++ b/tests/site/test_runner_calls.py
@@ -0,0 +1,154 @@
+"""Orders and looks over the platform's protocol."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+from almondspan_site.runner_calls import RunnerCalls
+from fake_platform import FakeRunner
+
+from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.shapes import Shape
+from almondspan_platform.task_worker import (
+    LookFailed,
+    LookOrder,
+    StartTask,
+    Verdict,
+    WorkerLook,
+)
+from almondspan_standins.memory_task_worker import MemoryTaskWorker, TaskScript
+
+WORKER = WorkerId("i-1")
+TASK = "00000000000000aa.0.0.0"
+
+
+def start(
+    attempt: int = 1, until_ms: int = 5_000, fence: int = 1, task: str = TASK
+) -> StartTask:
+    return StartTask(task, attempt, "spec", "", until_ms, fence)
+
+
+Body = Callable[[RunnerCalls, FakeRunner], Awaitable[None]]
+
+
+def run(body: Body) -> None:
+    async def play() -> None:
+        script = TaskScript(Shape(1_000, 1_000, 0), 0.05)
+        worker = MemoryTaskWorker(
+            WORKER,
+            Shape(2_000, 2_000, 0),
+            lambda task, attempt: script,
+            random.Random(1),
+        )
+        fake = FakeRunner(worker)
+        await fake.start()
+        calls = RunnerCalls(fake.address, 0.4, 0.6)
+        await calls.start()
+        try:
+            await body(calls, fake)
+        finally:
+            await calls.close()
+            await fake.close()
+
+    asyncio.run(play())
+
+
+def test_task_runs_ends_and_is_noted() -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        assert await calls.start_task(WORKER, start()) is Verdict.DONE
+        assert await calls.start_task(WORKER, start()) is Verdict.DONE
+        look = await calls.look(WORKER, LookOrder(1, 0, 5_000, 1_000))
+        assert isinstance(look, WorkerLook)
+        assert [(end.number, end.task, end.how.value) for end in look.ended] == [
+            (1, TASK, "done")
+        ]
+        noted = await calls.look(WORKER, LookOrder(1, 1, 5_000, 0))
+        assert isinstance(noted, WorkerLook) and noted.ended == ()
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    ("order", "verdict"),
+    [
+        pytest.param(start(fence=1), Verdict.FENCED, id="fence"),
+        pytest.param(start(fence=2, until_ms=1), Verdict.TOO_LATE, id="late"),
+        pytest.param(start(fence=2, attempt=1), Verdict.OLD_ATTEMPT, id="old"),
+    ],
+)
+def test_refused_start(order: StartTask, verdict: Verdict) -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        assert await calls.stop_task(WORKER, TASK, 1, 2) is Verdict.DONE
+        await asyncio.sleep(0.01)
+        assert await calls.start_task(WORKER, order) is verdict
+
+    run(body)
+
+
+def test_no_room() -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        for number in range(2):
+            name = f"00000000000000bb.0.0.{number}"
+            assert await calls.start_task(WORKER, start(task=name)) is Verdict.DONE
+        assert await calls.start_task(WORKER, start()) is Verdict.NO_ROOM
+
+    run(body)
+
+
+def test_other_life() -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        other = WorkerId("i-2")
+        assert await calls.start_task(other, start()) is Verdict.OTHER_LIFE
+        look = await calls.look(other, LookOrder(1, 0, 0, 0))
+        assert isinstance(look, LookFailed) and look.verdict is Verdict.OTHER_LIFE
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    ("status", "verdict"),
+    [
+        pytest.param(429, Verdict.NOT_TAKEN, id="busy"),
+        pytest.param(503, Verdict.NOT_TAKEN, id="unhealthy"),
+        pytest.param(400, Verdict.MALFORMED, id="malformed"),
+        pytest.param(500, Verdict.NO_ANSWER, id="fault_tells_nothing"),
+    ],
+)
+def test_status(status: int, verdict: Verdict) -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        fake.status = status
+        assert await calls.start_task(WORKER, start()) is verdict
+
+    run(body)
+
+
+def test_late_order_has_no_answer() -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        fake.worker.late_share = 1.0
+        assert await calls.start_task(WORKER, start()) is Verdict.NO_ANSWER
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        pytest.param(b"{", id="cut_short"),
+        pytest.param(b'{"clockMs": "x", "running": [], "ended": []}', id="other_type"),
+        pytest.param(
+            b'{"clockMs": 1, "running": [["t", 1]], "ended": []}', id="short_row"
+        ),
+        pytest.param(
+            b'{"clockMs": 1, "running": [], "ended": [[1, "t", 1, "odd", ""]]}',
+            id="unknown_word",
+        ),
+    ],
+)
+def test_unreadable_listing_changes_nothing(raw: bytes) -> None:
+    async def body(calls: RunnerCalls, fake: FakeRunner) -> None:
+        fake.raw_look = raw
+        look = await calls.look(WORKER, LookOrder(1, 0, 0, 0))
+        assert isinstance(look, LookFailed) and look.verdict is Verdict.MALFORMED
+
+    run(body)
