--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 import pytest
+
+from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec
+from almondspan_decisions.shapes import Shape
 from almondspan_site.configuration import Configuration, decode_configuration
 from almondspan_site.job_wire import JobFault, decode_job
 from almondspan_site.node_file import (
@@ -14,9 +17,6 @@
     read_settings,
 )
 
-from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec
-from almondspan_decisions.shapes import Shape
-
 QUEUE = QueueName("q")
 STEP = {"count": 4, "cpu": 500, "memMb": 256}
 
--- a/tests/site/test_kv_store.py
+++ b/tests/site/test_kv_store.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from almondspan_site.kv_store import KvStore
 from fake_platform import FakeStore
 
 from almondspan_platform.group_store import (
@@ -27,6 +26,7 @@
     WatchEvent,
     WatchLost,
 )
+from almondspan_site.kv_store import KvStore
 from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
 
 Body = Callable[[GroupStore, MemoryGroupStore], Awaitable[None]]
--- a/tests/site/test_runner_calls.py
+++ b/tests/site/test_runner_calls.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from almondspan_site.runner_calls import RunnerCalls
 from fake_platform import FakeRunner
 
 from almondspan_decisions.ids import WorkerId
@@ -17,6 +16,7 @@
     Verdict,
     WorkerLook,
 )
+from almondspan_site.runner_calls import RunnerCalls
 from almondspan_standins.memory_task_worker import MemoryTaskWorker, TaskScript
 
 WORKER = WorkerId("i-1")
