Ask a silent store a question before sending it a job

Change: when the store has answered nothing for 1.2 s, an entry first reads the job's key within 0.25 s; without an answer the job was not sent and the refusal is true. Ruled out: refusing by the time of silence alone; the first job after the store's return would be refused as well. Test: fails before, passes after.

--- a/packages/jobs/almondspan_jobs/job_door.py
+++ b/packages/jobs/almondspan_jobs/job_door.py
@@ -171,7 +171,14 @@
         return JobAnswer(result, f"the owner gave no answer; {reason}")
 
     async def write_once(self, group: WriteGroup) -> JobAnswer:
-        """Send a group once; a key that exists already counts as stored."""
+        """Send a group once; a key that exists already counts as stored.
+
+        A store that has been silent is first asked a question: a write that was not
+        sent is surely not done, while one without an answer leaves its caller in doubt.
+        """
+        if self._store.silent_s > self._options.suspect_s:
+            if not await self._is_answering(group.writes[0].key):
+                return JobAnswer(StoreResult.NOT_DONE, "the store does not answer")
         outcome = await self._store.commit(group)
         if isinstance(outcome, Swapped):
             return JobAnswer(StoreResult.STORED)
@@ -181,6 +188,13 @@
             return JobAnswer(StoreResult.UNKNOWN, outcome.reason)
         return JobAnswer(StoreResult.NOT_DONE, str(outcome))
 
+    async def _is_answering(self, key: str) -> bool:
+        try:
+            async with asyncio.timeout(self._options.probe_timeout_s):
+                return isinstance(await self._store.get(key), Found)
+        except TimeoutError:
+            return False
+
     async def relay(self, body: StoreJob) -> StoreReply:
         """Store a job or a cancellation for another entry."""
         if body.record:
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -75,6 +75,9 @@
     store_timeout_s: float = 1.2
     refuse_after_s: float = 0.3
     """A write that was refused for certain is tried again for this long."""
+    suspect_s: float = 1.2
+    """A store silent for this long is asked a question before it is sent a write."""
+    probe_timeout_s: float = 0.25
     settle_s: float = 1.2
     """A write that may have taken effect is tried again for this long."""
     answer_margin_s: float = 0.4
--- a/packages/platform/almondspan_platform/group_store.py
+++ b/packages/platform/almondspan_platform/group_store.py
@@ -62,6 +62,11 @@
 class GroupStore(Protocol):
     """A client of the service; safe to share between tasks; no method raises."""
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the service last answered this client."""
+        ...
+
     async def get(self, key: str) -> GetOutcome:
         """Read one key, linearizably."""
         ...
--- a/packages/standins/almondspan_standins/memory_group_store.py
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -229,6 +229,12 @@
         self._store: Final = store
         self.faults: Final = faults
         self._rng: Final = rng
+        self._answered_s = 0.0
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since a call of this client was last answered."""
+        return asyncio.get_running_loop().time() - self._answered_s
 
     async def _reach(self) -> Unavailable | None:
         """Take the time of a call; return why it fails before it has an effect."""
@@ -239,6 +245,7 @@
             await asyncio.sleep(CALL_TIMEOUT_S)
             return Unavailable("no answer in time", may_have_applied=True)
         await asyncio.sleep(self.faults.answer_s / 2)
+        self._answered_s = asyncio.get_running_loop().time()
         return None
 
     async def _answer(self) -> Unavailable | None:
--- /dev/null
+++ b/tests/jobs/test_committer.py
@@ -0,0 +1,141 @@
+"""Groups of decisions under the head key, with lost answers and rivals."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterator
+
+import pytest
+from virtual_loop import VirtualLoop
+
+from almondspan_jobs import clocks
+from almondspan_jobs.committer import HeadCommitter
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import HEAD_KEY, HeadRecord, encode_record
+from almondspan_platform.group_store import Write, WriteGroup
+from almondspan_platform.store import Swapped
+from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
+
+
+class Log:
+    def line(self, event: str, **fields: object) -> None:
+        pass
+
+
+class Rig:
+    """A store with a head, and writers of it."""
+
+    def __init__(self) -> None:
+        self.store = MemoryGroupStore(random.Random(3))
+
+    def write_head(self, epoch: int) -> tuple[HeadRecord, Swapped]:
+        head = HeadRecord(epoch, f"node{epoch}", f"nonce{epoch}")
+        write = Write(HEAD_KEY, encode_record(head))
+        outcome = self.store.commit(WriteGroup(writes=(write,)))
+        assert isinstance(outcome, Swapped)
+        return head, outcome
+
+    def committer(self, epoch: int, faults: StoreFaults) -> HeadCommitter:
+        head, outcome = self.write_head(epoch)
+        return HeadCommitter(
+            self.store.client(faults),
+            head,
+            outcome.revision,
+            0.0,
+            JobOptions(),
+            Log(),
+            Meters(),
+        )
+
+    def value(self, key: str) -> bytes | None:
+        item = self.store.get(key)
+        return item.value if item is not None else None
+
+
+@pytest.fixture
+def play() -> Iterator[Callable[[Callable[[Rig], Awaitable[None]]], None]]:
+    loop = VirtualLoop()
+    clocks.use_clocks(loop.time)
+
+    def run(body: Callable[[Rig], Awaitable[None]]) -> None:
+        async def inner() -> None:
+            await body(Rig())
+
+        loop.run_until_complete(inner())
+
+    yield run
+    clocks.use_clocks()
+    loop.close()
+
+
+Play = Callable[[Callable[[Rig], Awaitable[None]]], None]
+
+
+def test_earlier_owner_writes_nothing_more(play: Play) -> None:
+    async def body(rig: Rig) -> None:
+        first = rig.committer(1, StoreFaults())
+        assert await first.commit((Write("k", b"first"),))
+        second = rig.committer(2, StoreFaults())
+        assert not await first.commit((Write("k", b"late"),))
+        assert first.is_lost
+        assert await second.commit((Write("k", b"second"),))
+        assert rig.value("k") == b"second"
+
+    play(body)
+
+
+def test_group_without_an_answer_is_in_once(play: Play) -> None:
+    async def body(rig: Rig) -> None:
+        faults = StoreFaults(lost_share=1.0)
+        committer = rig.committer(1, faults)
+        asyncio.get_running_loop().call_later(0.5, setattr, faults, "lost_share", 0.0)
+        n_before = rig.store.n_commits
+        assert await committer.commit((Write("k", b"v"),))
+        assert rig.store.n_commits == n_before + 1
+        assert await committer.commit((Write("k", b"w"),))
+        assert rig.value("k") == b"w"
+
+    play(body)
+
+
+def test_group_that_comes_late_does_not_undo_a_later_one(play: Play) -> None:
+    async def body(rig: Rig) -> None:
+        faults = StoreFaults(late_share=1.0)
+        committer = rig.committer(1, faults)
+        asyncio.get_running_loop().call_later(0.5, setattr, faults, "late_share", 0.0)
+        assert await committer.commit((Write("k", b"old"),))
+        assert await committer.commit((Write("k", b"new"),))
+        await asyncio.sleep(10.0)
+        assert rig.value("k") == b"new"
+
+    play(body)
+
+
+def test_late_takeover_write_of_a_rival_ends_the_ownership(play: Play) -> None:
+    async def body(rig: Rig) -> None:
+        committer = rig.committer(1, StoreFaults())
+        rig.write_head(2)
+        await committer.confirm()
+        assert committer.is_lost
+
+    play(body)
+
+
+def test_confirmation_moves_the_proof(play: Play) -> None:
+    async def body(rig: Rig) -> None:
+        committer = rig.committer(1, StoreFaults())
+        await asyncio.sleep(5.0)
+        sent_s = clocks.steady_s()
+        await committer.confirm()
+        assert committer.confirmed_s == sent_s and not committer.is_lost
+
+    play(body)
+
+
+def test_silent_store_proves_nothing(play: Play) -> None:
+    async def body(rig: Rig) -> None:
+        committer = rig.committer(1, StoreFaults(is_silent=True))
+        await committer.confirm()
+        assert committer.confirmed_s == 0.0 and not committer.is_lost
+
+    play(body)
--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -87,6 +87,20 @@
     assert not any(run.task.startswith(job.job_id) for run in world.runs())
 
 
+def test_silent_store_is_asked_before_it_is_sent_a_job(world: JobWorld) -> None:
+    for site in world.entries:
+        silence(site)
+    world.run(3.0)
+    job = world.make_job(STEPS)
+    world.submit(job, follower_of(world))
+    world.run(1.5)
+    assert job.answers == [StoreResult.NOT_DONE]
+    for site in world.entries:
+        site.faults.is_silent = False
+    world.run(10.0)
+    assert not any(run.task.startswith(job.job_id) for run in world.runs())
+
+
 def test_outcome_is_unknown_while_a_write_may_take_effect(world: JobWorld) -> None:
     site = follower_of(world)
     site.faults.late_share = 1.0
