Pause all fills at once when a tail is far or long over its target

Change: a tail of 1.6 times its target, or over it for 1.4 s, pauses all images. Learned weights are stored and kept over a takeover.

--- a/packages/decisions/almondspan_decisions/fill_pace.py
+++ b/packages/decisions/almondspan_decisions/fill_pace.py
@@ -7,7 +7,8 @@
 2. What the target leaves over the base is shared out: each filling image that adds to
    a serving task's tail is paced so that all of them together stay within it.
 3. A tail that stays over its target although the weights do not explain it cuts the
-   pace of all images for a while, since the weights may be wrong or missing.
+   pace of all images for a while, since the weights may be wrong or missing. One far
+   over its target, or over it for long, pauses them all at once.
 """
 
 from collections.abc import Sequence
@@ -27,8 +28,10 @@
 """Weight of the newest look in a smoothed base."""
 HARMLESS: Final = 0.04
 """Images that add less than this share of the target are not paced."""
-EXCESS_S: Final = 0.9
+SEVERE_SHARE: Final = 1.6
+EXCESS_S: Final = 0.6
 """A tail over its target for this long is an excess that the weights missed."""
+LONG_EXCESS_S: Final = 1.4
 CUT_FACTOR: Final = 0.5
 CUT_INTERVAL_S: Final = 0.6
 CUT_RISE_PER_S: Final = 0.4
@@ -112,7 +115,10 @@
                 self.over_since_s[task.task] = before.get(task.task, now_s)
         since_s = min(self.over_since_s.values(), default=now_s)
         worst = max((task.share for task in serving), default=0.0)
-        if now_s - since_s >= EXCESS_S and filling:
+        over_s = now_s - since_s
+        if filling and (worst >= SEVERE_SHARE or over_s >= LONG_EXCESS_S):
+            self.cut = 0.0
+        elif filling and over_s >= EXCESS_S:
             if now_s - self.cut_s >= CUT_INTERVAL_S:
                 self.cut *= CUT_FACTOR
                 self.cut_s = now_s
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -63,6 +63,8 @@
     """A worker that said it has left is taken as empty after this."""
     model_interval_s: float = 1.0
     """How often the weights of tasks that fill are solved and sent to agents."""
+    harm_interval_s: float = 3.0
+    """The weights are stored with a group of decisions at most this often."""
     observe_interval_s: float = 0.3
     """A worker's tails are observed at most this often."""
     stall_s: float = 1.5
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -30,10 +30,12 @@
 from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import (
+    HARM_KEY,
     HOMES_KEY,
     JOBS_PREFIX,
     RUNS_PREFIX,
     AgentRecord,
+    HarmRecord,
     HomesRecord,
     OwnerRecord,
     Unreadable,
@@ -199,7 +201,7 @@
         began_s = steady_s()
         jobs = await self._range(JOBS_PREFIX)
         runs = await self._range(RUNS_PREFIX)
-        await self._load_homes()
+        await self._load_beliefs()
         progress = {item.key.removeprefix(RUNS_PREFIX): item for item in runs.items}
         for item in jobs.items:
             self._load_job(item, progress)
@@ -213,14 +215,20 @@
         )
         return jobs.revision
 
-    async def _load_homes(self) -> None:
-        found = await self._range(HOMES_KEY)
-        for item in found.items:
-            record = decode_record(HomesRecord, item.value)
-            if isinstance(record, Unreadable):
-                self._log.line("record_unreadable", key=item.key, reason=record.reason)
+    async def _load_beliefs(self) -> None:
+        """Read what earlier owners knew of places and of images."""
+        for item in (await self._range(HOMES_KEY)).items:
+            homes = decode_record(HomesRecord, item.value)
+            if isinstance(homes, Unreadable):
+                self._log.line("record_unreadable", key=item.key, reason=homes.reason)
             else:
-                self.scheduler.load_homes(record.homes)
+                self.scheduler.load_homes(homes.homes)
+        for item in (await self._range(HARM_KEY)).items:
+            harm = decode_record(HarmRecord, item.value)
+            if isinstance(harm, Unreadable):
+                self._log.line("record_unreadable", key=item.key, reason=harm.reason)
+            else:
+                self.scheduler.load_harm(harm)
 
     def _load_job(self, item: KeyValue, progress: Mapping[str, KeyValue]) -> None:
         name, _, kind = item.key.removeprefix(JOBS_PREFIX).partition("/")
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -7,6 +7,7 @@
 ``as/m/agent/<node>``  `AgentRecord`: where an agent listens
 ``as/head``            `HeadRecord`, written with every group of decisions
 ``as/homes``           `HomesRecord`: which lives of workers each agent was beside
+``as/harm``            `HarmRecord`: the learned weights of tasks that fill
 ``as/in/<job>/job``    the `JobSpec`, written once by an entry
 ``as/in/<job>/cancel`` the cancellation, written by an entry
 ``as/run/<job>``       the progress of the job, written by the owner
@@ -32,6 +33,7 @@
 
 __all__ = [
     "AGENT_PREFIX",
+    "HARM_KEY",
     "HEAD_KEY",
     "HOMES_KEY",
     "JOBS_PREFIX",
@@ -39,6 +41,7 @@
     "OWNER_KEY",
     "RUNS_PREFIX",
     "AgentRecord",
+    "HarmRecord",
     "HeadRecord",
     "HomesRecord",
     "OwnerRecord",
@@ -59,6 +62,7 @@
 AGENT_PREFIX: Final = "as/m/agent/"
 HEAD_KEY: Final = "as/head"
 HOMES_KEY: Final = "as/homes"
+HARM_KEY: Final = "as/harm"
 JOBS_PREFIX: Final = "as/in/"
 RUNS_PREFIX: Final = "as/run/"
 
@@ -100,6 +104,13 @@
     homes: dict[str, list[tuple[str, int]]]
 
 
+class HarmRecord(msgspec.Struct, frozen=True):
+    """Weights by serving and filling image, and the base of each serving image."""
+
+    weights: list[tuple[str, str, float]]
+    bases: dict[str, float]
+
+
 class _TaskRow(msgspec.Struct, frozen=True, array_like=True):
     phase: int
     n_attempts: int
@@ -124,7 +135,9 @@
     reason: str
 
 
-AnyRecord = TypeVar("AnyRecord", OwnerRecord, AgentRecord, HeadRecord, HomesRecord)
+AnyRecord = TypeVar(
+    "AnyRecord", OwnerRecord, AgentRecord, HeadRecord, HomesRecord, HarmRecord
+)
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _SPECS: Final = msgspec.msgpack.Decoder(JobSpec)
@@ -148,7 +161,7 @@
 
 
 def encode_record(
-    record: OwnerRecord | AgentRecord | HeadRecord | HomesRecord,
+    record: OwnerRecord | AgentRecord | HeadRecord | HomesRecord | HarmRecord,
 ) -> bytes:
     """Return a record's bytes."""
     return _ENCODER.encode(record)
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -61,7 +61,9 @@
 from almondspan_jobs.meters import Meters
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import (
+    HARM_KEY,
     HOMES_KEY,
+    HarmRecord,
     HomesRecord,
     cancel_key,
     encode_progress,
@@ -76,6 +78,9 @@
 __all__ = ["Scheduler", "Snapshot"]
 
 FULL_PERCENT: Final = 100
+MIN_OBSERVED: Final = 1_000
+"""Tails that a new owner observes before it solves its own model."""
+
 MIN_WEIGHT: Final = 0.02
 """Smaller weights are not sent to agents."""
 
@@ -174,6 +179,7 @@
         self._model: Final = TailModel()
         self._table = HarmTable({}, {})
         self._solved_s = 0.0
+        self._harm_stored_s = steady_s()
         self._observed_s: dict[WorkerLife, float] = {}
         self.wants_plan = False
 
@@ -560,6 +566,8 @@
         if now_s - self._solved_s < self._options.model_interval_s:
             return
         self._solved_s = now_s
+        if self._model.n_observed < MIN_OBSERVED and self._table.weights:
+            return
         self._table = self._model.solve()
         push = self.harm_push()
         for worker_id in self.workers:
@@ -571,6 +579,22 @@
             bases={image: round(base, 2) for image, base in self._table.bases.items()},
         )
 
+    def load_harm(self, record: HarmRecord) -> None:
+        """Use the weights of an earlier owner until enough was observed."""
+        weights = {
+            (Image(serving), Image(filling)): weight
+            for serving, filling, weight in record.weights
+        }
+        bases = {Image(image): base for image, base in record.bases.items()}
+        self._table = HarmTable(weights, bases)
+
+    def _harm_write(self) -> Write:
+        """Return the record of the weights."""
+        self._harm_stored_s = steady_s()
+        bases = {str(image): base for image, base in self._table.bases.items()}
+        record = HarmRecord(self.harm_push().weights, bases)
+        return Write(HARM_KEY, encode_record(record))
+
     def harm_push(self) -> HarmPush:
         """Return the weights that matter."""
         return HarmPush(
@@ -783,6 +807,8 @@
         chosen = list(self._dirty)[: self._options.max_jobs_per_commit]
         result = Snapshot((), {}, {}, [])
         writes = [self._homes_write()] if self._are_homes_dirty else []
+        if steady_s() - self._harm_stored_s > self._options.harm_interval_s:
+            writes.append(self._harm_write())
         for job_id in chosen:
             del self._dirty[job_id]
             book = self.jobs[job_id]
--- a/tests/decisions/test_tail_model.py
+++ b/tests/decisions/test_tail_model.py
@@ -71,6 +71,24 @@
     assert paces[-1] == 100
 
 
+@pytest.mark.parametrize(
+    ("share", "limit_s"),
+    [
+        pytest.param(2.4, 0.0, id="far_over"),
+        pytest.param(1.2, 1.7, id="over_for_long"),
+    ],
+)
+def test_excess_pauses_all_well_within_the_time_allowed(
+    share: float, limit_s: float
+) -> None:
+    pacer = FillPacer()
+    filling = [Filling(CALM, 2.0, 2.0)]
+    now_s = 10.0
+    while pacer.look([Serving("t", LIVE, share)], filling, TABLE, now_s)[CALM]:
+        now_s += 0.4
+    assert now_s - 10.0 <= limit_s
+
+
 def test_nothing_serves() -> None:
     pacer = FillPacer()
     assert pacer.look([], [Filling(HEAVY, 1.0, 3.0)], TABLE, 1.0) == {HEAVY: 100}
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -27,7 +27,9 @@
 from almondspan_jobs.meters import Meters
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import (
+    HARM_KEY,
     HOMES_KEY,
+    HarmRecord,
     HomesRecord,
     decode_progress,
     decode_record,
@@ -314,6 +316,21 @@
     assert n_placed(bench) == 0
 
 
+def test_new_owner_keeps_the_learned_weights(bench: Bench) -> None:
+    record = HarmRecord([("live", "heavy", 0.4)], {"live": 0.5})
+    bench.scheduler.load_harm(record)
+    bench.meet()
+    bench.pass_time(1.0)
+    assert bench.scheduler.harm_push().weights == record.weights
+    bench.pass_time(bench.options.harm_interval_s)
+    bench.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    bench.list_()
+    bench.scheduler.plan()
+    writes = bench.scheduler.snapshot().writes
+    stored = next(write for write in writes if write.key == HARM_KEY)
+    assert decode_record(HarmRecord, stored.value) == record
+
+
 def test_cancelled_job_starts_nothing_more(bench: Bench) -> None:
     bench.add(STEP, STEP)
     bench.scheduler.cancel_job(JOB)
