--- a/misc/job_mutant_table.py
+++ b/misc/job_mutant_table.py
@@ -85,14 +85,14 @@
     mutant(
         "release any refused start",
         "jobs",
-        "scheduler.py",
+        "order_desk.py",
         "if reply.verdict in _NOTHING_DONE and task.n_sends == 1:",
         "if reply.verdict != Verdict.FENCED.value:",
     ),
     mutant(
         "release an absent attempt unproved",
         "jobs",
-        "scheduler.py",
+        "order_desk.py",
         "        if task.is_voiding or is_unwanted:\n",
         "        if task.is_voiding:\n"
         '            self._release(book.job_id, key, "absent")\n'
@@ -108,14 +108,14 @@
     mutant(
         "release whatever a reborn worker held",
         "jobs",
-        "scheduler.py",
+        "job_books.py",
         "if is_renamed or was_here or task.n_sends == 0:",
         "if True:",
     ),
     mutant(
         "never follow into a later life",
         "jobs",
-        "scheduler.py",
+        "job_books.py",
         "if task is None or old is None or not book.adopt(key, attempt, life):",
         "if True:",
     ),
@@ -136,14 +136,14 @@
     mutant(
         "start after a cancelling",
         "jobs",
-        "scheduler.py",
+        "order_desk.py",
         "        if is_unwanted and task.n_sends == 0:",
         "        if False:",
     ),
     mutant(
         "free the room of a stopping task",
         "jobs",
-        "scheduler.py",
+        "job_books.py",
         "        book.is_cancelled = True\n",
         "        book.is_cancelled = True\n"
         "        for key, task in tuple(book.placed()):\n"
@@ -159,7 +159,7 @@
     mutant(
         "show states before the store",
         "jobs",
-        "scheduler.py",
+        "job_books.py",
         "        self._progress[book.job_id].version += 1\n",
         "        self._progress[book.job_id].version += 1\n"
         "        self.shown[book.job_id] = book.state\n",
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -7,7 +7,7 @@
    owner gave and the ends that it noted, and its listing goes to the owner.
 4. Orders run beside the looks. A void is answered only after a look that began once
    the worker had answered the stop no longer lists the attempt.
-5. `FillPacer` sets the pace of the tasks that fill from the listed tail latencies.
+5. `WorkerPacing` sets the pace of the tasks that fill from the listed tail latencies.
 
 Without an owner the agent lengthens no lease.
 """
@@ -17,9 +17,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from almondspan_decisions.fill_pace import Filling, FillPacer, Serving
 from almondspan_decisions.ids import WorkerId
-from almondspan_decisions.tail_model import HarmTable, Image
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
@@ -32,17 +30,16 @@
     StartReply,
     StopOrder,
     StopReply,
-    TaskFacts,
     WorkerListing,
     WorkerReport,
 )
 from almondspan_jobs.meters import Meters
 from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
+from almondspan_jobs.pacing import WorkerPacing
 from almondspan_platform.task_worker import (
     LookFailed,
     LookOrder,
-    RunningTask,
     StartTask,
     TaskWorker,
     Verdict,
@@ -54,8 +51,6 @@
 
 __all__ = ["TaskKeeper"]
 
-FULL_PERCENT: Final = 100
-
 
 @dataclass(slots=True)
 class _Life:
@@ -92,11 +87,7 @@
         self._life: _Life | None = None
         self._epoch = 0
         self._channel: Channel | None = None
-        self._facts: dict[str, TaskFacts] = {}
-        self._table = HarmTable({}, {})
-        self._pacer = FillPacer()
-        self._image_paces: dict[Image, int] = {}
-        self._paces: dict[tuple[str, int], tuple[int, float]] = {}
+        self._pacing: Final = WorkerPacing(worker, options, log)
         self._changed: Final = asyncio.Event()
         self._slots: Final = asyncio.Semaphore(options.n_orders_at_once)
         self._orders: Final[set[asyncio.Task[None]]] = set()
@@ -142,8 +133,7 @@
                 before=str(life.state.worker_id) if life is not None else "",
             )
             self._life = life = _Life(state)
-            self._pacer = FillPacer()
-            self._paces.clear()
+            self._pacing.begin_life()
         if state.is_leaving and (is_new or not life.state.is_leaving):
             self._log.line(
                 "worker_leaving", worker=state.worker_id, leaves_ms=state.leaves_ms
@@ -223,18 +213,14 @@
         if isinstance(body, LeaseRenewal):
             self._on_renewal(body)
         elif isinstance(body, StartOrder):
-            self._facts[body.facts.task] = body.facts
+            self._pacing.learn(body.facts)
             self._spawn(self._start_task(body))
         elif isinstance(body, StopOrder):
             self._spawn(self._stop_task(body))
         elif isinstance(body, HarmPush):
-            weights = {
-                (Image(serving), Image(filling)): weight
-                for serving, filling, weight in body.weights
-            }
-            self._table = HarmTable(weights, {})
+            self._pacing.take_weights(body)
         elif isinstance(body, FactsPush):
-            self._facts = {facts.task: facts for facts in body.tasks}
+            self._pacing.learn_all(body.tasks)
 
     def _on_renewal(self, renewal: LeaseRenewal) -> None:
         life = self._life
@@ -346,13 +332,13 @@
                 await asyncio.sleep(self._options.look_retry_s)
                 continue
             self._pass_on(life, look)
-            await self._pace(life, look)
+            await self._pacing.pace(life.state.worker_id, look, self._epoch)
             await self._wait_for_note(life, look)
 
     async def _look(self, life: _Life) -> WorkerLook | LookFailed:
         wait_ms = (
             self._options.paced_look_wait_ms
-            if self._has_both_kinds()
+            if self._pacing.is_needed
             else self._options.look_wait_ms
         )
         if life.until_ms == 0:
@@ -363,10 +349,6 @@
             LookOrder(self._epoch, life.n_noted, life.until_ms, wait_ms),
         )
 
-    def _has_both_kinds(self) -> bool:
-        has_target = any(facts.tail_target_ms for facts in self._facts.values())
-        return has_target and any(facts.fills for facts in self._facts.values())
-
     def _pass_on(self, life: _Life, look: WorkerLook) -> None:
         self._post(
             WorkerListing(
@@ -386,13 +368,13 @@
                     (end.number, end.task, end.attempt, end.how.value, end.checkpoint)
                     for end in look.ended
                 ],
-                any(percent < FULL_PERCENT for percent in self._image_paces.values()),
+                self._pacing.is_paced,
             )
         )
         for end in look.ended:
             if end.number > life.n_listed:
                 life.n_listed = end.number
-                self._facts.pop(end.task, None)
+                self._pacing.forget(end.task)
                 self._meters.count(f"ended_{end.how.value}")
 
     async def _wait_for_note(self, life: _Life, look: WorkerLook) -> None:
@@ -411,77 +393,3 @@
                     await self._changed.wait()
             except TimeoutError:
                 return
-
-    # Pace
-
-    async def _pace(self, life: _Life, look: WorkerLook) -> None:
-        now_s = steady_s()
-        if now_s - self._pacer.looked_s < self._options.pace_interval_s:
-            return
-        serving, filling = self._shared_tasks(look)
-        before = self._image_paces
-        self._image_paces = self._pacer.look(
-            serving, _by_image(filling), self._table, now_s
-        )
-        if self._image_paces != before and serving:
-            self._log.line(
-                "pace_changed",
-                paces=self._image_paces,
-                cut=round(self._pacer.cut, 2),
-                tails=[(task.image, round(task.share, 2)) for task in serving],
-            )
-        due = []
-        for task, facts in filling:
-            percent = self._image_paces[Image(facts.image)]
-            if self._is_pace_due(task, percent, now_s):
-                due.append(self._pace_task(life, task, percent, now_s))
-        await asyncio.gather(*due)
-        running = {(task.task, task.attempt) for task in look.running}
-        self._paces = {key: pace for key, pace in self._paces.items() if key in running}
-
-    def _shared_tasks(
-        self, look: WorkerLook
-    ) -> tuple[list[Serving], list[tuple[RunningTask, TaskFacts]]]:
-        """Return the tasks with a tail target and the tasks that fill."""
-        serving = []
-        filling = []
-        for task in look.running:
-            facts = self._facts.get(task.task)
-            if facts is None:
-                continue
-            if facts.tail_target_ms and task.percent == FULL_PERCENT:
-                share = task.figure / facts.tail_target_ms
-                serving.append(Serving(task.task, Image(facts.image), share))
-            elif facts.fills:
-                filling.append((task, facts))
-        return serving, filling
-
-    def _is_pace_due(self, task: RunningTask, percent: int, now_s: float) -> bool:
-        known = self._paces.get((task.task, task.attempt), (FULL_PERCENT, 0.0))
-        sent, sent_s = known
-        if sent != percent:
-            return True
-        is_old = now_s - sent_s > self._options.pace_repeat_s
-        return percent < FULL_PERCENT and is_old
-
-    async def _pace_task(
-        self, life: _Life, task: RunningTask, percent: int, now_s: float
-    ) -> None:
-        verdict = await self._worker.pace_task(
-            life.state.worker_id, task.task, task.attempt, percent, self._epoch
-        )
-        if verdict is Verdict.DONE:
-            self._paces[(task.task, task.attempt)] = (percent, now_s)
-        else:
-            self._log.line("pace_refused", task=task.task, verdict=verdict.value)
-
-
-def _by_image(filling: list[tuple[RunningTask, TaskFacts]]) -> list[Filling]:
-    """Sum the processors of the tasks that fill by their image."""
-    used: dict[Image, float] = {}
-    full: dict[Image, float] = {}
-    for task, facts in filling:
-        image = Image(facts.image)
-        used[image] = used.get(image, 0.0) + task.figure / 1000
-        full[image] = full.get(image, 0.0) + facts.cpu_millicores / 1000
-    return [Filling(image, used[image], full[image]) for image in full]
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/order_desk.py
@@ -0,0 +1,183 @@
+"""Sends starts, stops and voids, and takes in what workers answer.
+
+An order leaves only for a stored assignment. It is repeated while it has had no effect;
+after some unanswered starts, or when the worker does not list it, the attempt is
+proved absent instead.
+"""
+
+from typing import Final
+
+from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.job_book import JobBook, TaskPhase, TaskState, WorkerLife
+from almondspan_decisions.job_graph import TaskKey, format_task_name, parse_task_name
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.job_books import MAX_START_SENDS
+from almondspan_jobs.messages import (
+    FactsPush,
+    StartOrder,
+    StartReply,
+    StopOrder,
+    StopReply,
+    TaskFacts,
+)
+from almondspan_jobs.tail_watch import TailWatch
+from almondspan_platform.task_worker import Verdict
+
+__all__ = ["OrderDesk"]
+
+_NOTHING_DONE: Final = frozenset(
+    {
+        Verdict.NO_ROOM.value,
+        Verdict.TOO_LATE.value,
+        Verdict.NO_TICKET.value,
+        Verdict.NOT_TAKEN.value,
+        Verdict.MALFORMED.value,
+    }
+)
+"""Answers after which a first order has surely not started its attempt."""
+
+
+class OrderDesk(TailWatch):
+    """The books with the orders about placed tasks."""
+
+    def on_start_reply(self, worker_id: WorkerId, reply: StartReply) -> None:
+        """Take in the answer to a start."""
+        life = WorkerLife(worker_id, reply.born_ms)
+        parsed = parse_task_name(reply.task)
+        book = self.jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or book is None:
+            return
+        key = parsed[1]
+        if not book.is_assigned(key, reply.attempt, life):
+            return
+        task = book.task(key)
+        assert task is not None
+        if reply.verdict != Verdict.NO_ANSWER.value and task.n_sends == 1:
+            orders = self._open_orders.get(worker_id, {})
+            orders.pop((reply.task, reply.attempt), None)
+        if reply.verdict == Verdict.DONE.value:
+            self._meters.observe_s("order", steady_s() - task.sent_s)
+            return
+        self._log.line(
+            "start_refused",
+            task=reply.task,
+            attempt=reply.attempt,
+            worker=worker_id,
+            verdict=reply.verdict,
+            n_sends=task.n_sends,
+        )
+        self._meters.count(f"start_{reply.verdict}")
+        if reply.verdict in _NOTHING_DONE and task.n_sends == 1:
+            task.avoid(worker_id)
+            self._release(book.job_id, key, reply.verdict)
+        elif reply.verdict == Verdict.NO_ANSWER.value and not task.listed_s:
+            task.sent_s = 0.0
+            task.is_voiding = task.n_sends >= MAX_START_SENDS
+        elif reply.verdict != Verdict.FENCED.value and not task.listed_s:
+            task.is_voiding = True
+
+    def on_stop_reply(self, reply: StopReply) -> None:
+        """Release an attempt that was proved absent."""
+        parsed = parse_task_name(reply.task)
+        book = self.jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or book is None:
+            return
+        task = book.task(parsed[1])
+        if task is None or task.n_attempts != reply.attempt or not task.is_voiding:
+            return
+        if task.phase is TaskPhase.PLACED:
+            self._release(book.job_id, parsed[1], "absent")
+
+    def _order(
+        self, book: JobBook, key: TaskKey, task: TaskState, now_s: float
+    ) -> None:
+        """Send what one placed task needs now."""
+        life = task.life
+        assert life is not None
+        is_unwanted = task.is_stopping or not book.is_active
+        if is_unwanted and task.n_sends == 0:
+            self._release(book.job_id, key, "never_sent")
+            return
+        if now_s - task.sent_s < self._options.order_repeat_s:
+            return
+        if task.is_voiding or is_unwanted:
+            self._send_stop(book, key, task, now_s)
+        elif not task.listed_s and task.n_sends < MAX_START_SENDS:
+            self._send_start(book, key, task, life, now_s)
+
+    def _send_stop(
+        self, book: JobBook, key: TaskKey, task: TaskState, now_s: float
+    ) -> None:
+        assert task.life is not None
+        name = format_task_name(book.job_id, key)
+        is_void = task.is_voiding
+        if self._post(
+            task.life.worker_id, StopOrder(name, task.n_attempts, is_void=is_void)
+        ):
+            task.sent_s = now_s
+            self._log.line(
+                "stop_sent",
+                task=name,
+                attempt=task.n_attempts,
+                worker=task.life.worker_id,
+                void=is_void,
+                job_state=book.state.value,
+            )
+
+    def _send_start(
+        self,
+        book: JobBook,
+        key: TaskKey,
+        task: TaskState,
+        life: WorkerLife,
+        now_s: float,
+    ) -> None:
+        record = self.workers.get(life.worker_id)
+        if record is None or record.life != life or record.is_leaving:
+            if task.n_sends == 0:
+                self._release(book.job_id, key, "worker_unfit")
+            else:
+                task.is_voiding = True
+            return
+        order = StartOrder(
+            life.born_ms,
+            task.n_attempts,
+            book.spec.payload,
+            task.checkpoint,
+            self._lease(life).until_ms,
+            self._facts(book, key),
+        )
+        if self._post(life.worker_id, order):
+            task.n_sends += 1
+            task.sent_s = now_s
+            orders = self._open_orders.setdefault(life.worker_id, {})
+            orders[(order.facts.task, task.n_attempts)] = now_s
+
+    def _stop_unassigned(
+        self, life: WorkerLife, name: str, attempt: int, now_s: float
+    ) -> None:
+        last_s = self._unlisted_stops.get((name, attempt), 0.0)
+        if now_s - last_s < self._options.order_repeat_s:
+            return
+        self._unlisted_stops[(name, attempt)] = now_s
+        self._post(life.worker_id, StopOrder(name, attempt))
+        self._log.line(
+            "unassigned_stopped", task=name, attempt=attempt, worker=life.worker_id
+        )
+
+    def _facts(self, book: JobBook, key: TaskKey) -> TaskFacts:
+        step = book.step_of(key)
+        name = format_task_name(book.job_id, key)
+        return TaskFacts(
+            name,
+            step.image,
+            step.tail_target_ms,
+            step.fills,
+            step.shape.cpu_millicores,
+        )
+
+    def facts_for(self, worker_id: WorkerId) -> FactsPush:
+        """Return the facts of the tasks assigned to a worker."""
+        record = self.workers.get(worker_id)
+        held = self._on_life.get(record.life, set()) if record is not None else set()
+        return FactsPush([self._facts(self.jobs[job_id], key) for job_id, key in held])
--- /dev/null
+++ b/tests/jobs/test_pacing.py
@@ -0,0 +1,120 @@
+"""The paces that an agent orders after a look."""
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+
+from almondspan_decisions.ids import WorkerId
+from almondspan_jobs import clocks
+from almondspan_jobs.messages import HarmPush, TaskFacts
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.pacing import WorkerPacing
+from almondspan_platform.task_worker import RunningTask, Verdict, WorkerLook
+
+WORKER = WorkerId("w")
+FENCE = 3
+TARGET_MS = 10
+LIVE, HEAVY, CALM = "live.0.0.0", "heavy.0.0.0", "calm.0.0.0"
+
+
+class Worker:
+    """Notes the orders on pace; refuses them while told to."""
+
+    def __init__(self) -> None:
+        self.verdict = Verdict.DONE
+        self.orders: list[tuple[str, int, int]] = []
+
+    async def pace_task(
+        self, worker_id: WorkerId, task: str, attempt: int, percent: int, fence: int
+    ) -> Verdict:
+        self.orders.append((task, percent, fence))
+        return self.verdict
+
+
+class Log:
+    def line(self, event: str, **fields: object) -> None:
+        pass
+
+
+class Rig:
+    """Pacing with a clock by hand."""
+
+    def __init__(self) -> None:
+        self.now_s = 10.0
+        clocks.use_clocks(lambda: self.now_s)
+        self.worker = Worker()
+        self.pacing = WorkerPacing(self.worker, JobOptions(), Log())
+        self.pacing.learn_all(
+            [
+                TaskFacts(LIVE, "live", TARGET_MS, False, 1_000),
+                TaskFacts(HEAVY, "heavy", 0, True, 2_000),
+                TaskFacts(CALM, "calm", 0, True, 2_000),
+            ]
+        )
+        self.pacing.take_weights(HarmPush([("live", "heavy", 0.3)]))
+
+    def look(self, tail_ms: float, after_s: float = 0.5) -> list[tuple[str, int, int]]:
+        """Show a look and return the orders that it led to."""
+        self.now_s += after_s
+        self.worker.orders.clear()
+        running = (
+            RunningTask(LIVE, 1, "", 100, tail_ms),
+            RunningTask(HEAVY, 1, "", 5, 0.0),
+            RunningTask(CALM, 1, "", 5, 2_000.0),
+        )
+        look = WorkerLook(1, 1, running, ())
+        asyncio.run(self.pacing.pace(WORKER, look, FENCE))
+        return list(self.worker.orders)
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    yield Rig()
+    clocks.use_clocks()
+
+
+def test_only_the_harmful_image_is_paced(rig: Rig) -> None:
+    assert rig.look(tail_ms=6.0) == [(HEAVY, 25, FENCE)]
+    assert rig.pacing.is_paced
+
+
+def test_unchanged_pace_is_not_ordered_again_at_once(rig: Rig) -> None:
+    rig.look(tail_ms=6.0)
+    assert rig.look(tail_ms=6.0) == []
+
+
+def test_low_pace_is_ordered_again_now_and_then(rig: Rig) -> None:
+    rig.look(tail_ms=6.0)
+    assert rig.look(tail_ms=6.0, after_s=2.0) == [(HEAVY, 25, FENCE)]
+
+
+def test_refused_order_is_repeated(rig: Rig) -> None:
+    rig.worker.verdict = Verdict.NO_ANSWER
+    rig.look(tail_ms=6.0)
+    assert rig.look(tail_ms=6.0) == [(HEAVY, 25, FENCE)]
+
+
+def test_looks_close_together_are_passed_over(rig: Rig) -> None:
+    rig.look(tail_ms=6.0)
+    assert rig.look(tail_ms=9.9, after_s=0.1) == []
+
+
+def test_new_life_begins_at_full_pace(rig: Rig) -> None:
+    rig.look(tail_ms=6.0)
+    rig.pacing.begin_life()
+    assert not rig.pacing.is_paced
+
+
+@pytest.mark.parametrize(
+    ("forgotten", "is_needed"),
+    [
+        pytest.param((), True, id="both_kinds"),
+        pytest.param((LIVE,), False, id="nothing_serves"),
+        pytest.param((HEAVY, CALM), False, id="nothing_fills"),
+    ],
+)
+def test_need(rig: Rig, forgotten: tuple[str, ...], is_needed: bool) -> None:
+    for task in forgotten:
+        rig.pacing.forget(task)
+    assert rig.pacing.is_needed is is_needed
