Refuse at once while the store stays silent

Cause: with the store silent each job waited 250 ms for a question here and again at the owner (log of the incident: job_submitted not_done took_ms 502, 41 times). Change: after a question without an answer nothing is sent for 0.4 s; the refusal, which is true, comes at once.

--- a/packages/jobs/almondspan_jobs/job_door.py
+++ b/packages/jobs/almondspan_jobs/job_door.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -90,6 +91,8 @@
         self._options: Final = options
         self._log: Final = log
         self._meters: Final = meters
+        self._unanswered_s = -math.inf
+        """When a question to a silent store last had no answer."""
 
     async def submit(self, job_id: JobId, spec: JobSpec, budget_s: float) -> JobAnswer:
         """Store a job; the budget is the time in which the caller waits, in seconds."""
@@ -140,6 +143,8 @@
         """Write here or through the owner until it is in effect or time is up."""
         now_s = steady_s()
         refuse_s = now_s + self._options.refuse_after_s
+        if self._store.silent_s > self._options.suspect_s:
+            refuse_s = now_s
         until_s = min(until_s, now_s + self._options.settle_s)
         is_doubtful = False
         while True:
@@ -175,6 +180,7 @@
 
         A store that has been silent is first asked a question: a write that was not
         sent is surely not done, while one without an answer leaves its caller in doubt.
+        For a while after a question without an answer nothing is sent at all.
         """
         if self._store.silent_s > self._options.suspect_s:
             if not await self._is_answering(group.writes[0].key):
@@ -189,11 +195,16 @@
         return JobAnswer(StoreResult.NOT_DONE, str(outcome))
 
     async def _is_answering(self, key: str) -> bool:
+        if steady_s() - self._unanswered_s < self._options.probe_interval_s:
+            return False
         try:
             async with asyncio.timeout(self._options.probe_timeout_s):
-                return isinstance(await self._store.get(key), Found)
+                is_answering = isinstance(await self._store.get(key), Found)
         except TimeoutError:
-            return False
+            is_answering = False
+        if not is_answering:
+            self._unanswered_s = steady_s()
+        return is_answering
 
     async def relay(self, body: StoreJob) -> StoreReply:
         """Store a job or a cancellation for another entry."""
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -80,6 +80,7 @@
     suspect_s: float = 1.2
     """A store silent for this long is asked a question before it is sent a write."""
     probe_timeout_s: float = 0.25
+    probe_interval_s: float = 0.4
     settle_s: float = 1.2
     """A write that may have taken effect is tried again for this long."""
     answer_margin_s: float = 0.4
--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -95,6 +95,21 @@
     world.submit(job, follower_of(world))
     world.run(1.5)
     assert job.answers == [StoreResult.NOT_DONE]
+    again = world.make_job(STEPS)
+    site = follower_of(world)
+    assert site.entry is not None
+    door = site.entry.door
+    took_s = []
+
+    async def ask() -> None:
+        for _ in range(2):
+            begun_s = world.loop.now_s
+            await door.submit(again.job_id, again.spec, 2.5)
+            took_s.append(world.loop.now_s - begun_s)
+
+    world.spawn(site.process, ask())
+    world.run(2.0)
+    assert max(took_s) < 0.7 and min(took_s) < 0.01
     for site in world.entries:
         site.faults.is_silent = False
     world.run(10.0)
