--- a/packages/jobs/almondspan_jobs/job_door.py
+++ b/packages/jobs/almondspan_jobs/job_door.py
@@ -91,6 +91,8 @@
         self._options: Final = options
         self._log: Final = log
         self._meters: Final = meters
+        self._doubts: dict[JobId, float] = {}
+        """Jobs with a write of unknown outcome, and since when."""
         self._unanswered_s = -math.inf
         """When a question to a silent store last had no answer."""
 
@@ -146,7 +148,7 @@
         if self._store.silent_s > self._options.suspect_s:
             refuse_s = now_s
         until_s = min(until_s, now_s + self._options.settle_s)
-        is_doubtful = False
+        is_doubtful = self._is_in_doubt(job_id, now_s)
         while True:
             outcome = await self.write_once(group)
             if outcome.result is not StoreResult.STORED and not self._owner.is_local:
@@ -159,9 +161,19 @@
             if now_s > (until_s if is_doubtful else refuse_s):
                 break
             await asyncio.sleep(self._options.retry_s)
+        if is_doubtful:
+            self._doubts[job_id] = now_s
         result = StoreResult.UNKNOWN if is_doubtful else StoreResult.NOT_DONE
         return JobAnswer(result, outcome.reason)
 
+    def _is_in_doubt(self, job_id: JobId, now_s: float) -> bool:
+        """Tell whether an earlier write of the same job may still take effect."""
+        limit_s = now_s - self._options.late_write_s
+        self._doubts = {
+            name: since_s for name, since_s in self._doubts.items() if since_s > limit_s
+        }
+        return job_id in self._doubts
+
     async def _write_by_owner(
         self, job_id: JobId, record: bytes, reason: str
     ) -> JobAnswer:
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -83,6 +83,8 @@
     probe_interval_s: float = 0.4
     settle_s: float = 1.2
     """A write that may have taken effect is tried again for this long."""
+    late_write_s: float = 30.0
+    """A write without an answer may take effect until then."""
     answer_margin_s: float = 0.4
     """An answer leaves this long before its caller stops waiting."""
     ask_timeout_s: float = 0.5
--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -126,6 +126,19 @@
     assert job.answers == [StoreResult.UNKNOWN]
 
 
+def test_job_in_doubt_is_never_said_to_be_refused(world: JobWorld) -> None:
+    site = follower_of(world)
+    site.faults.late_share = 1.0
+    owner_of(world).faults.is_silent = True
+    job = world.make_job(STEPS)
+    world.submit(job, site)
+    world.run(2.9)
+    site.faults.is_refusing = True
+    world.submit(job, site)
+    world.run(3.0)
+    assert job.answers == [StoreResult.UNKNOWN, StoreResult.UNKNOWN]
+
+
 def test_same_job_at_two_entries_is_one_job(world: JobWorld) -> None:
     job = world.make_job(STEPS)
     for site in world.entries:
