--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -132,8 +132,9 @@
     owner_of(world).faults.is_silent = True
     job = world.make_job(STEPS)
     world.submit(job, site)
-    world.run(2.9)
-    site.faults.is_refusing = True
+    world.run(2.0)
+    for other in world.entries:
+        refuse(other)
     world.submit(job, site)
     world.run(3.0)
     assert job.answers == [StoreResult.UNKNOWN, StoreResult.UNKNOWN]
