--- /dev/null
+++ b/tests/site/test_config_follower.py
@@ -0,0 +1,67 @@
+"""Configurations are taken in order, never back, and survive a failing watch."""
+
+import asyncio
+import json
+import random
+
+import pytest
+from virtual_loop import VirtualLoop
+
+from almondspan_jobs.options import JobOptions
+from almondspan_platform.group_store import Write, WriteGroup
+from almondspan_site.configuration import CONFIG_KEY, ConfigFollower, Configuration
+from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
+
+
+class Log:
+    def __init__(self) -> None:
+        self.events: list[str] = []
+
+    def line(self, event: str, **fields: object) -> None:
+        self.events.append(event)
+
+
+def config(version: int) -> bytes:
+    return json.dumps({"version": version, "routes": []}).encode()
+
+
+def put(store: MemoryGroupStore, data: bytes) -> None:
+    store.commit(WriteGroup(writes=(Write(CONFIG_KEY, data),)))
+
+
+async def follow(values: list[bytes], log: Log, drops_history: bool) -> list[int]:
+    """Write values one after another; return the versions that came into force."""
+    store = MemoryGroupStore(random.Random(1))
+    taken: list[Configuration] = []
+    follower = ConfigFollower(
+        store.client(StoreFaults(answer_s=0.0)), JobOptions(), log, taken.append
+    )
+    await follower.start()
+    for data in values:
+        put(store, data)
+        if drops_history:
+            store.drop_history()
+        await asyncio.sleep(0.3)
+    await follower.close()
+    return [item.version for item in taken]
+
+
+@pytest.mark.parametrize("drops_history", [False, True])
+@pytest.mark.parametrize(
+    ("values", "versions"),
+    [
+        pytest.param([config(2), config(5)], [2, 5], id="rising"),
+        pytest.param([config(5), config(2)], [5], id="never_back"),
+        pytest.param([config(3), b"{", config(4)], [3, 4], id="unreadable_between"),
+        pytest.param([config(3), config(3)], [3], id="same_again"),
+    ],
+)
+def test_versions(
+    values: list[bytes], versions: list[int], drops_history: bool
+) -> None:
+    log = Log()
+    loop = VirtualLoop()
+    found = loop.run_until_complete(follow(values, log, drops_history))
+    loop.close()
+    assert found == versions
+    assert ("config_unreadable" in log.events) is (b"{" in values)
