Keep the order of messages on a simulated channel

A TCP stream keeps its order. Change: the simulated channel hands messages over in the order of sending.

--- a/tests/jobs/memory_network.py
+++ b/tests/jobs/memory_network.py
@@ -30,6 +30,7 @@
         self.owner = owner
         self.peer: MemoryChannel | None = None
         self.inbox: deque[Message] = deque()
+        self.in_flight: deque[bytes] = deque()
         self.closed: ChannelClosed | None = None
         self._arrived = asyncio.Event()
         self.silent_s = 0.0
@@ -42,10 +43,12 @@
             return False
         data = encode(body)
         if not self._network.is_cut(self.owner, self.peer.owner):
-            self._network.call_in(self.peer.owner, HOP_S, self.peer.take, data)
+            self.peer.in_flight.append(data)
+            self._network.call_in(self.peer.owner, HOP_S, self.peer.take)
         return True
 
-    def take(self, data: bytes) -> None:
+    def take(self) -> None:
+        data = self.in_flight.popleft()
         if self.closed is None:
             body = decode(data)
             assert isinstance(body, Message), body
