Look tasks up by name in one place; drop what nothing used

Cause: reading the whole change once more. Change: JobBooks._find, HarmTable.from_rows, TaskState.ask_stop; the unused parts go. Behaviour is meant to be the same; no test was changed.

--- a/packages/decisions/almondspan_decisions/job_book.py
+++ b/packages/decisions/almondspan_decisions/job_book.py
@@ -96,6 +96,11 @@
         self.n_sends = self.percent = 0
         self.sent_s = self.listed_s = 0.0
 
+    def ask_stop(self) -> None:
+        """Have the attempt stopped by the next order, which is due at once."""
+        self.is_stopping = True
+        self.sent_s = 0.0
+
     def avoid(self, worker_id: WorkerId) -> None:
         """Prefer other workers for the next attempts."""
         self.avoided = (*self.avoided[-(MAX_AVOIDED - 1) :], worker_id)
--- a/packages/decisions/almondspan_decisions/tail_model.py
+++ b/packages/decisions/almondspan_decisions/tail_model.py
@@ -7,7 +7,7 @@
 negative, and a ridge keeps what was seen little near zero.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final, NewType
 
@@ -33,6 +33,17 @@
     bases: Mapping[Image, float]
     """Tail latency over target without tasks that fill."""
 
+    @classmethod
+    def from_rows(
+        cls, rows: Iterable[tuple[str, str, float]], bases: Mapping[str, float]
+    ) -> "HarmTable":
+        """Return the table of rows of serving image, filling image and weight."""
+        weights = {
+            (Image(serving), Image(filling)): weight
+            for serving, filling, weight in rows
+        }
+        return cls(weights, {Image(image): base for image, base in bases.items()})
+
     def weight(self, serving: Image, filling: Image) -> float:
         """Return what one processor of an image adds; 0 when nothing is known."""
         return self.weights.get((serving, filling), 0.0)
--- a/packages/jobs/almondspan_jobs/job_books.py
+++ b/packages/jobs/almondspan_jobs/job_books.py
@@ -17,6 +17,7 @@
     QueueRules,
     TaskKey,
     format_task_name,
+    parse_task_name,
 )
 from almondspan_decisions.shapes import Shape
 from almondspan_decisions.tail_model import HarmTable, TailModel
@@ -98,6 +99,14 @@
         self._observed_s: dict[WorkerLife, float] = {}
         self.wants_plan = False
 
+    def _find(self, name: str) -> tuple[JobBook, TaskKey] | None:
+        """Return the job and the task that a name means; None when there is none."""
+        parsed = parse_task_name(name)
+        book = self.jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or book is None or book.task(parsed[1]) is None:
+            return None
+        return book, parsed[1]
+
     def load(self, book: JobBook) -> None:
         """Take in a job with its stored progress, after a takeover."""
         self.jobs[book.job_id] = book
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -113,14 +113,14 @@
 
     # The worker's own reports
 
-    def on_report(self, state: WorkerState) -> bool:
-        """Take in a report; False when a later lifetime is known already."""
+    def on_report(self, state: WorkerState) -> None:
+        """Take in a report, unless a later lifetime is known already."""
         life = self._life
         if life is not None and life.state.born_ms > state.born_ms:
             self._log.line(
                 "report_outdated", born=state.born_ms, known=life.state.born_ms
             )
-            return False
+            return
         is_new = life is None or (
             (life.state.worker_id, life.state.born_ms)
             != (state.worker_id, state.born_ms)
@@ -141,7 +141,6 @@
         life.state = state
         self._changed.set()
         self._send_report(has_left=False)
-        return True
 
     def on_left(self, worker_id: WorkerId) -> None:
         """Take in that the worker ends now."""
--- a/packages/jobs/almondspan_jobs/meters.py
+++ b/packages/jobs/almondspan_jobs/meters.py
@@ -31,17 +31,12 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
-        self._gauges: dict[str, float] = {}
         self._histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, n: int = 1) -> None:
         """Add to a counter."""
         self._counts[name] = self._counts.get(name, 0) + n
 
-    def gauge(self, name: str, value: float) -> None:
-        """Set a value that goes up and down."""
-        self._gauges[name] = value
-
     def observe_s(self, name: str, duration_s: float) -> None:
         """Count a duration in a histogram."""
         histogram = self._histograms.get(name)
@@ -52,9 +47,6 @@
     def text(self) -> str:
         """Return everything in the Prometheus text format."""
         lines = [f"almondspan_{name}_total {n}" for name, n in self._counts.items()]
-        lines += [
-            f"almondspan_{name} {value:g}" for name, value in self._gauges.items()
-        ]
         for name, histogram in self._histograms.items():
             lines += _histogram_lines(f"almondspan_{name}_ms", histogram)
         return "\n".join(lines) + "\n"
--- a/packages/jobs/almondspan_jobs/order_desk.py
+++ b/packages/jobs/almondspan_jobs/order_desk.py
@@ -9,7 +9,7 @@
 
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_book import JobBook, TaskPhase, TaskState, WorkerLife
-from almondspan_decisions.job_graph import TaskKey, format_task_name, parse_task_name
+from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.job_books import MAX_START_SENDS
 from almondspan_jobs.messages import (
@@ -43,11 +43,10 @@
     def on_start_reply(self, worker_id: WorkerId, reply: StartReply) -> None:
         """Take in the answer to a start."""
         life = WorkerLife(worker_id, reply.born_ms)
-        parsed = parse_task_name(reply.task)
-        book = self.jobs.get(parsed[0]) if parsed is not None else None
-        if parsed is None or book is None:
+        found = self._find(reply.task)
+        if found is None:
             return
-        key = parsed[1]
+        book, key = found
         if not book.is_assigned(key, reply.attempt, life):
             return
         task = book.task(key)
@@ -78,15 +77,15 @@
 
     def on_stop_reply(self, reply: StopReply) -> None:
         """Release an attempt that was proved absent."""
-        parsed = parse_task_name(reply.task)
-        book = self.jobs.get(parsed[0]) if parsed is not None else None
-        if parsed is None or book is None:
+        found = self._find(reply.task)
+        if found is None:
             return
-        task = book.task(parsed[1])
+        book, key = found
+        task = book.task(key)
         if task is None or task.n_attempts != reply.attempt or not task.is_voiding:
             return
         if task.phase is TaskPhase.PLACED:
-            self._release(book.job_id, parsed[1], "absent")
+            self._release(book.job_id, key, "absent")
 
     def _order(
         self, book: JobBook, key: TaskKey, task: TaskState, now_s: float
--- a/packages/jobs/almondspan_jobs/pacing.py
+++ b/packages/jobs/almondspan_jobs/pacing.py
@@ -59,11 +59,7 @@
 
     def take_weights(self, push: HarmPush) -> None:
         """Take in the owner's weights."""
-        weights = {
-            (Image(serving), Image(filling)): weight
-            for serving, filling, weight in push.weights
-        }
-        self._table = HarmTable(weights, {})
+        self._table = HarmTable.from_rows(push.weights, {})
 
     @property
     def is_needed(self) -> bool:
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -118,8 +118,7 @@
         for victim in best:
             task = self.jobs[victim.job_id].task(victim.key)
             assert task is not None
-            task.is_stopping = True
-            task.sent_s = 0.0
+            task.ask_stop()
             self._log.line(
                 "task_preempted",
                 task=format_task_name(victim.job_id, victim.key),
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -26,7 +26,7 @@
     TaskState,
     WorkerLife,
 )
-from almondspan_decisions.job_graph import TaskKey, format_task_name, parse_task_name
+from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.worker_book import WorkerRecord
 from almondspan_decisions.worker_lease import WorkerLease
 from almondspan_jobs.clocks import steady_s, wall_ms
@@ -97,13 +97,8 @@
         if number <= lease.n_seen:
             return
         lease.n_seen = number
-        parsed = parse_task_name(name)
-        book = self.jobs.get(parsed[0]) if parsed is not None else None
-        if (
-            parsed is None
-            or book is None
-            or not self._is_held(book, parsed[1], attempt, life)
-        ):
+        found = self._find(name)
+        if found is None or not self._is_held(*found, attempt, life):
             lease.unnoted.append((number, None, 0))
             self._log.line(
                 "end_ignored",
@@ -114,7 +109,8 @@
                 reason="the attempt is not assigned to this life",
             )
             return
-        self._end(book, parsed[1], _END_KINDS[how], checkpoint, how)
+        book, key = found
+        self._end(book, key, _END_KINDS[how], checkpoint, how)
         version = self._progress[book.job_id].version
         lease.unnoted.append((number, book.job_id, version))
 
@@ -126,23 +122,19 @@
         is_paced: bool,
     ) -> None:
         name, attempt, checkpoint, percent, _ = row
-        parsed = parse_task_name(name)
-        book = self.jobs.get(parsed[0]) if parsed is not None else None
-        if (
-            parsed is None
-            or book is None
-            or not self._is_held(book, parsed[1], attempt, life)
-        ):
+        found = self._find(name)
+        if found is None or not self._is_held(*found, attempt, life):
             self._stop_unassigned(life, name, attempt, now_s)
             return
-        task = book.task(parsed[1])
+        book, key = found
+        task = book.task(key)
         assert task is not None
         if not task.listed_s:
             self._meters.observe_s("start", now_s - task.placed_s)
         task.listed_s = now_s
         if checkpoint:
             task.checkpoint = checkpoint
-        is_held = is_paced and book.step_of(parsed[1]).fills
+        is_held = is_paced and book.step_of(key).fills
         if percent > task.percent or is_held:
             task.percent = percent
             task.percent_s = now_s
@@ -248,8 +240,7 @@
         done_s = (now_s - task.placed_s) if not step.saves_progress else 0.0
         left_ms = step.estimate_ms - done_s * 1000
         if step.lasts or left_ms > record.leaves_ms:
-            task.is_stopping = True
-            task.sent_s = 0.0
+            task.ask_stop()
             self._log.line(
                 "task_moved_off",
                 task=format_task_name(book.job_id, key),
@@ -273,8 +264,7 @@
         if now_s - task.percent_s <= limit_s:
             return
         assert task.life is not None
-        task.is_stopping = True
-        task.sent_s = 0.0
+        task.ask_stop()
         task.avoid(task.life.worker_id)
         self._log.line(
             "task_stalled",
--- a/packages/jobs/almondspan_jobs/tail_watch.py
+++ b/packages/jobs/almondspan_jobs/tail_watch.py
@@ -7,7 +7,6 @@
 from typing import Final
 
 from almondspan_decisions.job_book import WorkerLife
-from almondspan_decisions.job_graph import parse_task_name
 from almondspan_decisions.tail_model import HarmTable, Image
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.job_books import JobBooks
@@ -40,11 +39,11 @@
         serving: list[tuple[Image, float]] = []
         filling: dict[Image, float] = {}
         for name, _, _, percent, figure in listing.running:
-            parsed = parse_task_name(name)
-            book = self.jobs.get(parsed[0]) if parsed is not None else None
-            if parsed is None or book is None or book.task(parsed[1]) is None:
+            found = self._find(name)
+            if found is None:
                 continue
-            step = book.step_of(parsed[1])
+            book, key = found
+            step = book.step_of(key)
             image = Image(step.image)
             if step.tail_target_ms and percent == FULL_PERCENT:
                 serving.append((image, figure / step.tail_target_ms))
@@ -72,12 +71,7 @@
 
     def load_harm(self, record: HarmRecord) -> None:
         """Use the weights of an earlier owner until enough was observed."""
-        weights = {
-            (Image(serving), Image(filling)): weight
-            for serving, filling, weight in record.weights
-        }
-        bases = {Image(image): base for image, base in record.bases.items()}
-        self._table = HarmTable(weights, bases)
+        self._table = HarmTable.from_rows(record.weights, record.bases)
 
     def _harm_write(self) -> Write:
         """Return the record of the weights."""
