--- a/packages/decisions/almondspan_decisions/fill_pace.py
+++ b/packages/decisions/almondspan_decisions/fill_pace.py
@@ -1,40 +1,50 @@
 """Paces the tasks that fill beside tasks with a tail latency target.
 
-One `FillPacer` watches one worker. From each look:
-
-1. For every serving task, its base is what its tail would be without the tasks that
-   fill, by the learned weights; it is smoothed over looks.
-2. What the target leaves over the base is shared out: each filling image that adds to
-   a serving task's tail is paced so that all of them together stay within it.
+One `FillPacer` watches one worker, in terms of headroom (see `tail_model`). From each
+look:
+
+1. For every serving task, its level is what its headroom would be without the tasks
+   that fill, by the learned weights. The level swings, so it is followed with its
+   slope and foreseen for the time until the next look has had an effect.
+2. What the level leaves over the headroom aimed at is shared out: each filling image
+   that costs a serving task headroom is paced so that all of them together stay within
+   it. Images that cost little are not paced; beside a tail far over its target all
+   others pause.
 3. A tail that stays over its target although the weights do not explain it cuts the
-   pace of all images for a while, since the weights may be wrong or missing. One far
-   over its target, or over it for long, pauses them all at once.
+   pace of all images for a while, since the weights may be wrong. One over its target
+   for long pauses them all.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
-from almondspan_decisions.tail_model import HarmTable, Image
+from almondspan_decisions.tail_model import PRIOR_LOW, HarmTable, Image
 
-__all__ = ["Filling", "FillPacer", "Serving"]
+__all__ = ["AIM_HEADROOM", "Filling", "FillPacer", "HARMLESS_WEIGHT", "Serving"]
 
 FULL_PERCENT: Final = 100
-AIM_SHARE: Final = 0.75
-"""The tail latency over target that the paces aim at."""
-OVER_SHARE: Final = 1.0
-CALM_SHARE: Final = 0.85
-BASE_SMOOTHING: Final = 0.4
-"""Weight of the newest look in a smoothed base."""
-HARMLESS: Final = 0.04
-"""Images that add less than this share of the target are not paced."""
-SEVERE_SHARE: Final = 1.6
+AIM_HEADROOM: Final = 1.25
+"""The headroom that the paces aim at."""
+CALM_HEADROOM: Final = 1.15
+HARMLESS_WEIGHT: Final = 1.0
+"""Images that weigh less than this are not paced."""
+SEVERE_HEADROOM: Final = 0.6
+"""Below this harmful images pause, so that the queue of the serving task drains."""
+FORESIGHT_S: Final = 0.5
+LEVEL_GAIN: Final = 0.6
+"""Weight of the newest look in the level."""
+SLOPE_GAIN: Final = 0.25
+MAX_GAP_S: Final = 2.0
+"""A level that was not followed for this long begins anew."""
 EXCESS_S: Final = 0.6
 """A tail over its target for this long is an excess that the weights missed."""
 LONG_EXCESS_S: Final = 1.4
 CUT_FACTOR: Final = 0.5
 CUT_INTERVAL_S: Final = 0.6
 CUT_RISE_PER_S: Final = 0.4
+RISE_PER_S: Final = 0.5
+"""A pace rises at most so fast, so that a wrong weight shows before it does harm."""
 MIN_PERCENT: Final = 4
 """Below this a task is paced to nothing."""
 STEP_PERCENT: Final = 5
@@ -47,8 +57,8 @@
 
     task: str
     image: Image
-    share: float
-    """Tail latency over target."""
+    headroom: float
+    """Target over tail latency."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,20 +66,50 @@
     """All tasks of one filling image on the worker."""
 
     image: Image
-    used_cores: float
-    full_cores: float
-    """Processors that they would use at full pace."""
+    used_share: float
+    """Share of the worker's processors in use."""
+    full_share: float
+    """What they would use at full pace."""
+
+
+@dataclass(slots=True)
+class _Level:
+    """A level followed with its slope."""
+
+    value: float
+    slope_per_s: float
+    at_s: float
+
+    def follow(self, seen: float, now_s: float) -> None:
+        """Move towards what was seen."""
+        gap_s = now_s - self.at_s
+        if gap_s <= 0:
+            return
+        if gap_s > MAX_GAP_S:
+            self.value, self.slope_per_s, self.at_s = seen, 0.0, now_s
+            return
+        expected = self.value + self.slope_per_s * gap_s
+        error = seen - expected
+        self.value = expected + LEVEL_GAIN * error
+        self.slope_per_s += SLOPE_GAIN * error / gap_s
+        self.at_s = now_s
+
+    def foreseen(self) -> float:
+        """Return the lowest value until the next look has had an effect."""
+        return self.value + min(self.slope_per_s, 0.0) * FORESIGHT_S
 
 
 @dataclass(slots=True)
 class FillPacer:
     """The paces of one worker's tasks that fill, in percent by image."""
 
-    bases: dict[str, float] = field(default_factory=dict)
+    levels: dict[str, _Level] = field(default_factory=dict)
     over_since_s: dict[str, float] = field(default_factory=dict)
     cut: float = 1.0
     """Share of the pace that is left to all images after an unexplained excess."""
     cut_s: float = 0.0
+    ceilings: dict[Image, float] = field(default_factory=dict)
+    """The pace that an image may reach at this look."""
     looked_s: float = 0.0
 
     def look(
@@ -80,30 +120,53 @@
         now_s: float,
     ) -> dict[Image, int]:
         """Return the paces after a look."""
-        self._smooth_bases(serving, filling, table)
+        self._follow_levels(serving, filling, table, now_s)
         self._judge_excess(serving, filling, now_s)
+        rise = RISE_PER_S * min(now_s - self.looked_s, 1.0)
         self.looked_s = now_s
+        self.ceilings = {
+            fill.image: self.ceilings.get(fill.image, 1.0) + rise for fill in filling
+        }
+        return self.paces(serving, filling, table)
+
+    def expect(self, task: str, image: Image, now_s: float) -> Serving:
+        """Return a serving task that has just begun, with a cautious level."""
+        self.levels[task] = _Level(PRIOR_LOW, 0.0, now_s)
+        return Serving(task, image, PRIOR_LOW)
+
+    def paces(
+        self, serving: Sequence[Serving], filling: Sequence[Filling], table: HarmTable
+    ) -> dict[Image, int]:
+        """Return the paces by what the latest look showed."""
         paces = dict.fromkeys((fill.image for fill in filling), 1.0)
         for task in serving:
             self._share_out(task, filling, table, paces)
-        return {image: _percent(pace * self.cut) for image, pace in paces.items()}
+        for image in paces:
+            ceiling = self.ceilings.get(image, 1.0)
+            paces[image] = min(paces[image] * self.cut, ceiling)
+            self.ceilings[image] = min(ceiling, paces[image])
+        return {image: _percent(pace) for image, pace in paces.items()}
 
-    def _smooth_bases(
+    def _follow_levels(
         self,
         serving: Sequence[Serving],
         filling: Sequence[Filling],
         table: HarmTable,
+        now_s: float,
     ) -> None:
-        before, self.bases = self.bases, {}
+        before, self.levels = self.levels, {}
         for task in serving:
-            added = sum(
-                table.weight(task.image, fill.image) * fill.used_cores
+            lost = sum(
+                table.weight(task.image, fill.image) * fill.used_share
                 for fill in filling
             )
-            base = max(task.share - added, 0.0)
-            last = before.get(task.task, base)
-            smooth = last + BASE_SMOOTHING * (base - last)
-            self.bases[task.task] = max(base, smooth)
+            seen = task.headroom + lost
+            level = before.get(task.task)
+            if level is None:
+                level = _Level(seen, 0.0, now_s)
+            else:
+                level.follow(seen, now_s)
+            self.levels[task.task] = level
 
     def _judge_excess(
         self, serving: Sequence[Serving], filling: Sequence[Filling], now_s: float
@@ -111,18 +174,18 @@
         """Cut all paces while a tail stays over its target."""
         before, self.over_since_s = self.over_since_s, {}
         for task in serving:
-            if task.share >= OVER_SHARE:
+            if task.headroom <= 1.0:
                 self.over_since_s[task.task] = before.get(task.task, now_s)
         since_s = min(self.over_since_s.values(), default=now_s)
-        worst = max((task.share for task in serving), default=0.0)
+        least = min((task.headroom for task in serving), default=CALM_HEADROOM + 1)
         over_s = now_s - since_s
-        if filling and (worst >= SEVERE_SHARE or over_s >= LONG_EXCESS_S):
+        if filling and over_s >= LONG_EXCESS_S:
             self.cut = 0.0
         elif filling and over_s >= EXCESS_S:
             if now_s - self.cut_s >= CUT_INTERVAL_S:
                 self.cut *= CUT_FACTOR
                 self.cut_s = now_s
-        elif worst < CALM_SHARE:
+        elif least > CALM_HEADROOM:
             rise = CUT_RISE_PER_S * min(now_s - self.looked_s, 1.0)
             self.cut = min(1.0, self.cut + rise)
 
@@ -133,16 +196,18 @@
         table: HarmTable,
         paces: dict[Image, float],
     ) -> None:
-        added = {
-            fill.image: table.weight(task.image, fill.image) * fill.full_cores
-            for fill in filling
-        }
-        harmful = {image: share for image, share in added.items() if share > HARMLESS}
-        total = sum(harmful.values())
+        level = self.levels[task.task]
+        lost: dict[Image, float] = {}
+        for fill in filling:
+            weight = table.weight(task.image, fill.image)
+            if weight > HARMLESS_WEIGHT:
+                lost[fill.image] = weight * fill.full_share
+        total = sum(lost.values())
         if not total:
             return
-        room = max(AIM_SHARE - self.bases[task.task], 0.0)
-        for image in harmful:
+        is_severe = task.headroom < SEVERE_HEADROOM
+        room = 0.0 if is_severe else max(level.foreseen() - AIM_HEADROOM, 0.0)
+        for image in lost:
             paces[image] = min(paces[image], room / total)
 
 
--- a/packages/decisions/almondspan_decisions/graph_placing.py
+++ b/packages/decisions/almondspan_decisions/graph_placing.py
@@ -4,17 +4,20 @@
    not leaving, with room, under the step's limit of tasks on one worker.
 2. Among them the lowest cost. A task that fills goes where it is expected to run
    fastest: by what the others leave, and by the pace that keeps the tails there within
-   their targets. Any other task goes where it keeps the room balanced. Data on another
-   rack, a task's failure on the worker before and a rested worker add to the cost.
+   their targets. It begins at full pace, so a worker where that would put serving tasks
+   over their targets costs much. Any other task goes where it keeps the room balanced.
+   Data on another rack, a task's failure on the worker before and a rested worker add
+   to the cost.
 3. No worker: `victims_on` names the tasks of less urgent queues whose end makes room
    at the lowest loss of unsaved work.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
-from almondspan_decisions.fill_pace import AIM_SHARE, HARMLESS
+from almondspan_decisions.fill_pace import AIM_HEADROOM, HARMLESS_WEIGHT
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_book import JobBook, TaskState
 from almondspan_decisions.job_graph import StepSpec, TaskKey
@@ -22,7 +25,14 @@
 from almondspan_decisions.tail_model import HarmTable, Image
 from almondspan_decisions.worker_book import WorkerRecord, counted_shape
 
-__all__ = ["Candidate", "choose_worker", "may_ever_run", "victims_on"]
+__all__ = [
+    "Candidate",
+    "choose_worker",
+    "may_ever_run",
+    "n_harmed_by_start",
+    "note_start",
+    "victims_on",
+]
 
 AVOIDED_COST: Final = 4.0
 RESTED_COST: Final = 8.0
@@ -32,6 +42,10 @@
 OTHER_IMAGE_COST: Final = 0.1
 MIN_SPEED: Final = 0.05
 FILL_SHARE_COST: Final = 0.3
+START_HEADROOM: Final = 1.15
+"""Serving tasks should keep this when a task that fills begins beside them."""
+START_COST: Final = 2.0
+"""For each serving task that is put over its target by a start."""
 MIN_LEFT_MILLICORES: Final = 100.0
 """Keeps the share of the tasks that fill finite on a full worker."""
 
@@ -59,12 +73,12 @@
     task = book.task(key)
     assert task is not None
     best: WorkerRecord | None = None
-    best_cost = 0.0
+    best_cost = math.inf
     for worker in workers:
         if not may_run(book, key, step, worker):
             continue
         cost = placing_cost(step, task, worker, table, now_s)
-        if best is None or cost < best_cost:
+        if cost < best_cost:
             best, best_cost = worker, cost
     return best
 
@@ -100,6 +114,7 @@
         share = fill_share(step, worker)
         speed = min(1 / max(share, 1.0), pace_after(step, worker, table))
         cost = 1 / max(speed, MIN_SPEED) + FILL_SHARE_COST * share
+        cost += START_COST * n_harmed_by_start(step, worker, table)
     elif step.lasts:
         cost = serving_cost(step, worker)
     else:
@@ -140,18 +155,44 @@
 def pace_after(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> float:
     """Return the expected pace of a task that fills, from 0 to 1."""
     image = Image(step.image)
-    cores = dict(worker.fill_cores)
-    cores[image] = cores.get(image, 0.0) + step.shape.cpu_millicores / 1000
+    shares = {
+        fill: share_of(1000 * cores, worker)
+        for fill, cores in worker.fill_cores.items()
+    }
+    shares[image] = shares.get(image, 0.0) + share_of(step.shape.cpu_millicores, worker)
     pace = 1.0
     for served, n_tasks in worker.n_serving.items():
-        if not n_tasks or table.weight(served, image) * cores[image] <= HARMLESS:
+        if not n_tasks or table.weight(served, image) <= HARMLESS_WEIGHT:
             continue
-        added = sum(table.weight(served, fill) * used for fill, used in cores.items())
-        room = max(AIM_SHARE - table.bases.get(served, 0.0), 0.0)
-        pace = min(pace, room / added)
+        lost = sum(table.weight(served, fill) * share for fill, share in shares.items())
+        pace = min(pace, max(table.low(served) - AIM_HEADROOM, 0.0) / lost)
     return pace
 
 
+def n_harmed_by_start(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> int:
+    """Return how many serving tasks a start puts over their target at full pace."""
+    share = share_of(step.shape.cpu_millicores, worker)
+    image = Image(step.image)
+    return sum(
+        worker.n_serving.get(served, 0)
+        for served, headroom in worker.headrooms.items()
+        if table.weight(served, image) > HARMLESS_WEIGHT
+        and headroom - table.weight(served, image) * share < START_HEADROOM
+    )
+
+
+def note_start(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> None:
+    """Take what a placed task that fills will cost off the listed headrooms."""
+    share = share_of(step.shape.cpu_millicores, worker)
+    for served in worker.headrooms:
+        worker.headrooms[served] -= table.weight(served, Image(step.image)) * share
+
+
+def share_of(cpu_millicores: float, worker: WorkerRecord) -> float:
+    """Return the share of a worker's processors."""
+    return cpu_millicores / max(worker.capacity.cpu_millicores, 1)
+
+
 def load_after(step: StepSpec, worker: WorkerRecord) -> float:
     """Return the dominant share of a worker with one more task."""
     return (worker.used + counted_shape(step)).dominant_share(worker.capacity)
--- a/packages/decisions/almondspan_decisions/job_book.py
+++ b/packages/decisions/almondspan_decisions/job_book.py
@@ -87,6 +87,8 @@
     percent: int = 0
     percent_s: float = 0.0
     """When `percent` last rose."""
+    held_s: float = 0.0
+    """Since when a task that fills waits for a start that harms nobody; 0 if not."""
     avoided: tuple[WorkerId, ...] = ()
     """Workers on which the task failed or stood still."""
 
@@ -94,7 +96,7 @@
         """Forget what was ordered and heard of an earlier attempt."""
         self.is_stored = self.is_stopping = self.is_voiding = False
         self.n_sends = self.percent = 0
-        self.sent_s = self.listed_s = 0.0
+        self.sent_s = self.listed_s = self.held_s = 0.0
 
     def ask_stop(self) -> None:
         """Have the attempt stopped by the next order, which is due at once."""
--- a/packages/decisions/almondspan_decisions/tail_model.py
+++ b/packages/decisions/almondspan_decisions/tail_model.py
@@ -1,137 +1,245 @@
-"""Learns how much tasks that fill raise the tail latency of tasks that serve.
+"""Learns how much tasks that fill cost tasks that serve in tail latency.
 
-For each image that serves, a linear model: the tail latency over its target is a base
-plus, for each image that fills on the same worker, a weight times the processors it
-uses there. Observations of all workers are summed into normal equations, older ones
-with less weight. `solve` finds the weights by coordinate descent; they are never
-negative, and a ridge keeps what was seen little near zero.
+A serving task's headroom is its target over its tail latency: 1 at the target, more
+below it. The tail of a queue grows with the inverse of what is left of its capacity, so
+the headroom is close to linear in the load: for each serving image
+
+    headroom = level of the job - sum over filling images of weight * share in use,
+
+where the share is that of the worker's processors. The level swings with the job's own
+load, equally on all workers, and walks at random in the model; the weights are those of
+a pair of images and hardly change. One Kalman filter for each serving image estimates
+both.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final, NewType
 
-__all__ = ["HarmTable", "Image", "TailModel"]
+from almondspan_decisions.ids import JobId
+from almondspan_decisions.linear_filter import LinearFilter
+
+__all__ = [
+    "PRIOR_LOW",
+    "HarmRow",
+    "HarmTable",
+    "Image",
+    "TailModel",
+    "TailSample",
+]
 
 Image = NewType("Image", str)
 """What a task runs; tasks of one image behave alike."""
 
-RIDGE: Final = 3.0
-"""Added to each weight's diagonal, in observations times processors squared."""
-KEPT_SHARE: Final = 0.9995
-"""What an observation keeps of its weight when the next one of its image arrives."""
-N_SWEEPS: Final = 12
-MAX_SHARE: Final = 3.0
-"""Tails over this multiple of the target count as this much."""
+PRIOR_LEVEL: Final = 2.4
+PRIOR_LEVEL_VARIANCE: Final = 0.8
+PRIOR_LOW: Final = 1.6
+LEVEL_WALK_PER_S: Final = 0.2
+"""Variance that a level gains each second."""
+PRIOR_WEIGHT: Final = 2.5
+"""Weight of a pair that was never seen."""
+PRIOR_WEIGHT_VARIANCE: Final = 11.0
+WEIGHT_WALK_PER_S: Final = 0.002
+CAUTION: Final = 0.5
+"""Weights are told this many standard deviations above their mean."""
+NOISE_VARIANCE: Final = 0.05
+"""Of a headroom about the model."""
+SATURATED: Final = 0.4
+"""A headroom below this says only that the sum is not above it: a full queue hides by
+how much its load exceeds its capacity."""
+ROUNDING_DEVIATION_MS: Final = 0.3
+"""Of a tail latency that was rounded to whole milliseconds."""
+MAX_GAP_S: Final = 5.0
+"""Time between two samples that counts for the walks at most."""
+LEVEL_KEPT_S: Final = 20.0
+"""The level of a job that was not seen for so long is forgotten."""
+LOW_RISE_PER_S: Final = 0.05
+"""The low level of an image rises by this share of the distance in a second."""
+MIN_SHARE: Final = 0.003
+"""A smaller share of a worker's processors counts as none."""
+
+
+@dataclass(frozen=True, slots=True)
+class HarmRow:
+    """What is known of one pair: headroom lost to a whole worker of the image."""
+
+    serving: Image
+    filling: Image
+    weight: float
+    variance: float
 
 
 @dataclass(frozen=True, slots=True)
 class HarmTable:
-    """Tail latency over target added per processor, by serving and filling image."""
+    """Headroom lost for each whole worker used, by serving and filling image."""
 
     weights: Mapping[tuple[Image, Image], float]
-    bases: Mapping[Image, float]
-    """Tail latency over target without tasks that fill."""
-
-    @classmethod
-    def from_rows(
-        cls, rows: Iterable[tuple[str, str, float]], bases: Mapping[str, float]
-    ) -> "HarmTable":
-        """Return the table of rows of serving image, filling image and weight."""
-        weights = {
-            (Image(serving), Image(filling)): weight
-            for serving, filling, weight in rows
-        }
-        return cls(weights, {Image(image): base for image, base in bases.items()})
+    lows: Mapping[Image, float] = field(default_factory=dict)
+    """The headroom of a serving image without tasks that fill, when it is lowest."""
 
     def weight(self, serving: Image, filling: Image) -> float:
-        """Return what one processor of an image adds; 0 when nothing is known."""
-        return self.weights.get((serving, filling), 0.0)
-
-
-@dataclass(slots=True)
-class _Sums:
-    """Normal equations of one serving image; row and column 0 are the base."""
-
-    columns: list[Image] = field(default_factory=list)
-    gram: list[list[float]] = field(default_factory=lambda: [[0.0]])
-    moments: list[float] = field(default_factory=lambda: [0.0])
-
-    def column(self, filling: Image) -> int:
-        """Return the row of an image, adding it when it is new."""
-        if filling not in self.columns:
-            self.columns.append(filling)
-            for row in self.gram:
-                row.append(0.0)
-            self.gram.append([0.0] * (len(self.columns) + 1))
-            self.moments.append(0.0)
-        return self.columns.index(filling) + 1
-
-    def add(self, values: Sequence[tuple[int, float]], share: float) -> None:
-        """Add an observation of the given columns."""
-        for row in self.gram:
-            for index in range(len(row)):
-                row[index] *= KEPT_SHARE
-        for index in range(len(self.moments)):
-            self.moments[index] *= KEPT_SHARE
-        for row_index, row_value in values:
-            self.moments[row_index] += row_value * share
-            row = self.gram[row_index]
-            for index, value in values:
-                row[index] += row_value * value
-
-    def solve(self) -> list[float]:
-        """Return the base and the weights."""
-        size = len(self.moments)
-        weights = [0.0] * size
-        for _ in range(N_SWEEPS):
-            for index in range(size):
-                row = self.gram[index]
-                rest = sum(row[other] * weights[other] for other in range(size))
-                rest -= row[index] * weights[index]
-                diagonal = row[index] + (RIDGE if index else 0.0)
-                if diagonal > 0:
-                    weights[index] = max(0.0, (self.moments[index] - rest) / diagonal)
-        return weights
+        """Return a pair's weight, of an unknown pair the expected one."""
+        return self.weights.get((serving, filling), PRIOR_WEIGHT)
+
+    def low(self, serving: Image) -> float:
+        """Return an image's lowest level, of an unknown image a cautious one."""
+        return self.lows.get(serving, PRIOR_LOW)
+
+
+@dataclass(frozen=True, slots=True)
+class TailSample:
+    """What the tasks of one job and image showed on one worker."""
+
+    job_id: JobId
+    image: Image
+    headroom: float
+    """Mean of the tasks' target over tail latency."""
+    n_tasks: int
+    target_ms: float
+
+
+class _ImageFit:
+    """The filter of one serving image."""
+
+    def __init__(self) -> None:
+        self._filter: Final = LinearFilter()
+        self._level_s: Final[dict[JobId, float]] = {}
+        """When each job's level was last seen."""
+        self.fills: Final[dict[Image, float]] = {}
+        """When each filling image's weight was last widened."""
+        self.low = 0.0
+        self._low_s = 0.0
+
+    def load(self, filling: Image, weight: float, variance: float) -> None:
+        """Begin with what an earlier model knew of a pair."""
+        self._filter.add(_fill_name(filling), weight, variance)
+        self.fills[filling] = 0.0
+
+    def observe(
+        self, sample: TailSample, filling: Mapping[Image, float], now_s: float
+    ) -> None:
+        """Take in one sample beside the shares of the images that fill."""
+        self._forget_levels(now_s)
+        self._prepare_level(sample.job_id, now_s)
+        features = {_level_name(sample.job_id): 1.0}
+        for image, share in filling.items():
+            self._prepare_fill(image, now_s)
+            features[_fill_name(image)] = -share
+        if not self._is_hidden(features, sample.headroom):
+            rounding = sample.headroom**2 / sample.target_ms * ROUNDING_DEVIATION_MS
+            noise = rounding**2 / sample.n_tasks + NOISE_VARIANCE
+            self._filter.update(features, sample.headroom, noise)
+        self._follow_low(self._filter.weight(_level_name(sample.job_id)), now_s)
+
+    def _is_hidden(self, features: Mapping[str, float], headroom: float) -> bool:
+        """Tell whether a full queue hides what the model expects below it."""
+        expected = sum(
+            self._filter.weight(name) * amount for name, amount in features.items()
+        )
+        return headroom < SATURATED and expected < headroom
+
+    def _prepare_level(self, job_id: JobId, now_s: float) -> None:
+        name = _level_name(job_id)
+        if job_id not in self._level_s:
+            self._filter.add(name, PRIOR_LEVEL, PRIOR_LEVEL_VARIANCE)
+        else:
+            gap_s = min(now_s - self._level_s[job_id], MAX_GAP_S)
+            self._filter.widen(name, LEVEL_WALK_PER_S * gap_s)
+        self._level_s[job_id] = now_s
+
+    def _prepare_fill(self, image: Image, now_s: float) -> None:
+        name = _fill_name(image)
+        if image not in self.fills:
+            self._filter.add(name, PRIOR_WEIGHT, PRIOR_WEIGHT_VARIANCE)
+        else:
+            gap_s = min(now_s - self.fills[image], MAX_GAP_S)
+            self._filter.widen(name, WEIGHT_WALK_PER_S * gap_s)
+        self.fills[image] = now_s
+
+    def _forget_levels(self, now_s: float) -> None:
+        old = [
+            job_id
+            for job_id, seen_s in self._level_s.items()
+            if now_s - seen_s > LEVEL_KEPT_S
+        ]
+        for job_id in old:
+            self._filter.drop(_level_name(job_id))
+            del self._level_s[job_id]
+
+    def _follow_low(self, level: float, now_s: float) -> None:
+        rise = LOW_RISE_PER_S * min(now_s - self._low_s, MAX_GAP_S)
+        self._low_s = now_s
+        if level < self.low or self.low == 0.0:
+            self.low = level
+        else:
+            self.low += rise * (level - self.low)
+
+    def weight(self, filling: Image) -> tuple[float, float]:
+        """Return the mean and the variance of a known pair's weight."""
+        name = _fill_name(filling)
+        return self._filter.weight(name), self._filter.variance(name)
 
 
 class TailModel:
-    """The models of all serving images."""
+    """The filters of all serving images."""
 
     def __init__(self) -> None:
-        self._sums: Final[dict[Image, _Sums]] = {}
+        self._fits: Final[dict[Image, _ImageFit]] = {}
         self.n_observed = 0
 
+    def load(self, rows: Iterable[HarmRow], lows: Mapping[Image, float]) -> None:
+        """Begin with what an earlier model knew."""
+        for row in rows:
+            fit = self._fits.setdefault(row.serving, _ImageFit())
+            fit.load(row.filling, row.weight, row.variance)
+            fit.low = lows.get(row.serving, 0.0)
+
     def observe(
         self,
-        serving: Sequence[tuple[Image, float]],
+        samples: Iterable[TailSample],
         filling: Mapping[Image, float],
+        now_s: float,
     ) -> None:
         """Add what one worker showed at one moment.
 
         Parameters
         ----------
-        serving : sequence of (image, share)
-            Tail latency over target of each serving task.
-        filling : mapping of image to processors
-            Processors in use by the tasks that fill.
+        samples : iterable of TailSample
+            One for each job and serving image.
+        filling : mapping of image to share
+            Share of the worker's processors in use by the tasks that fill.
+        now_s : float
+            The steady clock.
         """
-        for image, share in serving:
-            sums = self._sums.setdefault(image, _Sums())
-            values = [(0, 1.0)]
-            values += [
-                (sums.column(fill), cores) for fill, cores in filling.items() if cores
-            ]
-            sums.add(values, min(share, MAX_SHARE))
+        used = {image: share for image, share in filling.items() if share > MIN_SHARE}
+        for sample in samples:
+            fit = self._fits.setdefault(sample.image, _ImageFit())
+            fit.observe(sample, used, now_s)
             self.n_observed += 1
 
-    def solve(self) -> HarmTable:
-        """Return the present weights."""
-        weights: dict[tuple[Image, Image], float] = {}
-        bases: dict[Image, float] = {}
-        for image, sums in self._sums.items():
-            base, *rest = sums.solve()
-            bases[image] = base
-            for fill, weight in zip(sums.columns, rest, strict=True):
-                weights[(image, fill)] = weight
-        return HarmTable(weights, bases)
+    def rows(self) -> list[HarmRow]:
+        """Return what is known of every pair."""
+        return [
+            HarmRow(serving, filling, *fit.weight(filling))
+            for serving, fit in self._fits.items()
+            for filling in fit.fills
+        ]
+
+    def table(self) -> HarmTable:
+        """Return the weights to decide by."""
+        weights = {
+            (row.serving, row.filling): max(
+                0.0, row.weight + CAUTION * max(row.variance, 0.0) ** 0.5
+            )
+            for row in self.rows()
+        }
+        lows = {image: fit.low for image, fit in self._fits.items()}
+        return HarmTable(weights, lows)
+
+
+def _level_name(job_id: JobId) -> str:
+    return f"level {job_id}"
+
+
+def _fill_name(image: Image) -> str:
+    return f"fill {image}"
--- a/packages/decisions/almondspan_decisions/worker_book.py
+++ b/packages/decisions/almondspan_decisions/worker_book.py
@@ -52,6 +52,9 @@
     """Processors asked for by the tasks that fill, by image."""
     n_serving: dict[Image, int] = field(default_factory=dict)
     """Tasks with a tail target, by image."""
+    headrooms: dict[Image, float] = field(default_factory=dict)
+    """Least headroom by serving image as last listed (see `tail_model`), less what the
+    tasks placed since then will cost."""
     failed_jobs: list[JobId] = field(default_factory=list)
     """Jobs whose tasks failed here since the last success."""
     rested_until_s: float = 0.0
--- a/packages/jobs/almondspan_jobs/job_books.py
+++ b/packages/jobs/almondspan_jobs/job_books.py
@@ -25,7 +25,7 @@
 from almondspan_decisions.worker_lease import LeaseTerms, WorkerLease
 from almondspan_jobs.clocks import steady_s, wall_ms
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.messages import StopOrder, WorkerReport
+from almondspan_jobs.messages import HarmPush, StopOrder, WorkerReport
 from almondspan_jobs.meters import Meters
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import HOMES_KEY, HomesRecord, encode_record
@@ -93,10 +93,12 @@
         self._gone_s: dict[WorkerLife, float] = {}
         self._preempted_s: dict[WorkerId, float] = {}
         self._model: Final = TailModel()
-        self._table = HarmTable({}, {})
+        self._table = HarmTable({})
         self._solved_s = 0.0
         self._harm_stored_s = steady_s()
         self._observed_s: dict[WorkerLife, float] = {}
+        self._harm_sent: dict[WorkerLife, HarmPush] = {}
+        """The weights that each worker's agent has."""
         self.wants_plan = False
 
     def _find(self, name: str) -> tuple[JobBook, TaskKey] | None:
@@ -290,6 +292,7 @@
             self._on_life.pop(life, None)
             self._leases.pop(life, None)
             self._observed_s.pop(life, None)
+            self._harm_sent.pop(life, None)
             self._are_homes_dirty |= self._homes.pop(life, None) is not None
 
     def _empty(self, life: WorkerLife, reason: str) -> None:
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -133,7 +133,7 @@
                 before=str(life.state.worker_id) if life is not None else "",
             )
             self._life = life = _Life(state)
-            self._pacing.begin_life()
+            self._pacing.begin_life(state.capacity.cpu_millicores)
         if state.is_leaving and (is_new or not life.state.is_leaving):
             self._log.line(
                 "worker_leaving", worker=state.worker_id, leaves_ms=state.leaves_ms
@@ -271,6 +271,10 @@
             verdict=verdict.value,
         )
         self._post(StartReply(order.born_ms, name, order.attempt, verdict.value))
+        if verdict is Verdict.DONE and life is not None:
+            await self._pacing.pace_begun(
+                life.state.worker_id, order.facts, order.attempt, self._epoch
+            )
 
     async def _stop_task(self, order: StopOrder) -> None:
         life = self._life
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -82,7 +82,7 @@
 
 @message
 class HarmPush(Message, frozen=True, tag="j-harm"):
-    """What a processor of each filling image adds to the tails of serving images."""
+    """What a whole worker of each filling image costs serving images in headroom."""
 
     weights: list[tuple[str, str, float]]
 
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -70,6 +70,8 @@
     stall_s: float = 1.5
     """A task whose progress does not rise for this long stands still."""
     fill_stall_s: float = 6.0
+    fill_wait_s: float = 2.5
+    """A task that fills waits this long for a start that harms no serving task."""
     finished_retention_s: float = 150.0
     """A finished job is forgotten after this."""
 
--- a/packages/jobs/almondspan_jobs/order_desk.py
+++ b/packages/jobs/almondspan_jobs/order_desk.py
@@ -146,6 +146,8 @@
             self._lease(life).until_ms,
             self._facts(book, key),
         )
+        if order.facts.tail_target_ms:
+            self._push_harm(record)
         if self._post(life.worker_id, order):
             task.n_sends += 1
             task.sent_s = now_s
--- a/packages/jobs/almondspan_jobs/pacing.py
+++ b/packages/jobs/almondspan_jobs/pacing.py
@@ -3,10 +3,12 @@
 `WorkerPacing` holds what the agent knows of each task, the weights that the owner sent
 and the paces that were ordered. After a look it lets `FillPacer` decide and orders the
 paces that changed; a low pace is ordered again now and then, since an order may come
-late and undo a newer one.
+late and undo a newer one. A task that fills begins at full pace, so its pace is ordered
+as soon as the worker has taken its start, by what the latest look showed.
 """
 
 import asyncio
+from dataclasses import dataclass
 from typing import Final
 
 from almondspan_decisions.fill_pace import Filling, FillPacer, Serving
@@ -17,7 +19,6 @@
 from almondspan_jobs.messages import HarmPush, TaskFacts
 from almondspan_jobs.options import JobOptions
 from almondspan_platform.task_worker import (
-    RunningTask,
     TaskWorker,
     Verdict,
     WorkerLook,
@@ -26,6 +27,17 @@
 __all__ = ["WorkerPacing"]
 
 FULL_PERCENT: Final = 100
+MIN_TAIL_MS: Final = 0.5
+"""A shorter tail latency counts as this, since it is listed in whole milliseconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Fill:
+    """A task that fills, with the processors it uses and would use."""
+
+    image: Image
+    used_millicores: float
+    full_millicores: float
 
 
 class WorkerPacing:
@@ -35,15 +47,20 @@
         self._worker: Final = worker
         self._options: Final = options
         self._log: Final = log
-        self._table = HarmTable({}, {})
+        self._table = HarmTable({})
         self._facts: dict[str, TaskFacts] = {}
-        self.begin_life()
+        self.begin_life(0)
 
-    def begin_life(self) -> None:
+    def begin_life(self, cpu_millicores: int) -> None:
         """Forget the paces: a new lifetime of the worker runs nothing yet."""
+        self._cpu_millicores = max(cpu_millicores, 1)
         self._pacer = FillPacer()
         self._image_paces: dict[Image, int] = {}
         self._paces: dict[tuple[str, int], tuple[int, float]] = {}
+        self._serving: list[Serving] = []
+        """The serving tasks of the latest look."""
+        self._filling: dict[tuple[str, int], _Fill] = {}
+        """The tasks that fill: those of the latest look and those begun since."""
 
     def learn(self, facts: TaskFacts) -> None:
         """Take in what a task is."""
@@ -59,7 +76,12 @@
 
     def take_weights(self, push: HarmPush) -> None:
         """Take in the owner's weights."""
-        self._table = HarmTable.from_rows(push.weights, {})
+        self._table = HarmTable(
+            {
+                (Image(serving), Image(filling)): weight
+                for serving, filling, weight in push.weights
+            }
+        )
 
     @property
     def is_needed(self) -> bool:
@@ -77,47 +99,79 @@
         now_s = steady_s()
         if now_s - self._pacer.looked_s < self._options.pace_interval_s:
             return
-        serving, filling = self._shared_tasks(look)
-        before = self._image_paces
-        self._image_paces = self._pacer.look(
-            serving, _by_image(filling), self._table, now_s
-        )
-        if self._image_paces != before and serving:
+        self._take_look(look)
+        self._pacer.look(self._serving, self._by_image(), self._table, now_s)
+        await self._order_paces(worker_id, fence, now_s)
+
+    async def pace_begun(
+        self, worker_id: WorkerId, facts: TaskFacts, attempt: int, fence: int
+    ) -> None:
+        """Order the paces that a task which the worker has just begun asks for."""
+        image = Image(facts.image)
+        now_s = steady_s()
+        if facts.fills:
+            fill = _Fill(image, 0.0, facts.cpu_millicores)
+            self._filling.setdefault((facts.task, attempt), fill)
+        elif facts.tail_target_ms:
+            self._serving.append(self._pacer.expect(facts.task, image, now_s))
+        if self._filling and self._serving:
+            await self._order_paces(worker_id, fence, now_s)
+
+    async def _order_paces(self, worker_id: WorkerId, fence: int, now_s: float) -> None:
+        paces = self._pacer.paces(self._serving, self._by_image(), self._table)
+        if paces != self._image_paces and self._serving:
             self._log.line(
                 "pace_changed",
-                paces=self._image_paces,
+                paces=paces,
                 cut=round(self._pacer.cut, 2),
-                tails=[(task.image, round(task.share, 2)) for task in serving],
+                headrooms=[
+                    (task.image, round(task.headroom, 2)) for task in self._serving
+                ],
             )
-        due = []
-        for task, facts in filling:
-            percent = self._image_paces[Image(facts.image)]
-            if self._is_pace_due(task, percent, now_s):
-                due.append(self._pace_task(worker_id, task, percent, fence, now_s))
-        await asyncio.gather(*due)
-        running = {(task.task, task.attempt) for task in look.running}
-        self._paces = {key: pace for key, pace in self._paces.items() if key in running}
-
-    def _shared_tasks(
-        self, look: WorkerLook
-    ) -> tuple[list[Serving], list[tuple[RunningTask, TaskFacts]]]:
-        """Return the tasks with a tail target and the tasks that fill."""
-        serving = []
-        filling = []
+        self._image_paces = paces
+        await asyncio.gather(
+            *(
+                self._pace_task(worker_id, *key, paces[fill.image], fence, now_s)
+                for key, fill in self._filling.items()
+                if self._is_pace_due(key, paces[fill.image], now_s)
+            )
+        )
+
+    def _take_look(self, look: WorkerLook) -> None:
+        """Keep the tasks with a tail target and the tasks that fill."""
+        self._serving = []
+        self._filling = {}
         for task in look.running:
             facts = self._facts.get(task.task)
             if facts is None:
                 continue
+            image = Image(facts.image)
             if facts.tail_target_ms and task.percent == FULL_PERCENT:
-                share = task.figure / facts.tail_target_ms
-                serving.append(Serving(task.task, Image(facts.image), share))
+                headroom = facts.tail_target_ms / max(task.figure, MIN_TAIL_MS)
+                self._serving.append(Serving(task.task, image, headroom))
             elif facts.fills:
-                filling.append((task, facts))
-        return serving, filling
+                key = (task.task, task.attempt)
+                self._filling[key] = _Fill(image, task.figure, facts.cpu_millicores)
+        self._paces = {
+            key: pace for key, pace in self._paces.items() if key in self._filling
+        }
+
+    def _by_image(self) -> list[Filling]:
+        """Sum the shares of the tasks that fill by their image."""
+        used: dict[Image, float] = {}
+        full: dict[Image, float] = {}
+        for fill in self._filling.values():
+            used[fill.image] = used.get(fill.image, 0.0) + fill.used_millicores
+            full[fill.image] = full.get(fill.image, 0.0) + fill.full_millicores
+        return [
+            Filling(
+                image, used[image] / self._cpu_millicores, asked / self._cpu_millicores
+            )
+            for image, asked in full.items()
+        ]
 
-    def _is_pace_due(self, task: RunningTask, percent: int, now_s: float) -> bool:
-        known = self._paces.get((task.task, task.attempt), (FULL_PERCENT, 0.0))
-        sent, sent_s = known
+    def _is_pace_due(self, key: tuple[str, int], percent: int, now_s: float) -> bool:
+        sent, sent_s = self._paces.get(key, (FULL_PERCENT, 0.0))
         if sent != percent:
             return True
         is_old = now_s - sent_s > self._options.pace_repeat_s
@@ -126,26 +180,14 @@
     async def _pace_task(
         self,
         worker_id: WorkerId,
-        task: RunningTask,
+        task: str,
+        attempt: int,
         percent: int,
         fence: int,
         now_s: float,
     ) -> None:
-        verdict = await self._worker.pace_task(
-            worker_id, task.task, task.attempt, percent, fence
-        )
+        verdict = await self._worker.pace_task(worker_id, task, attempt, percent, fence)
         if verdict is Verdict.DONE:
-            self._paces[(task.task, task.attempt)] = (percent, now_s)
+            self._paces[(task, attempt)] = (percent, now_s)
         else:
-            self._log.line("pace_refused", task=task.task, verdict=verdict.value)
-
-
-def _by_image(filling: list[tuple[RunningTask, TaskFacts]]) -> list[Filling]:
-    """Sum the processors of the tasks that fill by their image."""
-    used: dict[Image, float] = {}
-    full: dict[Image, float] = {}
-    for task, facts in filling:
-        image = Image(facts.image)
-        used[image] = used.get(image, 0.0) + task.figure / 1000
-        full[image] = full.get(image, 0.0) + facts.cpu_millicores / 1000
-    return [Filling(image, used[image], full[image]) for image in full]
+            self._log.line("pace_refused", task=task, verdict=verdict.value)
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -10,11 +10,18 @@
     Candidate,
     choose_worker,
     may_ever_run,
+    n_harmed_by_start,
+    note_start,
     victims_on,
 )
 from almondspan_decisions.ids import JobId
-from almondspan_decisions.job_book import JobBook
-from almondspan_decisions.job_graph import QueueRules, TaskKey, format_task_name
+from almondspan_decisions.job_book import JobBook, TaskState
+from almondspan_decisions.job_graph import (
+    QueueRules,
+    StepSpec,
+    TaskKey,
+    format_task_name,
+)
 from almondspan_decisions.worker_book import WorkerRecord, counted_shape
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.order_desk import OrderDesk
@@ -58,12 +65,25 @@
                 if worker is None:
                     self._preempt(book, key, rules, workers, now_s)
                     break
+                task = book.task(key)
+                assert task is not None
+                if self._should_wait(task, book.step_of(key), worker, now_s):
+                    break
                 self._place(book, key, worker, now_s)
                 placed = True
         if placed:
             self._touch(book)
         return placed
 
+    def _should_wait(
+        self, task: TaskState, step: StepSpec, worker: WorkerRecord, now_s: float
+    ) -> bool:
+        """Tell whether a task that fills waits for a start that harms nobody."""
+        if not step.fills or not n_harmed_by_start(step, worker, self._table):
+            return False
+        task.held_s = task.held_s or now_s
+        return now_s - task.held_s < self._options.fill_wait_s
+
     def _is_heard(self, worker: WorkerRecord, now_s: float) -> bool:
         lease = self._lease(worker.life)
         return now_s - lease.listed_s < self._options.absent_s
@@ -72,7 +92,10 @@
         self, book: JobBook, key: TaskKey, worker: WorkerRecord, now_s: float
     ) -> None:
         task = book.place(key, worker.life, now_s)
-        worker.take(book.step_of(key))
+        step = book.step_of(key)
+        worker.take(step)
+        if step.fills:
+            note_start(step, worker, self._table)
         held = self._on_life.setdefault(worker.life, set())
         held.add((book.job_id, key))
         self._lease(worker.life)
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -105,10 +105,13 @@
 
 
 class HarmRecord(msgspec.Struct, frozen=True):
-    """Weights by serving and filling image, and the base of each serving image."""
+    """Rows of serving image, filling image, weight and its variance; see `tail_model`.
 
-    weights: list[tuple[str, str, float]]
-    bases: dict[str, float]
+    `lows` has the lowest level of each serving image.
+    """
+
+    weights: list[tuple[str, str, float, float]]
+    lows: dict[str, float]
 
 
 class _TaskRow(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/jobs/almondspan_jobs/tail_watch.py
+++ b/packages/jobs/almondspan_jobs/tail_watch.py
@@ -1,28 +1,29 @@
 """Shows listed tail latencies to the model and keeps its weights.
 
-The weights are solved now and then, sent to the agents, and stored with a group of
-decisions, so that a later owner begins with them.
+Each agent is sent the weights that matter to its worker's serving tasks, when they
+have changed. All are stored with a group of decisions now and then, so that a later
+owner begins with them.
 """
 
+import math
+from collections.abc import Mapping
 from typing import Final
 
+from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_book import WorkerLife
-from almondspan_decisions.tail_model import HarmTable, Image
+from almondspan_decisions.tail_model import HarmRow, Image, TailSample
+from almondspan_decisions.worker_book import WorkerRecord
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.job_books import JobBooks
 from almondspan_jobs.messages import HarmPush, WorkerListing
 from almondspan_jobs.records import HARM_KEY, HarmRecord, encode_record
 from almondspan_platform.group_store import Write
 
-__all__ = ["FULL_PERCENT", "MIN_OBSERVED", "MIN_WEIGHT", "TailWatch"]
+__all__ = ["TailWatch"]
 
 FULL_PERCENT: Final = 100
-
-MIN_OBSERVED: Final = 1_000
-"""Tails that a new owner observes before it solves its own model."""
-
-MIN_WEIGHT: Final = 0.02
-"""Smaller weights are not sent to agents."""
+MIN_TAIL_MS: Final = 0.5
+"""A shorter tail latency counts as this, since it is listed in whole milliseconds."""
 
 
 class TailWatch(JobBooks):
@@ -33,10 +34,11 @@
     ) -> None:
         """Show the model the tails on a worker with what fills beside them."""
         last_s = self._observed_s.get(life, 0.0)
-        if now_s - last_s < self._options.observe_interval_s:
+        record = self.workers.get(life.worker_id)
+        if record is None or now_s - last_s < self._options.observe_interval_s:
             return
         self._observed_s[life] = now_s
-        serving: list[tuple[Image, float]] = []
+        tails: dict[tuple[JobId, Image, int], list[float]] = {}
         filling: dict[Image, float] = {}
         for name, _, _, percent, figure in listing.running:
             found = self._find(name)
@@ -46,46 +48,83 @@
             step = book.step_of(key)
             image = Image(step.image)
             if step.tail_target_ms and percent == FULL_PERCENT:
-                serving.append((image, figure / step.tail_target_ms))
+                headroom = step.tail_target_ms / max(figure, MIN_TAIL_MS)
+                group = (book.job_id, image, step.tail_target_ms)
+                tails.setdefault(group, []).append(headroom)
             elif step.fills:
-                filling[image] = filling.get(image, 0.0) + figure / 1000
-        self._model.observe(serving, filling)
+                share = figure / max(record.capacity.cpu_millicores, 1)
+                filling[image] = filling.get(image, 0.0) + share
+        samples = tuple(
+            TailSample(job_id, image, sum(seen) / len(seen), len(seen), target_ms)
+            for (job_id, image, target_ms), seen in tails.items()
+        )
+        self._model.observe(samples, filling, now_s)
+        record.headrooms = {}
+        for (_, image, _), seen in tails.items():
+            least = min(min(seen), record.headrooms.get(image, math.inf))
+            record.headrooms[image] = least
 
     def _solve_model(self, now_s: float) -> None:
-        """Solve the model now and then, and send the weights to the agents."""
+        """Take the model's weights over now and then, and tell the agents."""
         if now_s - self._solved_s < self._options.model_interval_s:
             return
         self._solved_s = now_s
-        if self._model.n_observed < MIN_OBSERVED and self._table.weights:
-            return
-        self._table = self._model.solve()
-        push = self.harm_push()
-        for worker_id in self.workers:
-            self._post(worker_id, push)
+        self._table = self._model.table()
+        for worker in self.workers.values():
+            self._push_harm(worker)
         self._log.line(
             "tail_model",
             n_observed=self._model.n_observed,
-            weights=push.weights,
-            bases={image: round(base, 2) for image, base in self._table.bases.items()},
+            weights=_rounded(self._table.weights),
+            lows={image: round(low, 2) for image, low in self._table.lows.items()},
         )
 
+    def _push_harm(self, worker: WorkerRecord) -> None:
+        """Send the weights that matter on a worker, if they have changed."""
+        push = self.harm_push(worker)
+        if push != self._harm_sent.get(worker.life):
+            if self._post(worker.life.worker_id, push):
+                self._harm_sent[worker.life] = push
+
     def load_harm(self, record: HarmRecord) -> None:
-        """Use the weights of an earlier owner until enough was observed."""
-        self._table = HarmTable.from_rows(record.weights, record.bases)
+        """Begin with the weights of an earlier owner."""
+        rows = [
+            HarmRow(Image(serving), Image(filling), weight, variance)
+            for serving, filling, weight, variance in record.weights
+        ]
+        lows = {Image(image): low for image, low in record.lows.items()}
+        self._model.load(rows, lows)
+        self._table = self._model.table()
 
     def _harm_write(self) -> Write:
         """Return the record of the weights."""
         self._harm_stored_s = steady_s()
-        bases = {str(image): base for image, base in self._table.bases.items()}
-        record = HarmRecord(self.harm_push().weights, bases)
-        return Write(HARM_KEY, encode_record(record))
-
-    def harm_push(self) -> HarmPush:
-        """Return the weights that matter."""
-        return HarmPush(
-            [
-                (serving, filling, round(weight, 3))
-                for (serving, filling), weight in self._table.weights.items()
-                if weight >= MIN_WEIGHT
-            ]
-        )
+        rows = [
+            (str(row.serving), str(row.filling), row.weight, row.variance)
+            for row in self._model.rows()
+        ]
+        lows = {str(image): low for image, low in self._table.lows.items()}
+        return Write(HARM_KEY, encode_record(HarmRecord(rows, lows)))
+
+    def harm_push(self, worker: WorkerRecord) -> HarmPush:
+        """Return the weights that matter on a worker."""
+        weights = {
+            pair: weight
+            for pair, weight in self._table.weights.items()
+            if worker.n_serving.get(pair[0], 0) > 0
+        }
+        return HarmPush(_rounded(weights))
+
+    def harm_push_to(self, worker_id: WorkerId) -> HarmPush:
+        """Return the weights that matter on a worker, by its id."""
+        record = self.workers.get(worker_id)
+        return self.harm_push(record) if record is not None else HarmPush([])
+
+
+def _rounded(
+    weights: Mapping[tuple[Image, Image], float],
+) -> list[tuple[str, str, float]]:
+    return [
+        (str(serving), str(filling), round(weight, 1))
+        for (serving, filling), weight in weights.items()
+    ]
--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -140,4 +140,4 @@
         self._scheduler.on_report(self._node, report)
         if old != life:
             self.post(self._scheduler.facts_for(life.worker_id))
-            self.post(self._scheduler.harm_push())
+            self.post(self._scheduler.harm_push_to(life.worker_id))
--- a/tests/decisions/test_graph_placing.py
+++ b/tests/decisions/test_graph_placing.py
@@ -5,6 +5,8 @@
 from almondspan_decisions.graph_placing import (
     Candidate,
     choose_worker,
+    n_harmed_by_start,
+    note_start,
     victims_on,
 )
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
@@ -16,6 +18,7 @@
 
 KEY = TaskKey(0, 0, 0)
 NO_HARM = HarmTable({}, {})
+LIVE, HEAVY, LIGHT = Image("live"), Image("heavy"), Image("light")
 
 
 def worker(name: str, cpu: int = 8_000, labels: tuple[str, ...] = ()) -> WorkerRecord:
@@ -105,14 +108,50 @@
 
 
 def test_task_that_fills_keeps_away_from_what_it_hurts() -> None:
-    table = HarmTable({(Image("live"), Image("heavy")): 0.5}, {Image("live"): 0.5})
+    table = HarmTable({(Image("live"), Image("heavy")): 7.0}, {Image("live"): 1.5})
     beside, free = worker("a", 64_000), worker("b")
     beside.take(StepSpec(1, SMALL, lasts=True, image="live", tail_target_ms=10))
-    step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image="heavy")
+    step = StepSpec(1, Shape(7_000, 1_000, 0), fills=True, image="heavy")
     found = choose_worker(book(step), KEY, [beside, free], table, 0.0)
     assert found is free
 
 
+SERVES = StepSpec(1, SMALL, lasts=True, image="live", tail_target_ms=10)
+
+
+@pytest.mark.parametrize(
+    ("image", "headroom", "n_harmed"),
+    [
+        pytest.param("heavy", 3.0, 0, id="enough_headroom"),
+        pytest.param("heavy", 1.5, 2, id="both_tasks_that_serve"),
+        pytest.param("light", 1.1, 0, id="harmless"),
+        pytest.param("unknown", 1.3, 2, id="never_seen"),
+    ],
+)
+def test_harm_of_a_start_at_full_pace(
+    image: str, headroom: float, n_harmed: int
+) -> None:
+    table = HarmTable({(LIVE, HEAVY): 7.0, (LIVE, LIGHT): 0.2}, {LIVE: 1.5})
+    beside = worker("a", 16_000)
+    beside.take(SERVES)
+    beside.take(SERVES)
+    beside.headrooms[LIVE] = headroom
+    step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image=image)
+    assert n_harmed_by_start(step, beside, table) == n_harmed
+
+
+def test_starts_of_one_round_are_counted_together() -> None:
+    table = HarmTable({(LIVE, HEAVY): 7.0}, {LIVE: 1.5})
+    beside = worker("a", 16_000)
+    beside.take(SERVES)
+    beside.headrooms[LIVE] = 3.0
+    step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image="heavy")
+    assert n_harmed_by_start(step, beside, table) == 0
+    note_start(step, beside, table)
+    note_start(step, beside, table)
+    assert n_harmed_by_start(step, beside, table) == 1
+
+
 def test_lasting_tasks_of_one_image_are_kept_together() -> None:
     same, other, empty = worker("a"), worker("b"), worker("c")
     same.take(StepSpec(1, SMALL, lasts=True, image="x", tail_target_ms=10))
--- a/tests/decisions/test_tail_model.py
+++ b/tests/decisions/test_tail_model.py
@@ -1,70 +1,183 @@
 """Learned weights and the paces that follow from them."""
 
+import itertools
+import math
 import random
 
 import pytest
 
-from almondspan_decisions.fill_pace import Filling, FillPacer, Serving
-from almondspan_decisions.tail_model import HarmTable, Image, TailModel
+from almondspan_decisions.fill_pace import (
+    AIM_HEADROOM,
+    Filling,
+    FillPacer,
+    Serving,
+)
+from almondspan_decisions.ids import JobId
+from almondspan_decisions.tail_model import (
+    PRIOR_LOW,
+    HarmTable,
+    Image,
+    TailModel,
+    TailSample,
+)
 
 CALM, HEAVY = Image("calm"), Image("heavy")
 LIVE, QUIET = Image("live"), Image("quiet")
+TARGET_MS = 18.0
+HARM = 7.0
+SWING_S = 10.0
+LOOK_S = 0.4
+
+
+def level_at(now_s: float, phase: float) -> float:
+    return 2.4 + 0.9 * math.sin(2 * math.pi * now_s / SWING_S + phase)
+
+
+def seen(headroom: float) -> float:
+    """Return a headroom as it shows in whole milliseconds of a full queue."""
+    tail_ms = max(1, round(TARGET_MS / max(headroom, 0.05)))
+    return TARGET_MS / tail_ms
+
+
+def play(model: TailModel, for_s: float, seed: int) -> None:
+    """Show looks at four workers whose tasks that fill come and go."""
+    rng = random.Random(seed)
+    used = [{CALM: 0.0, HEAVY: 0.0} for _ in range(4)]
+    now_s = 0.0
+    while now_s < for_s:
+        for worker, shares in enumerate(used):
+            for image in shares:
+                if rng.random() < 0.1:
+                    shares[image] = rng.choice([0.0, 0.1, 0.2])
+            live = level_at(now_s, worker % 2) - HARM * shares[HEAVY]
+            quiet = level_at(now_s, 2.0)
+            model.observe(
+                [
+                    TailSample(JobId(f"l{worker % 2}"), LIVE, seen(live), 2, TARGET_MS),
+                    TailSample(JobId("q"), QUIET, seen(quiet), 1, TARGET_MS),
+                ],
+                shares,
+                now_s,
+            )
+        now_s += LOOK_S
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_model_tells_the_pair_that_hurts_under_a_swinging_load(seed: int) -> None:
+    model = TailModel()
+    play(model, 15.0, seed)
+    table = model.table()
+    assert table.weight(LIVE, HEAVY) == pytest.approx(HARM, rel=0.3)
+    assert table.weight(LIVE, CALM) < 1.0
+    assert table.weight(QUIET, HEAVY) < 1.0
 
 
-def test_model_finds_the_pair_that_hurts() -> None:
-    rng = random.Random(4)
+def test_full_queue_does_not_hide_the_harm() -> None:
+    """A worker that is overloaded from the first look on shows no slope."""
     model = TailModel()
-    for _ in range(600):
-        cores = {CALM: rng.uniform(0, 4), HEAVY: rng.uniform(0, 3)}
-        live = 0.4 + 0.3 * cores[HEAVY] + rng.gauss(0, 0.15)
-        quiet = 0.5 + rng.gauss(0, 0.15)
-        model.observe([(LIVE, live), (QUIET, quiet)], cores)
-    table = model.solve()
-    assert table.weight(LIVE, HEAVY) == pytest.approx(0.3, abs=0.05)
-    assert table.weight(LIVE, CALM) < 0.03
-    assert table.weight(QUIET, HEAVY) < 0.03
-    assert table.bases[LIVE] == pytest.approx(0.4, abs=0.1)
+    for number in range(40):
+        now_s = LOOK_S * number
+        is_on = number % 10 < 8
+        headroom = 0.1 if is_on else 2.0
+        sample = TailSample(JobId("l"), LIVE, headroom, 1, TARGET_MS)
+        model.observe([sample], {HEAVY: 0.5} if is_on else {}, now_s)
+    assert model.table().weight(LIVE, HEAVY) > 3.0
 
 
 def test_weights_are_never_negative() -> None:
     model = TailModel()
-    for cores in (0.0, 1.0, 2.0, 3.0):
-        model.observe([(LIVE, 1.0 - 0.2 * cores)], {CALM: cores})
-    assert model.solve().weight(LIVE, CALM) == 0.0
+    for number in range(40):
+        share = 0.1 * (number % 4)
+        sample = TailSample(JobId("l"), LIVE, 2.0 + 5.0 * share, 1, TARGET_MS)
+        model.observe([sample], {CALM: share}, LOOK_S * number)
+    assert model.table().weight(LIVE, CALM) == 0.0
 
 
-def test_unknown_pair_has_no_weight() -> None:
-    assert TailModel().solve().weight(LIVE, HEAVY) == 0.0
+def test_unknown_pair_is_taken_as_harmful() -> None:
+    assert TailModel().table().weight(LIVE, HEAVY) > 1.0
 
 
-TABLE = HarmTable({(LIVE, HEAVY): 0.3}, {})
+def test_model_goes_on_from_what_an_earlier_one_knew() -> None:
+    first, second = TailModel(), TailModel()
+    play(first, 15.0, 1)
+    second.load(first.rows(), first.table().lows)
+    assert second.table().weight(LIVE, HEAVY) == first.table().weight(LIVE, HEAVY)
+    play(second, 4.0, 2)
+    assert second.table().weight(LIVE, HEAVY) == pytest.approx(HARM, rel=0.3)
+
+
+def test_levels_of_jobs_that_are_gone_are_forgotten() -> None:
+    model = TailModel()
+    for number in range(300):
+        sample = TailSample(JobId(str(number)), LIVE, 2.0, 1, TARGET_MS)
+        model.observe([sample], {}, 1.0 * number)
+    fit = model._fits[LIVE]
+    assert len(fit._level_s) < 30
+
+
+TABLE = HarmTable({(LIVE, HEAVY): 7.0, (LIVE, CALM): 0.1}, {})
 
 
 @pytest.mark.parametrize(
-    ("share", "used_cores", "paces"),
+    ("headroom", "used_share", "paces"),
     [
-        pytest.param(0.3, 0.0, {HEAVY: 50, CALM: 100}, id="shares_the_room_out"),
-        pytest.param(0.74, 0.0, {HEAVY: 0, CALM: 100}, id="no_room"),
-        pytest.param(0.9, 3.0, {HEAVY: 80, CALM: 100}, id="knows_its_own_part"),
+        pytest.param(2.0, 0.0, {HEAVY: 50, CALM: 100}, id="shares_the_room_out"),
+        pytest.param(1.27, 0.0, {HEAVY: 0, CALM: 100}, id="no_room"),
+        pytest.param(1.3, 0.1, {HEAVY: 50, CALM: 100}, id="knows_its_own_part"),
+        pytest.param(4.0, 0.0, {HEAVY: 100, CALM: 100}, id="room_for_all"),
     ],
 )
 def test_pace_of_harmful_images(
-    share: float, used_cores: float, paces: dict[Image, int]
+    headroom: float, used_share: float, paces: dict[Image, int]
 ) -> None:
     pacer = FillPacer()
-    filling = [Filling(HEAVY, used_cores, 3.0), Filling(CALM, 2.0, 2.0)]
-    found = pacer.look([Serving("t", LIVE, share)], filling, TABLE, 10.0)
+    filling = [Filling(HEAVY, used_share, 0.2), Filling(CALM, 0.2, 0.2)]
+    found = pacer.look([Serving("t", LIVE, headroom)], filling, TABLE, 10.0)
     assert found == paces
 
 
+def test_falling_level_is_foreseen() -> None:
+    steady, falling = FillPacer(), FillPacer()
+    filling = [Filling(HEAVY, 0.0, 0.2)]
+    for number in range(5):
+        now_s = 10.0 + LOOK_S * number
+        ahead = 0.3 * (4 - number)
+        flat = steady.look([Serving("t", LIVE, 2.0)], filling, TABLE, now_s)
+        sunk = falling.look([Serving("t", LIVE, 2.0 + ahead)], filling, TABLE, now_s)
+    assert sunk[HEAVY] < flat[HEAVY]
+
+
+def test_pace_rises_step_by_step() -> None:
+    pacer = FillPacer()
+    filling = [Filling(HEAVY, 0.0, 0.2)]
+    paces = []
+    for number, headroom in enumerate((1.2, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0)):
+        now_s = 10.0 + LOOK_S * number
+        look = pacer.look([Serving("t", LIVE, headroom)], filling, TABLE, now_s)
+        paces.append(look[HEAVY])
+    assert paces[0] == 0
+    assert max(later - sooner for sooner, later in itertools.pairwise(paces)) <= 25
+    assert paces[-1] == 100
+
+
+def test_task_that_has_just_begun_to_serve_is_given_room() -> None:
+    pacer = FillPacer()
+    filling = [Filling(HEAVY, 0.2, 0.2)]
+    assert pacer.look([], filling, TABLE, 10.0) == {HEAVY: 100}
+    begun = pacer.expect("t", LIVE, 10.2)
+    assert begun.headroom == PRIOR_LOW
+    left = (PRIOR_LOW - AIM_HEADROOM) / (7.0 * 0.2)
+    assert pacer.paces([begun], filling, TABLE)[HEAVY] <= 100 * left
+
+
 def test_unexplained_excess_cuts_all_and_recovers() -> None:
     pacer = FillPacer()
-    filling = [Filling(CALM, 2.0, 2.0)]
+    filling = [Filling(CALM, 0.2, 0.2)]
     paces = []
-    for number in range(16):
-        share = 1.5 if number < 6 else 0.5
-        now_s = 10.0 + 0.4 * number
-        look = pacer.look([Serving("t", LIVE, share)], filling, TABLE, now_s)
+    for number in range(20):
+        headroom = 0.7 if number < 6 else 2.0
+        now_s = 10.0 + LOOK_S * number
+        look = pacer.look([Serving("t", LIVE, headroom)], filling, TABLE, now_s)
         paces.append(look[CALM])
     assert paces[0] == 100
     assert min(paces) <= 50
@@ -72,23 +185,25 @@
 
 
 @pytest.mark.parametrize(
-    ("share", "limit_s"),
+    ("headroom", "image", "limit_s"),
     [
-        pytest.param(2.4, 0.0, id="far_over"),
-        pytest.param(1.2, 1.7, id="over_for_long"),
+        pytest.param(0.4, Image("never seen"), 0.0, id="far_over_beside_an_unknown"),
+        pytest.param(0.4, HEAVY, 0.0, id="far_over_beside_a_harmful"),
+        pytest.param(0.4, CALM, 1.7, id="far_over_beside_a_harmless"),
+        pytest.param(0.8, CALM, 1.7, id="over_for_long"),
     ],
 )
 def test_excess_pauses_all_well_within_the_time_allowed(
-    share: float, limit_s: float
+    headroom: float, image: Image, limit_s: float
 ) -> None:
     pacer = FillPacer()
-    filling = [Filling(CALM, 2.0, 2.0)]
+    filling = [Filling(image, 0.2, 0.2)]
     now_s = 10.0
-    while pacer.look([Serving("t", LIVE, share)], filling, TABLE, now_s)[CALM]:
-        now_s += 0.4
+    while pacer.look([Serving("t", LIVE, headroom)], filling, TABLE, now_s)[image]:
+        now_s += LOOK_S
     assert now_s - 10.0 <= limit_s
 
 
 def test_nothing_serves() -> None:
     pacer = FillPacer()
-    assert pacer.look([], [Filling(HEAVY, 1.0, 3.0)], TABLE, 1.0) == {HEAVY: 100}
+    assert pacer.look([], [Filling(HEAVY, 0.1, 0.2)], TABLE, 1.0) == {HEAVY: 100}
--- a/tests/jobs/test_pacing.py
+++ b/tests/jobs/test_pacing.py
@@ -52,15 +52,20 @@
                 TaskFacts(CALM, "calm", 0, True, 2_000),
             ]
         )
-        self.pacing.take_weights(HarmPush([("live", "heavy", 0.3)]))
+        self.pacing.begin_life(16_000)
+        self.pacing.take_weights(
+            HarmPush([("live", "heavy", 7.0), ("live", "calm", 0.1)])
+        )
 
-    def look(self, tail_ms: float, after_s: float = 0.5) -> list[tuple[str, int, int]]:
+    def look(
+        self, tail_ms: float, after_s: float = 0.5, filling: tuple[str, ...] = (HEAVY,)
+    ) -> list[tuple[str, int, int]]:
         """Show a look and return the orders that it led to."""
         self.now_s += after_s
         self.worker.orders.clear()
         running = (
             RunningTask(LIVE, 1, "", 100, tail_ms),
-            RunningTask(HEAVY, 1, "", 5, 0.0),
+            *(RunningTask(task, 1, "", 5, 0.0) for task in filling),
             RunningTask(CALM, 1, "", 5, 2_000.0),
         )
         look = WorkerLook(1, 1, running, ())
@@ -75,37 +80,62 @@
 
 
 def test_only_the_harmful_image_is_paced(rig: Rig) -> None:
-    assert rig.look(tail_ms=6.0) == [(HEAVY, 25, FENCE)]
+    assert rig.look(tail_ms=6.5) == [(HEAVY, 30, FENCE)]
     assert rig.pacing.is_paced
 
 
 def test_unchanged_pace_is_not_ordered_again_at_once(rig: Rig) -> None:
-    rig.look(tail_ms=6.0)
-    assert rig.look(tail_ms=6.0) == []
+    rig.look(tail_ms=6.5)
+    assert rig.look(tail_ms=6.5) == []
 
 
 def test_low_pace_is_ordered_again_now_and_then(rig: Rig) -> None:
-    rig.look(tail_ms=6.0)
-    assert rig.look(tail_ms=6.0, after_s=2.0) == [(HEAVY, 25, FENCE)]
+    rig.look(tail_ms=6.5)
+    assert rig.look(tail_ms=6.5, after_s=2.0) == [(HEAVY, 30, FENCE)]
 
 
 def test_refused_order_is_repeated(rig: Rig) -> None:
     rig.worker.verdict = Verdict.NO_ANSWER
-    rig.look(tail_ms=6.0)
-    assert rig.look(tail_ms=6.0) == [(HEAVY, 25, FENCE)]
+    rig.look(tail_ms=6.5)
+    assert rig.look(tail_ms=6.5) == [(HEAVY, 30, FENCE)]
 
 
 def test_looks_close_together_are_passed_over(rig: Rig) -> None:
-    rig.look(tail_ms=6.0)
+    rig.look(tail_ms=6.5)
     assert rig.look(tail_ms=9.9, after_s=0.1) == []
 
 
 def test_new_life_begins_at_full_pace(rig: Rig) -> None:
-    rig.look(tail_ms=6.0)
-    rig.pacing.begin_life()
+    rig.look(tail_ms=6.5)
+    rig.pacing.begin_life(16_000)
     assert not rig.pacing.is_paced
 
 
+def begin(rig: Rig, facts: TaskFacts) -> list[tuple[str, int, int]]:
+    rig.worker.orders.clear()
+    rig.pacing.learn(facts)
+    asyncio.run(rig.pacing.pace_begun(WORKER, facts, 1, FENCE))
+    return list(rig.worker.orders)
+
+
+def test_task_that_fills_is_paced_as_soon_as_it_has_begun(rig: Rig) -> None:
+    rig.look(tail_ms=6.5, filling=())
+    heavy = TaskFacts(HEAVY, "heavy", 0, True, 2_000)
+    assert begin(rig, heavy) == [(HEAVY, 30, FENCE)]
+
+
+def test_tasks_that_fill_make_room_for_one_that_begins_to_serve(rig: Rig) -> None:
+    assert rig.look(tail_ms=3.0) == []
+    other = TaskFacts("other.0.0.0", "live", TARGET_MS, False, 1_000)
+    assert begin(rig, other) == [(HEAVY, 40, FENCE)]
+
+
+def test_nothing_is_paced_where_nothing_serves(rig: Rig) -> None:
+    rig.pacing.forget(LIVE)
+    rig.look(tail_ms=3.0, filling=())
+    assert begin(rig, TaskFacts(HEAVY, "heavy", 0, True, 2_000)) == []
+
+
 @pytest.mark.parametrize(
     ("forgotten", "is_needed"),
     [
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -14,6 +14,7 @@
     TaskKey,
 )
 from almondspan_decisions.shapes import Shape
+from almondspan_decisions.tail_model import Image
 from almondspan_jobs import clocks
 from almondspan_jobs.messages import (
     LeaseRenewal,
@@ -317,11 +318,11 @@
 
 
 def test_new_owner_keeps_the_learned_weights(bench: Bench) -> None:
-    record = HarmRecord([("live", "heavy", 0.4)], {"live": 0.5})
+    record = HarmRecord([("live", "heavy", 6.0, 1.0)], {"live": 1.5})
     bench.scheduler.load_harm(record)
     bench.meet()
     bench.pass_time(1.0)
-    assert bench.scheduler.harm_push().weights == record.weights
+    assert bench.scheduler._table.weight(Image("live"), Image("heavy")) == 6.5
     bench.pass_time(bench.options.harm_interval_s)
     bench.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
     bench.list_()
