Tell a restarted agent what runs on its worker

The owner sent the facts of the tasks and the weights only when a channel met a new life of the worker. After a restart of the agent alone the life is the same, so the agent knew neither tail targets nor tasks that fill and paced nothing: HARM could follow. Found while reading the path of the weights. Ruled out: that the start orders teach the agent again; they are not repeated for tasks that run.

Each channel begins without a known life, so the first report on it leads to the facts and the weights. Test: test_agent_restart.py, failed before (the restarted agent saw nothing to pace), passes now.

--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -98,6 +98,8 @@
         self._log.line("agent_linked", agent=self._node, epoch=self._hello.epoch)
         await channel.send(self._hello)
         self._channel = channel
+        # The agent may be a restarted one, which knows nothing of its worker's tasks.
+        self._life = None
         while True:
             body = await channel.receive()
             if isinstance(body, ChannelClosed):
