--- a/packages/decisions/almondspan_decisions/fill_pace.py
+++ b/packages/decisions/almondspan_decisions/fill_pace.py
@@ -6,10 +6,9 @@
 1. For every serving task, its level is what its headroom would be without the tasks
    that fill, by the learned weights. The level swings, so it is followed with its
    slope and foreseen for the time until the next look has had an effect.
-2. What the level leaves over the headroom aimed at is shared out: each filling image
-   that costs a serving task headroom is paced so that all of them together stay within
-   it. Images that cost little are not paced; beside a tail far over its target all
-   others pause.
+2. What the level leaves over the headroom aimed at is shared out: first to the images
+   that cost little, what is left to those that harm, paced so that all of them together
+   stay within it. Beside a tail far over its target all that harm pause.
 3. A tail that stays over its target although the weights do not explain it cuts the
    pace of all images for a while, since the weights may be wrong. One over its target
    for long pauses them all.
@@ -27,8 +26,8 @@
 AIM_HEADROOM: Final = 1.25
 """The headroom that the paces aim at."""
 CALM_HEADROOM: Final = 1.15
-HARMLESS_WEIGHT: Final = 1.0
-"""Images that weigh less than this are not paced."""
+HARMLESS_WEIGHT: Final = 1.5
+"""Images that weigh less than this are paced only once the others have stopped."""
 SEVERE_HEADROOM: Final = 0.6
 """Below this harmful images pause, so that the queue of the serving task drains."""
 FORESIGHT_S: Final = 0.5
@@ -118,8 +117,8 @@
         filling: Sequence[Filling],
         table: HarmTable,
         now_s: float,
-    ) -> dict[Image, int]:
-        """Return the paces after a look."""
+    ) -> None:
+        """Take in a look."""
         self._follow_levels(serving, filling, table, now_s)
         self._judge_excess(serving, filling, now_s)
         rise = RISE_PER_S * min(now_s - self.looked_s, 1.0)
@@ -127,7 +126,6 @@
         self.ceilings = {
             fill.image: self.ceilings.get(fill.image, 1.0) + rise for fill in filling
         }
-        return self.paces(serving, filling, table)
 
     def expect(self, task: str, image: Image, now_s: float) -> Serving:
         """Return a serving task that has just begun, with a cautious level."""
@@ -197,18 +195,26 @@
         paces: dict[Image, float],
     ) -> None:
         level = self.levels[task.task]
-        lost: dict[Image, float] = {}
+        harmful: dict[Image, float] = {}
+        harmless: dict[Image, float] = {}
         for fill in filling:
             weight = table.weight(task.image, fill.image)
-            if weight > HARMLESS_WEIGHT:
-                lost[fill.image] = weight * fill.full_share
-        total = sum(lost.values())
-        if not total:
-            return
+            group = harmful if weight > HARMLESS_WEIGHT else harmless
+            group[fill.image] = weight * fill.full_share
         is_severe = task.headroom < SEVERE_HEADROOM
-        room = 0.0 if is_severe else max(level.foreseen() - AIM_HEADROOM, 0.0)
-        for image in lost:
-            paces[image] = min(paces[image], room / total)
+        room = max(level.foreseen() - AIM_HEADROOM, 0.0)
+        left = max(room - sum(harmless.values()), 0.0)
+        _limit(paces, harmful, 0.0 if is_severe else left)
+        _limit(paces, harmless, room)
+
+
+def _limit(paces: dict[Image, float], lost: dict[Image, float], room: float) -> None:
+    """Pace images so that what they cost together fits into the room."""
+    total = sum(lost.values())
+    if total <= room:
+        return
+    for image in lost:
+        paces[image] = min(paces[image], room / total)
 
 
 def _percent(pace: float) -> int:
--- a/packages/decisions/almondspan_decisions/graph_placing.py
+++ b/packages/decisions/almondspan_decisions/graph_placing.py
@@ -17,37 +17,26 @@
 from dataclasses import dataclass
 from typing import Final
 
-from almondspan_decisions.fill_pace import AIM_HEADROOM, HARMLESS_WEIGHT
+from almondspan_decisions.fill_placing import fill_cost
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_book import JobBook, TaskState
 from almondspan_decisions.job_graph import StepSpec, TaskKey
 from almondspan_decisions.shapes import Shape
-from almondspan_decisions.tail_model import HarmTable, Image
+from almondspan_decisions.tail_model import HarmTable
 from almondspan_decisions.worker_book import WorkerRecord, counted_shape
 
 __all__ = [
     "Candidate",
     "choose_worker",
     "may_ever_run",
-    "n_harmed_by_start",
-    "note_start",
+    "may_run",
     "victims_on",
 ]
 
 AVOIDED_COST: Final = 4.0
 RESTED_COST: Final = 8.0
 OTHER_RACK_COST: Final = 0.5
-SERVING_USE_SHARE: Final = 0.5
-"""The share of their processors that lasting tasks use on average."""
 OTHER_IMAGE_COST: Final = 0.1
-MIN_SPEED: Final = 0.05
-FILL_SHARE_COST: Final = 0.3
-START_HEADROOM: Final = 1.15
-"""Serving tasks should keep this when a task that fills begins beside them."""
-START_COST: Final = 2.0
-"""For each serving task that is put over its target by a start."""
-MIN_LEFT_MILLICORES: Final = 100.0
-"""Keeps the share of the tasks that fill finite on a full worker."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,10 +100,7 @@
 ) -> float:
     """Return the cost of running a task on a worker; only its order matters."""
     if step.fills:
-        share = fill_share(step, worker)
-        speed = min(1 / max(share, 1.0), pace_after(step, worker, table))
-        cost = 1 / max(speed, MIN_SPEED) + FILL_SHARE_COST * share
-        cost += START_COST * n_harmed_by_start(step, worker, table)
+        cost = fill_cost(step, worker, table)
     elif step.lasts:
         cost = serving_cost(step, worker)
     else:
@@ -128,18 +114,6 @@
     return cost
 
 
-def fill_share(step: StepSpec, worker: WorkerRecord) -> float:
-    """Return asked over left processors for the tasks that fill, with one more."""
-    asked = worker.fill_millicores + step.shape.cpu_millicores
-    counted = worker.used.cpu_millicores - worker.serving_millicores
-    left = (
-        worker.capacity.cpu_millicores
-        - counted
-        - SERVING_USE_SHARE * worker.serving_millicores
-    )
-    return asked / max(left, MIN_LEFT_MILLICORES)
-
-
 def serving_cost(step: StepSpec, worker: WorkerRecord) -> float:
     """Return the cost of a lasting task: full workers first, images kept together.
 
@@ -152,47 +126,6 @@
     return OTHER_IMAGE_COST * n_others - load_after(step, worker)
 
 
-def pace_after(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> float:
-    """Return the expected pace of a task that fills, from 0 to 1."""
-    image = Image(step.image)
-    shares = {
-        fill: share_of(1000 * cores, worker)
-        for fill, cores in worker.fill_cores.items()
-    }
-    shares[image] = shares.get(image, 0.0) + share_of(step.shape.cpu_millicores, worker)
-    pace = 1.0
-    for served, n_tasks in worker.n_serving.items():
-        if not n_tasks or table.weight(served, image) <= HARMLESS_WEIGHT:
-            continue
-        lost = sum(table.weight(served, fill) * share for fill, share in shares.items())
-        pace = min(pace, max(table.low(served) - AIM_HEADROOM, 0.0) / lost)
-    return pace
-
-
-def n_harmed_by_start(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> int:
-    """Return how many serving tasks a start puts over their target at full pace."""
-    share = share_of(step.shape.cpu_millicores, worker)
-    image = Image(step.image)
-    return sum(
-        worker.n_serving.get(served, 0)
-        for served, headroom in worker.headrooms.items()
-        if table.weight(served, image) > HARMLESS_WEIGHT
-        and headroom - table.weight(served, image) * share < START_HEADROOM
-    )
-
-
-def note_start(step: StepSpec, worker: WorkerRecord, table: HarmTable) -> None:
-    """Take what a placed task that fills will cost off the listed headrooms."""
-    share = share_of(step.shape.cpu_millicores, worker)
-    for served in worker.headrooms:
-        worker.headrooms[served] -= table.weight(served, Image(step.image)) * share
-
-
-def share_of(cpu_millicores: float, worker: WorkerRecord) -> float:
-    """Return the share of a worker's processors."""
-    return cpu_millicores / max(worker.capacity.cpu_millicores, 1)
-
-
 def load_after(step: StepSpec, worker: WorkerRecord) -> float:
     """Return the dominant share of a worker with one more task."""
     return (worker.used + counted_shape(step)).dominant_share(worker.capacity)
--- a/packages/jobs/almondspan_jobs/job_books.py
+++ b/packages/jobs/almondspan_jobs/job_books.py
@@ -95,6 +95,7 @@
         self._model: Final = TailModel()
         self._table = HarmTable({})
         self._solved_s = 0.0
+        self._moved_s = 0.0
         self._harm_stored_s = steady_s()
         self._observed_s: dict[WorkerLife, float] = {}
         self._harm_sent: dict[WorkerLife, HarmPush] = {}
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -6,12 +6,11 @@
 
 from collections.abc import Iterator
 
+from almondspan_decisions.fill_placing import n_harmed_by_start, note_start
 from almondspan_decisions.graph_placing import (
     Candidate,
     choose_worker,
     may_ever_run,
-    n_harmed_by_start,
-    note_start,
     victims_on,
 )
 from almondspan_decisions.ids import JobId
@@ -94,7 +93,9 @@
         task = book.place(key, worker.life, now_s)
         step = book.step_of(key)
         worker.take(step)
+        n_harmed = 0
         if step.fills:
+            n_harmed = n_harmed_by_start(step, worker, self._table)
             note_start(step, worker, self._table)
         held = self._on_life.setdefault(worker.life, set())
         held.add((book.job_id, key))
@@ -108,6 +109,7 @@
             free_cpu=worker.free.cpu_millicores,
             free_memory=worker.free.memory_mb,
             fill_cpu=worker.fill_millicores,
+            n_harmed=n_harmed,
             checkpoint=task.checkpoint,
             waited_ms=int((now_s - self._progress[book.job_id].seen_s) * 1000),
         )
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -107,11 +107,11 @@
 class HarmRecord(msgspec.Struct, frozen=True):
     """Rows of serving image, filling image, weight and its variance; see `tail_model`.
 
-    `lows` has the lowest level of each serving image.
+    `means` has the mean level of each serving image.
     """
 
     weights: list[tuple[str, str, float, float]]
-    lows: dict[str, float]
+    means: dict[str, float]
 
 
 class _TaskRow(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -10,7 +10,7 @@
    of a silent worker once its lease has surely passed.
 
 The layers below, each on the one before: `JobBooks`, `TailWatch`, `OrderDesk`,
-`Planner`.
+`Planner`, `FillMover`.
 """
 
 from collections.abc import Mapping
@@ -30,8 +30,8 @@
 from almondspan_decisions.worker_book import WorkerRecord
 from almondspan_decisions.worker_lease import WorkerLease
 from almondspan_jobs.clocks import steady_s, wall_ms
+from almondspan_jobs.fill_mover import FillMover
 from almondspan_jobs.messages import LeaseRenewal, WorkerListing
-from almondspan_jobs.planner import Planner
 from almondspan_jobs.records import cancel_key, encode_progress, job_key, run_key
 from almondspan_platform.group_store import Write
 from almondspan_platform.task_worker import EndWord
@@ -62,7 +62,7 @@
     """Attempts whose assignment becomes stored: job, task, attempt."""
 
 
-class Scheduler(Planner):
+class Scheduler(FillMover):
     """The books of one owner, with what listings, storing and time bring."""
 
     def on_listing(self, life: WorkerLife, listing: WorkerListing) -> None:
@@ -194,6 +194,7 @@
             self._tick_life(life, lease, now_s)
         self._open_due_rounds()
         self._solve_model(now_s)
+        self._move_slow_fills(now_s)
         for orders in self._open_orders.values():
             for name, sent_s in tuple(orders.items()):
                 if now_s - sent_s > self._options.late_order_s:
--- a/packages/jobs/almondspan_jobs/tail_watch.py
+++ b/packages/jobs/almondspan_jobs/tail_watch.py
@@ -76,7 +76,7 @@
             "tail_model",
             n_observed=self._model.n_observed,
             weights=_rounded(self._table.weights),
-            lows={image: round(low, 2) for image, low in self._table.lows.items()},
+            means={image: round(mean, 2) for image, mean in self._table.means.items()},
         )
 
     def _push_harm(self, worker: WorkerRecord) -> None:
@@ -92,8 +92,8 @@
             HarmRow(Image(serving), Image(filling), weight, variance)
             for serving, filling, weight, variance in record.weights
         ]
-        lows = {Image(image): low for image, low in record.lows.items()}
-        self._model.load(rows, lows)
+        means = {Image(image): mean for image, mean in record.means.items()}
+        self._model.load(rows, means)
         self._table = self._model.table()
 
     def _harm_write(self) -> Write:
@@ -103,8 +103,8 @@
             (str(row.serving), str(row.filling), row.weight, row.variance)
             for row in self._model.rows()
         ]
-        lows = {str(image): low for image, low in self._table.lows.items()}
-        return Write(HARM_KEY, encode_record(HarmRecord(rows, lows)))
+        means = {str(image): mean for image, mean in self._table.means.items()}
+        return Write(HARM_KEY, encode_record(HarmRecord(rows, means)))
 
     def harm_push(self, worker: WorkerRecord) -> HarmPush:
         """Return the weights that matter on a worker."""
--- /dev/null
+++ b/tests/jobs/scheduler_bench.py
@@ -0,0 +1,114 @@
+"""A scheduler for tests: a clock by hand and the messages that it sent."""
+
+from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
+from almondspan_decisions.job_book import WorkerLife
+from almondspan_decisions.job_graph import (
+    JobSpec,
+    QueueName,
+    QueueRules,
+    StepSpec,
+    TaskKey,
+)
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs import clocks
+from almondspan_jobs.messages import WorkerListing, WorkerReport
+from almondspan_jobs.meters import Meters
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.scheduler import Scheduler
+from almondspan_wire.codec import Message
+
+QUEUE = QueueName("q")
+SERVICE = ServiceName("pool")
+WORKER = WorkerId("w-1")
+BORN_MS = 5
+JOB = JobId("0123456789abcdef")
+TASK = f"{JOB}.0.0.0"
+KEY = TaskKey(0, 0, 0)
+STEP = StepSpec(1, Shape(1_000, 1_000), estimate_ms=1_000)
+
+
+class Log:
+    def __init__(self) -> None:
+        self.events: list[str] = []
+
+    def line(self, event: str, **fields: object) -> None:
+        self.events.append(event)
+
+
+class Bench:
+    """A scheduler with a clock by hand and the messages that it sent."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        clocks.use_clocks(lambda: self.now_s, lambda: 1_700_000_000 + self.now_s)
+        self.options = JobOptions()
+        self.sent: list[tuple[WorkerId, Message]] = []
+        self.log = Log()
+        self.make()
+
+    def make(self) -> None:
+        """Begin as a new owner with empty books."""
+        self.scheduler = Scheduler(
+            self.options, self.log, Meters(), self._post, lambda: self.now_s
+        )
+        self.scheduler.rules = {QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500)}
+
+    def _post(self, worker_id: WorkerId, body: Message) -> bool:
+        self.sent.append((worker_id, body))
+        return True
+
+    def take(self, kind: type[Message]) -> list[Message]:
+        """Return the messages of a kind sent so far and forget all."""
+        found = [body for _, body in self.sent if isinstance(body, kind)]
+        self.sent.clear()
+        return found
+
+    def meet(
+        self,
+        worker: WorkerId = WORKER,
+        born_ms: int = BORN_MS,
+        node: str = "node-1",
+        labels: list[str] | None = None,
+    ) -> None:
+        self.scheduler.on_report(
+            node,
+            WorkerReport(
+                worker,
+                born_ms,
+                SERVICE,
+                PlaceName("here"),
+                4_000,
+                8_000,
+                0,
+                labels or ["r1"],
+                False,
+                0,
+            ),
+        )
+        self.list_(worker, born_ms)
+
+    def list_(
+        self,
+        worker: WorkerId = WORKER,
+        born_ms: int = BORN_MS,
+        running: list[tuple[str, int, str, int, float]] | None = None,
+        ended: list[tuple[int, str, int, str, str]] | None = None,
+    ) -> None:
+        listing = WorkerListing(
+            born_ms, int(self.now_s * 1000), running or [], ended or []
+        )
+        self.scheduler.on_listing(WorkerLife(worker, born_ms), listing)
+
+    def add(self, *steps: StepSpec) -> None:
+        self.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", steps or (STEP,)))
+        self.decide()
+
+    def decide(self) -> None:
+        """Plan, store and let orders leave."""
+        self.scheduler.plan()
+        while self.scheduler.is_dirty:
+            self.scheduler.on_stored(self.scheduler.snapshot())
+
+    def pass_time(self, for_s: float) -> None:
+        self.now_s += for_s
+        self.scheduler.tick()
--- /dev/null
+++ b/tests/jobs/test_fill_mover.py
@@ -0,0 +1,114 @@
+"""Tasks that fill move to where they run much faster, and only then."""
+
+from collections.abc import Iterator
+
+import pytest
+from scheduler_bench import BORN_MS, JOB, QUEUE, Bench
+
+from almondspan_decisions.ids import JobId, WorkerId
+from almondspan_decisions.job_graph import JobSpec, StepSpec
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs import clocks
+from almondspan_jobs.messages import StopOrder
+from almondspan_jobs.records import HarmRecord
+
+OTHER = WorkerId("w-2")
+SERVING_JOB = JobId("00000000000000aa")
+SERVES = StepSpec(1, Shape(1_000, 1_000), lasts=True, image="live", tail_target_ms=10)
+FILLS = StepSpec(
+    1,
+    Shape(2_000, 1_000),
+    estimate_ms=10_000,
+    fills=True,
+    image="heavy",
+    saves_progress=True,
+)
+TASK = f"{JOB}.0.0.0"
+TAIL_MS = 4.0
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    yield Bench()
+    clocks.use_clocks()
+
+
+def begin(bench: Bench, step: StepSpec, weight: float = 7.0) -> None:
+    """Place a task that fills beside a serving task, on the only worker."""
+    harm = HarmRecord([("live", "heavy", weight, 0.01)], {"live": 2.4})
+    bench.scheduler.load_harm(harm)
+    bench.meet(labels=["r1", step.label])
+    bench.scheduler.add_job(SERVING_JOB, JobSpec(QUEUE, "payload", (SERVES,)))
+    bench.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (step,)))
+    bench.decide()
+    assert bench.scheduler.jobs[JOB].n_placed == 1
+
+
+def play(bench: Bench, for_s: float, percent: int = 5) -> list[str]:
+    """List both workers for a while; return the tasks that were to be stopped."""
+    stopped = []
+    for _ in range(int(for_s / 0.2)):
+        bench.list_(
+            running=[
+                (f"{SERVING_JOB}.0.0.0", 1, "", 100, TAIL_MS),
+                (TASK, 1, "", percent, 400.0),
+            ]
+        )
+        if OTHER in bench.scheduler.workers:
+            bench.list_(OTHER, BORN_MS)
+        bench.pass_time(0.2)
+        stopped += [order.task for order in bench.take(StopOrder)]
+    return stopped
+
+
+def test_slow_task_moves_to_an_empty_worker(bench: Bench) -> None:
+    begin(bench, FILLS)
+    bench.meet(OTHER, node="node-2")
+    assert TASK in play(bench, 3.0)
+    bench.list_(ended=[(1, TASK, 1, "stopped", "half")])
+    bench.decide()
+    task = bench.scheduler.jobs[JOB].rounds[0][0].tasks[0]
+    assert task.life is not None
+    assert (task.life.worker_id, task.checkpoint) == (OTHER, "half")
+
+
+@pytest.mark.parametrize(
+    ("step", "percent", "has_other"),
+    [
+        pytest.param(FILLS, 5, False, id="nowhere_to_go"),
+        pytest.param(FILLS, 99, True, id="nearly_done"),
+        pytest.param(
+            StepSpec(1, Shape(2_000, 1_000), 10_000, fills=True, image="heavy"),
+            5,
+            True,
+            id="would_lose_its_progress",
+        ),
+        pytest.param(
+            StepSpec(
+                1,
+                Shape(2_000, 1_000),
+                10_000,
+                fills=True,
+                image="heavy",
+                saves_progress=True,
+                label="r9",
+            ),
+            5,
+            True,
+            id="may_not_run_there",
+        ),
+    ],
+)
+def test_others_stay(
+    bench: Bench, step: StepSpec, percent: int, has_other: bool
+) -> None:
+    begin(bench, step)
+    if has_other:
+        bench.meet(OTHER, node="node-2")
+    assert TASK not in play(bench, 3.0, percent)
+
+
+def test_task_that_runs_well_stays(bench: Bench) -> None:
+    begin(bench, FILLS, weight=0.7)
+    bench.meet(OTHER, node="node-2")
+    assert TASK not in play(bench, 3.0)
