Move a lasting task where room lies in pieces; wait for room that is coming

Running tasks and shapes printed at the end: two workers full of lasting tasks, one with 1,000 of 1,500 millicores free, the fourth with 5,000 free but at the step's limit of two tasks on one worker. Nothing ends by itself there, and lasting tasks are never preempted. Ruled out: a lost listing or a leaving worker (all four were heard, none left). While reading preemption two more faults showed: victims were chosen again every 0.6 s while the ends of the first ones were not listed yet, and on workers where the limit of the step keeps the waiting task out anyway.

RoomMaker: room that stopping tasks will leave is waited for; victims only where the task may run; for a lasting task, one other lasting task moves if it has room elsewhere now and enough others of its step are at work.

--- a/packages/decisions/almondspan_decisions/graph_placing.py
+++ b/packages/decisions/almondspan_decisions/graph_placing.py
@@ -28,6 +28,7 @@
 __all__ = [
     "Candidate",
     "choose_worker",
+    "is_eligible",
     "may_ever_run",
     "may_run",
     "victims_on",
@@ -74,10 +75,16 @@
 
 def may_run(book: JobBook, key: TaskKey, step: StepSpec, worker: WorkerRecord) -> bool:
     """Tell whether a worker may be given a task now."""
+    is_room = counted_shape(step).fits_in(worker.free)
+    return is_room and is_eligible(book, key, step, worker)
+
+
+def is_eligible(
+    book: JobBook, key: TaskKey, step: StepSpec, worker: WorkerRecord
+) -> bool:
+    """Tell whether a worker may be given a task once it has room."""
     if worker.is_leaving or not may_ever_run(step, worker):
         return False
-    if not counted_shape(step).fits_in(worker.free):
-        return False
     if not step.max_per_worker:
         return True
     n_here = book.n_on_worker(key.occurrence, key.step, worker.life.worker_id)
--- a/packages/jobs/almondspan_jobs/job_books.py
+++ b/packages/jobs/almondspan_jobs/job_books.py
@@ -91,11 +91,11 @@
         self._open_orders: dict[WorkerId, dict[tuple[str, int], float]] = {}
         """Starts without a definite answer: task and attempt, when sent."""
         self._gone_s: dict[WorkerLife, float] = {}
-        self._preempted_s: dict[WorkerId, float] = {}
         self._model: Final = TailModel()
         self._table = HarmTable({})
         self._solved_s = 0.0
         self._moved_s = 0.0
+        self._made_room_s = 0.0
         self._harm_stored_s = steady_s()
         self._observed_s: dict[WorkerLife, float] = {}
         self._harm_sent: dict[WorkerLife, HarmPush] = {}
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -1,34 +1,21 @@
 """Assigns waiting tasks to workers: most urgent queue first, oldest job first.
 
-A task without room may have tasks of less urgent queues stopped; it is placed once
-their ends are listed.
+For a task without room see `RoomMaker`.
 """
 
-from collections.abc import Iterator
-
 from almondspan_decisions.fill_placing import n_harmed_by_start, note_start
-from almondspan_decisions.graph_placing import (
-    Candidate,
-    choose_worker,
-    may_ever_run,
-    victims_on,
-)
+from almondspan_decisions.graph_placing import choose_worker
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_book import JobBook, TaskState
-from almondspan_decisions.job_graph import (
-    QueueRules,
-    StepSpec,
-    TaskKey,
-    format_task_name,
-)
-from almondspan_decisions.worker_book import WorkerRecord, counted_shape
+from almondspan_decisions.job_graph import StepSpec, TaskKey, format_task_name
+from almondspan_decisions.worker_book import WorkerRecord
 from almondspan_jobs.clocks import steady_s
-from almondspan_jobs.order_desk import OrderDesk
+from almondspan_jobs.room_maker import RoomMaker
 
 __all__ = ["Planner"]
 
 
-class Planner(OrderDesk):
+class Planner(RoomMaker):
     """The books with the choice of workers."""
 
     def plan(self) -> None:
@@ -62,7 +49,7 @@
             for key in book.waiting(occurrence, step):
                 worker = choose_worker(book, key, workers, self._table, now_s)
                 if worker is None:
-                    self._preempt(book, key, rules, workers, now_s)
+                    self._make_room(book, key, rules, workers, now_s)
                     break
                 task = book.task(key)
                 assert task is not None
@@ -113,60 +100,3 @@
             checkpoint=task.checkpoint,
             waited_ms=int((now_s - self._progress[book.job_id].seen_s) * 1000),
         )
-
-    def _preempt(
-        self,
-        book: JobBook,
-        key: TaskKey,
-        rules: QueueRules,
-        workers: list[WorkerRecord],
-        now_s: float,
-    ) -> None:
-        """Stop less urgent tasks so that a task finds room once they have ended."""
-        step = book.step_of(key)
-        best: list[Candidate] = []
-        best_worker: WorkerRecord | None = None
-        for worker in workers:
-            last_s = self._preempted_s.get(worker.life.worker_id, 0.0)
-            if now_s - last_s < self._options.order_repeat_s or worker.is_leaving:
-                continue
-            if not may_ever_run(step, worker):
-                continue
-            chosen = victims_on(
-                step, worker, list(self._candidates(worker, rules.priority))
-            )
-            if chosen and (not best or _loss_s(chosen) < _loss_s(best)):
-                best, best_worker = chosen, worker
-        if best_worker is None:
-            return
-        self._preempted_s[best_worker.life.worker_id] = now_s
-        for victim in best:
-            task = self.jobs[victim.job_id].task(victim.key)
-            assert task is not None
-            task.ask_stop()
-            self._log.line(
-                "task_preempted",
-                task=format_task_name(victim.job_id, victim.key),
-                worker=best_worker.life.worker_id,
-                by=format_task_name(book.job_id, key),
-                loss_s=round(victim.loss_s, 2),
-            )
-
-    def _candidates(self, worker: WorkerRecord, priority: int) -> Iterator[Candidate]:
-        for job_id, key in self._on_life.get(worker.life, ()):
-            book = self.jobs[job_id]
-            rules = self.rules.get(book.spec.queue)
-            task = book.task(key)
-            assert task is not None
-            if rules is None or rules.priority <= priority or task.is_stopping:
-                continue
-            step = book.step_of(key)
-            if step.lasts:
-                continue
-            worked_s = 0.0 if step.saves_progress else steady_s() - task.placed_s
-            loss_s = (worked_s + 0.1) * step.shape.cpu_millicores / 1000
-            yield Candidate(job_id, key, counted_shape(step), loss_s)
-
-
-def _loss_s(chosen: list[Candidate]) -> float:
-    return sum(candidate.loss_s for candidate in chosen)
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/room_maker.py
@@ -0,0 +1,200 @@
+"""Makes room for a task that fits on no worker now.
+
+1. Room that tasks being stopped will leave is waited for.
+2. Tasks of less urgent queues are stopped, at the lowest loss of unsaved work.
+3. For a lasting task, another task is moved: one whose worker could take the waiting
+   task without it, and which has room elsewhere right now. This is how a fleet whose
+   room lies in pieces, or where a step may have few tasks on one worker, gives room.
+
+The waiting task is placed once the ends of the stopped ones are listed.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from almondspan_decisions.graph_placing import (
+    Candidate,
+    is_eligible,
+    may_run,
+    victims_on,
+)
+from almondspan_decisions.job_book import JobBook
+from almondspan_decisions.job_graph import QueueRules, TaskKey, format_task_name
+from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_decisions.worker_book import WorkerRecord, counted_shape
+from almondspan_jobs.order_desk import OrderDesk
+
+__all__ = ["RoomMaker"]
+
+MOVE_INTERVAL_S: Final = 1.0
+MIN_STAY_S: Final = 5.0
+"""A lasting task that was placed more lately is not moved."""
+AT_WORK_PERCENT: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class _Move:
+    """A task that could go elsewhere, and the room that it would leave."""
+
+    book: JobBook
+    key: TaskKey
+    worker: WorkerRecord
+    to: WorkerRecord
+    shape: Shape
+
+
+class RoomMaker(OrderDesk):
+    """The books with the ways to make room."""
+
+    def _make_room(
+        self,
+        book: JobBook,
+        key: TaskKey,
+        rules: QueueRules,
+        workers: list[WorkerRecord],
+        now_s: float,
+    ) -> None:
+        """Stop tasks so that a waiting task finds room once they have ended."""
+        step = book.step_of(key)
+        eligible = [
+            worker for worker in workers if is_eligible(book, key, step, worker)
+        ]
+        wanted = counted_shape(step)
+        if any(
+            wanted.fits_in(worker.free + self._room_to_come(worker))
+            for worker in eligible
+        ):
+            return
+        if not self._preempt(book, key, rules, eligible, now_s) and step.lasts:
+            self._move_one(book, key, eligible, workers, now_s)
+
+    def _room_to_come(self, worker: WorkerRecord) -> Shape:
+        """Return what the tasks that are being stopped will leave."""
+        room = EMPTY_SHAPE
+        for job_id, key in self._on_life.get(worker.life, ()):
+            book = self.jobs[job_id]
+            task = book.task(key)
+            if task is not None and (task.is_stopping or not book.is_active):
+                room = room + counted_shape(book.step_of(key))
+        return room
+
+    def _preempt(
+        self,
+        book: JobBook,
+        key: TaskKey,
+        rules: QueueRules,
+        workers: list[WorkerRecord],
+        now_s: float,
+    ) -> bool:
+        """Stop less urgent tasks on one worker; False when that makes no room."""
+        step = book.step_of(key)
+        best: list[Candidate] = []
+        best_worker: WorkerRecord | None = None
+        for worker in workers:
+            candidates = list(self._candidates(worker, rules.priority, now_s))
+            chosen = victims_on(step, worker, candidates)
+            if chosen and (not best or _loss_s(chosen) < _loss_s(best)):
+                best, best_worker = chosen, worker
+        if best_worker is None:
+            return False
+        for victim in best:
+            task = self.jobs[victim.job_id].task(victim.key)
+            assert task is not None
+            task.ask_stop()
+            self._log.line(
+                "task_preempted",
+                task=format_task_name(victim.job_id, victim.key),
+                worker=best_worker.life.worker_id,
+                by=format_task_name(book.job_id, key),
+                loss_s=round(victim.loss_s, 2),
+            )
+        return True
+
+    def _candidates(
+        self, worker: WorkerRecord, priority: int, now_s: float
+    ) -> Iterator[Candidate]:
+        for job_id, key in self._on_life.get(worker.life, ()):
+            book = self.jobs[job_id]
+            rules = self.rules.get(book.spec.queue)
+            task = book.task(key)
+            assert task is not None
+            if rules is None or rules.priority <= priority or task.is_stopping:
+                continue
+            step = book.step_of(key)
+            if step.lasts:
+                continue
+            worked_s = 0.0 if step.saves_progress else now_s - task.placed_s
+            loss_s = (worked_s + 0.1) * step.shape.cpu_millicores / 1000
+            yield Candidate(job_id, key, counted_shape(step), loss_s)
+
+    def _move_one(
+        self,
+        book: JobBook,
+        key: TaskKey,
+        eligible: list[WorkerRecord],
+        workers: list[WorkerRecord],
+        now_s: float,
+    ) -> None:
+        """Move the smallest task whose going makes room for a waiting one."""
+        if now_s - self._made_room_s < MOVE_INTERVAL_S:
+            return
+        wanted = counted_shape(book.step_of(key))
+        moves = [
+            move
+            for worker in eligible
+            for move in self._moves_from(worker, workers, now_s)
+            if wanted.fits_in(worker.free + move.shape)
+        ]
+        if not moves:
+            return
+        move = min(moves, key=lambda move: move.shape.dominant_share(move.to.capacity))
+        self._made_room_s = now_s
+        task = move.book.task(move.key)
+        assert task is not None
+        task.ask_stop()
+        task.avoid(move.worker.life.worker_id)
+        self._log.line(
+            "task_moved_for_room",
+            task=format_task_name(move.book.job_id, move.key),
+            worker=move.worker.life.worker_id,
+            to=move.to.life.worker_id,
+            by=format_task_name(book.job_id, key),
+        )
+
+    def _moves_from(
+        self, worker: WorkerRecord, workers: list[WorkerRecord], now_s: float
+    ) -> Iterator[_Move]:
+        for job_id, key in self._on_life.get(worker.life, ()):
+            book = self.jobs[job_id]
+            if not self._is_movable(book, key, now_s):
+                continue
+            step = book.step_of(key)
+            to = next(
+                (
+                    other
+                    for other in workers
+                    if other is not worker and may_run(book, key, step, other)
+                ),
+                None,
+            )
+            if to is not None:
+                yield _Move(book, key, worker, to, counted_shape(step))
+
+    def _is_movable(self, book: JobBook, key: TaskKey, now_s: float) -> bool:
+        """Tell whether a lasting task may be away for a moment."""
+        step, task = book.step_of(key), book.task(key)
+        assert task is not None
+        if not step.lasts or task.is_stopping or not task.listed_s:
+            return False
+        if now_s - task.placed_s < MIN_STAY_S or not book.is_active:
+            return False
+        others = book.rounds[key.occurrence][key.step].tasks
+        n_away = sum(
+            other is not task and other.percent < AT_WORK_PERCENT for other in others
+        )
+        return not step.n_may_be_away or n_away < step.n_may_be_away
+
+
+def _loss_s(chosen: list[Candidate]) -> float:
+    return sum(candidate.loss_s for candidate in chosen)
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -10,7 +10,7 @@
    of a silent worker once its lease has surely passed.
 
 The layers below, each on the one before: `JobBooks`, `TailWatch`, `OrderDesk`,
-`Planner`, `FillMover`.
+`RoomMaker`, `Planner`, `FillMover`.
 """
 
 from collections.abc import Mapping
--- a/tests/jobs/test_schedules.py
+++ b/tests/jobs/test_schedules.py
@@ -9,6 +9,7 @@
     pytest.param(30, id="start_taken_by_the_later_life_of_a_worker"),
     pytest.param(26, id="start_acknowledged_by_the_later_life"),
     pytest.param(99, id="end_noted_before_the_new_owner_stored_it"),
+    pytest.param(77_000_286, id="room_in_pieces_for_a_lasting_task"),
 ]
 
 
