Reach agents and owners through other agents while the direct path is cut

Probes from the agents of three cut workers (trial) showed that neither store nor entries answered for nine seconds, while all other agents did.

Longer leases: a lease is at most 6 s on this platform, cuts last 5 to 12 s.

An agent passes channels on (Relay): to the address that is asked for, or to the owner that it obeys. WorkerLink dials through up to two directly linked agents when its own dial timed out, and swaps to a direct channel once that opens; OwnerLink does the same through up to three agents. A refused dial means that the process is down, then no relay is sought. An agent reads from the owner's latest channel only. Dials return DialFailed in place of a string.

--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import Final
 
 from almondspan_jobs.event_log import EventLog
@@ -12,6 +13,7 @@
 from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.owner_link import OwnerLink
+from almondspan_jobs.records import AgentRecord
 from almondspan_platform.group_store import GroupStore
 from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
@@ -35,7 +37,9 @@
         rng: random.Random,
     ) -> None:
         self._log: Final = log
-        self._link: Final = OwnerLink(node, network, self._answer, options, log, rng)
+        self._link: Final = OwnerLink(
+            node, network, self._answer, self._agents, options, log, rng
+        )
         self.leadership: Final = Leadership(
             node,
             host,
@@ -68,6 +72,9 @@
         if self._listener is not None:
             await self._listener.close()
 
+    def _agents(self) -> Sequence[AgentRecord]:
+        return self.leadership.agents
+
     @property
     def has_owner_link(self) -> bool:
         """Tell whether the owner can be asked, here or over a channel."""
--- a/packages/jobs/almondspan_jobs/keeper.py
+++ b/packages/jobs/almondspan_jobs/keeper.py
@@ -8,6 +8,7 @@
 4. Orders run beside the looks. A void is answered only after a look that began once
    the worker had answered the stop no longer lists the attempt.
 5. `WorkerPacing` sets the pace of the tasks that fill from the listed tail latencies.
+6. Channels of others, whose direct path is cut, are passed on (`Relay`).
 
 Without an owner the agent lengthens no lease.
 """
@@ -26,6 +27,7 @@
     LeaseRenewal,
     OwnerHello,
     OwnerReplaced,
+    RelayRequest,
     StartOrder,
     StartReply,
     StopOrder,
@@ -37,6 +39,7 @@
 from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.pacing import WorkerPacing
+from almondspan_jobs.relay import Relay
 from almondspan_platform.task_worker import (
     LookFailed,
     LookOrder,
@@ -86,6 +89,9 @@
         self._listener: Listener | None = None
         self._life: _Life | None = None
         self._epoch = 0
+        self._owner: OwnerHello | None = None
+        """The owner that is obeyed, linked or not."""
+        self._relay: Final = Relay(network, options, log)
         self._channel: Channel | None = None
         self._pacing: Final = WorkerPacing(worker, options, log)
         self._changed: Final = asyncio.Event()
@@ -96,7 +102,7 @@
     async def start(self) -> None:
         """Listen for owners and begin to look."""
         self._listener = await self._network.listen(
-            self._host, self._port, self._serve_owner
+            self._host, self._port, self._serve_channel
         )
         self._look_task = asyncio.create_task(self._look_on())
 
@@ -178,16 +184,22 @@
 
     # The owner
 
-    async def _serve_owner(self, channel: Channel) -> None:
+    async def _serve_channel(self, channel: Channel) -> None:
         hello = await channel.receive()
-        if not isinstance(hello, OwnerHello):
+        if isinstance(hello, RelayRequest):
+            await self._relay.serve(channel, hello, self._owner)
+        elif isinstance(hello, OwnerHello):
+            await self._serve_owner(channel, hello)
+        else:
             self._log.line("link_malformed", got=type(hello).__name__)
-            return
+
+    async def _serve_owner(self, channel: Channel, hello: OwnerHello) -> None:
         if hello.epoch < self._epoch:
             self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
             return
         self._log.line("owner_linked", owner=hello.owner, epoch=hello.epoch)
         self._epoch = hello.epoch
+        self._owner = hello
         if self._channel is not None:
             # An owner that has lost the store learns of its successor here.
             self._channel.post(
@@ -200,7 +212,7 @@
             body = await channel.receive()
             if isinstance(body, ChannelClosed):
                 break
-            if hello.epoch < self._epoch:
+            if self._channel is not channel:
                 self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
                 break
             self._on_message(body)
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -130,6 +130,11 @@
         trigger()
         self._log.line("leadership", before=before, now=self.state)
 
+    @property
+    def agents(self) -> list[AgentRecord]:
+        """The agents that are registered, as last heard from the store."""
+        return list(self._agents.values())
+
     def set_rules(self, rules: Mapping[QueueName, QueueRules]) -> None:
         """Take in the queues of a newer configuration."""
         self._rules = rules
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -21,6 +21,8 @@
     "OwnerHello",
     "OwnerReplaced",
     "PendingReply",
+    "RelayReady",
+    "RelayRequest",
     "StartOrder",
     "StartReply",
     "StateReply",
@@ -54,6 +56,24 @@
     port: int
 
 
+@message
+class RelayRequest(Message, frozen=True, tag="j-relay"):
+    """Asks an agent to go on to an address; an empty host means its owner."""
+
+    host: str
+    port: int
+
+
+@message
+class RelayReady(Message, frozen=True, tag="j-relayed"):
+    """The agent is connected to the address; the first fields name its owner."""
+
+    epoch: int
+    owner: str
+    host: str
+    port: int
+
+
 @message
 class LeaseRenewal(Message, frozen=True, tag="j-renew"):
     """Lengthens a worker's lease and notes the ends whose effect is stored."""
--- a/packages/jobs/almondspan_jobs/network.py
+++ b/packages/jobs/almondspan_jobs/network.py
@@ -6,17 +6,34 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final, Protocol
 
 from almondspan_wire.channel import Channel, ChannelOptions, StreamChannel
 
-__all__ = ["LINK_OPTIONS", "Handler", "Listener", "Network", "TcpNetwork"]
+__all__ = [
+    "LINK_OPTIONS",
+    "DialFailed",
+    "Handler",
+    "Listener",
+    "Network",
+    "TcpNetwork",
+]
 
 LINK_OPTIONS: Final = ChannelOptions(heartbeat_s=0.5, silence_s=1.6, send_timeout_s=1.6)
 
 Handler = Callable[[Channel], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class DialFailed:
+    """Why no channel could be opened."""
+
+    reason: str
+    was_refused: bool
+    """The other machine answered that nobody listens there."""
+
+
 class Listener(Protocol):
     """An address that is listened on."""
 
@@ -32,8 +49,10 @@
         """Run `handler` for each channel that others open to the address."""
         ...
 
-    async def dial(self, host: str, port: int, timeout_s: float) -> Channel | str:
-        """Open a channel; return the reason when that fails."""
+    async def dial(
+        self, host: str, port: int, timeout_s: float
+    ) -> Channel | DialFailed:
+        """Open a channel; return why when that fails."""
         ...
 
 
@@ -46,13 +65,16 @@
         await listener.start(host, port)
         return listener
 
-    async def dial(self, host: str, port: int, timeout_s: float) -> Channel | str:
+    async def dial(
+        self, host: str, port: int, timeout_s: float
+    ) -> Channel | DialFailed:
         """Open a channel to another process."""
         try:
             async with asyncio.timeout(timeout_s):
                 reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError) as error:
-            return f"{type(error).__name__} {error}"
+            was_refused = isinstance(error, ConnectionRefusedError)
+            return DialFailed(f"{type(error).__name__} {error}", was_refused)
         channel = StreamChannel(reader, writer, LINK_OPTIONS)
         await channel.start()
         return channel
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -49,6 +49,8 @@
     retry_s: float = 0.1
     dial_timeout_s: float = 0.6
     dial_retry_s: float = 0.4
+    relay_recheck_s: float = 2.0
+    """Beside a channel through an agent, a direct one is tried this often."""
     plan_delay_s: float = 0.003
     """Events within this time are planned together."""
     tick_s: float = 0.2
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine, Mapping, Sequence
 from typing import Any, Final
 
 from almondspan_decisions.ids import JobId, WorkerId
@@ -154,6 +154,7 @@
             address,
             self._record,
             self._on_replaced,
+            self._direct_agents,
             self._network,
             self.scheduler,
             self._links_by_worker,
@@ -165,6 +166,10 @@
         self._links[node] = link
         await link.start()
 
+    def _direct_agents(self) -> Sequence[AgentRecord]:
+        """Return the agents that are reached without another one."""
+        return [link.address for link in self._links.values() if link.is_direct]
+
     def _on_replaced(self, successor: OwnerRecord) -> None:
         self.successor = successor
         self._committer.lose(f"an agent was linked by {successor.node}")
--- a/packages/jobs/almondspan_jobs/owner_link.py
+++ b/packages/jobs/almondspan_jobs/owner_link.py
@@ -1,26 +1,32 @@
 """An entry's link to the owner: questions with answers, and things to tell.
 
 The owner may be this process; then nothing is sent. Otherwise one channel is kept to
-the owner that the store names, and dialled again when it ends. A question has a number;
+the owner that the store names, and dialled again when it ends. An owner that can't be
+reached is tried through an agent, which knows the latest owner also while the store
+can't be read here. A question has a number;
 its answer ends the wait, and so do the end of the channel and the time limit.
 """
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import PendingReply, StateReply, StoreReply
-from almondspan_jobs.network import Network
+from almondspan_jobs.network import DialFailed, Network
 from almondspan_jobs.options import JobOptions
-from almondspan_jobs.records import OwnerRecord
+from almondspan_jobs.records import AgentRecord, OwnerRecord
+from almondspan_jobs.relay import dial_through
 from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
 
 __all__ = ["NoAnswer", "OwnerLink"]
 
+N_RELAYS: Final = 3
+"""Agents that are asked to go on to the owner."""
+
 Local = Callable[[Message], Awaitable[Message | None]]
 
 
@@ -39,6 +45,7 @@
         node: str,
         network: Network,
         local: Local,
+        relays: Callable[[], Sequence[AgentRecord]],
         options: JobOptions,
         log: EventLog,
         rng: random.Random,
@@ -46,6 +53,7 @@
         self._node: Final = node
         self._network: Final = network
         self._local: Final = local
+        self._relays: Final = relays
         self._options: Final = options
         self._log: Final = log
         self._rng: Final = rng
@@ -114,15 +122,11 @@
 
     async def _run(self, record: OwnerRecord) -> None:
         while True:
-            channel = await self._network.dial(
-                record.host, record.port, self._options.dial_timeout_s
-            )
-            if isinstance(channel, str):
-                self._log.line("owner_unreachable", owner=record.node, why=channel)
+            channel = await self._dial(record)
+            if channel is None:
                 jitter = self._rng.uniform(0.5, 1.5)
                 await asyncio.sleep(self._options.dial_retry_s * jitter)
                 continue
-            self._log.line("owner_linked", owner=record.node, epoch=record.epoch)
             self._channel = channel
             try:
                 await self._read(channel, record)
@@ -131,6 +135,36 @@
                 self._fail_waits()
                 await channel.close()
 
+    async def _dial(self, record: OwnerRecord) -> Channel | None:
+        """Open a channel to the owner, directly or through an agent."""
+        timeout_s = self._options.dial_timeout_s
+        channel = await self._network.dial(record.host, record.port, timeout_s)
+        if not isinstance(channel, DialFailed):
+            self._log.line("owner_linked", owner=record.node, epoch=record.epoch)
+            return channel
+        self._log.line("owner_unreachable", owner=record.node, why=channel.reason)
+        return None if channel.was_refused else await self._dial_through(record)
+
+    async def _dial_through(self, record: OwnerRecord) -> Channel | None:
+        relays = self._relays()
+        chosen = self._rng.sample(relays, min(len(relays), N_RELAYS))
+        timeout_s = self._options.dial_timeout_s
+        relayed = await dial_through(self._network, chosen, None, timeout_s)
+        if relayed is None:
+            return None
+        if relayed.owner is None or relayed.owner.node == self._node:
+            # The agent has not heard of any owner after this process.
+            await relayed.channel.close()
+            return None
+        self._log.line(
+            "owner_relayed",
+            owner=relayed.owner.node,
+            epoch=relayed.owner.epoch,
+            by=relayed.by.host,
+            known=record.epoch,
+        )
+        return relayed.channel
+
     async def _read(self, channel: Channel, record: OwnerRecord) -> None:
         while True:
             body = await channel.receive()
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/relay.py
@@ -0,0 +1,136 @@
+"""Channels through an agent, for processes whose direct path is cut.
+
+A process that can't reach another one opens a channel to any agent that it does reach
+and asks it to go on to the other one. The agent answers once it is connected and then
+passes every message on, in both directions, until either end closes. Asked without an
+address it goes on to the owner that it obeys.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.messages import OwnerHello, RelayReady, RelayRequest
+from almondspan_jobs.network import DialFailed, Network
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import AgentRecord, OwnerRecord
+from almondspan_wire.channel import Channel, ChannelClosed
+
+__all__ = ["Relay", "RelayedChannel", "dial_through"]
+
+MAX_RELAYED: Final = 64
+"""Pairs of channels that one agent joins at the same time."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedChannel:
+    """A channel through an agent, and the owner that it leads to if that was asked."""
+
+    channel: Channel
+    by: AgentRecord
+    owner: OwnerRecord | None
+
+
+async def dial_through(
+    network: Network,
+    relays: Sequence[AgentRecord],
+    target: AgentRecord | None,
+    timeout_s: float,
+) -> RelayedChannel | None:
+    """Open a channel through the first agent that can reach the target.
+
+    Parameters
+    ----------
+    target : AgentRecord or None
+        None for the owner that the agent obeys.
+    timeout_s : float
+        For each agent, in seconds.
+    """
+    request = RelayRequest("", 0)
+    if target is not None:
+        request = RelayRequest(target.host, target.port)
+    for relay in relays:
+        channel = await network.dial(relay.host, relay.port, timeout_s)
+        if isinstance(channel, DialFailed):
+            continue
+        reply = await _ask(channel, request, timeout_s)
+        if reply is not None:
+            owner = None
+            if target is None:
+                owner = OwnerRecord(reply.epoch, reply.owner, reply.host, reply.port)
+            return RelayedChannel(channel, relay, owner)
+        await channel.close()
+    return None
+
+
+async def _ask(
+    channel: Channel, request: RelayRequest, timeout_s: float
+) -> RelayReady | None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await channel.send(request)
+            reply = await channel.receive()
+    except TimeoutError:
+        return None
+    return reply if isinstance(reply, RelayReady) else None
+
+
+class Relay:
+    """An agent's part: joins channels of others."""
+
+    def __init__(self, network: Network, options: JobOptions, log: EventLog) -> None:
+        self._network: Final = network
+        self._options: Final = options
+        self._log: Final = log
+        self._n_joined = 0
+
+    async def serve(
+        self, channel: Channel, request: RelayRequest, owner: OwnerHello | None
+    ) -> None:
+        """Join a channel with one to the target until either ends."""
+        host, port = request.host, request.port
+        if not host and owner is not None:
+            host, port = owner.host, owner.port
+        if not host or self._n_joined >= MAX_RELAYED:
+            self._log.line("relay_refused", host=host, n_joined=self._n_joined)
+            return
+        timeout_s = self._options.dial_timeout_s
+        target = await self._network.dial(host, port, timeout_s)
+        if isinstance(target, DialFailed):
+            self._log.line("relay_unreachable", host=host, port=port, why=target.reason)
+            return
+        self._log.line("relay_joined", host=host, port=port)
+        ready = RelayReady(0, "", host, port)
+        if owner is not None:
+            ready = RelayReady(owner.epoch, owner.owner, host, port)
+        self._n_joined += 1
+        try:
+            await channel.send(ready)
+            await _join(channel, target)
+        finally:
+            self._n_joined -= 1
+            await target.close()
+            self._log.line("relay_parted", host=host, port=port)
+
+
+async def _join(one: Channel, other: Channel) -> None:
+    """Pass messages on in both directions until one channel ends."""
+    pumps = [
+        asyncio.create_task(_pump(one, other)),
+        asyncio.create_task(_pump(other, one)),
+    ]
+    try:
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for pump in pumps:
+            pump.cancel()
+        await asyncio.gather(*pumps, return_exceptions=True)
+
+
+async def _pump(source: Channel, target: Channel) -> None:
+    while True:
+        body = await source.receive()
+        if isinstance(body, ChannelClosed) or not await target.send(body):
+            return
--- a/packages/jobs/almondspan_jobs/worker_link.py
+++ b/packages/jobs/almondspan_jobs/worker_link.py
@@ -1,8 +1,12 @@
-"""The owner's channel to one agent, dialled again whenever it ends."""
+"""The owner's channel to one agent, dialled again whenever it ends.
+
+An agent that can't be reached is tried through another one. Such a channel is given up
+for a direct one as soon as that can be had.
+"""
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from almondspan_decisions.ids import WorkerId
@@ -16,15 +20,19 @@
     WorkerListing,
     WorkerReport,
 )
-from almondspan_jobs.network import Network
+from almondspan_jobs.network import DialFailed, Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import AgentRecord, OwnerRecord
+from almondspan_jobs.relay import RelayedChannel, dial_through
 from almondspan_jobs.scheduler import Scheduler
 from almondspan_wire.channel import Channel, ChannelClosed
 from almondspan_wire.codec import Message
 
 __all__ = ["WorkerLink"]
 
+N_RELAYS: Final = 2
+"""Agents that are asked to go on to one that can't be reached."""
+
 
 class WorkerLink:
     """Carries orders to one agent and its listings back."""
@@ -35,6 +43,7 @@
         address: AgentRecord,
         record: OwnerRecord,
         on_replaced: Callable[[OwnerRecord], None],
+        relays: Callable[[], Sequence[AgentRecord]],
         network: Network,
         scheduler: Scheduler,
         links: dict[WorkerId, "WorkerLink"],
@@ -49,6 +58,7 @@
             record.epoch, record.node, record.host, record.port
         )
         self._on_replaced: Final = on_replaced
+        self._relays: Final = relays
         self._network: Final = network
         self._scheduler: Final = scheduler
         self._links: Final = links
@@ -57,6 +67,10 @@
         self._log: Final = log
         self._rng: Final = rng
         self._channel: Channel | None = None
+        self._next: Channel | None = None
+        """A direct channel that was opened beside one through another agent."""
+        self.is_direct = False
+        """Whether a channel is up that leads to the agent without another one."""
         self._life: WorkerLife | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -77,22 +91,65 @@
     async def _run(self) -> None:
         was_up = False
         while True:
-            channel = await self._network.dial(
-                self.address.host, self.address.port, self._options.dial_timeout_s
-            )
-            if isinstance(channel, str):
-                if was_up:
-                    self._log.line("agent_unreachable", agent=self._node, why=channel)
-                was_up = False
-                jitter = self._rng.uniform(0.5, 1.5)
-                await asyncio.sleep(self._options.dial_retry_s * jitter)
+            channel = self._next or await self._dial()
+            self._next = None
+            if not isinstance(channel, DialFailed):
+                was_up = True
+                await self._hold(channel, is_direct=True)
+                continue
+            relayed = None if channel.was_refused else await self._dial_through()
+            if relayed is not None:
+                self._log.line("agent_relayed", agent=self._node, by=relayed.by.host)
+                was_up = True
+                await self._hold_until_direct(relayed.channel)
                 continue
-            was_up = True
-            try:
-                await self._serve(channel)
-            finally:
-                self._channel = None
-                await channel.close()
+            if was_up:
+                reason = channel.reason
+                self._log.line("agent_unreachable", agent=self._node, why=reason)
+            was_up = False
+            jitter = self._rng.uniform(0.5, 1.5)
+            await asyncio.sleep(self._options.dial_retry_s * jitter)
+
+    async def _dial_through(self) -> RelayedChannel | None:
+        relays = self._relays()
+        chosen = self._rng.sample(relays, min(len(relays), N_RELAYS))
+        return await dial_through(
+            self._network, chosen, self.address, self._options.dial_timeout_s
+        )
+
+    async def _dial(self) -> Channel | DialFailed:
+        return await self._network.dial(
+            self.address.host, self.address.port, self._options.dial_timeout_s
+        )
+
+    async def _hold(self, channel: Channel, is_direct: bool) -> None:
+        """Serve a channel until it ends."""
+        try:
+            self.is_direct = is_direct
+            await self._serve(channel)
+        finally:
+            self._channel = None
+            self.is_direct = False
+            await channel.close()
+
+    async def _hold_until_direct(self, channel: Channel) -> None:
+        """Serve a channel through another agent until a direct one is open."""
+        holding = asyncio.create_task(self._hold(channel, is_direct=False))
+        finding = asyncio.create_task(self._find_direct())
+        try:
+            await asyncio.wait((holding, finding), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (holding, finding):
+                task.cancel()
+            await asyncio.gather(holding, finding, return_exceptions=True)
+
+    async def _find_direct(self) -> None:
+        while True:
+            await asyncio.sleep(self._options.relay_recheck_s)
+            channel = await self._dial()
+            if not isinstance(channel, DialFailed):
+                self._next = channel
+                return
 
     async def _serve(self, channel: Channel) -> None:
         self._log.line("agent_linked", agent=self._node, epoch=self._hello.epoch)
--- a/tests/jobs/memory_network.py
+++ b/tests/jobs/memory_network.py
@@ -13,7 +13,7 @@
 
 from virtual_loop import PROCESS, Process, VirtualLoop
 
-from almondspan_jobs.network import Handler
+from almondspan_jobs.network import DialFailed, Handler
 from almondspan_wire.channel import ChannelClosed, CloseCause
 from almondspan_wire.codec import Message, decode, encode
 
@@ -154,17 +154,19 @@
         self._hub.listeners[(host, port)] = (process, handler)
         return _Listener(self._hub, (host, port))
 
-    async def dial(self, host: str, port: int, timeout_s: float) -> MemoryChannel | str:
+    async def dial(
+        self, host: str, port: int, timeout_s: float
+    ) -> MemoryChannel | DialFailed:
         process = PROCESS.get()
         assert process is not None
         found = self._hub.listeners.get((host, port))
         if found is None:
             await asyncio.sleep(HOP_S)
-            return "refused"
+            return DialFailed("refused", was_refused=True)
         owner, handler = found
         if self._hub.is_cut(process, owner):
             await asyncio.sleep(timeout_s)
-            return "timeout"
+            return DialFailed("timeout", was_refused=False)
         await asyncio.sleep(HOP_S)
         ours = MemoryChannel(self._hub, process)
         theirs = MemoryChannel(self._hub, owner)
