Acknowledge ends only on the connection on which the incarnation answered

A start sent to the earlier incarnation is executed by the new one at 1018.112 and ends as done. The agent's poll at 1018.416 still carries the number of the last acknowledged end of the earlier incarnation. The new one numbers its ends from 1 again, so the poll acknowledges its end unseen and the worker forgets it; the revocation then finds nothing and the task starts again.

A poll that acknowledges is sent on the connection on which the previous poll was answered, or not at all; after a failed poll the next one acknowledges nothing. Polls have a connection of their own. A revocation lists the tasks without an acknowledgement.

Before: schedule broken; the new test of HttpTaskWorker fails if the poll may connect.

--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -67,6 +67,8 @@
     n_acknowledged: int = 0
     n_listed: int = 0
     """Number of the last end that was forwarded."""
+    is_confirmed: bool = False
+    """The latest poll was answered, by this incarnation."""
 
 
 class WorkerAgent:
@@ -324,12 +326,7 @@
         self, incarnation: _Incarnation, command: StopCommand
     ) -> None:
         """Answer a revocation if a new poll does not list the attempt as running."""
-        poll = await self._worker.poll(
-            incarnation.state.worker_id,
-            PollRequest(
-                self._epoch, incarnation.n_acknowledged, incarnation.until_ms, wait_ms=0
-            ),
-        )
+        poll = await self._worker.list_tasks(incarnation.state.worker_id, self._epoch)
         if (
             not isinstance(poll, WorkerPoll)
             or poll.started_ms != incarnation.state.started_ms
@@ -352,6 +349,10 @@
                 await self._changed.wait()
                 continue
             poll = await self._poll(incarnation)
+            incarnation.is_confirmed = (
+                isinstance(poll, WorkerPoll)
+                and poll.started_ms == incarnation.state.started_ms
+            )
             if isinstance(poll, PollFailed):
                 self._log.line(
                     "look_failed",
@@ -384,11 +385,10 @@
         if incarnation.until_ms == 0:
             wait_ms = 0
         self._metrics.count("looks")
+        n_acknowledged = incarnation.n_acknowledged if incarnation.is_confirmed else 0
         return await self._worker.poll(
             incarnation.state.worker_id,
-            PollRequest(
-                self._epoch, incarnation.n_acknowledged, incarnation.until_ms, wait_ms
-            ),
+            PollRequest(self._epoch, n_acknowledged, incarnation.until_ms, wait_ms),
         )
 
     def _forward_poll(self, incarnation: _Incarnation, poll: WorkerPoll) -> None:
--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -13,7 +13,7 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
 from dataclasses import dataclass
-from types import MappingProxyType
+from types import MappingProxyType, SimpleNamespace
 from typing import Final
 
 import aiohttp
@@ -32,6 +32,10 @@
 _EXPECTED_ERRORS: Final = (aiohttp.ClientError, OSError, TimeoutError)
 
 
+class _NotConnected(aiohttp.ClientError):
+    """A call that needs an open connection found none."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpOptions:
     """Limits of a client's connections.
@@ -117,6 +121,7 @@
         deadline_s: float,
         try_timeout_s: float = math.inf,
         headers: Mapping[str, str] = NO_HEADERS,
+        may_connect: bool = True,
     ) -> bytes | CallFailed:
         """Send a call once and return the body of a successful answer (status 200).
 
@@ -129,6 +134,9 @@
             Time limit from the send until the answer is complete, in seconds.
         headers : mapping
             Headers in addition to the content type.
+        may_connect : bool
+            Whether a connection may be opened; otherwise the call is sent on an open
+            one or not at all.
         """
         pool = await self._acquire_pool(deadline_s)
         if isinstance(pool, CallFailed):
@@ -137,7 +145,8 @@
         timeout_s = min(remaining_s, try_timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._request(pool, method, url, body, headers) as response:
+                request = self._request(pool, method, url, body, headers, may_connect)
+                async with request as response:
                     data = await response.read()
         except _EXPECTED_ERRORS as error:
             return self._on_error(pool, error)
@@ -195,6 +204,7 @@
         url: str,
         body: bytes | None,
         headers: Mapping[str, str] = NO_HEADERS,
+        may_connect: bool = True,
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         return pool.session.request(
             method,
@@ -203,6 +213,7 @@
             headers={**JSON_HEADERS, **headers},
             ssl=self._tls() if self._tls is not None else True,
             allow_redirects=False,
+            trace_request_ctx=may_connect,
         )
 
     def _on_error(self, pool: _Pool, error: Exception) -> CallFailed:
@@ -210,6 +221,8 @@
             return CallFailed(f"cannot connect: {error}", may_have_applied=False)
         if isinstance(error, aiohttp.ConnectionTimeoutError):
             return CallFailed("timed out while connecting", may_have_applied=False)
+        if isinstance(error, _NotConnected):
+            return CallFailed("no open connection", False, was_sent=False)
         self._retire(pool)
         if isinstance(error, TimeoutError):
             return CallFailed("timed out waiting for the answer", may_have_applied=True)
@@ -229,6 +242,7 @@
                 connector=connector,
                 timeout=timeout,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                trace_configs=[_connection_guard()],
             )
         )
 
@@ -245,6 +259,22 @@
             await pool.session.close()
 
 
+def _connection_guard() -> aiohttp.TraceConfig:
+    """Return the hook that keeps a call from opening a connection if it must not."""
+
+    async def check(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        if context.trace_request_ctx is False:
+            raise _NotConnected
+
+    guard = aiohttp.TraceConfig()
+    guard.on_connection_create_start.append(check)
+    return guard
+
+
 class _LineSplitter:
     """Splits a sequence of chunks into lines."""
 
--- a/packages/platform/almondspan_platform/task_worker.py
+++ b/packages/platform/almondspan_platform/task_worker.py
@@ -110,9 +110,12 @@
 class PollRequest:
     """Polls the worker, acknowledges ended attempts and extends the lease.
 
-    Ends with a number up to ``n_acknowledged`` are acknowledged. ``until_ms`` is the
-    new end of the lease by the worker's clock; 0 leaves the lease unchanged. The worker
-    may wait up to ``wait_ms`` for an attempt to end before it answers.
+    Ends with a number up to ``n_acknowledged`` are acknowledged. A poll with an
+    acknowledgement reaches the incarnation that answered the previous poll or fails,
+    because the next incarnation may have the same id and numbers its ends from 1 again.
+    ``until_ms`` is the new end of the lease by the worker's clock; 0 leaves the lease
+    unchanged. The worker may wait up to ``wait_ms`` for an attempt to end before it
+    answers.
     """
 
     fence: int
@@ -161,6 +164,12 @@
         """Return the running tasks and those that ended since the acknowledged end."""
         ...
 
+    async def list_tasks(
+        self, worker_id: WorkerId, fence: int
+    ) -> WorkerPoll | PollFailed:
+        """Return what `poll` returns, at once and without any effect on the worker."""
+        ...
+
     async def start_task(self, worker_id: WorkerId, request: StartTask) -> Verdict:
         """Start an attempt; return `DONE` also if it is already running."""
         ...
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -104,6 +104,8 @@
         """Share of commands that are executed 2 to 8 s later, without a response."""
         self.is_down = False
         self._incarnation = _Incarnation(worker_id, 1_000, self._now_s())
+        self._polled: _Incarnation | None = None
+        """The incarnation that the client's poll connection leads to, if it is open."""
 
     @staticmethod
     def _now_s() -> float:
@@ -302,6 +304,24 @@
 
     async def poll(
         self, worker_id: WorkerId, request: PollRequest
+    ) -> WorkerPoll | PollFailed:
+        """Poll on the client's connection; see `hold` for the worker's side."""
+        if request.n_acknowledged and self._polled is not self._incarnation:
+            self._polled = None
+            return PollFailed(Verdict.NOT_TAKEN, "no open connection")
+        incarnation = self._incarnation
+        poll = await self.hold(worker_id, request)
+        self._polled = incarnation if isinstance(poll, WorkerPoll) else None
+        return poll
+
+    async def list_tasks(
+        self, worker_id: WorkerId, fence: int
+    ) -> WorkerPoll | PollFailed:
+        """Return what `poll` returns, at once and without any effect."""
+        return await self.hold(worker_id, PollRequest(fence, 0, 0, 0))
+
+    async def hold(
+        self, worker_id: WorkerId, request: PollRequest
     ) -> WorkerPoll | PollFailed:
         """Return the running tasks and the ends that are not acknowledged."""
         verdict = await self._deliver(worker_id, lambda: self._begin_poll(request))
--- a/tests/jobs/test_schedules.py
+++ b/tests/jobs/test_schedules.py
@@ -9,6 +9,7 @@
     pytest.param(30, id="start_executed_by_a_later_incarnation"),
     pytest.param(26, id="start_acknowledged_by_a_later_incarnation"),
     pytest.param(99, id="end_acknowledged_before_the_new_owner_stored_it"),
+    pytest.param(13_000_098, id="end_of_a_later_incarnation_acknowledged_unseen"),
     pytest.param(77_000_286, id="fragmented_capacity_for_a_lasting_task"),
 ]
 """Seeds of schedules that failed before, named by the failure."""
--- a/tests/site/test_http_task_worker.py
+++ b/tests/site/test_http_task_worker.py
@@ -69,6 +69,30 @@
     run(body)
 
 
+def test_acknowledgement_does_not_reach_a_later_incarnation() -> None:
+    """The next incarnation has the same id and port, and numbers its ends from 1."""
+
+    async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
+        first = await client.poll(WORKER, PollRequest(1, 0, 5_000, 0))
+        assert isinstance(first, WorkerPoll)
+        await fake.close()
+        fake.worker.restart()
+        later = FakeRunner(fake.worker)
+        await later.start(int(fake.address.rpartition(":")[2]))
+        try:
+            assert await client.start_task(WORKER, start()) is Verdict.DONE
+            await asyncio.sleep(0.1)
+            stale = await client.poll(WORKER, PollRequest(1, 3, 5_000, 0))
+            assert isinstance(stale, PollFailed)
+            poll = await client.poll(WORKER, PollRequest(1, 0, 5_000, 0))
+            assert isinstance(poll, WorkerPoll)
+            assert [end.number for end in poll.ended] == [1]
+        finally:
+            await later.close()
+
+    run(body)
+
+
 @pytest.mark.parametrize(
     ("start_request", "verdict"),
     [
