--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from almondspan_decisions.ids import WorkerId
-from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_decisions.shapes import Shape
 from almondspan_platform.task_worker import (
     EndedTask,
     EndReason,
@@ -26,7 +26,7 @@
     WorkerPoll,
 )
 
-__all__ = ["MemoryTaskWorker", "TaskScript", "WorkerRun"]
+__all__ = ["MemoryTaskWorker", "RunningScript", "TaskScript", "WorkerRun"]
 
 ANSWER_S: Final = 0.001
 COMMAND_TIMEOUT_S: Final = 0.4
@@ -40,7 +40,21 @@
 
     shape: Shape
     duration_s: float
+    """Time to completion at full speed."""
     how: EndReason = EndReason.DONE
+    image: str = ""
+    is_best_effort: bool = False
+    saves_progress: bool = False
+    load: Callable[[float], float] | None = None
+    """For a serving task, the share of its processors in use, by time."""
+    tail_target_ms: float = 0.0
+
+    @property
+    def counted_shape(self) -> Shape:
+        """The resources that count against the worker's capacity."""
+        if not self.is_best_effort:
+            return self.shape
+        return Shape(0, self.shape.memory_mb, self.shape.n_accelerators)
 
 
 @dataclass(slots=True)
@@ -55,10 +69,14 @@
     ended_s: float | None = None
     how: EndReason | None = None
     acknowledged_s: float | None = None
+    worked_s: float = 0.0
+    """Work done by this run, in seconds at full speed; set by a colocated worker."""
 
 
 @dataclass(slots=True)
-class _Running:
+class RunningScript:
+    """A script that is being executed."""
+
     run: WorkerRun
     script: TaskScript
     done_s: float
@@ -78,7 +96,7 @@
     until_ms: int = 0
     n_ended: int = 0
     lapsed_s: float = 0.0
-    running: dict[str, _Running] = field(default_factory=dict)
+    running: dict[str, RunningScript] = field(default_factory=dict)
     ended: list[tuple[EndedTask, WorkerRun]] = field(default_factory=list)
     highest: dict[str, int] = field(default_factory=dict)
     """Highest attempt of each task that was stopped or has ended here."""
@@ -183,9 +201,14 @@
         item.run.how = how
         attempt = item.run.attempt
         incarnation.highest[name] = max(incarnation.highest.get(name, 0), attempt)
-        row = EndedTask(incarnation.n_ended, name, attempt, how, "")
+        checkpoint = self._checkpoint(item) if how is EndReason.STOPPED else ""
+        row = EndedTask(incarnation.n_ended, name, attempt, how, checkpoint)
         incarnation.ended.append((row, item.run))
 
+    def _checkpoint(self, item: RunningScript) -> str:
+        """Return the checkpoint of a run; this worker saves none."""
+        return ""
+
     def advance_runs(self) -> None:
         """Bring `runs` up to date, for checks by tests."""
         if not self.is_down:
@@ -258,10 +281,10 @@
         ):
             return Verdict.OLD_ATTEMPT
         script = self._script(request.task, request.attempt)
-        used = EMPTY_SHAPE
+        used = script.counted_shape
         for item in incarnation.running.values():
-            used = used + item.script.shape
-        if not (used + script.shape).fits_in(self.capacity):
+            used = used + item.script.counted_shape
+        if not used.fits_in(self.capacity):
             return Verdict.NO_CAPACITY
         now_s = self._now_s()
         run = WorkerRun(
@@ -272,11 +295,14 @@
             now_s,
         )
         self.runs.append(run)
-        incarnation.running[request.task] = _Running(
-            run, script, now_s + script.duration_s
-        )
+        item = RunningScript(run, script, now_s + script.duration_s)
+        incarnation.running[request.task] = item
+        self._begin_run(item, request.checkpoint)
         return Verdict.DONE
 
+    def _begin_run(self, item: RunningScript, checkpoint: str) -> None:
+        """Prepare a run that has just started."""
+
     async def stop_task(
         self, worker_id: WorkerId, task: str, attempt: int, fence: int
     ) -> Verdict:
