Hold the parts of the owner's scheduler instead of inheriting them

Scheduler was the last of six subclasses over one object with thirty fields; a reader could not tell which of them changes what, and no part could be measured alone.

No decision changes. JobTable keeps jobs, versions and stored states; Fleet workers, leases and what is assigned to them; Assignments places and ends attempts; CommandDispatcher, AttemptMonitor, WorkerLifecycle, InterferenceMonitor, Planner, Preemptor and BestEffortMover each hold what they use. Scheduler passes events on. The number of pending jobs by queue is counted instead of searched for.

Two tests read a property in place of a private field.

--- a/misc/job_mutant_table.py
+++ b/misc/job_mutant_table.py
@@ -22,8 +22,8 @@
     mutant(
         "send commands before the assignment is stored",
         "jobs",
-        "scheduler.py",
-        "            if not task.is_stored:\n                continue\n",
+        "attempt_monitor.py",
+        "                if not task.is_stored:\n                    continue\n",
         "",
     ),
     mutant(
@@ -64,7 +64,7 @@
     mutant(
         "release a silent worker at once",
         "jobs",
-        "scheduler.py",
+        "worker_lifecycle.py",
         "if now_s > lease.surely_expired_s:",
         "if now_s > lease.listed_s + 2.0:",
     ),
@@ -95,7 +95,7 @@
         "command_dispatcher.py",
         "        if task.is_revoking or is_unwanted:\n",
         "        if task.is_revoking:\n"
-        '            self._release_attempt(job.job_id, key, "absent")\n'
+        '            self._assignments.release(job, key, "absent")\n'
         "        elif is_unwanted:\n",
     ),
     mutant(
@@ -108,14 +108,14 @@
     mutant(
         "release all tasks of a restarted worker",
         "jobs",
-        "owner_state.py",
+        "worker_lifecycle.py",
         "if is_renamed or was_here or task.n_sends == 0:",
         "if True:",
     ),
     mutant(
         "never adopt an attempt on a later incarnation",
         "jobs",
-        "owner_state.py",
+        "assignments.py",
         "if task is None or old is None or not job.adopt(key, attempt, incarnation):",
         "if True:",
     ),
@@ -143,11 +143,11 @@
     mutant(
         "free the capacity of a stopping task",
         "jobs",
-        "owner_state.py",
-        "        job.is_cancelled = True\n",
-        "        job.is_cancelled = True\n"
-        "        for key, task in tuple(job.placed()):\n"
-        '            self._release_attempt(job_id, key, "cancelled")\n',
+        "scheduler.py",
+        "        self._table.cancel(job_id)\n",
+        "        self._table.cancel(job_id)\n"
+        "        for key, _ in tuple(self.jobs[job_id].placed()):\n"
+        '            self._assignments.release(self.jobs[job_id], key, "cancelled")\n',
     ),
     mutant(
         "refuse a job with an uncertain write",
@@ -159,7 +159,7 @@
     mutant(
         "report states before they are stored",
         "jobs",
-        "owner_state.py",
+        "job_table.py",
         "        self._tracking[job.job_id].version += 1\n",
         "        self._tracking[job.job_id].version += 1\n"
         "        self.stored_states[job.job_id] = job.state\n",
--- a/packages/jobs/almondspan_jobs/best_effort_mover.py
+++ b/packages/jobs/almondspan_jobs/best_effort_mover.py
@@ -18,7 +18,10 @@
 from almondspan_decisions.job_graph import StepSpec, TaskKey, format_task_name
 from almondspan_decisions.job_progress import JobProgress, TaskState
 from almondspan_decisions.worker_record import WorkerRecord
-from almondspan_jobs.planner import Planner
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.fleet import Fleet
+from almondspan_jobs.interference_monitor import InterferenceMonitor
+from almondspan_jobs.job_table import JobTable
 
 __all__ = ["BestEffortMover"]
 
@@ -33,21 +36,34 @@
 """Time that a stop and a new start take."""
 
 
-class BestEffortMover(Planner):
-    """The owner's state with the moves of best-effort tasks."""
+class BestEffortMover:
+    """Moves best-effort tasks that are slowed down where they run."""
 
-    def _move_slow_tasks(self, now_s: float) -> None:
+    def __init__(
+        self,
+        table: JobTable,
+        fleet: Fleet,
+        interference: InterferenceMonitor,
+        log: EventLog,
+    ) -> None:
+        self._table: Final = table
+        self._fleet: Final = fleet
+        self._interference: Final = interference
+        self._log: Final = log
+        self._scanned_s = 0.0
+
+    def tick(self, now_s: float) -> None:
         """Stop a few best-effort tasks that would end much earlier elsewhere."""
-        if now_s - self._best_effort_scan_s < MOVE_INTERVAL_S:
+        if now_s - self._scanned_s < MOVE_INTERVAL_S:
             return
-        self._best_effort_scan_s = now_s
+        self._scanned_s = now_s
         added: Counter[WorkerId] = Counter()
-        for incarnation, held in self._tasks_by_incarnation.items():
-            source = self.workers.get(incarnation.worker_id)
-            if source is None or source.incarnation != incarnation or source.is_leaving:
+        for incarnation in tuple(self._fleet.held):
+            source = self._fleet.record_of(incarnation)
+            if source is None or source.is_leaving:
                 continue
-            for job_id, key in tuple(held):
-                job = self.jobs[job_id]
+            for job_id, key in self._fleet.held_by(incarnation):
+                job = self._table[job_id]
                 if self._move_if_slow(job, key, source, added, now_s):
                     if added.total() >= MAX_MOVES:
                         return
@@ -64,13 +80,16 @@
         assert task is not None
         if not step.fills or not _is_movable(step, task, now_s):
             return False
-        speed = best_effort_speed(step, source, self._interference, n_added=0)
+        speed = best_effort_speed(step, source, self._interference.weights, n_added=0)
         left_s = step.estimate_ms / 1000 * (1 - task.percent / 100)
         best = self._fastest_worker(job, key, source, added, now_s)
         if best is None:
             return False
         target_speed = best_effort_speed(
-            step, best, self._interference, 1 + added[best.incarnation.worker_id]
+            step,
+            best,
+            self._interference.weights,
+            1 + added[best.incarnation.worker_id],
         )
         gain_s = left_s / speed - left_s / target_speed - RESTART_S
         if target_speed < MIN_SPEED_RATIO * speed or gain_s < MIN_GAIN_S:
@@ -98,25 +117,22 @@
     ) -> WorkerRecord | None:
         """Return the worker where a task runs fastest without slowing serving tasks."""
         step = job.step_of(key)
-        rules = self.rules.get(job.spec.queue)
+        rules = self._table.rules_of(job)
+        if rules is None:
+            return None
+        weights = self._interference.weights
         found = [
             worker
-            for worker in self.workers.values()
+            for worker in self._fleet.placeable_workers(rules.service, now_s)
             if worker is not source
-            and rules is not None
-            and worker.service == rules.service
             and not worker.is_rested(now_s)
-            and self._has_recent_listing(worker, now_s)
             and may_run(job, key, step, worker)
-            and not n_affected_by_start(step, worker, self._interference)
+            and not n_affected_by_start(step, worker, weights)
         ]
         return max(
             found,
             key=lambda worker: best_effort_speed(
-                step,
-                worker,
-                self._interference,
-                1 + added[worker.incarnation.worker_id],
+                step, worker, weights, 1 + added[worker.incarnation.worker_id]
             ),
             default=None,
         )
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -5,6 +5,7 @@
 attempt is revoked instead.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from almondspan_decisions.ids import WorkerId
@@ -15,8 +16,12 @@
     TaskState,
     WorkerIncarnation,
 )
+from almondspan_jobs.assignments import Assignments
 from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
+from almondspan_jobs.job_table import JobTable
 from almondspan_jobs.messages import (
     AttemptRevoked,
     StartCommand,
@@ -25,11 +30,16 @@
     TaskTraits,
     TaskTraitsUpdate,
 )
-from almondspan_jobs.owner_state import MAX_START_SENDS
+from almondspan_jobs.metrics import Metrics
+from almondspan_jobs.options import JobOptions
 from almondspan_platform.task_worker import Verdict
+from almondspan_wire.codec import Message
 
 __all__ = ["CommandDispatcher"]
 
+MAX_START_SENDS: Final = 3
+"""After this many unanswered start commands the attempt is revoked instead."""
+
 _NOT_STARTED: Final = frozenset(
     {
         Verdict.NO_CAPACITY.value,
@@ -42,13 +52,66 @@
 """Answers after which the first start command has certainly not taken effect."""
 
 
-class CommandDispatcher(InterferenceMonitor):
-    """The owner's state with the commands for placed tasks."""
+class CommandDispatcher:
+    """Sends the commands that placed tasks need."""
+
+    def __init__(
+        self,
+        table: JobTable,
+        fleet: Fleet,
+        assignments: Assignments,
+        interference: InterferenceMonitor,
+        post: Callable[[WorkerId, Message], bool],
+        options: JobOptions,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._table: Final = table
+        self._fleet: Final = fleet
+        self._assignments: Final = assignments
+        self._interference: Final = interference
+        self._post: Final = post
+        self._options: Final = options
+        self._log: Final = log
+        self._metrics: Final = metrics
+        self._unassigned_stops: dict[tuple[str, int], float] = {}
+        """Send time of the last stop of an unassigned attempt, by task and attempt."""
+        self._unresolved_starts: Final[
+            dict[WorkerId, dict[tuple[str, int], float]]
+        ] = {}
+        """Start commands without a definite answer: send time by task and attempt."""
+
+    def load(self, job: JobProgress) -> None:
+        """Regard the starts of a job's assigned attempts as sent and unanswered."""
+        for key, task in job.placed():
+            assert task.incarnation is not None
+            name = format_task_name(job.job_id, key)
+            self._remember_start(task.incarnation.worker_id, name, task.n_attempts)
+
+    def _remember_start(self, worker_id: WorkerId, name: str, attempt: int) -> None:
+        starts = self._unresolved_starts.setdefault(worker_id, {})
+        starts[(name, attempt)] = steady_s()
+
+    def unresolved_starts(self, worker_id: WorkerId) -> tuple[tuple[str, int], ...]:
+        """Return the attempts with a start command that may still be executed."""
+        return tuple(self._unresolved_starts.get(worker_id, ()))
+
+    def tick(self, now_s: float) -> None:
+        """Forget commands that can no longer be executed."""
+        for starts in self._unresolved_starts.values():
+            for name, sent_s in tuple(starts.items()):
+                if now_s - sent_s > self._options.late_command_s:
+                    del starts[name]
+        self._unassigned_stops = {
+            name: sent_s
+            for name, sent_s in self._unassigned_stops.items()
+            if now_s - sent_s < self._options.command_resend_s
+        }
 
     def on_start_reply(self, worker_id: WorkerId, reply: StartReply) -> None:
         """Handle the answer to a start command."""
         incarnation = WorkerIncarnation(worker_id, reply.started_ms)
-        found = self._find_task(reply.task)
+        found = self._table.find_task(reply.task)
         if found is None:
             return
         job, key = found
@@ -73,7 +136,7 @@
         self._metrics.count(f"start_{reply.verdict}")
         if reply.verdict in _NOT_STARTED and task.n_sends == 1:
             task.avoid(worker_id)
-            self._release_attempt(job.job_id, key, reply.verdict)
+            self._assignments.release(job, key, reply.verdict)
         elif reply.verdict == Verdict.NO_ANSWER.value and not task.listed_s:
             task.sent_s = 0.0
             task.is_revoking = task.n_sends >= MAX_START_SENDS
@@ -82,7 +145,7 @@
 
     def on_attempt_revoked(self, reply: AttemptRevoked) -> None:
         """Release a revoked attempt."""
-        found = self._find_task(reply.task)
+        found = self._table.find_task(reply.task)
         if found is None:
             return
         job, key = found
@@ -90,17 +153,17 @@
         if task is None or task.n_attempts != reply.attempt or not task.is_revoking:
             return
         if task.phase is TaskPhase.PLACED:
-            self._release_attempt(job.job_id, key, "absent")
+            self._assignments.release(job, key, "absent")
 
-    def _send_command(
+    def send_due(
         self, job: JobProgress, key: TaskKey, task: TaskState, now_s: float
     ) -> None:
-        """Send the command that one placed task needs now, if any."""
+        """Send the command that a task with a stored assignment needs now, if any."""
         incarnation = task.incarnation
         assert incarnation is not None
         is_unwanted = task.is_stopping or not job.is_active
         if is_unwanted and task.n_sends == 0:
-            self._release_attempt(job.job_id, key, "never_sent")
+            self._assignments.release(job, key, "never_sent")
             return
         if now_s - task.sent_s < self._options.command_resend_s:
             return
@@ -137,10 +200,10 @@
         incarnation: WorkerIncarnation,
         now_s: float,
     ) -> None:
-        record = self.workers.get(incarnation.worker_id)
-        if record is None or record.incarnation != incarnation or record.is_leaving:
+        record = self._fleet.record_of(incarnation)
+        if record is None or record.is_leaving:
             if task.n_sends == 0:
-                self._release_attempt(job.job_id, key, "worker_unfit")
+                self._assignments.release(job, key, "worker_unfit")
             else:
                 task.is_revoking = True
             return
@@ -149,20 +212,22 @@
             task.n_attempts,
             job.spec.payload,
             task.checkpoint,
-            self._lease(incarnation).until_ms,
+            self._fleet.lease(incarnation).until_ms,
             self._task_traits(job, key),
         )
         if command.traits.tail_target_ms:
-            self._push_interference(record)
+            self._interference.push(record)
         if self._post(incarnation.worker_id, command):
             task.n_sends += 1
             task.sent_s = now_s
-            starts = self._unresolved_starts.setdefault(incarnation.worker_id, {})
-            starts[(command.traits.task, task.n_attempts)] = now_s
+            self._remember_start(
+                incarnation.worker_id, command.traits.task, task.n_attempts
+            )
 
-    def _stop_unassigned(
+    def stop_unassigned(
         self, incarnation: WorkerIncarnation, name: str, attempt: int, now_s: float
     ) -> None:
+        """Stop an attempt that a worker lists and that is not assigned to it."""
         last_s = self._unassigned_stops.get((name, attempt), 0.0)
         if now_s - last_s < self._options.command_resend_s:
             return
@@ -188,12 +253,13 @@
 
     def traits_update_for(self, worker_id: WorkerId) -> TaskTraitsUpdate:
         """Return the traits of the tasks assigned to a worker."""
-        record = self.workers.get(worker_id)
-        held = (
-            self._tasks_by_incarnation.get(record.incarnation, set())
-            if record is not None
-            else set()
-        )
+        record = self._fleet.workers.get(worker_id)
+        held = self._fleet.held_by(record.incarnation) if record is not None else ()
         return TaskTraitsUpdate(
-            [self._task_traits(self.jobs[job_id], key) for job_id, key in held]
+            [self._task_traits(self._table[job_id], key) for job_id, key in held]
         )
+
+    def stop_again(self, worker_id: WorkerId) -> None:
+        """Stop whatever a start command in flight may begin on a new incarnation."""
+        for name, attempt in self.unresolved_starts(worker_id):
+            self._post(worker_id, StopCommand(name, attempt))
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/fleet.py
@@ -0,0 +1,119 @@
+"""The owner's workers: their records, leases, agents and the tasks assigned to them."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from almondspan_decisions.ids import JobId, ServiceName, WorkerId
+from almondspan_decisions.job_graph import TaskKey
+from almondspan_decisions.job_progress import WorkerIncarnation
+from almondspan_decisions.worker_lease import LeaseTerms, WorkerLease
+from almondspan_decisions.worker_record import WorkerRecord
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import HOME_AGENTS_KEY, HomeAgentsRecord, encode_record
+from almondspan_platform.group_store import Write
+
+__all__ = ["Fleet", "HeldTask"]
+
+HeldTask = tuple[JobId, TaskKey]
+"""A task that is assigned to a worker."""
+
+
+class Fleet:
+    """All workers that the owner knows, by id and by incarnation."""
+
+    def __init__(self, options: JobOptions) -> None:
+        self._listing_timeout_s: Final = options.listing_timeout_s
+        self._terms: Final = LeaseTerms(
+            options.lease_ms / 1000,
+            options.lease_step_ms / 1000,
+            options.clock_drift,
+            options.lease_margin_s,
+            options.unconfirmed_s,
+        )
+        self._started_s: Final = steady_s()
+        self.workers: Final[dict[WorkerId, WorkerRecord]] = {}
+        self.leases: Final[dict[WorkerIncarnation, WorkerLease]] = {}
+        self.home_agents: Final[dict[WorkerIncarnation, str]] = {}
+        """The agent that each incarnation reported to."""
+        self.are_home_agents_dirty = False
+        self.held: Final[dict[WorkerIncarnation, set[HeldTask]]] = {}
+        """The tasks assigned to each incarnation."""
+
+    def record_of(self, incarnation: WorkerIncarnation) -> WorkerRecord | None:
+        """Return the record of an incarnation; None if it is not the current one."""
+        record = self.workers.get(incarnation.worker_id)
+        if record is None or record.incarnation != incarnation:
+            return None
+        return record
+
+    def held_by(self, incarnation: WorkerIncarnation) -> tuple[HeldTask, ...]:
+        """Return the tasks assigned to an incarnation."""
+        return tuple(self.held.get(incarnation, ()))
+
+    def hold(self, incarnation: WorkerIncarnation, task: HeldTask) -> None:
+        """Add a task to those assigned to an incarnation."""
+        self.held.setdefault(incarnation, set()).add(task)
+
+    def lease(self, incarnation: WorkerIncarnation) -> WorkerLease:
+        """Return the lease of an incarnation, a new one if there is none."""
+        lease = self.leases.get(incarnation)
+        if lease is None:
+            empty_s = max(
+                self._terms.inherited_expiry_s(self._started_s),
+                steady_s() + self._terms.lease_s,
+            )
+            lease = self.leases[incarnation] = WorkerLease(self._terms, empty_s)
+        return lease
+
+    def has_recent_listing(self, incarnation: WorkerIncarnation, now_s: float) -> bool:
+        """Return whether the worker has listed its tasks recently."""
+        return now_s - self.lease(incarnation).listed_s < self._listing_timeout_s
+
+    def placeable_workers(
+        self, service: ServiceName, now_s: float
+    ) -> list[WorkerRecord]:
+        """Return the workers of a service with a recent listing."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.service == service
+            and self.has_recent_listing(worker.incarnation, now_s)
+        ]
+
+    def forget(self, incarnation: WorkerIncarnation) -> None:
+        """Drop an incarnation; its lease stays while tasks are assigned to it."""
+        if self.record_of(incarnation) is not None:
+            del self.workers[incarnation.worker_id]
+        if not self.held.get(incarnation):
+            self.held.pop(incarnation, None)
+            self.leases.pop(incarnation, None)
+            self.are_home_agents_dirty |= (
+                self.home_agents.pop(incarnation, None) is not None
+            )
+
+    # The agents of the workers
+
+    def set_home_agent(self, incarnation: WorkerIncarnation, node: str) -> None:
+        """Record which agent an incarnation reported to."""
+        self.home_agents[incarnation] = node
+        self.are_home_agents_dirty = True
+
+    def load_home_agents(
+        self, home_agents: Mapping[str, list[tuple[str, int]]]
+    ) -> None:
+        """Load the agent of each worker incarnation after a takeover."""
+        for node, incarnations in home_agents.items():
+            for worker_id, started_ms in incarnations:
+                incarnation = WorkerIncarnation(WorkerId(worker_id), started_ms)
+                self.home_agents[incarnation] = node
+
+    def home_agents_write(self) -> Write:
+        """Return the write of the agents by incarnation, and mark them clean."""
+        self.are_home_agents_dirty = False
+        home_agents: dict[str, list[tuple[str, int]]] = {}
+        for incarnation, node in self.home_agents.items():
+            home_agents.setdefault(node, []).append(
+                (incarnation.worker_id, incarnation.started_ms)
+            )
+        return Write(HOME_AGENTS_KEY, encode_record(HomeAgentsRecord(home_agents)))
--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from almondspan_decisions.ids import JobId, WorkerId
@@ -14,14 +14,20 @@
 from almondspan_decisions.tail_latency_model import (
     Image,
     InterferenceRow,
+    InterferenceWeights,
+    TailLatencyModel,
     TailLatencySample,
 )
 from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.fleet import Fleet
+from almondspan_jobs.job_table import JobTable
 from almondspan_jobs.messages import InterferenceUpdate, WorkerListing
-from almondspan_jobs.owner_state import OwnerState
+from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import INTERFERENCE_KEY, InterferenceRecord, encode_record
 from almondspan_platform.group_store import Write
+from almondspan_wire.codec import Message
 
 __all__ = ["InterferenceMonitor"]
 
@@ -30,22 +36,44 @@
 """Lower bound, since workers list tail latencies in whole milliseconds."""
 
 
-class InterferenceMonitor(OwnerState):
-    """The owner's state with the model of interference."""
+class InterferenceMonitor:
+    """The learned interference weights, and what each agent knows of them."""
 
-    def _observe_tail_latencies(
+    def __init__(
+        self,
+        table: JobTable,
+        fleet: Fleet,
+        post: Callable[[WorkerId, Message], bool],
+        options: JobOptions,
+        log: EventLog,
+    ) -> None:
+        self._table: Final = table
+        self._fleet: Final = fleet
+        self._post: Final = post
+        self._options: Final = options
+        self._log: Final = log
+        self._model: Final = TailLatencyModel()
+        self.weights = InterferenceWeights({})
+        """The weights as of the last solution of the model."""
+        self._solved_s = 0.0
+        self._stored_s = steady_s()
+        self._observed_s: Final[dict[WorkerIncarnation, float]] = {}
+        self._sent: Final[dict[WorkerIncarnation, InterferenceUpdate]] = {}
+        """The weights last sent to each worker's agent."""
+
+    def observe(
         self, incarnation: WorkerIncarnation, listing: WorkerListing, now_s: float
     ) -> None:
         """Give the model the headrooms and best-effort shares on a worker."""
         last_s = self._observed_s.get(incarnation, 0.0)
-        record = self.workers.get(incarnation.worker_id)
+        record = self._fleet.workers.get(incarnation.worker_id)
         if record is None or now_s - last_s < self._options.observe_interval_s:
             return
         self._observed_s[incarnation] = now_s
         headrooms_by_group: dict[tuple[JobId, Image, int], list[float]] = {}
         best_effort_shares: dict[Image, float] = {}
         for name, _, _, percent, measurement in listing.running:
-            found = self._find_task(name)
+            found = self._table.find_task(name)
             if found is None:
                 continue
             job, key = found
@@ -74,32 +102,34 @@
             lowest = min(min(headrooms), record.headrooms.get(image, math.inf))
             record.headrooms[image] = lowest
 
-    def _update_model(self, now_s: float) -> None:
+    def tick(self, now_s: float) -> None:
         """Periodically solve the model and send changed weights to the agents."""
-        if now_s - self._model_solved_s < self._options.model_interval_s:
+        if now_s - self._solved_s < self._options.model_interval_s:
             return
-        self._model_solved_s = now_s
-        self._interference = self._model.weights()
-        for worker in self.workers.values():
-            self._push_interference(worker)
+        self._solved_s = now_s
+        self.weights = self._model.weights()
+        for worker in self._fleet.workers.values():
+            self.push(worker)
         self._log.line(
             "tail_model",
             n_observed=self._model.n_observed,
-            weights=_rounded(self._interference.weights),
-            means={
-                image: round(mean, 2)
-                for image, mean in self._interference.means.items()
-            },
+            weights=_rounded(self.weights.weights),
+            means={image: round(mean, 2) for image, mean in self.weights.means.items()},
         )
 
-    def _push_interference(self, worker: WorkerRecord) -> None:
+    def push(self, worker: WorkerRecord) -> None:
         """Send the weights that apply to a worker, if they have changed."""
-        update = self.interference_update(worker)
-        if update != self._interference_sent.get(worker.incarnation):
+        update = self._update_of(worker)
+        if update != self._sent.get(worker.incarnation):
             if self._post(worker.incarnation.worker_id, update):
-                self._interference_sent[worker.incarnation] = update
+                self._sent[worker.incarnation] = update
+
+    def forget(self, incarnation: WorkerIncarnation) -> None:
+        """Drop what is kept of an incarnation."""
+        self._observed_s.pop(incarnation, None)
+        self._sent.pop(incarnation, None)
 
-    def load_interference(self, record: InterferenceRecord) -> None:
+    def load(self, record: InterferenceRecord) -> None:
         """Load the weights that an earlier owner stored."""
         rows = [
             InterferenceRow(Image(serving), Image(best_effort), weight, variance)
@@ -107,35 +137,38 @@
         ]
         means = {Image(image): mean for image, mean in record.means.items()}
         self._model.load(rows, means)
-        self._interference = self._model.weights()
+        self.weights = self._model.weights()
 
-    def _interference_write(self) -> Write:
+    @property
+    def is_write_due(self) -> bool:
+        """Return whether the weights should be stored with the next group."""
+        age_s = steady_s() - self._stored_s
+        return age_s > self._options.interference_store_interval_s
+
+    def write(self) -> Write:
         """Return the write of the weights."""
-        self._interference_stored_s = steady_s()
+        self._stored_s = steady_s()
         rows = [
             (str(row.serving), str(row.best_effort_image), row.weight, row.variance)
             for row in self._model.rows()
         ]
-        means = {str(image): mean for image, mean in self._interference.means.items()}
+        means = {str(image): mean for image, mean in self.weights.means.items()}
         return Write(INTERFERENCE_KEY, encode_record(InterferenceRecord(rows, means)))
 
-    def interference_update(self, worker: WorkerRecord) -> InterferenceUpdate:
-        """Return the weights that apply to a worker's serving tasks."""
+    def _update_of(self, worker: WorkerRecord) -> InterferenceUpdate:
         weights = {
             pair: weight
-            for pair, weight in self._interference.weights.items()
+            for pair, weight in self.weights.weights.items()
             if worker.n_serving.get(pair[0], 0) > 0
         }
         return InterferenceUpdate(_rounded(weights))
 
-    def interference_update_for(self, worker_id: WorkerId) -> InterferenceUpdate:
-        """Return the weights that apply to a worker, by its id."""
-        record = self.workers.get(worker_id)
-        return (
-            self.interference_update(record)
-            if record is not None
-            else InterferenceUpdate([])
-        )
+    def update_for(self, worker_id: WorkerId) -> InterferenceUpdate:
+        """Return the weights that apply to a worker's serving tasks, by its id."""
+        record = self._fleet.workers.get(worker_id)
+        if record is None:
+            return InterferenceUpdate([])
+        return self._update_of(record)
 
 
 def _rounded(
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -0,0 +1,208 @@
+"""The owner's jobs: their progress, what of it is stored, and which wait for placement.
+
+Every change of a job raises its version and makes it dirty; `take_dirty` returns dirty
+jobs to store, and `on_stored` records which version the store has. Callers are told
+only stored states.
+"""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from almondspan_decisions.ids import JobId
+from almondspan_decisions.job_graph import (
+    JobSpec,
+    QueueName,
+    QueueRules,
+    TaskKey,
+    parse_task_name,
+)
+from almondspan_decisions.job_progress import JobProgress, JobState
+from almondspan_jobs.clocks import steady_s, wall_ms
+from almondspan_jobs.event_log import EventLog
+
+__all__ = ["JobTable"]
+
+_UNKNOWN_QUEUE: Final = 1
+"""Allowed failures of a task whose queue is no longer configured."""
+
+LAST_PRIORITY: Final = 99
+"""Priority of jobs whose queue is no longer configured."""
+
+
+@dataclass(slots=True)
+class _JobTracking:
+    """What the owner tracks of a job besides its progress."""
+
+    version: int = 0
+    """Rises with every change of the job."""
+    stored_version: int = 0
+    seen_s: float = field(default_factory=steady_s)
+    """When the owner first saw the job."""
+
+
+class JobTable:
+    """All jobs of the owner, by id."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log: Final = log
+        self.rules: Mapping[QueueName, QueueRules] = {}
+        self.jobs: Final[dict[JobId, JobProgress]] = {}
+        self.stored_states: Final[dict[JobId, JobState]] = {}
+        """Job states as last stored; callers are only told these."""
+        self._tracking: Final[dict[JobId, _JobTracking]] = {}
+        self._n_pending: Final[Counter[QueueName]] = Counter()
+        self._dirty: Final[dict[JobId, None]] = {}
+        """Jobs with changes to store, in the order of their first change."""
+        self.placeable: Final[set[JobId]] = set()
+        """Jobs with tasks that wait for placement."""
+        self.needs_planning = False
+
+    def __getitem__(self, job_id: JobId) -> JobProgress:
+        return self.jobs[job_id]
+
+    def find_task(self, name: str) -> tuple[JobProgress, TaskKey] | None:
+        """Return the job and the key of a task by its name; None if it is unknown."""
+        parsed = parse_task_name(name)
+        job = self.jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or job is None or job.task(parsed[1]) is None:
+            return None
+        return job, parsed[1]
+
+    def load(self, job: JobProgress) -> None:
+        """Add a job with its stored progress."""
+        self._add(job, job.state)
+
+    def add(self, job_id: JobId, spec: JobSpec) -> None:
+        """Add a stored job without progress; a known one is left unchanged."""
+        if job_id in self.jobs:
+            return
+        job = JobProgress(job_id, spec)
+        job.add_due_occurrences(wall_ms())
+        self._add(job, JobState.PENDING)
+        self._log.line(
+            "job_seen",
+            job=job_id,
+            queue=spec.queue,
+            n_steps=len(spec.steps),
+            n_tasks=sum(step.n_tasks for step in spec.steps),
+            after_ms=wall_ms() - spec.accepted_ms,
+        )
+
+    def _add(self, job: JobProgress, stored: JobState) -> None:
+        self.jobs[job.job_id] = job
+        self._tracking[job.job_id] = _JobTracking()
+        self._set_stored_state(job, stored)
+        self._update_placeable(job)
+
+    def cancel(self, job_id: JobId) -> None:
+        """Cancel a job unless it has already reached a final state."""
+        job = self.jobs.get(job_id)
+        if job is None or not job.is_active:
+            return
+        job.is_cancelled = True
+        self.mark_dirty(job)
+        self._log.line("job_cancelled", job=job_id, n_placed=job.n_placed)
+
+    def rules_of(self, job: JobProgress) -> QueueRules | None:
+        """Return the rules of a job's queue; None if it is no longer configured."""
+        return self.rules.get(job.spec.queue)
+
+    def priority(self, job: JobProgress) -> int:
+        """Return the priority of a job's queue; 0 is the most urgent."""
+        rules = self.rules_of(job)
+        return rules.priority if rules is not None else LAST_PRIORITY
+
+    def max_failures(self, job: JobProgress) -> int:
+        """Return how many failures of one task fail its job."""
+        rules = self.rules_of(job)
+        return rules.max_failures if rules is not None else _UNKNOWN_QUEUE
+
+    def seen_s(self, job: JobProgress) -> float:
+        """Return when the owner first saw a job."""
+        return self._tracking[job.job_id].seen_s
+
+    def n_pending(self, queue: QueueName) -> int:
+        """Return the number of pending jobs of a queue."""
+        return self._n_pending[queue]
+
+    # Changes and the store
+
+    def mark_dirty(self, job: JobProgress) -> None:
+        """Record that a job has changed."""
+        if not job.is_active and not job.finished_ms:
+            job.finished_ms = wall_ms()
+            self._log.line("job_ended", job=job.job_id, state=job.state.value)
+        self._tracking[job.job_id].version += 1
+        self._dirty[job.job_id] = None
+        self._update_placeable(job)
+
+    def _update_placeable(self, job: JobProgress) -> None:
+        if job.is_active and next(job.ready_steps(), None) is not None:
+            self.placeable.add(job.job_id)
+            self.needs_planning = True
+        else:
+            self.placeable.discard(job.job_id)
+
+    @property
+    def is_dirty(self) -> bool:
+        """Return whether there are changes to store."""
+        return bool(self._dirty)
+
+    def take_dirty(self, n_jobs: int) -> Iterator[tuple[JobProgress, int]]:
+        """Yield dirty jobs with their versions, and mark them clean."""
+        for job_id in list(self._dirty)[:n_jobs]:
+            del self._dirty[job_id]
+            yield self.jobs[job_id], self._tracking[job_id].version
+
+    def on_stored(
+        self, versions: Mapping[JobId, int], states: Mapping[JobId, JobState]
+    ) -> None:
+        """Record the versions and states that the store now has."""
+        for job_id, version in versions.items():
+            tracking = self._tracking.get(job_id)
+            if tracking is not None:
+                tracking.stored_version = version
+                self._set_stored_state(self.jobs[job_id], states[job_id])
+
+    def _set_stored_state(self, job: JobProgress, state: JobState) -> None:
+        before = self.stored_states.get(job.job_id)
+        self.stored_states[job.job_id] = state
+        was_pending, is_pending = (
+            before is JobState.PENDING,
+            state is JobState.PENDING,
+        )
+        self._n_pending[job.spec.queue] += is_pending - was_pending
+
+    def version(self, job: JobProgress) -> int:
+        """Return the current version of a job."""
+        return self._tracking[job.job_id].version
+
+    def is_stored(self, job_id: JobId, version: int) -> bool:
+        """Return whether a version of a job is stored, or the job dropped."""
+        tracking = self._tracking.get(job_id)
+        return tracking is None or tracking.stored_version >= version
+
+    # Time
+
+    def add_due_occurrences(self) -> None:
+        """Add the occurrences of repeated jobs that are due."""
+        now_ms = wall_ms()
+        for job in self.jobs.values():
+            if len(job.occurrences) < job.spec.n_total_occurrences and job.is_active:
+                if job.add_due_occurrences(now_ms):
+                    self.mark_dirty(job)
+
+    def forget_finished(self, retention_s: float, n_jobs: int) -> list[JobId]:
+        """Drop and return some finished jobs past their retention time."""
+        limit_ms = wall_ms() - int(retention_s * 1000)
+        old = [
+            job.job_id
+            for job in self.jobs.values()
+            if job.finished_ms and job.finished_ms < limit_ms and not job.n_placed
+        ][:n_jobs]
+        for job_id in old:
+            del self.jobs[job_id], self.stored_states[job_id], self._tracking[job_id]
+            self._dirty.pop(job_id, None)
+        return old
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -141,7 +141,6 @@
         self._rules = rules
         if self.owner is not None:
             self.owner.scheduler.rules = rules
-            self.owner.scheduler.needs_planning = True
             self.owner.wake()
 
     # Members
--- a/packages/jobs/almondspan_jobs/preemptor.py
+++ b/packages/jobs/almondspan_jobs/preemptor.py
@@ -23,7 +23,9 @@
 from almondspan_decisions.job_progress import JobProgress
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_decisions.worker_record import WorkerRecord, counted_shape
-from almondspan_jobs.command_dispatcher import CommandDispatcher
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.fleet import Fleet
+from almondspan_jobs.job_table import JobTable
 
 __all__ = ["Preemptor"]
 
@@ -44,10 +46,17 @@
     shape: Shape
 
 
-class Preemptor(CommandDispatcher):
-    """The owner's state with preemption and moves of lasting tasks."""
+class Preemptor:
+    """Stops or moves tasks so that others fit."""
 
-    def _free_capacity_for(
+    def __init__(self, table: JobTable, fleet: Fleet, log: EventLog) -> None:
+        self._table: Final = table
+        self._fleet: Final = fleet
+        self._log: Final = log
+        self._moved_s = 0.0
+        """When a lasting task was last moved."""
+
+    def free_capacity_for(
         self,
         job: JobProgress,
         key: TaskKey,
@@ -70,8 +79,8 @@
     def _capacity_being_freed(self, worker: WorkerRecord) -> Shape:
         """Return the capacity that the stopping tasks of a worker will free."""
         freed = EMPTY_SHAPE
-        for job_id, key in self._tasks_by_incarnation.get(worker.incarnation, ()):
-            job = self.jobs[job_id]
+        for job_id, key in self._fleet.held_by(worker.incarnation):
+            job = self._table[job_id]
             task = job.task(key)
             if task is not None and (task.is_stopping or not job.is_active):
                 freed = freed + counted_shape(job.step_of(key))
@@ -97,7 +106,7 @@
         if best_worker is None:
             return False
         for victim in best:
-            task = self.jobs[victim.job_id].task(victim.key)
+            task = self._table[victim.job_id].task(victim.key)
             assert task is not None
             task.request_stop()
             self._log.line(
@@ -112,9 +121,9 @@
     def _candidates(
         self, worker: WorkerRecord, priority: int, now_s: float
     ) -> Iterator[Candidate]:
-        for job_id, key in self._tasks_by_incarnation.get(worker.incarnation, ()):
-            job = self.jobs[job_id]
-            rules = self.rules.get(job.spec.queue)
+        for job_id, key in self._fleet.held_by(worker.incarnation):
+            job = self._table[job_id]
+            rules = self._table.rules_of(job)
             task = job.task(key)
             assert task is not None
             if rules is None or rules.priority <= priority or task.is_stopping:
@@ -135,7 +144,7 @@
         now_s: float,
     ) -> None:
         """Move the smallest task whose move lets the waiting task fit."""
-        if now_s - self._last_capacity_move_s < MOVE_INTERVAL_S:
+        if now_s - self._moved_s < MOVE_INTERVAL_S:
             return
         wanted = counted_shape(job.step_of(key))
         moves = [
@@ -147,7 +156,7 @@
         if not moves:
             return
         move = min(moves, key=lambda move: move.shape.dominant_share(move.to.capacity))
-        self._last_capacity_move_s = now_s
+        self._moved_s = now_s
         task = move.job.task(move.key)
         assert task is not None
         task.request_stop()
@@ -163,8 +172,8 @@
     def _moves_from(
         self, worker: WorkerRecord, workers: list[WorkerRecord], now_s: float
     ) -> Iterator[_Move]:
-        for job_id, key in self._tasks_by_incarnation.get(worker.incarnation, ()):
-            job = self.jobs[job_id]
+        for job_id, key in self._fleet.held_by(worker.incarnation):
+            job = self._table[job_id]
             if not self._is_movable(job, key, now_s):
                 continue
             step = job.step_of(key)
--- /dev/null
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -0,0 +1,206 @@
+"""What happens to a worker's tasks as its incarnations come, leave and are replaced."""
+
+from typing import Final
+
+from almondspan_decisions.job_graph import TaskKey, format_task_name
+from almondspan_decisions.job_progress import (
+    JobProgress,
+    TaskState,
+    WorkerIncarnation,
+)
+from almondspan_decisions.shapes import Shape
+from almondspan_decisions.worker_record import WorkerRecord
+from almondspan_jobs.assignments import Assignments
+from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.command_dispatcher import CommandDispatcher
+from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.fleet import Fleet
+from almondspan_jobs.interference_monitor import InterferenceMonitor
+from almondspan_jobs.job_table import JobTable
+from almondspan_jobs.messages import WorkerReport
+from almondspan_jobs.options import JobOptions
+
+__all__ = ["WorkerLifecycle"]
+
+
+class WorkerLifecycle:
+    """Applies workers' reports about themselves, and the expiry of their leases."""
+
+    def __init__(
+        self,
+        table: JobTable,
+        fleet: Fleet,
+        assignments: Assignments,
+        commands: CommandDispatcher,
+        interference: InterferenceMonitor,
+        options: JobOptions,
+        log: EventLog,
+    ) -> None:
+        self._table: Final = table
+        self._fleet: Final = fleet
+        self._assignments: Final = assignments
+        self._commands: Final = commands
+        self._interference: Final = interference
+        self._options: Final = options
+        self._log: Final = log
+        self._departure_due_s: Final[dict[WorkerIncarnation, float]] = {}
+        """When the tasks of an incarnation that has left are released."""
+
+    def on_report(self, node: str, report: WorkerReport) -> None:
+        """Handle a worker's report about itself, forwarded by its agent."""
+        incarnation = WorkerIncarnation(report.worker_id, report.started_ms)
+        known = self._fleet.workers.get(report.worker_id)
+        if known is not None and known.incarnation.started_ms > report.started_ms:
+            self._log.line(
+                "report_outdated",
+                worker=incarnation.worker_id,
+                born=incarnation.started_ms,
+            )
+            return
+        if report.has_left:
+            self._on_left(incarnation)
+            return
+        if known is None or known.incarnation != incarnation:
+            self._register(node, incarnation, report)
+            return
+        if report.is_leaving and not known.is_leaving:
+            self._log.line(
+                "worker_leaving",
+                worker=incarnation.worker_id,
+                leaves_ms=report.leaves_ms,
+            )
+        known.is_leaving = report.is_leaving
+        known.leaves_ms = report.leaves_ms
+
+    def _register(
+        self, node: str, incarnation: WorkerIncarnation, report: WorkerReport
+    ) -> None:
+        """Add a new incarnation, which ends earlier ones of its worker or agent."""
+        fleet = self._fleet
+        record = WorkerRecord(
+            incarnation,
+            report.service,
+            report.place,
+            Shape(report.cpu_millicores, report.memory_mb, report.n_accelerators),
+            frozenset(report.labels),
+            is_leaving=report.is_leaving,
+            leaves_ms=report.leaves_ms,
+        )
+        earlier = [
+            old
+            for old in fleet.leases
+            if old.started_ms < incarnation.started_ms
+            and (
+                old.worker_id == incarnation.worker_id
+                or fleet.home_agents.get(old) == node
+            )
+        ]
+        fleet.set_home_agent(incarnation, node)
+        fleet.workers[incarnation.worker_id] = record
+        fleet.lease(incarnation)
+        for old in earlier:
+            self._on_replaced(old, incarnation)
+        for job_id, key in fleet.held_by(incarnation):
+            record.allocate(self._table[job_id].step_of(key))
+        self._log.line(
+            "worker_seen",
+            worker=incarnation.worker_id,
+            born=incarnation.started_ms,
+            service=report.service,
+            labels=report.labels,
+            cpu=report.cpu_millicores,
+            memory=report.memory_mb,
+            leaving=report.is_leaving,
+        )
+        self._table.needs_planning = True
+
+    def _on_replaced(self, old: WorkerIncarnation, new: WorkerIncarnation) -> None:
+        """Release or revoke the attempts of an incarnation that a later one replaced.
+
+        Attempts that the old incarnation listed ended with it. A start command that is
+        not known to have reached it may still reach a later incarnation of the same
+        worker id, so such an attempt is revoked there first.
+        """
+        self._log.line("worker_replaced", old=str(old), new=str(new))
+        is_renamed = old.worker_id != new.worker_id
+        unresolved = (
+            () if is_renamed else self._commands.unresolved_starts(new.worker_id)
+        )
+        for job_id, key in self._fleet.held_by(old):
+            job = self._table[job_id]
+            task = job.task(key)
+            assert task is not None
+            name = format_task_name(job_id, key)
+            was_here = task.listed_s and (name, task.n_attempts) not in unresolved
+            if is_renamed or was_here or task.n_sends == 0:
+                self._assignments.release(job, key, "worker_replaced")
+            else:
+                task.is_revoking = True
+                task.sent_s = 0.0
+        if not is_renamed:
+            self._commands.stop_again(new.worker_id)
+        self._forget(old)
+
+    def _on_left(self, incarnation: WorkerIncarnation) -> None:
+        record = self._fleet.record_of(incarnation)
+        if record is None or incarnation in self._departure_due_s:
+            return
+        record.is_leaving = True
+        self._departure_due_s[incarnation] = (
+            steady_s() + self._options.departure_grace_s
+        )
+        self._log.line(
+            "worker_left", worker=incarnation.worker_id, born=incarnation.started_ms
+        )
+
+    def _forget(self, incarnation: WorkerIncarnation) -> None:
+        self._fleet.forget(incarnation)
+        if incarnation not in self._fleet.leases:
+            self._interference.forget(incarnation)
+
+    def tick(self, now_s: float) -> None:
+        """Release the tasks of gone workers, and move tasks off leaving ones."""
+        for incarnation, due_s in tuple(self._departure_due_s.items()):
+            if now_s >= due_s:
+                del self._departure_due_s[incarnation]
+                self._assignments.release_all(incarnation, "worker_left")
+                self._forget(incarnation)
+        for incarnation, lease in tuple(self._fleet.leases.items()):
+            if now_s > lease.surely_expired_s:
+                self._assignments.release_all(incarnation, "lease_passed")
+                self._forget(incarnation)
+        for record in self._fleet.workers.values():
+            if record.is_leaving:
+                self._clear_leaving_worker(record, now_s)
+
+    def _clear_leaving_worker(self, record: WorkerRecord, now_s: float) -> None:
+        for job_id, key in self._fleet.held_by(record.incarnation):
+            job = self._table[job_id]
+            task = job.task(key)
+            assert task is not None
+            if task.is_stored:
+                self._move_off(job, key, task, record, now_s)
+
+    def _move_off(
+        self,
+        job: JobProgress,
+        key: TaskKey,
+        task: TaskState,
+        record: WorkerRecord,
+        now_s: float,
+    ) -> None:
+        """Stop a task on a leaving worker unless it can end in time."""
+        step = job.step_of(key)
+        if task.is_stopping:
+            return
+        done_s = (now_s - task.placed_s) if not step.saves_progress else 0.0
+        left_ms = step.estimate_ms - done_s * 1000
+        if step.lasts or left_ms > record.leaves_ms:
+            task.request_stop()
+            self._log.line(
+                "task_moved_off",
+                task=format_task_name(job.job_id, key),
+                worker=record.incarnation.worker_id,
+                left_ms=int(left_ms),
+                leaves_ms=record.leaves_ms,
+            )
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -44,12 +44,13 @@
         self.options = JobOptions()
         self.sent: list[tuple[WorkerId, Message]] = []
         self.log = Log()
+        self.confirmed_s = lambda: self.now_s
         self.restart_owner()
 
     def restart_owner(self) -> None:
         """Replace the scheduler by that of a new owner without state."""
         self.scheduler = Scheduler(
-            self.options, self.log, Metrics(), self._post, lambda: self.now_s
+            self.options, self.log, Metrics(), self._post, lambda: self.confirmed_s()
         )
         self.scheduler.rules = {QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500)}
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -189,7 +189,7 @@
     harness.report_worker()
     harness.sent.clear()
     proved_s = harness.now_s
-    harness.scheduler._confirmed_s = lambda: proved_s
+    harness.confirmed_s = lambda: proved_s
     for _ in range(20):
         harness.now_s += 1.0
         harness.list_worker()
@@ -246,7 +246,8 @@
     harness.scheduler.load_interference(record)
     harness.report_worker()
     harness.advance(1.0)
-    assert harness.scheduler._interference.weight(Image("live"), Image("heavy")) == 6.5
+    weights = harness.scheduler.interference_weights
+    assert weights.weight(Image("live"), Image("heavy")) == 6.5
     harness.advance(harness.options.interference_store_interval_s)
     harness.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
     harness.list_worker()
