Place the tasks of a step in one pass, and check waiting steps by what changed

Each waiting task was scored against every worker, and every planning round, up to a hundred a second, did so again for all steps that wait.

StepPlacement scores the workers of a step once and keeps them in a heap; after a placement only the chosen worker is scored again. A step that can't be placed is checked against all workers every 0.2 s, before that only against those with more free capacity. BestEffortScores keeps what the placed tasks of a worker cost its serving tasks until they change. The mover looks for a worker only for a task that could gain by a move. The costs are the same as before.

--- a/packages/decisions/almondspan_decisions/best_effort_placement.py
+++ b/packages/decisions/almondspan_decisions/best_effort_placement.py
@@ -6,22 +6,17 @@
 over their targets where a paced run would not.
 """
 
+from collections.abc import Mapping
 from typing import Final
 
 from almondspan_decisions.best_effort_pacing import HARMLESS_WEIGHT, TARGET_HEADROOM
 from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.job_progress import WorkerIncarnation
 from almondspan_decisions.tail_latency_model import Image, InterferenceWeights
 from almondspan_decisions.worker_record import WorkerRecord
 
-__all__ = [
-    "best_effort_cost",
-    "best_effort_speed",
-    "n_affected_by_start",
-    "deduct_start_interference",
-]
+__all__ = ["BestEffortScores"]
 
-SERVING_USE_SHARE: Final = 0.5
-"""The share of their processors that lasting tasks use on average."""
 MIN_LEFT_MILLICORES: Final = 100.0
 """Lower bound of the unused processors; keeps the contention finite."""
 MIN_SPEED: Final = 0.05
@@ -32,105 +27,102 @@
 """Added for a start that would push serving tasks over their target."""
 
 
-def best_effort_cost(
-    step: StepSpec, worker: WorkerRecord, interference: InterferenceWeights
-) -> float:
-    """Return the cost of running one more best-effort task of a step on a worker.
+class BestEffortScores:
+    """Scores by one set of interference weights.
 
-    It is the task's slowdown, plus terms for contention and for a start that would
-    push serving tasks over their target.
+    The interference of the tasks placed on a worker is kept until they change.
     """
-    cost = 1 / best_effort_speed(step, worker, interference, n_added=1)
-    cost += CONTENTION_COST * _contention(step, worker, n_added=1)
-    if n_affected_by_start(step, worker, interference):
-        cost += START_COST
-    return cost
-
-
-def best_effort_speed(
-    step: StepSpec,
-    worker: WorkerRecord,
-    interference: InterferenceWeights,
-    n_added: int,
-) -> float:
-    """Return the expected speed of a best-effort task as a share of its full speed.
-
-    Parameters
-    ----------
-    n_added : int
-        Number of tasks of the step to add to those on the worker.
-    """
-    contention = _contention(step, worker, n_added)
-    speed = min(1 / max(contention, 1.0), _pace(step, worker, interference, n_added))
-    return max(speed, MIN_SPEED)
+
+    def __init__(self, interference: InterferenceWeights) -> None:
+        self.interference: Final = interference
+        self._budgets: Final[dict[Image, float]] = {}
+        self._lost: Final[dict[WorkerIncarnation, tuple[int, dict[Image, float]]]] = {}
+
+    def cost(self, step: StepSpec, worker: WorkerRecord) -> float:
+        """Return the cost of running one more task of a step on a worker.
+
+        It is the task's slowdown, plus terms for contention and for a start that would
+        push serving tasks over their target.
+        """
+        contention = _contention(step, worker, n_added=1)
+        speed = min(1 / max(contention, 1.0), self._pace(step, worker, n_added=1))
+        cost = 1 / max(speed, MIN_SPEED) + CONTENTION_COST * contention
+        if self.n_affected_by_start(step, worker):
+            cost += START_COST
+        return cost
+
+    def speed(self, step: StepSpec, worker: WorkerRecord, n_added: int) -> float:
+        """Return the expected speed of a task as a share of its full speed.
+
+        Parameters
+        ----------
+        n_added : int
+            Number of tasks of the step to add to those on the worker.
+        """
+        contention = _contention(step, worker, n_added)
+        speed = min(1 / max(contention, 1.0), self._pace(step, worker, n_added))
+        return max(speed, MIN_SPEED)
+
+    def _pace(self, step: StepSpec, worker: WorkerRecord, n_added: int) -> float:
+        """Return the pace, 0 to 1, that keeps serving tasks in target on average."""
+        image = Image(step.image)
+        added = n_added * _share(step.shape.cpu_millicores, worker)
+        pace = 1.0
+        for served, placed_loss in self._placed_losses(worker).items():
+            weight = self.interference.weight(served, image)
+            if weight <= HARMLESS_WEIGHT:
+                continue
+            lost = placed_loss + weight * added
+            if lost > 0:
+                pace = min(pace, self._budget(served) / lost)
+        return pace
+
+    def _budget(self, served: Image) -> float:
+        """Return the headroom of an image that best-effort tasks may use."""
+        budget = self._budgets.get(served)
+        if budget is None:
+            budget = max(self.interference.mean(served) - TARGET_HEADROOM, 0.0)
+            self._budgets[served] = budget
+        return budget
+
+    def _placed_losses(self, worker: WorkerRecord) -> Mapping[Image, float]:
+        """Return the headroom that each serving image loses to the placed tasks."""
+        kept = self._lost.get(worker.incarnation)
+        if kept is not None and kept[0] == worker.n_changes:
+            return kept[1]
+        lost = {
+            served: sum(
+                self.interference.weight(served, image) * _share(1000 * cores, worker)
+                for image, cores in worker.best_effort_cores.items()
+                if cores
+            )
+            for served in worker.serving_images
+        }
+        self._lost[worker.incarnation] = (worker.n_changes, lost)
+        return lost
+
+    def n_affected_by_start(self, step: StepSpec, worker: WorkerRecord) -> int:
+        """Return how many serving tasks a start might push over their target."""
+        return sum(
+            worker.n_serving.get(served, 0)
+            for served, headroom in worker.headrooms.items()
+            if headroom - self._start_loss(step, worker, served) < START_HEADROOM
+        )
+
+    def deduct_start(self, step: StepSpec, worker: WorkerRecord) -> None:
+        """Deduct the upper bound of a placed task's interference from the headrooms."""
+        for served in worker.headrooms:
+            worker.headrooms[served] -= self._start_loss(step, worker, served)
+
+    def _start_loss(self, step: StepSpec, worker: WorkerRecord, served: Image) -> float:
+        share = _share(step.shape.cpu_millicores, worker)
+        return self.interference.upper(served, Image(step.image)) * share
 
 
 def _contention(step: StepSpec, worker: WorkerRecord, n_added: int) -> float:
     """Return the processors requested by best-effort tasks over those left unused."""
     requested = worker.best_effort_millicores + n_added * step.shape.cpu_millicores
-    counted = worker.used.cpu_millicores - worker.serving_millicores
-    left = (
-        worker.capacity.cpu_millicores
-        - counted
-        - SERVING_USE_SHARE * worker.serving_millicores
-    )
-    return requested / max(left, MIN_LEFT_MILLICORES)
-
-
-def _pace(
-    step: StepSpec,
-    worker: WorkerRecord,
-    interference: InterferenceWeights,
-    n_added: int,
-) -> float:
-    """Return the pace, 0 to 1, that keeps serving tasks in target on average."""
-    image = Image(step.image)
-    shares = {
-        running_image: _share(1000 * cores, worker)
-        for running_image, cores in worker.best_effort_cores.items()
-    }
-    added = n_added * _share(step.shape.cpu_millicores, worker)
-    shares[image] = shares.get(image, 0.0) + added
-    pace = 1.0
-    for served, n_tasks in worker.n_serving.items():
-        if not n_tasks or interference.weight(served, image) <= HARMLESS_WEIGHT:
-            continue
-        lost = sum(
-            interference.weight(served, running_image) * share
-            for running_image, share in shares.items()
-        )
-        budget = max(interference.mean(served) - TARGET_HEADROOM, 0.0)
-        pace = min(pace, budget / lost) if lost else pace
-    return pace
-
-
-def n_affected_by_start(
-    step: StepSpec, worker: WorkerRecord, interference: InterferenceWeights
-) -> int:
-    """Return how many serving tasks a start might push over their target."""
-    return sum(
-        worker.n_serving.get(served, 0)
-        for served, headroom in worker.headrooms.items()
-        if headroom - _start_loss(step, worker, interference, served) < START_HEADROOM
-    )
-
-
-def deduct_start_interference(
-    step: StepSpec, worker: WorkerRecord, interference: InterferenceWeights
-) -> None:
-    """Deduct the upper bound of a placed task's interference from the headrooms."""
-    for served in worker.headrooms:
-        worker.headrooms[served] -= _start_loss(step, worker, interference, served)
-
-
-def _start_loss(
-    step: StepSpec,
-    worker: WorkerRecord,
-    interference: InterferenceWeights,
-    served: Image,
-) -> float:
-    share = _share(step.shape.cpu_millicores, worker)
-    return interference.upper(served, Image(step.image)) * share
+    return requested / max(worker.unused_millicores, MIN_LEFT_MILLICORES)
 
 
 def _share(cpu_millicores: float, worker: WorkerRecord) -> float:
--- a/packages/decisions/almondspan_decisions/worker_record.py
+++ b/packages/decisions/almondspan_decisions/worker_record.py
@@ -15,7 +15,10 @@
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_decisions.tail_latency_model import Image
 
-__all__ = ["WorkerRecord", "counted_shape"]
+__all__ = ["SERVING_USE_SHARE", "WorkerRecord", "counted_shape"]
+
+SERVING_USE_SHARE: Final = 0.5
+"""The share of their processors that lasting tasks use on average."""
 
 N_FAILURES_TO_REST: Final = 2
 """Consecutive failures, of different jobs, after which a worker is rested."""
@@ -56,6 +59,10 @@
     headrooms: dict[Image, float] = field(default_factory=dict)
     """Lowest headroom by serving image in the last poll (see `tail_latency_model`),
     less the expected interference of the best-effort tasks placed since then."""
+    serving_images: frozenset[Image] = frozenset()
+    """Images of the tasks with a tail latency target."""
+    n_changes: int = 0
+    """Rises whenever a task is added or removed."""
     failed_jobs: list[JobId] = field(default_factory=list)
     """Jobs with a task that failed here since the last success."""
     rested_until_s: float = 0.0
@@ -65,6 +72,16 @@
         """The free capacity."""
         return self.capacity - self.used
 
+    @property
+    def unused_millicores(self) -> float:
+        """Processors that best-effort tasks find unused, on average."""
+        counted = self.used.cpu_millicores - self.serving_millicores
+        return (
+            self.capacity.cpu_millicores
+            - counted
+            - SERVING_USE_SHARE * self.serving_millicores
+        )
+
     def allocate(self, step: StepSpec) -> None:
         """Add an assigned task to the counts."""
         self.used = self.used + counted_shape(step)
@@ -76,6 +93,7 @@
         self._count_shared(step, -1)
 
     def _count_shared(self, step: StepSpec, sign: int) -> None:
+        self.n_changes += 1
         image = Image(step.image)
         millicores = sign * step.shape.cpu_millicores
         if step.fills:
@@ -86,6 +104,9 @@
             self.serving_millicores += millicores
         if step.tail_target_ms:
             self.n_serving[image] = self.n_serving.get(image, 0) + sign
+            self.serving_images = frozenset(
+                served for served, n_tasks in self.n_serving.items() if n_tasks > 0
+            )
 
     def record_success(self) -> None:
         """Clear the failures, since a task has completed on the worker."""
--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -8,17 +8,13 @@
 
 from typing import Final
 
-from almondspan_decisions.best_effort_placement import (
-    deduct_start_interference,
-    n_affected_by_start,
-)
+from almondspan_decisions.best_effort_placement import BestEffortScores
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
     EndKind,
     JobProgress,
     WorkerIncarnation,
 )
-from almondspan_decisions.tail_latency_model import InterferenceWeights
 from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.event_log import EventLog
@@ -51,7 +47,7 @@
         job: JobProgress,
         key: TaskKey,
         worker: WorkerRecord,
-        interference: InterferenceWeights,
+        scores: BestEffortScores,
         now_s: float,
     ) -> None:
         """Assign the next attempt of a waiting task to a worker."""
@@ -60,8 +56,8 @@
         worker.allocate(step)
         n_affected = 0
         if step.fills:
-            n_affected = n_affected_by_start(step, worker, interference)
-            deduct_start_interference(step, worker, interference)
+            n_affected = scores.n_affected_by_start(step, worker)
+            scores.deduct_start(step, worker)
         self._fleet.hold(worker.incarnation, (job.job_id, key))
         self._fleet.lease(worker.incarnation)
         self._log.line(
@@ -135,6 +131,7 @@
         record = self._fleet.record_of(incarnation)
         if record is not None:
             record.release(job.step_of(key))
+            self._fleet.mark_freed(record)
             self._record_outcome(record, job, kind, now_s)
         job.end(key, kind, checkpoint, self._table.max_failures(job))
         self._table.mark_dirty(job)
--- a/packages/jobs/almondspan_jobs/best_effort_mover.py
+++ b/packages/jobs/almondspan_jobs/best_effort_mover.py
@@ -9,11 +9,7 @@
 from collections import Counter
 from typing import Final
 
-from almondspan_decisions.best_effort_placement import (
-    best_effort_speed,
-    n_affected_by_start,
-)
-from almondspan_decisions.graph_placement import may_run
+from almondspan_decisions.eligibility import may_run
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import StepSpec, TaskKey, format_task_name
 from almondspan_decisions.job_progress import JobProgress, TaskState
@@ -80,19 +76,17 @@
         assert task is not None
         if not step.fills or not _is_movable(step, task, now_s):
             return False
-        speed = best_effort_speed(step, source, self._interference.weights, n_added=0)
+        speed = self._interference.scores.speed(step, source, n_added=0)
         left_s = step.estimate_ms / 1000 * (1 - task.percent / 100)
+        if not _is_worth_moving(left_s, speed, target_speed=1.0):
+            return False
         best = self._fastest_worker(job, key, source, added, now_s)
         if best is None:
             return False
-        target_speed = best_effort_speed(
-            step,
-            best,
-            self._interference.weights,
-            1 + added[best.incarnation.worker_id],
+        target_speed = self._interference.scores.speed(
+            step, best, 1 + added[best.incarnation.worker_id]
         )
-        gain_s = left_s / speed - left_s / target_speed - RESTART_S
-        if target_speed < MIN_SPEED_RATIO * speed or gain_s < MIN_GAIN_S:
+        if not _is_worth_moving(left_s, speed, target_speed):
             return False
         added[best.incarnation.worker_id] += 1
         task.request_stop()
@@ -120,24 +114,29 @@
         rules = self._table.rules_of(job)
         if rules is None:
             return None
-        weights = self._interference.weights
+        scores = self._interference.scores
         found = [
             worker
             for worker in self._fleet.placeable_workers(rules.service, now_s)
             if worker is not source
             and not worker.is_rested(now_s)
             and may_run(job, key, step, worker)
-            and not n_affected_by_start(step, worker, weights)
+            and not scores.n_affected_by_start(step, worker)
         ]
         return max(
             found,
-            key=lambda worker: best_effort_speed(
-                step, worker, weights, 1 + added[worker.incarnation.worker_id]
+            key=lambda worker: scores.speed(
+                step, worker, 1 + added[worker.incarnation.worker_id]
             ),
             default=None,
         )
 
 
+def _is_worth_moving(left_s: float, speed: float, target_speed: float) -> bool:
+    gain_s = left_s / speed - left_s / target_speed - RESTART_S
+    return target_speed >= MIN_SPEED_RATIO * speed and gain_s >= MIN_GAIN_S
+
+
 def _is_movable(step: StepSpec, task: TaskState, now_s: float) -> bool:
     return (
         step.saves_progress
--- a/packages/jobs/almondspan_jobs/fleet.py
+++ b/packages/jobs/almondspan_jobs/fleet.py
@@ -1,6 +1,6 @@
 """The owner's workers: their records, leases, agents and the tasks assigned to them."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from almondspan_decisions.ids import JobId, ServiceName, WorkerId
@@ -39,6 +39,8 @@
         self.are_home_agents_dirty = False
         self.held: Final[dict[WorkerIncarnation, set[HeldTask]]] = {}
         """The tasks assigned to each incarnation."""
+        self._freed: dict[WorkerId, WorkerRecord] = {}
+        """Workers whose free capacity has grown since `take_freed`."""
 
     def record_of(self, incarnation: WorkerIncarnation) -> WorkerRecord | None:
         """Return the record of an incarnation; None if it is not the current one."""
@@ -74,13 +76,33 @@
         self, service: ServiceName, now_s: float
     ) -> list[WorkerRecord]:
         """Return the workers of a service with a recent listing."""
+        return self.placeable_among(self.workers.values(), service, now_s)
+
+    def placeable_among(
+        self, workers: Iterable[WorkerRecord], service: ServiceName, now_s: float
+    ) -> list[WorkerRecord]:
+        """Return those of the workers that belong to a service and list their tasks."""
         return [
             worker
-            for worker in self.workers.values()
+            for worker in workers
             if worker.service == service
             and self.has_recent_listing(worker.incarnation, now_s)
         ]
 
+    def add(self, record: WorkerRecord) -> None:
+        """Add a new incarnation of a worker."""
+        self.workers[record.incarnation.worker_id] = record
+        self.mark_freed(record)
+
+    def mark_freed(self, record: WorkerRecord) -> None:
+        """Record that the free capacity of a worker has grown."""
+        self._freed[record.incarnation.worker_id] = record
+
+    def take_freed(self) -> list[WorkerRecord]:
+        """Return the workers whose free capacity has grown since the last call."""
+        freed, self._freed = self._freed, {}
+        return list(freed.values())
+
     def forget(self, incarnation: WorkerIncarnation) -> None:
         """Drop an incarnation; its lease stays while tasks are assigned to it."""
         if self.record_of(incarnation) is not None:
--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
+from almondspan_decisions.best_effort_placement import BestEffortScores
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_progress import WorkerIncarnation
 from almondspan_decisions.tail_latency_model import (
@@ -53,14 +54,19 @@
         self._options: Final = options
         self._log: Final = log
         self._model: Final = TailLatencyModel()
-        self.weights = InterferenceWeights({})
-        """The weights as of the last solution of the model."""
+        self.scores = BestEffortScores(InterferenceWeights({}))
+        """Scores by the weights as of the last solution of the model."""
         self._solved_s = 0.0
         self._stored_s = steady_s()
         self._observed_s: Final[dict[WorkerIncarnation, float]] = {}
         self._sent: Final[dict[WorkerIncarnation, InterferenceUpdate]] = {}
         """The weights last sent to each worker's agent."""
 
+    @property
+    def weights(self) -> InterferenceWeights:
+        """The weights as of the last solution of the model."""
+        return self.scores.interference
+
     def observe(
         self, incarnation: WorkerIncarnation, listing: WorkerListing, now_s: float
     ) -> None:
@@ -107,7 +113,7 @@
         if now_s - self._solved_s < self._options.model_interval_s:
             return
         self._solved_s = now_s
-        self.weights = self._model.weights()
+        self.scores = BestEffortScores(self._model.weights())
         for worker in self._fleet.workers.values():
             self.push(worker)
         self._log.line(
@@ -137,7 +143,7 @@
         ]
         means = {Image(image): mean for image, mean in record.means.items()}
         self._model.load(rows, means)
-        self.weights = self._model.weights()
+        self.scores = BestEffortScores(self._model.weights())
 
     @property
     def is_write_due(self) -> bool:
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -1,15 +1,18 @@
 """Assigns waiting tasks to workers: most urgent queue first, oldest job first.
 
-For a task that fits on no worker, `Preemptor` frees capacity.
+A step that can't be placed is checked against all workers again after `RECHECK_S`, and
+before that only against workers whose free capacity has grown. For a task that fits on
+no worker, `Preemptor` frees capacity.
 """
 
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Final
 
-from almondspan_decisions.best_effort_placement import n_affected_by_start
-from almondspan_decisions.graph_placement import choose_worker
-from almondspan_decisions.ids import JobId
-from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.ids import JobId, ServiceName
+from almondspan_decisions.job_graph import QueueRules, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, TaskState
+from almondspan_decisions.step_placement import PlacementCosts, StepPlacement
 from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.assignments import Assignments
 from almondspan_jobs.clocks import steady_s
@@ -22,6 +25,34 @@
 
 __all__ = ["Planner"]
 
+RECHECK_S: Final = 0.2
+
+StepKey = tuple[JobId, int, int]
+"""Identifies a step of one occurrence: job, occurrence and number of the step."""
+
+
+@dataclass(slots=True)
+class _Round:
+    """One planning round: its time and the workers to consider, by service."""
+
+    now_s: float
+    costs: PlacementCosts
+    checked_s: Mapping[StepKey, float]
+    """When each waiting step was last checked against all workers."""
+    freed: Sequence[WorkerRecord]
+    """Workers whose free capacity has grown since the last round."""
+    workers: dict[ServiceName, list[WorkerRecord]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class _StepOutcome:
+    """How many tasks of a step were placed, and the first that could not be."""
+
+    n_placed: int
+    unplaced: TaskKey | None = None
+    is_held: bool = False
+    """A worker may run the task, but its start would slow serving tasks."""
+
 
 class Planner:
     """Assigns waiting tasks to workers."""
@@ -43,15 +74,23 @@
         self._preemptor: Final = preemptor
         self._options: Final = options
         self._metrics: Final = metrics
+        self._checked_s: dict[StepKey, float] = {}
+        """When each step that could not be placed was checked against all workers."""
 
     def plan(self) -> None:
         """Assign waiting tasks to workers with enough free capacity."""
         self._table.needs_planning = False
         now_s = steady_s()
-        order = sorted(self._table.placeable, key=self._plan_order)
+        costs = PlacementCosts(self._interference.scores, now_s)
+        this_round = _Round(now_s, costs, self._checked_s, self._fleet.take_freed())
+        self._checked_s = {}
         n_jobs_placed = 0
-        for job_id in order:
-            n_jobs_placed += self._plan_job(self._table[job_id], now_s)
+        for job_id in sorted(self._table.placeable, key=self._plan_order):
+            job = self._table[job_id]
+            rules = self._table.rules_of(job)
+            if rules is not None and self._plan_job(job, rules, this_round):
+                n_jobs_placed += 1
+                self._table.mark_dirty(job)
         if n_jobs_placed:
             self._metrics.count("jobs_planned", n_jobs_placed)
 
@@ -59,35 +98,70 @@
         job = self._table[job_id]
         return self._table.priority(job), job.spec.accepted_ms
 
-    def _plan_job(self, job: JobProgress, now_s: float) -> bool:
-        rules = self._table.rules_of(job)
-        if rules is None:
-            return False
-        workers = self._fleet.placeable_workers(rules.service, now_s)
-        weights = self._interference.weights
-        placed = False
-        for occurrence, step in tuple(job.ready_steps()):
-            for key in job.waiting(occurrence, step):
-                worker = choose_worker(job, key, workers, weights, now_s)
-                if worker is None:
-                    self._preemptor.free_capacity_for(job, key, rules, workers, now_s)
-                    break
-                task = job.task(key)
-                assert task is not None
-                if self._should_wait(task, job.step_of(key), worker, now_s):
-                    break
-                self._assignments.place(job, key, worker, weights, now_s)
-                placed = True
-        if placed:
-            self._table.mark_dirty(job)
-        return placed
+    def _plan_job(self, job: JobProgress, rules: QueueRules, this: _Round) -> bool:
+        """Place the tasks of one job; return whether any was placed."""
+        n_placed = 0
+        for occurrence, number in tuple(job.ready_steps()):
+            step_key = (job.job_id, occurrence, number)
+            last_s = this.checked_s.get(step_key)
+            is_full_check = last_s is None or this.now_s - last_s >= RECHECK_S
+            workers = self._workers(rules.service, this, is_full_check)
+            outcome = self._place_tasks(job, occurrence, number, workers, this)
+            n_placed += outcome.n_placed
+            if outcome.unplaced is None:
+                continue
+            if last_s is None or is_full_check:
+                self._checked_s[step_key] = this.now_s
+                if not outcome.is_held:
+                    self._preemptor.free_capacity_for(
+                        job, outcome.unplaced, rules, workers, this.now_s
+                    )
+            else:
+                self._checked_s[step_key] = last_s
+        return n_placed > 0
+
+    def _workers(
+        self, service: ServiceName, this: _Round, is_full_check: bool
+    ) -> Sequence[WorkerRecord]:
+        if not is_full_check:
+            return self._fleet.placeable_among(this.freed, service, this.now_s)
+        workers = this.workers.get(service)
+        if workers is None:
+            workers = self._fleet.placeable_workers(service, this.now_s)
+            this.workers[service] = workers
+        return workers
+
+    def _place_tasks(
+        self,
+        job: JobProgress,
+        occurrence: int,
+        number: int,
+        workers: Sequence[WorkerRecord],
+        this: _Round,
+    ) -> _StepOutcome:
+        """Place the waiting tasks of a step until one can't be placed."""
+        scores = self._interference.scores
+        placement = StepPlacement(job, occurrence, number, workers, this.costs)
+        waiting = job.waiting(occurrence, number)
+        for n_placed, key in enumerate(waiting):
+            task = job.task(key)
+            assert task is not None
+            worker = placement.cheapest(task)
+            if worker is None:
+                return _StepOutcome(n_placed, key)
+            if self._should_wait(task, job.step_of(key), worker, this.now_s):
+                return _StepOutcome(n_placed, key, is_held=True)
+            self._assignments.place(job, key, worker, scores, this.now_s)
+            placement.on_placed(worker)
+        return _StepOutcome(len(waiting))
 
     def _should_wait(
         self, task: TaskState, step: StepSpec, worker: WorkerRecord, now_s: float
     ) -> bool:
         """Return whether a best-effort task waits to avoid slowing serving tasks."""
-        weights = self._interference.weights
-        if not step.fills or not n_affected_by_start(step, worker, weights):
+        if not step.fills:
+            return False
+        if not self._interference.scores.n_affected_by_start(step, worker):
             return False
         task.held_s = task.held_s or now_s
         return now_s - task.held_s < self._options.best_effort_wait_s
--- a/packages/jobs/almondspan_jobs/preemptor.py
+++ b/packages/jobs/almondspan_jobs/preemptor.py
@@ -9,11 +9,11 @@
 The waiting task is placed once the ends of the stopped tasks are listed.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
-from almondspan_decisions.graph_placement import (
+from almondspan_decisions.eligibility import (
     Candidate,
     is_eligible,
     may_run,
@@ -61,7 +61,7 @@
         job: JobProgress,
         key: TaskKey,
         rules: QueueRules,
-        workers: list[WorkerRecord],
+        workers: Sequence[WorkerRecord],
         now_s: float,
     ) -> None:
         """Stop tasks so that a waiting task fits once they have ended."""
@@ -91,7 +91,7 @@
         job: JobProgress,
         key: TaskKey,
         rules: QueueRules,
-        workers: list[WorkerRecord],
+        workers: Sequence[WorkerRecord],
         now_s: float,
     ) -> bool:
         """Stop less urgent tasks on one worker; False if that can't free enough."""
@@ -139,8 +139,8 @@
         self,
         job: JobProgress,
         key: TaskKey,
-        eligible: list[WorkerRecord],
-        workers: list[WorkerRecord],
+        eligible: Sequence[WorkerRecord],
+        workers: Sequence[WorkerRecord],
         now_s: float,
     ) -> None:
         """Move the smallest task whose move lets the waiting task fit."""
@@ -170,7 +170,7 @@
         )
 
     def _moves_from(
-        self, worker: WorkerRecord, workers: list[WorkerRecord], now_s: float
+        self, worker: WorkerRecord, workers: Sequence[WorkerRecord], now_s: float
     ) -> Iterator[_Move]:
         for job_id, key in self._fleet.held_by(worker.incarnation):
             job = self._table[job_id]
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -96,7 +96,7 @@
             )
         ]
         fleet.set_home_agent(incarnation, node)
-        fleet.workers[incarnation.worker_id] = record
+        fleet.add(record)
         fleet.lease(incarnation)
         for old in earlier:
             self._on_replaced(old, incarnation)
--- a/tests/decisions/test_graph_placement.py
+++ b/tests/decisions/test_step_placement.py
@@ -2,19 +2,17 @@
 
 import pytest
 
-from almondspan_decisions.best_effort_placement import (
-    deduct_start_interference,
-    n_affected_by_start,
-)
-from almondspan_decisions.graph_placement import (
-    Candidate,
-    choose_worker,
-    victims_on,
-)
+from almondspan_decisions.best_effort_placement import BestEffortScores
+from almondspan_decisions.eligibility import Candidate, victims_on
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
 from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec, TaskKey
-from almondspan_decisions.job_progress import JobProgress, WorkerIncarnation
+from almondspan_decisions.job_progress import (
+    JobProgress,
+    TaskState,
+    WorkerIncarnation,
+)
 from almondspan_decisions.shapes import Shape
+from almondspan_decisions.step_placement import PlacementCosts, StepPlacement
 from almondspan_decisions.tail_latency_model import Image, InterferenceWeights
 from almondspan_decisions.worker_record import WorkerRecord
 
@@ -39,8 +37,31 @@
     return found
 
 
-def chosen(step: StepSpec, workers: list[WorkerRecord]) -> str | None:
-    found = choose_worker(make_job(step), KEY, workers, NO_INTERFERENCE, 0.0)
+def make_placement(
+    job: JobProgress,
+    workers: list[WorkerRecord],
+    interference: InterferenceWeights = NO_INTERFERENCE,
+) -> StepPlacement:
+    costs = PlacementCosts(BestEffortScores(interference), 0.0)
+    return StepPlacement(job, 0, 0, workers, costs)
+
+
+def choose(
+    step: StepSpec,
+    workers: list[WorkerRecord],
+    interference: InterferenceWeights = NO_INTERFERENCE,
+    avoided: tuple[WorkerId, ...] = (),
+) -> WorkerRecord | None:
+    placement = make_placement(make_job(step), workers, interference)
+    return placement.cheapest(TaskState(avoided=avoided))
+
+
+def chosen(
+    step: StepSpec,
+    workers: list[WorkerRecord],
+    avoided: tuple[WorkerId, ...] = (),
+) -> str | None:
+    found = choose(step, workers, avoided=avoided)
     return found.incarnation.worker_id if found is not None else None
 
 
@@ -99,14 +120,48 @@
 
 def test_limit_of_tasks_on_one_worker() -> None:
     job = make_job(StepSpec(3, SMALL, max_per_worker=1))
-    first, second = worker("a"), worker("b")
+    placement = make_placement(job, [worker("a"), worker("b")])
     for position, expected in enumerate(["a", "b", None]):
         key = TaskKey(0, 0, position)
-        found = choose_worker(job, key, [first, second], NO_INTERFERENCE, 0.0)
+        task = job.task(key)
+        assert task is not None
+        found = placement.cheapest(task)
         assert (found.incarnation.worker_id if found is not None else None) == expected
         if found is not None:
             job.place(key, found.incarnation, 0.0)
             found.allocate(job.step_of(key))
+            placement.on_placed(found)
+
+
+def test_limit_counts_tasks_placed_before() -> None:
+    job = make_job(StepSpec(2, SMALL, max_per_worker=1))
+    first, second = worker("a"), worker("b")
+    job.place(KEY, first.incarnation, 0.0)
+    found = make_placement(job, [first, second]).cheapest(TaskState())
+    assert found is second
+
+
+def test_task_avoids_the_worker_on_which_it_failed() -> None:
+    used = worker("b")
+    used.allocate(StepSpec(1, Shape(4_000, 1_000, 0)))
+    workers = [worker("a"), used]
+    step = StepSpec(1, SMALL)
+    assert chosen(step, workers) == "a"
+    assert chosen(step, workers, avoided=(WorkerId("a"),)) == "b"
+
+
+def test_placed_tasks_spread_over_workers_of_equal_load() -> None:
+    job = make_job(StepSpec(6, SMALL))
+    placement = make_placement(job, [worker("a"), worker("b"), worker("c")])
+    names = []
+    for position in range(6):
+        found = placement.cheapest(TaskState())
+        assert found is not None
+        job.place(TaskKey(0, 0, position), found.incarnation, 0.0)
+        found.allocate(job.spec.steps[0])
+        placement.on_placed(found)
+        names.append(found.incarnation.worker_id)
+    assert names == ["a", "b", "c", "a", "b", "c"]
 
 
 def test_best_effort_task_avoids_sensitive_serving_tasks() -> None:
@@ -114,8 +169,7 @@
     beside, free = worker("a", 64_000), worker("b")
     beside.allocate(StepSpec(1, SMALL, lasts=True, image="live", tail_target_ms=10))
     step = StepSpec(1, Shape(7_000, 1_000, 0), fills=True, image="heavy")
-    found = choose_worker(make_job(step), KEY, [beside, free], interference, 0.0)
-    assert found is free
+    assert choose(step, [beside, free], interference) is free
 
 
 SERVING_STEP = StepSpec(1, SMALL, lasts=True, image="live", tail_target_ms=10)
@@ -135,25 +189,25 @@
     image: str, headroom: float, n_affected: int
 ) -> None:
     weights = {(LIVE, HEAVY): 7.0, (LIVE, LIGHT): 0.7}
-    interference = InterferenceWeights(weights, weights)
+    scores = BestEffortScores(InterferenceWeights(weights, weights))
     beside = worker("a", 16_000)
     beside.allocate(SERVING_STEP)
     beside.allocate(SERVING_STEP)
     beside.headrooms[LIVE] = headroom
     step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image=image)
-    assert n_affected_by_start(step, beside, interference) == n_affected
+    assert scores.n_affected_by_start(step, beside) == n_affected
 
 
 def test_starts_before_the_next_poll_add_up() -> None:
-    interference = InterferenceWeights({}, {(LIVE, HEAVY): 7.0})
+    scores = BestEffortScores(InterferenceWeights({}, {(LIVE, HEAVY): 7.0}))
     beside = worker("a", 16_000)
     beside.allocate(SERVING_STEP)
     beside.headrooms[LIVE] = 3.1
     step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image="heavy")
-    assert n_affected_by_start(step, beside, interference) == 0
-    deduct_start_interference(step, beside, interference)
-    deduct_start_interference(step, beside, interference)
-    assert n_affected_by_start(step, beside, interference) == 1
+    assert scores.n_affected_by_start(step, beside) == 0
+    scores.deduct_start(step, beside)
+    scores.deduct_start(step, beside)
+    assert scores.n_affected_by_start(step, beside) == 1
 
 
 def test_lasting_tasks_of_one_image_are_kept_together() -> None:
@@ -161,10 +215,7 @@
     same.allocate(StepSpec(1, SMALL, lasts=True, image="x", tail_target_ms=10))
     other.allocate(StepSpec(1, SMALL, lasts=True, image="y", tail_target_ms=10))
     step = StepSpec(1, SMALL, lasts=True, image="x", tail_target_ms=10)
-    found = choose_worker(
-        make_job(step), KEY, [empty, other, same], NO_INTERFERENCE, 0.0
-    )
-    assert found is same
+    assert choose(step, [empty, other, same]) is same
 
 
 def candidate(name: str, cpu: int, loss_s: float) -> Candidate:
