--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -143,15 +143,18 @@
             return pool
         remaining_s = deadline_s - asyncio.get_running_loop().time()
         timeout_s = min(remaining_s, try_timeout_s)
+        received = bytearray()
         try:
             async with asyncio.timeout(timeout_s):
                 request = self._request(pool, method, url, body, headers, may_connect)
                 async with request as response:
-                    data = await response.read()
+                    async for chunk in response.content.iter_any():
+                        received += chunk
         except _EXPECTED_ERRORS as error:
-            return self._on_error(pool, error)
+            return self._on_error(pool, error, len(received))
         finally:
             await self._release_pool(pool)
+        data = bytes(received)
         return data if response.status == 200 else _status_failure(response, data)
 
     async def lines(
@@ -182,7 +185,7 @@
                         yield line
             failure = CallFailed("the service ended the stream", False)
         except _EXPECTED_ERRORS as error:
-            failure = self._on_error(pool, error)
+            failure = self._on_error(pool, error, 0)
         finally:
             await self._release_pool(pool)
         yield failure
@@ -216,7 +219,8 @@
             trace_request_ctx=may_connect,
         )
 
-    def _on_error(self, pool: _Pool, error: Exception) -> CallFailed:
+    def _on_error(self, pool: _Pool, error: Exception, n_bytes: int) -> CallFailed:
+        """Return the failure of a call that received `n_bytes` of its answer."""
         if isinstance(error, aiohttp.ClientConnectorError):
             return CallFailed(f"cannot connect: {error}", may_have_applied=False)
         if isinstance(error, aiohttp.ConnectionTimeoutError):
@@ -225,8 +229,11 @@
             return CallFailed("no open connection", False, was_sent=False)
         self._retire(pool)
         if isinstance(error, TimeoutError):
-            return CallFailed("timed out waiting for the answer", may_have_applied=True)
-        reason = f"no answer: {type(error).__name__} {error}"
+            reason = "timed out waiting for the answer"
+        else:
+            reason = f"no answer: {type(error).__name__} {error}"
+        if n_bytes:
+            reason += f", after {n_bytes} bytes of it"
         return CallFailed(reason, may_have_applied=True)
 
     def _open_pool(self) -> _Pool:
