Tests that fail: answers that outlast the limit of a call on a slow link are never read

SocketTimeLoop runs real sockets in virtual time: it polls them for some milliseconds before its clock moves a step, so the tests take no real seconds and judge no real durations.

--- a/tests/platform/test_http_calls.py
+++ b/tests/platform/test_http_calls.py
@@ -12,7 +12,7 @@
 from almondspan_platform.token_bucket import TokenBucket
 from almondspan_standins.rigs import HttpStoreRig
 from almondspan_standins.tcp_proxy import TcpProxy
-from almondspan_standins.virtual_time import run_in_virtual_time
+from almondspan_standins.virtual_time import run_in_virtual_time, run_with_sockets
 
 
 @pytest.fixture
@@ -80,6 +80,52 @@
     server.close()
 
 
+PIECE = b"x" * 1000
+
+
+@pytest.mark.parametrize(
+    ("n_pieces", "pause_s", "n_sent", "failure"),
+    [
+        pytest.param(12, 0.5, 12, "", id="slow-but-steady"),
+        pytest.param(12, 0.5, 3, "after 3000 bytes", id="stops-in-the-middle"),
+        pytest.param(12, 0.5, 0, "timed out", id="never-begins"),
+        pytest.param(2, 1.5, 2, "after 1000 bytes", id="pause-beyond-the-limit"),
+    ],
+)
+def test_answer_that_keeps_arriving_outlasts_the_call_limit(
+    n_pieces: int, pause_s: float, n_sent: int, failure: str
+) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if n_sent:
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {n_pieces * len(PIECE)}\r\n\r\n"
+            writer.write(head.encode())
+        for _ in range(n_sent):
+            writer.write(PIECE)
+            await asyncio.sleep(pause_s)
+        await reader.read()
+        writer.close()
+
+    async def main() -> bytes | CallFailed:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        caller = HttpCaller(CallLimits(1.0))
+        await caller.start()
+        url = f"http://127.0.0.1:{port}/"
+        outcome = await caller.call("GET", url, None, caller.deadline_s())
+        await caller.close()
+        server.close()
+        return outcome
+
+    outcome = run_with_sockets(main())
+    if failure:
+        assert isinstance(outcome, CallFailed)
+        assert failure in outcome.reason
+        assert outcome.may_have_applied
+    else:
+        assert outcome == PIECE * n_pieces
+
+
 def test_token_bucket_spaces_its_tokens() -> None:
     async def main() -> list[float]:
         loop = asyncio.get_running_loop()
--- a/tests/site/fake_platform.py
+++ b/tests/site/fake_platform.py
@@ -4,6 +4,7 @@
 against the same behaviour that the simulations use.
 """
 
+import asyncio
 import base64
 import json
 import random
@@ -31,7 +32,8 @@
 from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
 from almondspan_standins.memory_task_worker import MemoryTaskWorker
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+GuardedHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class FakeServer:
@@ -74,6 +76,8 @@
         self._client = self.state.client(StoreFaults(answer_s=0.0))
         self.status = 0
         """If set, every call is answered with this status."""
+        self.bytes_per_s = 0
+        """If set, answers are sent at this rate, in pieces."""
 
         super().__init__(
             [
@@ -86,14 +90,31 @@
             ]
         )
 
-    def _guard(self, handler: Handler) -> Handler:
+    def _guard(self, handler: Handler) -> GuardedHandler:
         async def handle(request: web.Request) -> web.StreamResponse:
             if self.status:
                 return web.json_response({}, status=self.status)
-            return await handler(request)
+            response = await handler(request)
+            if self.bytes_per_s:
+                return await self._send_slowly(request, response)
+            return response
 
         return handle
 
+    async def _send_slowly(
+        self, request: web.Request, answer: web.Response
+    ) -> web.StreamResponse:
+        data = answer.body
+        assert isinstance(data, bytes)
+        slow = web.StreamResponse(status=answer.status)
+        slow.content_length = len(data)
+        await slow.prepare(request)
+        n_piece = max(self.bytes_per_s // 10, 1)
+        for begin in range(0, len(data), n_piece):
+            await asyncio.sleep(0.1)
+            await slow.write(data[begin : begin + n_piece])
+        return slow
+
     async def _get(self, request: web.Request) -> web.Response:
         item = self.state.get(request.query["key"])
         if item is None:
