Read an answer for as long as its bytes arrive

A call had one limit for the whole answer, 0.8 s to the users' store. How long an answer takes depends on its size and the link: a configuration of 2,145 queues (416 kB, 556 kB on the wire) takes 0.93 s at 5 Mbit/s. The read was cut after 442 kB and began anew, for good. Watches had 1.8 s more and got through, so it showed only once a watch had failed.

`config_unanswered` "timed out waiting for the answer, after 442293 bytes of it" every 0.9 s at the six entries with slow links and no others, while the store answered their other calls; `load_unanswered` in the same rhythm at the owner.

Ruled out: the store's own delay (0.09 s at the entries with fast links), an owner with older rules (the broken requests are counts that entries answered), a backlog of versions (the configuration did not change meanwhile).

The answer has to begin by the deadline; from then on a call ends only by silence as long as the client's limit, as channels between our processes do already. All clients of the platform share the code, so the owner's loading and every watch are mended with it.

A limit on the whole of a transfer whose size others choose is the class of the fault; the search for others goes on.

--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -1,5 +1,9 @@
 """HTTP client with deadlines, a rate limit and replacement of silent connections.
 
+The answer to a call has to begin by the call's deadline. From then on only silence ends
+the call: an answer is read for as long as its bytes keep arriving, however large it is
+and however slow the link.
+
 A pooled connection may be permanently silent while new connections work. When a call
 ends without an answer, the whole pool is retired: later calls open new connections,
 and the retired pool is closed when its last call has ended.
@@ -129,9 +133,11 @@
         ----------
         deadline_s : float
             A point in time of the running loop's clock; includes the wait for the rate
-            limit.
+            limit. An answer that has begun by then is read to its end, unless its next
+            bytes take longer than the client's time limit.
         try_timeout_s : float
-            Time limit from the send until the answer is complete, in seconds.
+            Time limit from the send until the answer begins, and for each pause while
+            it arrives, in seconds.
         headers : mapping
             Headers in addition to the content type.
         may_connect : bool
@@ -141,15 +147,19 @@
         pool = await self._acquire_pool(deadline_s)
         if isinstance(pool, CallFailed):
             return pool
-        remaining_s = deadline_s - asyncio.get_running_loop().time()
-        timeout_s = min(remaining_s, try_timeout_s)
+        loop = asyncio.get_running_loop()
+        limit_s = min(deadline_s, loop.time() + try_timeout_s)
+        silence_s = min(self._limits.timeout_s, try_timeout_s)
         received = bytearray()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(limit_s) as timeout:
                 request = self._request(pool, method, url, body, headers, may_connect)
                 async with request as response:
                     async for chunk in response.content.iter_any():
                         received += chunk
+                        # How long a transfer takes depends on its size and the link, so
+                        # only a pause shows that the peer is gone.
+                        timeout.reschedule(max(limit_s, loop.time() + silence_s))
         except _EXPECTED_ERRORS as error:
             return self._on_error(pool, error, len(received))
         finally:
--- a/packages/platform/almondspan_platform/registry.py
+++ b/packages/platform/almondspan_platform/registry.py
@@ -35,7 +35,8 @@
     Attributes
     ----------
     timeout_s : float
-        Time limit of a call in seconds, including the wait for the rate limit.
+        Time limit in seconds until a call is answered, including the wait for the rate
+        limit, and for each pause while the answer arrives.
     calls_per_s, n_burst : float, int
         Rate limit for all calls together; opening a watch counts as one call.
     """
