--- a/tests/site/test_config_follower.py
+++ b/tests/site/test_config_follower.py
@@ -20,6 +20,9 @@
     def line(self, event: str, **fields: object) -> None:
         self.events.append(event)
 
+    def n_reads(self) -> int:
+        return self.events.count("config_read")
+
 
 def config(version: int) -> bytes:
     return json.dumps({"version": version, "routes": []}).encode()
@@ -65,3 +68,36 @@
     loop.close()
     assert found == versions
     assert ("config_unreadable" in log.events) is (b"{" in values)
+
+
+@pytest.mark.parametrize(
+    ("n_other_changes", "n_drops", "n_reads"),
+    [
+        pytest.param(0, 1, 2, id="nothing_since"),
+        pytest.param(5, 1, 2, id="other_keys_since"),
+        pytest.param(5, 3, 4, id="dropped_again"),
+    ],
+)
+def test_lost_history_costs_one_read_and_no_loop(
+    n_other_changes: int, n_drops: int, n_reads: int
+) -> None:
+    async def body(log: Log) -> None:
+        store = MemoryGroupStore(random.Random(1))
+        put(store, config(2))
+        client = store.client(StoreFaults(answer_s=0.0))
+        follower = ConfigFollower(client, JobOptions(), log, lambda found: None)
+        await follower.start()
+        for _ in range(n_drops):
+            await asyncio.sleep(5.0)
+            for number in range(n_other_changes):
+                store.commit(WriteGroup(writes=(Write(f"other/{number}", b"1"),)))
+            store.commit(WriteGroup(writes=(Write("other", b"1"),)))
+            store.drop_history()
+        await asyncio.sleep(5.0)
+        await follower.close()
+
+    log = Log()
+    loop = VirtualLoop()
+    loop.run_until_complete(body(log))
+    loop.close()
+    assert log.n_reads() == n_reads
