Log what a crashed worker had been told to start and had never listed

The logs could not tell which of the tasks on a crashed worker had been seen running there, how long it had been silent, nor a crash from a departure. `worker_replaced` now says so. No decision changes.

--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
     JobProgress,
@@ -22,6 +23,9 @@
 
 __all__ = ["WorkerLifecycle"]
 
+MAX_LOGGED_TASKS: Final = 8
+"""Largest number of tasks that one log line names."""
+
 
 class WorkerLifecycle:
     """Applies workers' reports about themselves, and the expiry of their leases."""
@@ -95,6 +99,8 @@
                 or fleet.home_agents.get(old) == node
             )
         ]
+        for old in earlier:
+            self._log_replaced(old, incarnation)
         fleet.set_home_agent(incarnation, node)
         fleet.add(record)
         fleet.lease(incarnation)
@@ -114,6 +120,30 @@
         )
         self._table.needs_planning = True
 
+    def _log_replaced(self, old: WorkerIncarnation, new: WorkerIncarnation) -> None:
+        record = self._fleet.record_of(old)
+        held = self._fleet.held_by(old)
+        unlisted = [
+            format_task_name(job_id, key)
+            for job_id, key in held
+            if self._is_sent_but_unlisted(job_id, key)
+        ]
+        self._log.line(
+            "worker_replaced",
+            old=str(old),
+            new=str(new),
+            leaving=record is not None and record.is_leaving,
+            silent_ms=int((steady_s() - self._fleet.lease(old).listed_s) * 1000),
+            n_tasks=len(held),
+            n_unlisted=len(unlisted),
+            unlisted=unlisted[:MAX_LOGGED_TASKS],
+        )
+
+    def _is_sent_but_unlisted(self, job_id: JobId, key: TaskKey) -> bool:
+        task = self._table[job_id].task(key)
+        assert task is not None
+        return task.n_sends > 0 and not task.listed_s
+
     def _on_replaced(self, old: WorkerIncarnation, new: WorkerIncarnation) -> None:
         """Release or revoke the attempts of an incarnation that a later one replaced.
 
@@ -121,7 +151,6 @@
         not known to have reached it may still reach a later incarnation of the same
         worker id, so such an attempt is revoked there first.
         """
-        self._log.line("worker_replaced", old=str(old), new=str(new))
         is_renamed = old.worker_id != new.worker_id
         unresolved = (
             () if is_renamed else self._commands.unresolved_starts(new.worker_id)
