Tests that fail: a task that crashes each worker that starts it is started without end

The stand-in of a worker can be crashed by a task, some time after its start; the simulation restarts it under the same or another id and counts the starts after the third crash.

--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -2,8 +2,8 @@
 
 Each `MemoryTaskWorker` is one machine; `MemoryTaskWorker.restart` starts a new
 incarnation with the same or another id. `MemoryTaskWorker.runs` records all runs for
-checks by tests. As a fault, a command may be executed seconds later and without a
-response.
+checks by tests. As faults, a command may be executed seconds later and without a
+response, and a task may crash the worker.
 """
 
 import asyncio
@@ -48,6 +48,8 @@
     load: Callable[[float], float] | None = None
     """For a serving task, the share of its processors in use, by time."""
     tail_target_ms: float = 0.0
+    crash_after_s: float | None = None
+    """Time from its start after which a run crashes the worker; None if never."""
 
     @property
     def counted_shape(self) -> Shape:
@@ -121,6 +123,8 @@
         self.late_share = 0.0
         """Share of commands that are executed 2 to 8 s later, without a response."""
         self.is_down = False
+        self.on_task_crash: Callable[[], None] = self.crash
+        """Called when a task crashes the worker."""
         self._incarnation = _Incarnation(worker_id, 1_000, self._now_s())
         self._polled: _Incarnation | None = None
         """The incarnation that the client's poll connection leads to, if it is open."""
@@ -298,8 +302,20 @@
         item = RunningScript(run, script, now_s + script.duration_s)
         incarnation.running[request.task] = item
         self._begin_run(item, request.checkpoint)
+        if script.crash_after_s is not None:
+            asyncio.get_running_loop().call_later(
+                script.crash_after_s,
+                self._crash_by_task,
+                run,
+                context=contextvars.Context(),
+            )
         return Verdict.DONE
 
+    def _crash_by_task(self, run: WorkerRun) -> None:
+        self.advance_runs()
+        if run.ended_s is None:
+            self.on_task_crash()
+
     def _begin_run(self, item: RunningScript, checkpoint: str) -> None:
         """Prepare a run that has just started."""
 
--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -47,6 +47,8 @@
 QUEUE = QueueName("batch")
 SERVICE = ServiceName("pool")
 MAX_FAILURES = 3
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 CAPACITY = Shape(8_000, 16_000, 0)
 REPORT_S = 1.0
 RESTART_S = 0.8
@@ -133,6 +135,7 @@
         self.n_incarnations = 1
         self.is_leaving = False
         self.worker = simulation.make_worker(name)
+        self.worker.on_task_crash = self._on_task_crash
         record = encode_record(AgentRecord(name, 1))
         simulation.store.commit(
             WriteGroup(writes=(Write(AGENT_PREFIX + name, record),))
@@ -190,6 +193,11 @@
         )
         self.simulation.schedule(down_s, self.worker.restart, worker_id)
 
+    def _on_task_crash(self) -> None:
+        simulation = self.simulation
+        self.crash_worker(simulation.crash_down_s, simulation.crash_keeps_id)
+        simulation.on_task_crash()
+
 
 def _call_report(worker_agent: WorkerAgent, state: WorkerState) -> None:
     worker_agent.on_report(state)
@@ -209,6 +217,11 @@
         self.options = JobOptions()
         self.jobs: dict[JobId, SubmittedJob] = {}
         self.scripts: dict[str, TaskScript] = {}
+        self.crashing: dict[str, float] = {}
+        """Tasks that crash their workers, and how long after the start."""
+        self.crash_down_s = 3.0
+        self.crash_keeps_id = False
+        self.on_task_crash: Callable[[], None] = lambda: None
         self._tasks: list[asyncio.Task[Any]] = []
         self.loop.run_until_complete(self._build(n_entries, n_agents))
 
@@ -271,7 +284,9 @@
         is_failing = rng.random() < 0.05 and not step.lasts
         duration_s = 1e6 if step.lasts else step.estimate_ms / 1000
         how = EndReason.FAILED if is_failing else EndReason.DONE
-        return TaskScript(step.shape, duration_s * rng.uniform(0.7, 1.3), how)
+        duration_s *= rng.uniform(0.7, 1.3)
+        crash_after_s = self.crashing.get(task)
+        return TaskScript(step.shape, duration_s, how, crash_after_s=crash_after_s)
 
     def make_job(self, steps: tuple[StepSpec, ...] | None = None) -> SubmittedJob:
         job_id = JobId(f"{self.rng.getrandbits(64):016x}")
@@ -382,6 +397,8 @@
             by_task.setdefault(run.task, []).append(run)
         for task, runs in by_task.items():
             found += _check_task(task, runs)
+            if task in self.crashing:
+                found += _check_crashes(task, runs)
         for run in self.runs():
             found += self._check_start(run, by_task)
         for job in self.jobs.values():
@@ -495,3 +512,16 @@
         if n_failed >= MAX_FAILURES:
             found.append(f"BUDGET {task} started after {n_failed} failures")
     return found
+
+
+def _check_crashes(task: str, runs: list[WorkerRun]) -> list[str]:
+    crash_times_s = [
+        run.ended_s for run in runs if run.how is None and run.ended_s is not None
+    ]
+    if len(crash_times_s) < MAX_CRASHES:
+        return []
+    third_s = sorted(crash_times_s)[MAX_CRASHES - 1]
+    n_later = sum(run.begun_s > third_s for run in runs)
+    if n_later < MAX_STARTS_AFTER_CRASHES:
+        return []
+    return [f"BUDGET {task} started {n_later} times after {MAX_CRASHES} crashes"]
--- /dev/null
+++ b/tests/jobs/test_crashing_tasks.py
@@ -0,0 +1,120 @@
+"""A task that crashes each worker that starts it is given up; those beside it not."""
+
+from collections.abc import Callable
+
+import pytest
+from job_simulation import JobSimulation, SubmittedJob
+
+from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.job_progress import JobState
+from almondspan_decisions.shapes import Shape
+
+SHAPE = Shape(500, 500)
+SHORT = (StepSpec(3, SHAPE, estimate_ms=1_500),)
+LONG = (StepSpec(3, SHAPE, estimate_ms=6_000),)
+LASTING = (StepSpec(3, SHAPE, estimate_ms=100, lasts=True),)
+RUN_S = 70.0
+SUBMIT_S = 20.0
+
+
+def kill_owner(simulation: JobSimulation) -> None:
+    machine = simulation.owner()
+    if machine is not None:
+        machine.kill()
+
+
+def kill_all(simulation: JobSimulation) -> None:
+    for machine in (*simulation.entries, *simulation.agents):
+        machine.kill()
+
+
+def nothing(simulation: JobSimulation) -> None:
+    pass
+
+
+def play(
+    steps: tuple[StepSpec, ...],
+    crash_after_s: float,
+    on_crash: Callable[[JobSimulation], None] = nothing,
+    down_s: float = 3.0,
+    keeps_id: bool = False,
+    n_crashing: int = 1,
+) -> tuple[JobSimulation, list[SubmittedJob], list[SubmittedJob]]:
+    """Play crashing jobs beside sound ones; return both."""
+    simulation = JobSimulation(5, n_entries=2, n_agents=5)
+    simulation.crash_down_s = down_s
+    simulation.crash_keeps_id = keeps_id
+    simulation.on_task_crash = lambda: on_crash(simulation)
+    simulation.run(4.0)
+    crashing = [simulation.make_job(steps) for _ in range(n_crashing)]
+    for job in crashing:
+        simulation.crashing[f"{job.job_id}.0.0.1"] = crash_after_s
+        simulation.submit(job, simulation.entries[0])
+    sound = []
+    for _ in range(int(SUBMIT_S)):
+        job = simulation.make_job(SHORT)
+        sound.append(job)
+        simulation.submit(job, simulation.entries[0])
+        simulation.run(1.0)
+    simulation.run(RUN_S - SUBMIT_S)
+    for job in (*crashing, *sound):
+        simulation.ask_state(job, simulation.entries[1])
+    simulation.run(1.0)
+    return simulation, crashing, sound
+
+
+@pytest.mark.parametrize(
+    ("steps", "crash_after_s", "on_crash", "down_s", "keeps_id", "n_crashing"),
+    [
+        pytest.param(SHORT, 0.01, nothing, 3.0, False, 1, id="at_its_start"),
+        pytest.param(SHORT, 0.01, nothing, 3.0, True, 1, id="same_id_again"),
+        pytest.param(SHORT, 0.01, nothing, 0.3, False, 1, id="back_at_once"),
+        pytest.param(SHORT, 0.01, nothing, 9.0, False, 1, id="back_after_its_lease"),
+        pytest.param(SHORT, 0.8, nothing, 3.0, False, 1, id="in_its_run"),
+        pytest.param(LONG, 4.0, nothing, 3.0, False, 1, id="late_in_its_run"),
+        pytest.param(LASTING, 0.01, nothing, 3.0, False, 1, id="of_a_lasting_step"),
+        pytest.param(SHORT, 0.01, kill_owner, 3.0, False, 1, id="owner_dies_with_it"),
+        pytest.param(SHORT, 0.01, kill_all, 3.0, False, 1, id="all_die_with_it"),
+        pytest.param(
+            SHORT, 0.01, kill_owner, 9.0, False, 1, id="owner_dies_lease_expires"
+        ),
+        pytest.param(SHORT, 0.01, nothing, 3.0, False, 3, id="three_jobs_at_once"),
+    ],
+)
+def test_task_that_crashes_its_workers_is_given_up(
+    steps: tuple[StepSpec, ...],
+    crash_after_s: float,
+    on_crash: Callable[[JobSimulation], None],
+    down_s: float,
+    keeps_id: bool,
+    n_crashing: int,
+) -> None:
+    simulation, crashing, _ = play(
+        steps, crash_after_s, on_crash, down_s, keeps_id, n_crashing
+    )
+    try:
+        assert simulation.violations() == []
+        assert [simulation.state_of(job) for job in crashing] == [
+            JobState.FAILED
+        ] * n_crashing
+    finally:
+        simulation.close()
+
+
+@pytest.mark.parametrize(
+    ("crash_after_s", "n_crashing"),
+    [
+        pytest.param(0.01, 1, id="at_its_start"),
+        pytest.param(0.01, 3, id="three_jobs_at_once"),
+        pytest.param(0.8, 1, id="in_its_run"),
+    ],
+)
+def test_tasks_beside_one_that_crashes_their_worker_are_not_given_up(
+    crash_after_s: float, n_crashing: int
+) -> None:
+    simulation, _, sound = play(SHORT, crash_after_s, n_crashing=n_crashing)
+    try:
+        states = [simulation.state_of(job) for job in sound]
+        assert states == [JobState.COMPLETED] * len(sound)
+    finally:
+        simulation.close()
