Count the crashes of workers under a task, store the count, and give the task up

The end `worker_replaced` was an interruption like a stop: the task was retried without limit, and nothing was counted or stored.

All ends of the crashing tasks are `worker_replaced` with n_failed 0, under one owner and under the next alike, so hypothesis 1 holds; 2 (a count that is lost) and 3 (the crash is not known) do not.

CrashMonitor counts a crash for every task that the worker had been told to start: when a later incarnation takes the place of one that was not leaving, and for a worker whose lease had expired when it comes back as a later incarnation. The count is part of the task's stored row, with the commit that permits the next start. One attempt counts once.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True)
 class TaskState:
-    """State of one task; the fields up to `checkpoint` are stored, the rest are not."""
+    """State of one task; the fields up to `n_crashes` are stored, the rest are not."""
 
     phase: TaskPhase = TaskPhase.WAITING
     n_attempts: int = 0
@@ -75,12 +75,16 @@
     n_failed: int = 0
     incarnation: WorkerIncarnation | None = None
     checkpoint: str = ""
+    n_crashes: int = 0
+    """Number of workers that crashed after they had been told to start the task."""
     is_stored: bool = False
     """The assignment is stored, so the start command may be sent."""
     n_sends: int = 0
     """Number of start commands sent for the attempt."""
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
+    crashed_attempt: int = 0
+    """The latest attempt whose worker is known to have crashed; 0 if there is none."""
     placed_s: float = 0.0
     listed_s: float = 0.0
     """When the worker last listed the attempt as running; 0 if never."""
@@ -302,6 +306,19 @@
         task.incarnation = incarnation
         return True
 
+    def record_crash(self, key: TaskKey, attempt: int) -> bool:
+        """Count a crash of the worker that had been told to start an attempt of a task.
+
+        Returns whether it counts: an attempt ends with the first crash of its worker.
+        """
+        task = self.task(key)
+        assert task is not None
+        if attempt <= task.crashed_attempt:
+            return False
+        task.crashed_attempt = attempt
+        task.n_crashes += 1
+        return True
+
     def end(
         self, key: TaskKey, kind: EndKind, checkpoint: str, max_failures: int
     ) -> None:
--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -124,6 +124,7 @@
             how=why,
             worker=incarnation.worker_id,
             n_failed=task.n_failed,
+            n_crashes=task.n_crashes,
             checkpoint=checkpoint,
             ran_ms=int((now_s - task.placed_s) * 1000),
         )
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -125,6 +125,7 @@
     worker_id: str = ""
     started_ms: int = 0
     checkpoint: str = ""
+    n_crashes: int = 0
 
 
 class _StoredProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -222,16 +223,15 @@
 
 
 def _encode_task(task: TaskState) -> _TaskRow:
-    phase = _PHASE_CODES[task.phase]
-    if task.incarnation is None:
-        return _TaskRow(phase, task.n_attempts, task.n_failed, "", 0, task.checkpoint)
+    incarnation = task.incarnation
     return _TaskRow(
-        phase,
+        _PHASE_CODES[task.phase],
         task.n_attempts,
         task.n_failed,
-        task.incarnation.worker_id,
-        task.incarnation.started_ms,
+        incarnation.worker_id if incarnation is not None else "",
+        incarnation.started_ms if incarnation is not None else 0,
         task.checkpoint,
+        task.n_crashes,
     )
 
 
@@ -262,5 +262,11 @@
     if phase is TaskPhase.PLACED:
         incarnation = WorkerIncarnation(WorkerId(row.worker_id), row.started_ms)
     return TaskState(
-        phase, row.n_attempts, row.n_failed, incarnation, row.checkpoint, is_stored=True
+        phase,
+        row.n_attempts,
+        row.n_failed,
+        incarnation,
+        row.checkpoint,
+        row.n_crashes,
+        is_stored=True,
     )
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -31,6 +31,7 @@
 from almondspan_jobs.best_effort_mover import BestEffortMover
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.command_dispatcher import CommandDispatcher
+from almondspan_jobs.crash_monitor import CrashMonitor
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
@@ -107,7 +108,14 @@
             metrics,
         )
         self._lifecycle: Final = WorkerLifecycle(
-            table, fleet, assignments, self._commands, self._interference, options, log
+            table,
+            fleet,
+            assignments,
+            self._commands,
+            self._interference,
+            CrashMonitor(table, fleet, log, metrics),
+            options,
+            log,
         )
         preemptor = Preemptor(table, fleet, log)
         self._planner: Final = Planner(
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -14,6 +14,7 @@
 from almondspan_jobs.assignments import Assignments
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.command_dispatcher import CommandDispatcher
+from almondspan_jobs.crash_monitor import CrashMonitor
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
@@ -37,6 +38,7 @@
         assignments: Assignments,
         commands: CommandDispatcher,
         interference: InterferenceMonitor,
+        crashes: CrashMonitor,
         options: JobOptions,
         log: EventLog,
     ) -> None:
@@ -45,6 +47,7 @@
         self._assignments: Final = assignments
         self._commands: Final = commands
         self._interference: Final = interference
+        self._crashes: Final = crashes
         self._options: Final = options
         self._log: Final = log
         self._departure_due_s: Final[dict[WorkerIncarnation, float]] = {}
@@ -100,7 +103,8 @@
             )
         ]
         for old in earlier:
-            self._log_replaced(old, incarnation)
+            self._on_ended(old, incarnation)
+        self._crashes.on_registered(node, incarnation)
         fleet.set_home_agent(incarnation, node)
         fleet.add(record)
         fleet.lease(incarnation)
@@ -120,8 +124,10 @@
         )
         self._table.needs_planning = True
 
-    def _log_replaced(self, old: WorkerIncarnation, new: WorkerIncarnation) -> None:
+    def _on_ended(self, old: WorkerIncarnation, new: WorkerIncarnation) -> None:
+        """Handle the end of an incarnation, which has crashed unless it was leaving."""
         record = self._fleet.record_of(old)
+        is_leaving = record is not None and record.is_leaving
         held = self._fleet.held_by(old)
         unlisted = [
             format_task_name(job_id, key)
@@ -132,12 +138,14 @@
             "worker_replaced",
             old=str(old),
             new=str(new),
-            leaving=record is not None and record.is_leaving,
+            leaving=is_leaving,
             silent_ms=int((steady_s() - self._fleet.lease(old).listed_s) * 1000),
             n_tasks=len(held),
             n_unlisted=len(unlisted),
             unlisted=unlisted[:MAX_LOGGED_TASKS],
         )
+        if not is_leaving:
+            self._crashes.on_crash(old)
 
     def _is_sent_but_unlisted(self, job_id: JobId, key: TaskKey) -> bool:
         task = self._table[job_id].task(key)
@@ -189,6 +197,7 @@
 
     def tick(self, now_s: float) -> None:
         """Release the tasks of gone workers, and move tasks off leaving ones."""
+        self._crashes.tick(now_s)
         for incarnation, due_s in tuple(self._departure_due_s.items()):
             if now_s >= due_s:
                 del self._departure_due_s[incarnation]
@@ -196,6 +205,7 @@
                 self._forget(incarnation)
         for incarnation, lease in tuple(self._fleet.leases.items()):
             if now_s > lease.surely_expired_s:
+                self._crashes.on_lost(incarnation, now_s)
                 self._assignments.release_all(incarnation, "lease_passed")
                 self._forget(incarnation)
         for record in self._fleet.workers.values():
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -70,6 +70,7 @@
         started_ms: int = STARTED_MS,
         node: str = "node-1",
         labels: list[str] | None = None,
+        is_leaving: bool = False,
     ) -> None:
         self.scheduler.on_report(
             node,
@@ -82,7 +83,7 @@
                 8_000,
                 0,
                 labels or ["r1"],
-                False,
+                is_leaving,
                 0,
             ),
         )
