Try the tasks of a crashed worker one at a time, and give up the one that fails its trial

The victims of a crash were released at the same moment and went to the same worker, the one that had just come back empty, together with the task that had caused it. Nothing told the cause from the victims.

`worker_replaced` with 9 to 83 tasks, all of them never seen running on the worker that had come back 0.01 to 1 s before.

Ruled out: a task in doubt twice by chance (seen in a trial: a victim that had been seen running in the first crash and had just been started in the second; only a task that was on trial counts now).

Change, in crash_blame (pure) with its cases: a task that had not been seen running for 0.3 s when its worker crashed is in doubt, and its next start is a trial. A worker runs one trial at a time; its agent lists it again after 0.35 s, so a trial is short. A worker that crashes under a trial names the task, which is given up, unless the worker had crashed just before. Tasks that crash later in their runs are kept apart from the second crash on, and off workers that have just crashed; four crashes stay the limit. Waiting for a trial preempts nothing and holds up no other task of the step.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -77,6 +77,10 @@
     checkpoint: str = ""
     n_crashes: int = 0
     """Number of workers that crashed after they had been told to start the task."""
+    is_inherited: bool = False
+    """An earlier owner has assigned the attempt."""
+    is_in_doubt: bool = False
+    """The task may have crashed a worker by starting, so its next start is a trial."""
     is_stored: bool = False
     """The assignment is stored, so the start command may be sent."""
     n_sends: int = 0
@@ -104,6 +108,7 @@
     def reset_attempt(self) -> None:
         """Clear the command and report state of the previous attempt."""
         self.is_stored = self.is_stopping = self.is_revoking = False
+        self.is_inherited = False
         self.n_sends = self.percent = 0
         self.sent_s = self.listed_s = self.held_s = 0.0
 
--- a/packages/decisions/almondspan_decisions/step_placement.py
+++ b/packages/decisions/almondspan_decisions/step_placement.py
@@ -8,7 +8,10 @@
    their targets costs more.
 3. A lasting task is packed onto full workers, any other task goes to the worker with
    the lowest load.
-4. Data on another rack, an earlier failure of the task on the worker and a rested
+4. A task that is in doubt of having crashed a worker is tried where no other such task
+   is being tried; one under which workers have crashed repeatedly is kept apart from
+   others like it, and off workers that have just crashed.
+5. Data on another rack, an earlier failure of the task on the worker and a rested
    worker add to the cost.
 """
 
@@ -19,6 +22,7 @@
 from typing import Final
 
 from almondspan_decisions.best_effort_placement import BestEffortScores
+from almondspan_decisions.crash_blame import N_CRASHES_APART
 from almondspan_decisions.eligibility import could_ever_run
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import StepSpec
@@ -31,6 +35,10 @@
 """Added for a worker on which the task failed or stalled."""
 RESTED_COST: Final = 8.0
 OTHER_RACK_COST: Final = 0.5
+UNSOUND_COST: Final = 8.0
+"""Added for a worker that has just crashed, if workers crash under the task."""
+KEPT_APART_COST: Final = 2.0
+"""Added for each task on the worker from which the task is kept apart."""
 OTHER_IMAGE_COST: Final = 0.1
 """Added for each serving task of another image on the worker."""
 
@@ -118,6 +126,17 @@
             cost += RESTED_COST
         return cost
 
+    def cost_for(self, task: TaskState, worker: WorkerRecord) -> float:
+        """Return what the history of a task adds to its cost on a worker."""
+        cost = 0.0
+        if worker.incarnation.worker_id in task.avoided:
+            cost += AVOIDED_COST
+        if task.n_crashes and worker.has_crashed_lately(self._now_s):
+            cost += UNSOUND_COST
+        if task.n_crashes >= N_CRASHES_APART:
+            cost += KEPT_APART_COST * len(worker.kept_apart)
+        return cost
+
 
 class StepPlacement:
     """Chooses workers for the tasks of one step of one occurrence."""
@@ -157,20 +176,26 @@
                 return False
         return could_ever_run(step, worker)
 
+    @property
+    def has_candidates(self) -> bool:
+        """Whether any worker may run a task of the step."""
+        return bool(self._heap)
+
     def cheapest(self, task: TaskState) -> WorkerRecord | None:
-        """Return the cheapest worker for a task; None if no worker may run it."""
+        """Return the cheapest worker for a task; None if no worker may run it now."""
         if not self._heap:
             return None
-        if not task.avoided:
+        if not (task.avoided or task.n_crashes):
             return self._heap[0][2]
-        return min(
-            self._heap,
-            key=lambda entry: (
-                entry[0] + AVOIDED_COST
-                if entry[2].incarnation.worker_id in task.avoided
-                else entry[0]
-            ),
-        )[2]
+        entries = self._heap
+        if task.is_in_doubt:
+            entries = [entry for entry in entries if not entry[2].trials]
+        best = min(
+            entries,
+            key=lambda entry: entry[0] + self._costs.cost_for(task, entry[2]),
+            default=None,
+        )
+        return best[2] if best is not None else None
 
     def on_placed(self, worker: WorkerRecord) -> None:
         """Score a worker again after a task of the step was placed there."""
--- a/packages/decisions/almondspan_decisions/worker_record.py
+++ b/packages/decisions/almondspan_decisions/worker_record.py
@@ -6,11 +6,12 @@
 rested: for a while, tasks are placed on it only if no other worker may run them.
 """
 
+import math
 from dataclasses import dataclass, field
 from typing import Final
 
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName
-from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.job_graph import StepSpec, TaskKey
 from almondspan_decisions.job_progress import WorkerIncarnation
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_decisions.tail_latency_model import Image
@@ -26,6 +27,9 @@
 REST_S: Final = 6.0
 """How long a worker is rested."""
 
+UNSOUND_S: Final = 5.0
+"""A worker that crashes again within this time may do so by itself."""
+
 
 def counted_shape(step: StepSpec) -> Shape:
     """Return what a task of a step takes from its worker's free capacity."""
@@ -66,6 +70,12 @@
     failed_jobs: list[JobId] = field(default_factory=list)
     """Jobs with a task that failed here since the last success."""
     rested_until_s: float = 0.0
+    crashed_s: float = -math.inf
+    """When an earlier incarnation of the worker was last found to have crashed."""
+    trials: set[tuple[JobId, TaskKey]] = field(default_factory=set)
+    """Tasks in doubt that have not yet run long enough here (see `crash_blame`)."""
+    kept_apart: set[tuple[JobId, TaskKey]] = field(default_factory=set)
+    """Assigned tasks that are kept apart from each other (see `crash_blame`)."""
 
     @property
     def free(self) -> Shape:
@@ -122,6 +132,10 @@
         self.failed_jobs.clear()
         return True
 
+    def has_crashed_lately(self, now_s: float) -> bool:
+        """Return whether the worker crashed shortly before `now_s`."""
+        return now_s - self.crashed_s < UNSOUND_S
+
     def is_rested(self, now_s: float) -> bool:
         """Return whether the worker is rested at `now_s`."""
         return now_s < self.rested_until_s
--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from almondspan_decisions.best_effort_placement import BestEffortScores
+from almondspan_decisions.crash_blame import N_CRASHES_APART
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
     EndKind,
@@ -38,6 +39,7 @@
             assert task.incarnation is not None
             task.is_stored = True
             task.n_sends = 1
+            task.is_inherited = True
             task.placed_s = task.percent_s = steady_s()
             self._fleet.hold(task.incarnation, (job.job_id, key))
             self._fleet.lease(task.incarnation)
@@ -58,6 +60,7 @@
         if step.fills:
             n_affected = scores.n_affected_by_start(step, worker)
             scores.deduct_start(step, worker)
+        _add_doubts(worker, job, key)
         self._fleet.hold(worker.incarnation, (job.job_id, key))
         self._fleet.lease(worker.incarnation)
         self._log.line(
@@ -98,6 +101,7 @@
         record = self._fleet.record_of(incarnation)
         if record is not None:
             record.allocate(job.step_of(key))
+            _add_doubts(record, job, key)
         self._table.mark_dirty(job)
         self._log.line(
             "task_followed",
@@ -109,6 +113,19 @@
         )
         return True
 
+    def end_trial(
+        self, job: JobProgress, key: TaskKey, incarnation: WorkerIncarnation
+    ) -> None:
+        """Record that a task in doubt has run long enough on its worker."""
+        task = job.task(key)
+        assert task is not None
+        task.is_in_doubt = False
+        record = self._fleet.record_of(incarnation)
+        if record is not None:
+            record.trials.discard((job.job_id, key))
+            self._fleet.mark_freed(record)
+        self._table.needs_planning = True
+
     def end(
         self, job: JobProgress, key: TaskKey, kind: EndKind, checkpoint: str, why: str
     ) -> None:
@@ -132,6 +149,8 @@
         record = self._fleet.record_of(incarnation)
         if record is not None:
             record.release(job.step_of(key))
+            record.trials.discard((job.job_id, key))
+            record.kept_apart.discard((job.job_id, key))
             self._fleet.mark_freed(record)
             self._record_outcome(record, job, kind, now_s)
         job.end(key, kind, checkpoint, self._table.max_failures(job))
@@ -172,3 +191,13 @@
             )
         for job_id, key in held:
             self.release(self._table[job_id], key, reason)
+
+
+def _add_doubts(record: WorkerRecord, job: JobProgress, key: TaskKey) -> None:
+    """Add a task to those of a worker that are on trial or kept apart, if it is one."""
+    task = job.task(key)
+    assert task is not None
+    if task.is_in_doubt:
+        record.trials.add((job.job_id, key))
+    if task.n_crashes >= N_CRASHES_APART:
+        record.kept_apart.add((job.job_id, key))
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
+from almondspan_decisions.crash_blame import is_in_doubt
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
@@ -139,6 +140,8 @@
         if not task.listed_s:
             self._metrics.observe_s("start", now_s - task.placed_s)
         task.listed_s = now_s
+        if task.is_in_doubt and not is_in_doubt(task):
+            self._assignments.end_trial(job, key, incarnation)
         if checkpoint:
             task.checkpoint = checkpoint
         is_held = is_paced and job.step_of(key).fills
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -1,9 +1,9 @@
 """Counts the crashes of workers under the tasks that ran there, and gives tasks up.
 
-A crash ends every task of a worker, and one of them may have caused it. The count of a
-task is stored with its job, before the next start of the task leaves, so that it
-outlives owners and restarts. It includes starts that were only sent: the worker may
-have crashed before it answered.
+`crash_blame` says which tasks are in doubt and which are given up. The count of a task
+is stored with its job, before the next start of the task leaves, so that it outlives
+owners and restarts. It includes starts that were only sent: the worker may have crashed
+before it answered.
 
 A worker that is silent until its lease has expired may have crashed or may be cut off.
 Its tasks are remembered: if it comes back as a later incarnation, it had crashed.
@@ -12,6 +12,11 @@
 from dataclasses import dataclass
 from typing import Final
 
+from almondspan_decisions.crash_blame import (
+    CrashedTask,
+    is_in_doubt,
+    tasks_to_give_up,
+)
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import WorkerIncarnation
@@ -20,10 +25,7 @@
 from almondspan_jobs.job_table import JobTable
 from almondspan_jobs.metrics import Metrics
 
-__all__ = ["MAX_CRASHES", "CrashMonitor"]
-
-MAX_CRASHES: Final = 4
-"""Crashes after which a task is given up, whatever else ran beside it."""
+__all__ = ["CrashMonitor"]
 
 LOST_MEMORY_S: Final = 60.0
 """How long the tasks of a silent worker are remembered after its lease has expired."""
@@ -36,6 +38,7 @@
     job_id: JobId
     key: TaskKey
     attempt: int
+    is_in_doubt: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +63,12 @@
         self._metrics: Final = metrics
         self._lost: Final[dict[WorkerIncarnation, _LostWorker]] = {}
 
-    def on_crash(self, incarnation: WorkerIncarnation) -> None:
+    def on_crash(self, incarnation: WorkerIncarnation, now_s: float) -> None:
         """Count a crash for the tasks that the worker may have started."""
-        self._count_crash(incarnation, self._started_tasks(incarnation))
+        record = self._fleet.record_of(incarnation)
+        was_sound = record is None or not record.has_crashed_lately(now_s)
+        tasks = self._started_tasks(incarnation)
+        self._count_crash(incarnation, tasks, was_sound=was_sound)
 
     def on_lost(self, incarnation: WorkerIncarnation, now_s: float) -> None:
         """Remember the tasks of a worker whose lease has expired."""
@@ -71,14 +77,20 @@
             node = self._fleet.home_agents.get(incarnation, "")
             self._lost[incarnation] = _LostWorker(node, now_s, tasks)
 
-    def on_registered(self, node: str, incarnation: WorkerIncarnation) -> None:
-        """Count the crashes of lost workers that an incarnation shows to have ended."""
+    def on_registered(self, node: str, incarnation: WorkerIncarnation) -> bool:
+        """Count the crashes of lost workers that an incarnation shows to have ended.
+
+        Returns whether there was one.
+        """
+        has_crashed = False
         for old, lost in tuple(self._lost.items()):
             is_successor = old.worker_id == incarnation.worker_id or lost.node == node
             if is_successor and old.started_ms <= incarnation.started_ms:
                 del self._lost[old]
                 if old.started_ms < incarnation.started_ms:
-                    self._count_crash(old, lost.tasks)
+                    has_crashed = True
+                    self._count_crash(old, lost.tasks, was_sound=True)
+        return has_crashed
 
     def tick(self, now_s: float) -> None:
         """Forget workers that were lost long ago."""
@@ -94,29 +106,45 @@
         for job_id, key in self._fleet.held_by(incarnation):
             task = self._table[job_id].task(key)
             if task is not None and task.n_sends:
-                found.append(_StartedTask(job_id, key, task.n_attempts))
+                found.append(
+                    _StartedTask(job_id, key, task.n_attempts, is_in_doubt(task))
+                )
         return tuple(found)
 
     def _count_crash(
-        self, incarnation: WorkerIncarnation, tasks: tuple[_StartedTask, ...]
+        self,
+        incarnation: WorkerIncarnation,
+        started: tuple[_StartedTask, ...],
+        *,
+        was_sound: bool,
     ) -> None:
         self._metrics.count("worker_crashes")
-        for started in tasks:
-            job = self._table.jobs.get(started.job_id)
-            if job is None or not job.is_active:
-                continue
-            if not job.record_crash(started.key, started.attempt):
-                continue
-            task = job.task(started.key)
-            assert task is not None
-            if task.n_crashes >= MAX_CRASHES:
-                job.is_failed = True
-                self._metrics.count("tasks_given_up")
-                self._log.line(
-                    "task_given_up",
-                    task=format_task_name(started.job_id, started.key),
-                    worker=incarnation.worker_id,
-                    n_crashes=task.n_crashes,
-                    n_beside=len(tasks) - 1,
-                )
-            self._table.mark_dirty(job)
+        crashed = [found for task in started if (found := self._count(task))]
+        for task in tasks_to_give_up(crashed, was_worker_sound=was_sound):
+            self._table[task.job_id].is_failed = True
+            self._metrics.count("tasks_given_up")
+            self._log.line(
+                "task_given_up",
+                task=format_task_name(task.job_id, task.key),
+                worker=incarnation.worker_id,
+                n_crashes=task.n_crashes,
+                has_failed_trial=task.has_failed_trial,
+                n_beside=len(crashed) - 1,
+            )
+        for task in crashed:
+            self._table.mark_dirty(self._table[task.job_id])
+
+    def _count(self, started: _StartedTask) -> CrashedTask | None:
+        """Count a crash under one task; None if it does not count."""
+        job = self._table.jobs.get(started.job_id)
+        if job is None or not job.is_active:
+            return None
+        if not job.record_crash(started.key, started.attempt):
+            return None
+        task = job.task(started.key)
+        assert task is not None
+        has_failed_trial = task.is_in_doubt and started.is_in_doubt
+        task.is_in_doubt |= started.is_in_doubt
+        return CrashedTask(
+            started.job_id, started.key, task.n_crashes, has_failed_trial
+        )
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -124,6 +124,8 @@
     checkpoint: str
     until_ms: int
     traits: TaskTraits
+    is_trial: bool = False
+    """Whether the worker is to be listed again once the task should be running."""
 
 
 @message
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -51,7 +51,8 @@
     n_placed: int
     unplaced: TaskKey | None = None
     is_held: bool = False
-    """A worker may run the task, but its start would slow serving tasks."""
+    """A worker may run the task, but its start would slow serving tasks, or other tasks
+    are on trial there."""
 
 
 class Planner:
@@ -142,18 +143,23 @@
         """Place the waiting tasks of a step until one can't be placed."""
         scores = self._interference.scores
         placement = StepPlacement(job, occurrence, number, workers, this.costs)
-        waiting = job.waiting(occurrence, number)
-        for n_placed, key in enumerate(waiting):
+        n_placed = 0
+        untried: TaskKey | None = None
+        for key in job.waiting(occurrence, number):
             task = job.task(key)
             assert task is not None
             worker = placement.cheapest(task)
+            if worker is None and placement.has_candidates and task.is_in_doubt:
+                untried = key
+                continue
             if worker is None:
                 return _StepOutcome(n_placed, key)
             if self._should_wait(task, job.step_of(key), worker, this.now_s):
                 return _StepOutcome(n_placed, key, is_held=True)
             self._assignments.place(job, key, worker, scores, this.now_s)
             placement.on_placed(worker)
-        return _StepOutcome(len(waiting))
+            n_placed += 1
+        return _StepOutcome(n_placed, untried, is_held=untried is not None)
 
     def _should_wait(
         self, task: TaskState, step: StepSpec, worker: WorkerRecord, now_s: float
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -303,6 +303,16 @@
                 command.attempt,
                 self._epoch,
             )
+            if command.is_trial:
+                await self._list_after_trial(incarnation)
+
+    async def _list_after_trial(self, incarnation: _Incarnation) -> None:
+        """List the worker's tasks once a task on trial has run long enough."""
+        await asyncio.sleep(self._options.trial_list_s)
+        poll = await self._worker.list_tasks(incarnation.state.worker_id, self._epoch)
+        if isinstance(poll, WorkerPoll):
+            if poll.started_ms == incarnation.state.started_ms:
+                self._forward_poll(incarnation, poll)
 
     async def _stop_task(self, command: StopCommand) -> None:
         incarnation = self._incarnation
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -102,9 +102,12 @@
                 or fleet.home_agents.get(old) == node
             )
         ]
+        now_s = steady_s()
+        has_crashed = self._crashes.on_registered(node, incarnation)
         for old in earlier:
-            self._on_ended(old, incarnation)
-        self._crashes.on_registered(node, incarnation)
+            has_crashed |= self._on_ended(old, incarnation, now_s)
+        if has_crashed:
+            record.crashed_s = now_s
         fleet.set_home_agent(incarnation, node)
         fleet.add(record)
         fleet.lease(incarnation)
@@ -124,8 +127,10 @@
         )
         self._table.needs_planning = True
 
-    def _on_ended(self, old: WorkerIncarnation, new: WorkerIncarnation) -> None:
-        """Handle the end of an incarnation, which has crashed unless it was leaving."""
+    def _on_ended(
+        self, old: WorkerIncarnation, new: WorkerIncarnation, now_s: float
+    ) -> bool:
+        """Handle the end of an incarnation; return whether it has crashed."""
         record = self._fleet.record_of(old)
         is_leaving = record is not None and record.is_leaving
         held = self._fleet.held_by(old)
@@ -139,13 +144,15 @@
             old=str(old),
             new=str(new),
             leaving=is_leaving,
-            silent_ms=int((steady_s() - self._fleet.lease(old).listed_s) * 1000),
+            silent_ms=int((now_s - self._fleet.lease(old).listed_s) * 1000),
             n_tasks=len(held),
             n_unlisted=len(unlisted),
             unlisted=unlisted[:MAX_LOGGED_TASKS],
         )
-        if not is_leaving:
-            self._crashes.on_crash(old)
+        if is_leaving:
+            return False
+        self._crashes.on_crash(old, now_s)
+        return True
 
     def _is_sent_but_unlisted(self, job_id: JobId, key: TaskKey) -> bool:
         task = self._table[job_id].task(key)
--- /dev/null
+++ b/tests/decisions/test_crash_blame.py
@@ -0,0 +1,62 @@
+"""Which tasks are in doubt after a crash, and which are given up."""
+
+import pytest
+
+from almondspan_decisions.crash_blame import (
+    CrashedTask,
+    is_in_doubt,
+    tasks_to_give_up,
+)
+from almondspan_decisions.ids import JobId
+from almondspan_decisions.job_graph import TaskKey
+from almondspan_decisions.job_progress import TaskState
+
+PLACED_S = 100.0
+
+
+def crashed(position: int, n_crashes: int, has_failed_trial: bool) -> CrashedTask:
+    return CrashedTask(
+        JobId("job"), TaskKey(0, 0, position), n_crashes, has_failed_trial
+    )
+
+
+@pytest.mark.parametrize(
+    ("listed_s", "is_inherited", "expected"),
+    [
+        pytest.param(0.0, False, True, id="never_listed"),
+        pytest.param(PLACED_S + 0.1, False, True, id="listed_at_its_start"),
+        pytest.param(PLACED_S + 0.5, False, False, id="seen_running"),
+        pytest.param(0.0, True, False, id="started_by_an_earlier_owner"),
+        pytest.param(PLACED_S + 0.1, True, True, id="inherited_and_listed_once"),
+    ],
+)
+def test_task_is_in_doubt_until_it_has_run(
+    listed_s: float, is_inherited: bool, expected: bool
+) -> None:
+    task = TaskState(
+        placed_s=PLACED_S, listed_s=listed_s, is_inherited=is_inherited, n_crashes=1
+    )
+    assert is_in_doubt(task) is expected
+
+
+@pytest.mark.parametrize(
+    ("tasks", "was_worker_sound", "given_up"),
+    [
+        pytest.param([(1, False), (1, False)], True, [], id="first_crash"),
+        pytest.param([(2, True), (1, False)], True, [0], id="one_failed_trial"),
+        pytest.param([(2, True), (2, True)], True, [], id="two_failed_trials"),
+        pytest.param([(2, True)], False, [], id="worker_that_had_just_crashed"),
+        pytest.param([(3, False), (3, False)], True, [], id="late_in_their_runs"),
+        pytest.param([(4, False), (3, False)], True, [0], id="last_crash"),
+        pytest.param([(4, False)], False, [0], id="last_crash_of_an_unsound_worker"),
+        pytest.param([], True, [], id="nothing_ran"),
+    ],
+)
+def test_tasks_given_up_after_a_crash(
+    tasks: list[tuple[int, bool]], was_worker_sound: bool, given_up: list[int]
+) -> None:
+    found = tasks_to_give_up(
+        [crashed(position, *task) for position, task in enumerate(tasks)],
+        was_worker_sound=was_worker_sound,
+    )
+    assert [task.key.position for task in found] == given_up
--- a/tests/decisions/test_step_placement.py
+++ b/tests/decisions/test_step_placement.py
@@ -77,6 +77,78 @@
 
 SMALL = Shape(1_000, 1_000, 0)
 
+OTHER_TASK = (JobId("other"), KEY)
+
+
+def trying(record: WorkerRecord) -> WorkerRecord:
+    record.trials.add(OTHER_TASK)
+    return record
+
+
+def crashed(record: WorkerRecord) -> WorkerRecord:
+    record.crashed_s = -1.0
+    return record
+
+
+def keeping_apart(record: WorkerRecord) -> WorkerRecord:
+    record.kept_apart.add(OTHER_TASK)
+    return record
+
+
+@pytest.mark.parametrize(
+    ("workers", "task", "expected"),
+    [
+        pytest.param(
+            [trying(worker("a")), worker("b", 2_000)],
+            TaskState(n_crashes=1, is_in_doubt=True),
+            "b",
+            id="trial_where_no_other_is",
+        ),
+        pytest.param(
+            [trying(worker("a"))],
+            TaskState(n_crashes=1, is_in_doubt=True),
+            None,
+            id="no_worker_without_a_trial",
+        ),
+        pytest.param(
+            [trying(worker("a")), worker("b", 2_000)],
+            TaskState(n_crashes=1),
+            "a",
+            id="not_in_doubt",
+        ),
+        pytest.param(
+            [crashed(worker("a")), worker("b", 2_000)],
+            TaskState(n_crashes=1),
+            "b",
+            id="off_a_worker_that_has_just_crashed",
+        ),
+        pytest.param(
+            [crashed(worker("a")), worker("b", 2_000)],
+            TaskState(),
+            "a",
+            id="no_crashes",
+        ),
+        pytest.param(
+            [keeping_apart(worker("a")), worker("b", 2_000)],
+            TaskState(n_crashes=2),
+            "b",
+            id="apart_from_others_like_it",
+        ),
+        pytest.param(
+            [keeping_apart(worker("a")), worker("b", 2_000)],
+            TaskState(n_crashes=1),
+            "a",
+            id="one_crash_only",
+        ),
+    ],
+)
+def test_task_under_which_workers_crash(
+    workers: list[WorkerRecord], task: TaskState, expected: str | None
+) -> None:
+    found = make_placement(make_job(StepSpec(1, SMALL)), workers).cheapest(task)
+    name = found.incarnation.worker_id if found is not None else None
+    assert name == expected
+
 
 @pytest.mark.parametrize(
     ("step", "workers", "name"),
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -15,11 +15,12 @@
     SchedulerHarness,
 )
 
+from almondspan_decisions.crash_blame import MAX_CRASHES
 from almondspan_decisions.ids import WorkerId
-from almondspan_decisions.job_graph import JobSpec
+from almondspan_decisions.job_graph import JobSpec, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, JobState, TaskState
+from almondspan_decisions.shapes import Shape
 from almondspan_jobs import clocks
-from almondspan_jobs.crash_monitor import MAX_CRASHES
 from almondspan_jobs.messages import StartReply
 from almondspan_jobs.records import Unreadable, decode_progress, encode_progress
 
@@ -178,3 +179,72 @@
     harness.plan_and_store()
     assert harness.scheduler.stored_states[JOB] is JobState.FAILED
     assert "task_given_up" in harness.log.events
+
+
+def placed_on(harness: SchedulerHarness, n_tasks: int) -> list[str]:
+    """Return the workers of the first tasks, "" for one that waits."""
+    job = harness.scheduler.jobs[JOB]
+    tasks = [job.task(TaskKey(0, 0, position)) for position in range(n_tasks)]
+    return [
+        task.incarnation.worker_id if task is not None and task.incarnation else ""
+        for task in tasks
+    ]
+
+
+def crash_under_three(harness: SchedulerHarness) -> None:
+    """Crash a worker right after it was told to start three tasks."""
+    harness.report_worker()
+    harness.add(StepSpec(3, Shape(100, 100), estimate_ms=1_000))
+    harness.report_worker(OTHER, STARTED_MS + 1, node="node-2")
+    harness.report_worker(WorkerId("w-3"), STARTED_MS + 2, node="node-1")
+    harness.plan_and_store()
+
+
+def test_tasks_in_doubt_are_tried_one_at_a_time_on_a_worker(
+    harness: SchedulerHarness,
+) -> None:
+    crash_under_three(harness)
+    assert sorted(placed_on(harness, 3)) == ["", "w-2", "w-3"]
+
+
+def test_trial_ends_when_the_task_has_run(harness: SchedulerHarness) -> None:
+    crash_under_three(harness)
+    position = placed_on(harness, 3).index("w-2")
+    row = (f"{JOB}.0.0.{position}", 2, "", 5, 0.0)
+    harness.list_worker(OTHER, STARTED_MS + 1, running=[row])
+    harness.plan_and_store()
+    assert "" in placed_on(harness, 3)
+    harness.now_s += 0.4
+    harness.list_worker(OTHER, STARTED_MS + 1, running=[row])
+    harness.plan_and_store()
+    assert sorted(placed_on(harness, 3)) == ["w-2", "w-2", "w-3"]
+
+
+def test_waiting_for_a_trial_stops_no_other_task(harness: SchedulerHarness) -> None:
+    crash_under_three(harness)
+    harness.advance(1.0)
+    harness.plan_and_store()
+    assert "task_preempted" not in harness.log.events
+
+
+@pytest.mark.parametrize(
+    ("quiet_s", "state"),
+    [
+        pytest.param(20.0, JobState.FAILED, id="sound_worker"),
+        pytest.param(0.0, JobState.RUNNING, id="worker_that_had_just_crashed"),
+    ],
+)
+def test_failed_trial(
+    harness: SchedulerHarness, quiet_s: float, state: JobState
+) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.report_worker(OTHER, STARTED_MS + 1)
+    harness.now_s += quiet_s
+    harness.list_worker(OTHER, STARTED_MS + 1)
+    harness.plan_and_store()
+    assert placed_on(harness, 1) == [OTHER]
+    harness.report_worker(WorkerId("w-3"), STARTED_MS + 2)
+    harness.plan_and_store()
+    assert task_of(harness).n_crashes == 2
+    assert harness.scheduler.stored_states[JOB] is state
