Take a worker's capacity from its latest report

The owner read the capacity when an incarnation registered and never again; the agent's pacing did the same.

Each report of a known incarnation updates the record; what is assigned beyond a capacity that has shrunk stays and makes the free capacity negative, and a worker that has grown is planned for at once. `worker_capacity` is logged by agent and owner.

Before and after: four of the five cases of test_worker_gets_no_more_than_it_now_holds and test_worker_whose_capacity_shrinks_keeps_its_tasks_and_gets_more_when_it_grows failed, and pass.

--- a/packages/decisions/almondspan_decisions/worker_record.py
+++ b/packages/decisions/almondspan_decisions/worker_record.py
@@ -46,6 +46,7 @@
     service: ServiceName
     place: PlaceName
     capacity: Shape
+    """As last reported; it may shrink below what is assigned, and grow again."""
     labels: frozenset[str]
     rack: str = ""
     is_leaving: bool = False
@@ -66,7 +67,7 @@
     serving_images: frozenset[Image] = frozenset()
     """Images of the tasks with a tail latency target."""
     n_changes: int = 0
-    """Rises whenever a task is added or removed."""
+    """Rises whenever a task is added or removed, or the capacity changes."""
     failed_jobs: list[JobId] = field(default_factory=list)
     """Jobs with a task that failed here since the last success."""
     rested_until_s: float = 0.0
@@ -79,7 +80,7 @@
 
     @property
     def free(self) -> Shape:
-        """The free capacity."""
+        """The free capacity; negative where less is left than is assigned."""
         return self.capacity - self.used
 
     @property
@@ -92,6 +93,11 @@
             - SERVING_USE_SHARE * self.serving_millicores
         )
 
+    def resize(self, capacity: Shape) -> None:
+        """Change the capacity to what the worker now reports."""
+        self.capacity = capacity
+        self.n_changes += 1
+
     def allocate(self, step: StepSpec) -> None:
         """Add an assigned task to the counts."""
         self.used = self.used + counted_shape(step)
--- a/packages/jobs/almondspan_jobs/pacing.py
+++ b/packages/jobs/almondspan_jobs/pacing.py
@@ -57,7 +57,7 @@
 
     def on_new_incarnation(self, cpu_millicores: int) -> None:
         """Reset the paces: a new incarnation of the worker runs nothing yet."""
-        self._cpu_millicores = max(cpu_millicores, 1)
+        self.set_capacity(cpu_millicores)
         self._pacer = BestEffortPacer()
         self._image_paces: dict[Image, int] = {}
         self._paces: dict[tuple[str, int], tuple[int, float]] = {}
@@ -66,6 +66,10 @@
         self._best_effort: dict[tuple[str, int], _BestEffortTask] = {}
         """The best-effort tasks of the latest poll, and those started since."""
 
+    def set_capacity(self, cpu_millicores: int) -> None:
+        """Set the worker's processors, of which tasks use shares."""
+        self._cpu_millicores = max(cpu_millicores, 1)
+
     def add_traits(self, traits: TaskTraits) -> None:
         """Add the traits of one task."""
         self._traits[traits.task] = traits
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -153,6 +153,9 @@
             self._log.line(
                 "worker_leaving", worker=state.worker_id, leaves_ms=state.leaves_ms
             )
+        if state.capacity != incarnation.state.capacity:
+            self._log.line("worker_capacity", capacity=str(state.capacity))
+            self._pacing.set_capacity(state.capacity.cpu_millicores)
         incarnation.state = state
         self._changed.set()
         self._send_report(has_left=False)
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -70,14 +70,29 @@
         if known is None or known.incarnation != incarnation:
             self._register(node, incarnation, report)
             return
-        if report.is_leaving and not known.is_leaving:
+        self._update(known, report)
+
+    def _update(self, record: WorkerRecord, report: WorkerReport) -> None:
+        """Apply what a known incarnation now says of itself."""
+        worker_id = record.incarnation.worker_id
+        if report.is_leaving and not record.is_leaving:
             self._log.line(
-                "worker_leaving",
-                worker=incarnation.worker_id,
-                leaves_ms=report.leaves_ms,
+                "worker_leaving", worker=worker_id, leaves_ms=report.leaves_ms
+            )
+        record.is_leaving = report.is_leaving
+        record.leaves_ms = report.leaves_ms
+        capacity = _capacity(report)
+        if capacity != record.capacity:
+            self._log.line(
+                "worker_capacity",
+                worker=worker_id,
+                before=str(record.capacity),
+                now=str(capacity),
+                free=str(capacity - record.used),
             )
-        known.is_leaving = report.is_leaving
-        known.leaves_ms = report.leaves_ms
+            record.resize(capacity)
+            self._fleet.mark_freed(record)
+            self._table.needs_planning = True
 
     def _register(
         self, node: str, incarnation: WorkerIncarnation, report: WorkerReport
@@ -88,7 +103,7 @@
             incarnation,
             report.service,
             report.place,
-            Shape(report.cpu_millicores, report.memory_mb, report.n_accelerators),
+            _capacity(report),
             frozenset(report.labels),
             is_leaving=report.is_leaving,
             leaves_ms=report.leaves_ms,
@@ -250,3 +265,7 @@
                 left_ms=int(left_ms),
                 leaves_ms=record.leaves_ms,
             )
+
+
+def _capacity(report: WorkerReport) -> Shape:
+    return Shape(report.cpu_millicores, report.memory_mb, report.n_accelerators)
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -71,6 +71,8 @@
         node: str = "node-1",
         labels: list[str] | None = None,
         is_leaving: bool = False,
+        cpu_millicores: int = 4_000,
+        memory_mb: int = 8_000,
     ) -> None:
         self.scheduler.on_report(
             node,
@@ -79,8 +81,8 @@
                 started_ms,
                 SERVICE,
                 PlaceName("here"),
-                4_000,
-                8_000,
+                cpu_millicores,
+                memory_mb,
                 0,
                 labels or ["r1"],
                 is_leaving,
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -313,3 +313,39 @@
     harness.list_worker(ended=[(1, TASK, 1, "stopped", "")])
     harness.plan_and_store()
     assert len(harness.take_sent(StartCommand)) == 1
+
+
+@pytest.mark.parametrize(
+    ("capacities", "n_started"),
+    [
+        pytest.param([(4_000, 8_000)], 4, id="as_registered"),
+        pytest.param([(2_000, 8_000)], 2, id="fewer_processors"),
+        pytest.param([(4_000, 1_000)], 1, id="less_memory"),
+        pytest.param([(0, 0)], 0, id="nothing_left"),
+        pytest.param([(1_000, 8_000), (3_000, 8_000)], 3, id="grown_again"),
+    ],
+)
+def test_worker_gets_no_more_than_it_now_holds(
+    harness: SchedulerHarness, capacities: list[tuple[int, int]], n_started: int
+) -> None:
+    harness.report_worker()
+    for cpu_millicores, memory_mb in capacities:
+        harness.report_worker(cpu_millicores=cpu_millicores, memory_mb=memory_mb)
+    harness.add(StepSpec(4, Shape(1_000, 1_000)))
+    assert len(harness.take_sent(StartCommand)) == n_started
+
+
+def test_worker_whose_capacity_shrinks_keeps_its_tasks_and_gets_more_when_it_grows(
+    harness: SchedulerHarness,
+) -> None:
+    harness.report_worker()
+    harness.add(StepSpec(6, Shape(1_000, 1_000)))
+    assert len(harness.take_sent(StartCommand)) == 4
+    harness.report_worker(cpu_millicores=2_000)
+    harness.list_worker(ended=[(1, TASK, 1, "done", "")])
+    harness.plan_and_store()
+    assert n_placed(harness) == 3
+    assert harness.take_sent(StartCommand) == harness.take_sent(StopCommand) == []
+    harness.report_worker(cpu_millicores=5_000)
+    harness.plan_and_store()
+    assert len(harness.take_sent(StartCommand)) == 2
