Log what is known of an attempt's start when it ends

`task_ended` now says `start`: not_sent, sent, uncertain (a command without an answer, or sent by an earlier owner) or started (confirmed or listed). No decision changes.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -19,6 +19,7 @@
     "EndKind",
     "JobProgress",
     "JobState",
+    "StartOutcome",
     "StepState",
     "TaskPhase",
     "TaskState",
@@ -47,6 +48,18 @@
     DONE = "done"
 
 
+class StartOutcome(Enum):
+    """What is known of the start of an attempt on its worker."""
+
+    NOT_SENT = "not_sent"
+    SENT = "sent"
+    """No command is known to have had an effect; an answer may be on its way."""
+    UNCERTAIN = "uncertain"
+    """A command has no answer, or an earlier owner sent it: it may have had an effect."""
+    STARTED = "started"
+    """The worker has confirmed the start, or has listed the attempt."""
+
+
 class EndKind(Enum):
     """How an attempt ended on its worker."""
 
@@ -85,6 +98,7 @@
     """The assignment is stored, so the start command may be sent."""
     n_sends: int = 0
     """Number of start commands sent for the attempt."""
+    start: StartOutcome = StartOutcome.NOT_SENT
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
     crashed_attempt: int = 0
@@ -110,8 +124,23 @@
         self.is_stored = self.is_stopping = self.is_revoking = False
         self.is_inherited = False
         self.n_sends = self.percent = 0
+        self.start = StartOutcome.NOT_SENT
         self.sent_s = self.listed_s = self.held_s = 0.0
 
+    def record_send(self, now_s: float) -> None:
+        """Record that a start command was sent; an earlier one is then unanswered."""
+        self.n_sends += 1
+        self.sent_s = now_s
+        if self.start is StartOutcome.NOT_SENT:
+            self.start = StartOutcome.SENT
+        elif self.start is StartOutcome.SENT:
+            self.start = StartOutcome.UNCERTAIN
+
+    def record_no_answer(self) -> None:
+        """Record that a start command may have had an effect, now or later."""
+        if self.start is StartOutcome.SENT:
+            self.start = StartOutcome.UNCERTAIN
+
     def request_stop(self) -> None:
         """Mark the attempt to be stopped; the stop command is due immediately."""
         self.is_stopping = True
--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -14,6 +14,7 @@
 from almondspan_decisions.job_progress import (
     EndKind,
     JobProgress,
+    StartOutcome,
     WorkerIncarnation,
 )
 from almondspan_decisions.worker_record import WorkerRecord
@@ -39,6 +40,7 @@
             assert task.incarnation is not None
             task.is_stored = True
             task.n_sends = 1
+            task.start = StartOutcome.UNCERTAIN
             task.is_inherited = True
             task.placed_s = task.percent_s = steady_s()
             self._fleet.hold(task.incarnation, (job.job_id, key))
@@ -142,6 +144,7 @@
             worker=incarnation.worker_id,
             n_failed=task.n_failed,
             n_crashes=task.n_crashes,
+            start=task.start.value,
             checkpoint=checkpoint,
             ran_ms=int((now_s - task.placed_s) * 1000),
         )
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -14,6 +14,7 @@
 from almondspan_decisions.job_progress import (
     EndKind,
     JobProgress,
+    StartOutcome,
     TaskState,
     WorkerIncarnation,
 )
@@ -140,6 +141,7 @@
         if not task.listed_s:
             self._metrics.observe_s("start", now_s - task.placed_s)
         task.listed_s = now_s
+        task.start = StartOutcome.STARTED
         if task.is_in_doubt and not is_in_doubt(task):
             self._assignments.end_trial(job, key, incarnation)
         if checkpoint:
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -12,6 +12,7 @@
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
     JobProgress,
+    StartOutcome,
     TaskPhase,
     TaskState,
     WorkerIncarnation,
@@ -123,8 +124,11 @@
             starts = self._unresolved_starts.get(worker_id, {})
             starts.pop((reply.task, reply.attempt), None)
         if reply.verdict == Verdict.DONE.value:
+            task.start = StartOutcome.STARTED
             self._metrics.observe_s("order", steady_s() - task.sent_s)
             return
+        if reply.verdict == Verdict.NO_ANSWER.value:
+            task.record_no_answer()
         self._log.line(
             "start_refused",
             task=reply.task,
@@ -219,8 +223,7 @@
         if command.traits.tail_target_ms:
             self._interference.push(record)
         if self._post(incarnation.worker_id, command):
-            task.n_sends += 1
-            task.sent_s = now_s
+            task.record_send(now_s)
             self._remember_start(
                 incarnation.worker_id, command.traits.task, task.n_attempts
             )
