Count a crash of a worker only under tasks that it had, or may have, started

A crash was counted for every task that the worker had been told to start. After a wave a task is placed again and again on workers that have crashed already; whenever one of them came back under another id while the start was in flight, that was a crash of the task's. The class of fault: a command that was sent is taken for a command that had its effect.

A crash is proven for a task whose start the worker confirmed or that it listed. One without an answer, or sent by an earlier owner, is possible. A failed trial needs two proven crashes; a task is given up at four proven ones, or at five with those that are possible, so that it has no third start after the third crash even if none can be proven. Both counts are stored.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -1,16 +1,20 @@
 """Which tasks of a crashed worker to give up, and which to try apart from each other.
 
-A crash ends all tasks of a worker, and at most one of them has caused it.
+A crash ends all tasks of a worker, and at most one of them has caused it. It is proven
+to have happened under a task only if the worker is known to have started the task; a
+start command that was sent to a crashed worker proves nothing.
 
 1. A task that had not yet been seen running for `TRIAL_S` is in doubt: most tasks that
    crash a worker do so at their start. Its next attempt is a trial, and a worker runs
    one trial at a time (see `step_placement`), until the task has run for `TRIAL_S`.
 2. If a worker crashes under a trial, the task has now twice been in doubt, and no other
-   task there has: it is given up. A worker that had crashed shortly before proves
-   nothing.
+   task there has: it is given up, if both crashes are proven. A worker that had crashed
+   shortly before proves nothing.
 3. A task that crashes its workers later in its run is never alone in doubt. From the
    second crash on such tasks are kept apart where possible, and one under which
    `MAX_CRASHES` workers have crashed is given up in any case.
+4. A start without an answer may have crashed its worker. Such crashes can't be proven,
+   but a task is given up if there are `MAX_POSSIBLE_CRASHES` with those that are.
 """
 
 from collections.abc import Sequence
@@ -23,6 +27,7 @@
 
 __all__ = [
     "MAX_CRASHES",
+    "MAX_POSSIBLE_CRASHES",
     "N_CRASHES_APART",
     "TRIAL_S",
     "CrashedTask",
@@ -31,7 +36,13 @@
 ]
 
 MAX_CRASHES: Final = 4
-"""Crashes after which a task is given up, whatever else ran beside it."""
+"""Proven crashes after which a task is given up, whatever else ran beside it."""
+
+MAX_POSSIBLE_CRASHES: Final = 5
+"""The same for all crashes that may have happened under the task."""
+
+MIN_CRASHES: Final = 2
+"""Proven crashes without which no failed trial proves anything."""
 
 N_CRASHES_APART: Final = 2
 """Crashes after which a task is kept apart from others with as many."""
@@ -47,7 +58,9 @@
     job_id: JobId
     key: TaskKey
     n_crashes: int
-    """Crashes of the task's workers, this one included."""
+    """Proven crashes of the task's workers, this one included."""
+    n_possible_crashes: int
+    """Proven and unproven crashes, this one included."""
     has_failed_trial: bool
     """Whether the task was on trial there and is still in doubt."""
 
@@ -69,8 +82,14 @@
     """Return the tasks to give up after the crash of a worker that had `tasks`."""
     failed = [task for task in tasks if task.has_failed_trial]
     is_certain = len(failed) == 1 and was_worker_sound
-    return [
+    return [task for task in tasks if _is_at_limit(task)] + [
         task
-        for task in tasks
-        if task.n_crashes >= MAX_CRASHES or (is_certain and task.has_failed_trial)
+        for task in failed
+        if is_certain and task.n_crashes >= MIN_CRASHES and not _is_at_limit(task)
     ]
+
+
+def _is_at_limit(task: CrashedTask) -> bool:
+    return (
+        task.n_crashes >= MAX_CRASHES or task.n_possible_crashes >= MAX_POSSIBLE_CRASHES
+    )
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -80,7 +80,10 @@
 
 @dataclass(slots=True)
 class TaskState:
-    """State of one task; the fields up to `n_crashes` are stored, the rest are not."""
+    """State of one task.
+
+    The fields up to `n_unproven_crashes` are stored, the rest are not.
+    """
 
     phase: TaskPhase = TaskPhase.WAITING
     n_attempts: int = 0
@@ -89,7 +92,9 @@
     incarnation: WorkerIncarnation | None = None
     checkpoint: str = ""
     n_crashes: int = 0
-    """Number of workers that crashed after they had been told to start the task."""
+    """Number of workers that had started the task and crashed under it."""
+    n_unproven_crashes: int = 0
+    """Number of workers that crashed and may have started the task."""
     is_inherited: bool = False
     """An earlier owner has assigned the attempt."""
     is_in_doubt: bool = False
@@ -340,8 +345,8 @@
         task.incarnation = incarnation
         return True
 
-    def record_crash(self, key: TaskKey, attempt: int) -> bool:
-        """Count a crash of the worker that had been told to start an attempt of a task.
+    def record_crash(self, key: TaskKey, attempt: int, *, is_proven: bool) -> bool:
+        """Count a crash of the worker that may have started an attempt of a task.
 
         Returns whether it counts: an attempt ends with the first crash of its worker.
         """
@@ -350,7 +355,10 @@
         if attempt <= task.crashed_attempt:
             return False
         task.crashed_attempt = attempt
-        task.n_crashes += 1
+        if is_proven:
+            task.n_crashes += 1
+        else:
+            task.n_unproven_crashes += 1
         return True
 
     def end(
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -2,8 +2,9 @@
 
 `crash_blame` says which tasks are in doubt and which are given up. The count of a task
 is stored with its job, before the next start of the task leaves, so that it outlives
-owners and restarts. It includes starts that were only sent: the worker may have crashed
-before it answered.
+owners and restarts. A crash is proven for a task that the worker had confirmed or
+listed, and unproven for one whose start has no answer or was sent by an earlier owner.
+A start that was refused, or whose answer is still expected, does not count.
 
 A worker that is silent until its lease has expired may have crashed or may be cut off.
 Its tasks are remembered: if it comes back as a later incarnation, it had crashed.
@@ -19,7 +20,7 @@
 )
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
-from almondspan_decisions.job_progress import WorkerIncarnation
+from almondspan_decisions.job_progress import StartOutcome, WorkerIncarnation
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.job_table import JobTable
@@ -38,6 +39,8 @@
     job_id: JobId
     key: TaskKey
     attempt: int
+    is_proven: bool
+    """Whether the worker is known to have started it."""
     is_in_doubt: bool
 
 
@@ -101,13 +104,20 @@
     def _started_tasks(
         self, incarnation: WorkerIncarnation
     ) -> tuple[_StartedTask, ...]:
-        """Return the tasks of a worker with a start command that was sent."""
+        """Return the tasks that a worker has started, or may have started."""
         found = []
         for job_id, key in self._fleet.held_by(incarnation):
             task = self._table[job_id].task(key)
-            if task is not None and task.n_sends:
+            assert task is not None
+            if task.start in (StartOutcome.STARTED, StartOutcome.UNCERTAIN):
                 found.append(
-                    _StartedTask(job_id, key, task.n_attempts, is_in_doubt(task))
+                    _StartedTask(
+                        job_id,
+                        key,
+                        task.n_attempts,
+                        task.start is StartOutcome.STARTED,
+                        is_in_doubt(task),
+                    )
                 )
         return tuple(found)
 
@@ -128,6 +138,7 @@
                 task=format_task_name(task.job_id, task.key),
                 worker=incarnation.worker_id,
                 n_crashes=task.n_crashes,
+                n_possible=task.n_possible_crashes,
                 has_failed_trial=task.has_failed_trial,
                 n_beside=len(crashed) - 1,
             )
@@ -139,12 +150,18 @@
         job = self._table.jobs.get(started.job_id)
         if job is None or not job.is_active:
             return None
-        if not job.record_crash(started.key, started.attempt):
+        if not job.record_crash(
+            started.key, started.attempt, is_proven=started.is_proven
+        ):
             return None
         task = job.task(started.key)
         assert task is not None
         has_failed_trial = task.is_in_doubt and started.is_in_doubt
         task.is_in_doubt |= started.is_in_doubt
         return CrashedTask(
-            started.job_id, started.key, task.n_crashes, has_failed_trial
+            started.job_id,
+            started.key,
+            task.n_crashes,
+            task.n_crashes + task.n_unproven_crashes,
+            has_failed_trial,
         )
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -126,6 +126,7 @@
     started_ms: int = 0
     checkpoint: str = ""
     n_crashes: int = 0
+    n_unproven_crashes: int = 0
 
 
 class _StoredProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -232,6 +233,7 @@
         incarnation.started_ms if incarnation is not None else 0,
         task.checkpoint,
         task.n_crashes,
+        task.n_unproven_crashes,
     )
 
 
@@ -268,5 +270,6 @@
         incarnation,
         row.checkpoint,
         row.n_crashes,
+        row.n_unproven_crashes,
         is_stored=True,
     )
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -11,10 +11,16 @@
 from almondspan_decisions.job_progress import WorkerIncarnation
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs import clocks
-from almondspan_jobs.messages import WorkerListing, WorkerReport
+from almondspan_jobs.messages import (
+    StartCommand,
+    StartReply,
+    WorkerListing,
+    WorkerReport,
+)
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.scheduler import Scheduler
+from almondspan_platform.task_worker import Verdict
 from almondspan_wire.codec import Message
 
 QUEUE = QueueName("q")
@@ -64,6 +70,17 @@
         self.sent.clear()
         return found
 
+    def answer_starts(self, verdict: Verdict = Verdict.DONE) -> None:
+        """Answer every start command that was sent."""
+        starts = [(worker, body) for worker, body in self.sent]
+        self.sent.clear()
+        for worker, body in starts:
+            if isinstance(body, StartCommand):
+                reply = StartReply(
+                    body.started_ms, body.traits.task, body.attempt, verdict.value
+                )
+                self.scheduler.on_start_reply(worker, reply)
+
     def report_worker(
         self,
         worker: WorkerId = WORKER,
