Take a confirmed start for a later incarnation's if its clock has started anew

A start names the worker's id. If the worker has crashed and is back under the same id, and its agent has not heard of that, the new incarnation answers, and the answer was counted as the crashed one's. The class of fault is the same: an effect is attributed to what was addressed, not to what acted.

The answer to a start tells the worker's clock, which starts anew with each incarnation. The agent compares it with its last reading of the incarnation's clock (`ClockReading`), and says in its reply whether the start is proven. One that is not is counted as possible only. Agents of an earlier version prove nothing.

Ruled out: asking whether the latest poll was answered (a poll may hang on a silent connection while the new incarnation answers starts).

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -55,7 +55,8 @@
     SENT = "sent"
     """No command is known to have had an effect; an answer may be on its way."""
     UNCERTAIN = "uncertain"
-    """A command may have had an effect: it is unanswered, or an earlier owner's."""
+    """A command may have had an effect: it has no answer, or one that may be a later
+    incarnation's, or an earlier owner has sent it."""
     STARTED = "started"
     """The worker has confirmed the start, or has listed the attempt."""
 
@@ -141,9 +142,11 @@
         elif self.start is StartOutcome.SENT:
             self.start = StartOutcome.UNCERTAIN
 
-    def record_no_answer(self) -> None:
-        """Record that a start command may have had an effect, now or later."""
-        if self.start is StartOutcome.SENT:
+    def record_start(self, *, is_proven: bool) -> None:
+        """Record that the worker has started the attempt, or may have."""
+        if is_proven:
+            self.start = StartOutcome.STARTED
+        elif self.start is StartOutcome.SENT:
             self.start = StartOutcome.UNCERTAIN
 
     def request_stop(self) -> None:
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -14,7 +14,6 @@
 from almondspan_decisions.job_progress import (
     EndKind,
     JobProgress,
-    StartOutcome,
     TaskState,
     WorkerIncarnation,
 )
@@ -141,7 +140,7 @@
         if not task.listed_s:
             self._metrics.observe_s("start", now_s - task.placed_s)
         task.listed_s = now_s
-        task.start = StartOutcome.STARTED
+        task.record_start(is_proven=True)
         if task.is_in_doubt and not is_in_doubt(task):
             self._assignments.end_trial(job, key, incarnation)
         if checkpoint:
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -12,7 +12,6 @@
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
     JobProgress,
-    StartOutcome,
     TaskPhase,
     TaskState,
     WorkerIncarnation,
@@ -124,11 +123,11 @@
             starts = self._unresolved_starts.get(worker_id, {})
             starts.pop((reply.task, reply.attempt), None)
         if reply.verdict == Verdict.DONE.value:
-            task.start = StartOutcome.STARTED
+            task.record_start(is_proven=reply.is_proven)
             self._metrics.observe_s("order", steady_s() - task.sent_s)
             return
         if reply.verdict == Verdict.NO_ANSWER.value:
-            task.record_no_answer()
+            task.record_start(is_proven=False)
         self._log.line(
             "start_refused",
             task=reply.task,
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -136,6 +136,8 @@
     task: str
     attempt: int
     verdict: str
+    is_proven: bool = False
+    """Whether this incarnation, and no later one of its id, has confirmed the start."""
 
 
 @message
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -21,6 +21,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from almondspan_decisions.clock_reading import ClockReading
 from almondspan_decisions.ids import WorkerId
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.event_log import EventLog
@@ -46,6 +47,7 @@
 from almondspan_platform.task_worker import (
     PollFailed,
     PollRequest,
+    StartAnswer,
     StartTask,
     TaskWorker,
     Verdict,
@@ -69,6 +71,8 @@
     """Number of the last end that was forwarded."""
     is_confirmed: bool = False
     """The latest poll was answered, by this incarnation."""
+    clock: ClockReading | None = None
+    """The incarnation's clock in its latest answer to a poll."""
 
 
 class WorkerAgent:
@@ -272,23 +276,23 @@
     async def _start_task(self, command: StartCommand) -> None:
         incarnation = self._incarnation
         name = command.traits.task
+        is_proven = False
         if incarnation is None or incarnation.state.started_ms != command.started_ms:
             verdict = Verdict.OTHER_INCARNATION
         elif incarnation.state.is_leaving:
             verdict = Verdict.NOT_TAKEN
         else:
             async with self._command_slots:
-                verdict = await self._worker.start_task(
-                    incarnation.state.worker_id,
-                    StartTask(
-                        name,
-                        command.attempt,
-                        command.payload,
-                        command.checkpoint,
-                        max(command.until_ms, incarnation.until_ms),
-                        self._epoch,
-                    ),
+                sent_s = steady_s()
+                answer = await self._send_start(incarnation, command)
+            verdict = answer.verdict
+            is_proven = (
+                verdict is Verdict.DONE
+                and incarnation.clock is not None
+                and incarnation.clock.is_continued(
+                    answer.clock_ms, sent_s, self._options.clock_drift
                 )
+            )
         self._metrics.count(f"start_{verdict.value}")
         self._log.line(
             "start_answered",
@@ -297,8 +301,13 @@
             born=command.started_ms,
             fence=self._epoch,
             verdict=verdict.value,
+            proven=is_proven,
+        )
+        self._post(
+            StartReply(
+                command.started_ms, name, command.attempt, verdict.value, is_proven
+            )
         )
-        self._post(StartReply(command.started_ms, name, command.attempt, verdict.value))
         if verdict is Verdict.DONE and incarnation is not None:
             await self._pacing.pace_after_start(
                 incarnation.state.worker_id,
@@ -309,6 +318,21 @@
             if command.is_trial:
                 await self._list_after_trial(incarnation)
 
+    async def _send_start(
+        self, incarnation: _Incarnation, command: StartCommand
+    ) -> StartAnswer:
+        return await self._worker.start_task(
+            incarnation.state.worker_id,
+            StartTask(
+                command.traits.task,
+                command.attempt,
+                command.payload,
+                command.checkpoint,
+                max(command.until_ms, incarnation.until_ms),
+                self._epoch,
+            ),
+        )
+
     async def _list_after_trial(self, incarnation: _Incarnation) -> None:
         """List the worker's tasks once a task on trial has run long enough."""
         await asyncio.sleep(self._options.trial_list_s)
@@ -405,6 +429,7 @@
         )
 
     def _forward_poll(self, incarnation: _Incarnation, poll: WorkerPoll) -> None:
+        incarnation.clock = ClockReading(poll.clock_ms, steady_s())
         self._post(
             WorkerListing(
                 poll.started_ms,
--- a/packages/platform/almondspan_platform/task_worker.py
+++ b/packages/platform/almondspan_platform/task_worker.py
@@ -19,6 +19,7 @@
     "PollFailed",
     "PollRequest",
     "RunningTask",
+    "StartAnswer",
     "StartTask",
     "TaskWorker",
     "Verdict",
@@ -140,6 +141,15 @@
     fence: int
 
 
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """The outcome of a `StartTask`."""
+
+    verdict: Verdict
+    clock_ms: int = 0
+    """The worker's clock as it confirmed the start; 0 if it did not."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerState:
     """What a worker reports of its current incarnation."""
@@ -170,8 +180,11 @@
         """Return what `poll` returns, at once and without any effect on the worker."""
         ...
 
-    async def start_task(self, worker_id: WorkerId, request: StartTask) -> Verdict:
-        """Start an attempt; return `DONE` also if it is already running."""
+    async def start_task(self, worker_id: WorkerId, request: StartTask) -> StartAnswer:
+        """Start an attempt; the verdict is `DONE` also if it is already running.
+
+        The answer may be by a later incarnation with the same id.
+        """
         ...
 
     async def stop_task(
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -21,6 +21,7 @@
     PollFailed,
     PollRequest,
     RunningTask,
+    StartAnswer,
     StartTask,
     Verdict,
     WorkerPoll,
@@ -266,9 +267,10 @@
             self._incarnation.until_ms, min(until_ms, limit_ms)
         )
 
-    async def start_task(self, worker_id: WorkerId, request: StartTask) -> Verdict:
+    async def start_task(self, worker_id: WorkerId, request: StartTask) -> StartAnswer:
         """Start an attempt."""
-        return await self._deliver(worker_id, lambda: self._start(request))
+        verdict = await self._deliver(worker_id, lambda: self._start(request))
+        return StartAnswer(verdict, self.clock_ms() if verdict is Verdict.DONE else 0)
 
     def _start(self, request: StartTask) -> Verdict:
         incarnation = self._incarnation
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -70,14 +70,20 @@
         self.sent.clear()
         return found
 
-    def answer_starts(self, verdict: Verdict = Verdict.DONE) -> None:
+    def answer_starts(
+        self, verdict: Verdict = Verdict.DONE, is_proven: bool = True
+    ) -> None:
         """Answer every start command that was sent."""
         starts = [(worker, body) for worker, body in self.sent]
         self.sent.clear()
         for worker, body in starts:
             if isinstance(body, StartCommand):
                 reply = StartReply(
-                    body.started_ms, body.traits.task, body.attempt, verdict.value
+                    body.started_ms,
+                    body.traits.task,
+                    body.attempt,
+                    verdict.value,
+                    is_proven,
                 )
                 self.scheduler.on_start_reply(worker, reply)
 
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -97,6 +97,13 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_answered_by_a_successor(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.answer_starts(is_proven=False)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+
+
 def crash_before_the_start(harness: SchedulerHarness) -> None:
     harness.report_worker()
     harness.add()
@@ -177,6 +184,7 @@
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
         pytest.param(crash_without_an_answer_in_time, 0, 1, id="no_answer_in_time"),
+        pytest.param(crash_answered_by_a_successor, 0, 1, id="answer_of_a_successor"),
         pytest.param(crash_under_a_new_owner, 0, 1, id="under_a_new_owner"),
         pytest.param(crash_with_the_answer_expected, 0, 0, id="answer_expected"),
         pytest.param(crash_before_the_start, 0, 0, id="refused_start"),
--- a/tests/site/fake_platform.py
+++ b/tests/site/fake_platform.py
@@ -236,9 +236,10 @@
             body["deadlineMs"],
             body["fenceToken"],
         )
-        return self._answer(
-            await self.worker.start_task(self._expected_worker(request), start)
-        )
+        if self.raw_answer is not None:
+            return web.Response(body=self.raw_answer, content_type="application/json")
+        answer = await self.worker.start_task(self._expected_worker(request), start)
+        return self._answer(answer.verdict)
 
     async def _stop(self, request: web.Request) -> web.Response:
         body = await request.json()
--- a/tests/site/test_http_task_worker.py
+++ b/tests/site/test_http_task_worker.py
@@ -12,6 +12,7 @@
 from almondspan_platform.task_worker import (
     PollFailed,
     PollRequest,
+    StartAnswer,
     StartTask,
     Verdict,
     WorkerPoll,
@@ -56,8 +57,8 @@
 
 def test_task_runs_ends_and_is_acknowledged() -> None:
     async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
-        assert await client.start_task(WORKER, start()) is Verdict.DONE
-        assert await client.start_task(WORKER, start()) is Verdict.DONE
+        assert (await client.start_task(WORKER, start())).verdict is Verdict.DONE
+        assert (await client.start_task(WORKER, start())).verdict is Verdict.DONE
         poll = await client.poll(WORKER, PollRequest(1, 0, 5_000, 1_000))
         assert isinstance(poll, WorkerPoll)
         assert [(end.number, end.task, end.how.value) for end in poll.ended] == [
@@ -69,6 +70,24 @@
     run(body)
 
 
+@pytest.mark.parametrize(
+    ("answer", "clock_ms"),
+    [
+        pytest.param(b'{"clockMs":1200}', 1_200, id="clock"),
+        pytest.param(b"{}", 0, id="no_clock"),
+        pytest.param(b'{"clockMs":"1200"}', 0, id="clock_of_another_type"),
+        pytest.param(b"", 0, id="empty"),
+    ],
+)
+def test_clock_of_a_confirmed_start(answer: bytes, clock_ms: int) -> None:
+    async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
+        fake.raw_answer = answer
+        found = await client.start_task(WORKER, start())
+        assert found == StartAnswer(Verdict.DONE, clock_ms)
+
+    run(body)
+
+
 def test_acknowledgement_does_not_reach_a_later_incarnation() -> None:
     """The next incarnation has the same id and port, and numbers its ends from 1."""
 
@@ -80,7 +99,7 @@
         later = FakeRunner(fake.worker)
         await later.start(int(fake.address.rpartition(":")[2]))
         try:
-            assert await client.start_task(WORKER, start()) is Verdict.DONE
+            assert (await client.start_task(WORKER, start())).verdict is Verdict.DONE
             await asyncio.sleep(0.1)
             stale = await client.poll(WORKER, PollRequest(1, 3, 5_000, 0))
             assert isinstance(stale, PollFailed)
@@ -105,7 +124,7 @@
     async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
         assert await client.stop_task(WORKER, TASK, 1, 2) is Verdict.DONE
         await asyncio.sleep(0.01)
-        assert await client.start_task(WORKER, start_request) is verdict
+        assert (await client.start_task(WORKER, start_request)).verdict is verdict
 
     run(body)
 
@@ -114,8 +133,10 @@
     async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
         for number in range(2):
             name = f"00000000000000bb.0.0.{number}"
-            assert await client.start_task(WORKER, start(task=name)) is Verdict.DONE
-        assert await client.start_task(WORKER, start()) is Verdict.NO_CAPACITY
+            assert (
+                await client.start_task(WORKER, start(task=name))
+            ).verdict is Verdict.DONE
+        assert (await client.start_task(WORKER, start())).verdict is Verdict.NO_CAPACITY
 
     run(body)
 
@@ -123,7 +144,9 @@
 def test_other_incarnation() -> None:
     async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
         other = WorkerId("i-2")
-        assert await client.start_task(other, start()) is Verdict.OTHER_INCARNATION
+        assert (
+            await client.start_task(other, start())
+        ).verdict is Verdict.OTHER_INCARNATION
         poll = await client.poll(other, PollRequest(1, 0, 0, 0))
         assert (
             isinstance(poll, PollFailed) and poll.verdict is Verdict.OTHER_INCARNATION
@@ -144,7 +167,7 @@
 def test_status(status: int, verdict: Verdict) -> None:
     async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
         fake.status = status
-        assert await client.start_task(WORKER, start()) is verdict
+        assert (await client.start_task(WORKER, start())).verdict is verdict
 
     run(body)
 
@@ -152,7 +175,7 @@
 def test_late_command_has_no_answer() -> None:
     async def body(client: HttpTaskWorker, fake: FakeRunner) -> None:
         fake.worker.late_share = 1.0
-        assert await client.start_task(WORKER, start()) is Verdict.NO_ANSWER
+        assert (await client.start_task(WORKER, start())).verdict is Verdict.NO_ANSWER
 
     run(body)
 
--- a/tests/standins/test_colocated_task_worker.py
+++ b/tests/standins/test_colocated_task_worker.py
@@ -63,7 +63,7 @@
 
 async def start(worker: ColocatedTaskWorker, task: str, checkpoint: str = "") -> None:
     request = StartTask(task, 1, "", checkpoint, LEASE_MS, FENCE)
-    assert await worker.start_task(WORKER, request) is Verdict.DONE
+    assert (await worker.start_task(WORKER, request)).verdict is Verdict.DONE
 
 
 async def rows(worker: ColocatedTaskWorker) -> dict[str, RunningTask]:
@@ -131,7 +131,7 @@
         (end,) = poll.ended
         assert end.how is EndReason.STOPPED
         request = StartTask("heavy", 2, "", end.checkpoint, LEASE_MS, FENCE)
-        assert await worker.start_task(WORKER, request) is Verdict.DONE
+        assert (await worker.start_task(WORKER, request)).verdict is Verdict.DONE
         assert (await rows(worker))["heavy"].percent >= 55
         assert counts.lost_core_s == pytest.approx(0.0, abs=0.01)
 
