Place nothing on a worker from a failed poll to its next listing

Callers waited up to a second while the owner placed the same task up to fourteen times on a worker that had crashed: each start was answered `not_taken` within 30 ms and the task was placed there again, each time with a commit to the store. The worker's agent knew of the crash after 20 ms (`look_failed`), but told nobody: the owner took the worker for alive until its last listing was 1.6 s old.

The agent now posts `WorkerUnreachable` on the first failed poll since the latest listing, and once more to an owner that links later. An answer by another incarnation counts as a failed poll too: the incarnation that the owner knows can't be started on. The owner keeps the time in the worker's lease (`unreachable_s`; it stays there after the incarnation was replaced) and leaves the worker out of placement until the next listing, which also wakes the planner. The message releases nothing, revokes nothing and shortens no lease; one about an earlier incarnation has no effect. If only the answer was lost, the next poll follows after 0.15 s; it no longer waits at the worker for a task to end (up to 1 s), so the listing comes at once.

Mixed versions: the codec answers an unknown tag with `Malformed`, which ends the channel. So the agent sends the message only to an owner that has said in `OwnerHello` that it accepts it (a field with a default at the end; older agents and relays drop it, older owners lack it).

The stand-in for a worker can now end a poll in progress at a crash, as a dying process does; by default it still keeps it open, as a machine without power does.

--- a/packages/jobs/almondspan_jobs/agent_link.py
+++ b/packages/jobs/almondspan_jobs/agent_link.py
@@ -19,6 +19,7 @@
     StartReply,
     WorkerListing,
     WorkerReport,
+    WorkerUnreachable,
 )
 from almondspan_jobs.network import DialFailed, Network
 from almondspan_jobs.options import JobOptions
@@ -55,7 +56,11 @@
         self._node: Final = node
         self.address: Final = address
         self._hello: Final = OwnerHello(
-            record.epoch, record.node, record.host, record.port
+            record.epoch,
+            record.node,
+            record.host,
+            record.port,
+            accepts_unreachable=True,
         )
         self._on_replaced: Final = on_replaced
         self._relays: Final = relays
@@ -186,6 +191,9 @@
         elif isinstance(body, WorkerListing):
             if body.started_ms == self._incarnation.started_ms:
                 self._scheduler.on_listing(self._incarnation, body)
+        elif isinstance(body, WorkerUnreachable):
+            if body.started_ms == self._incarnation.started_ms:
+                self._scheduler.on_unreachable(self._incarnation, body)
         elif isinstance(body, StartReply):
             self._scheduler.on_start_reply(self._incarnation.worker_id, body)
         elif isinstance(body, AttemptRevoked):
--- a/packages/jobs/almondspan_jobs/fleet.py
+++ b/packages/jobs/almondspan_jobs/fleet.py
@@ -69,8 +69,34 @@
         return lease
 
     def has_recent_listing(self, incarnation: WorkerIncarnation, now_s: float) -> bool:
-        """Return whether the worker has listed its tasks recently."""
-        return now_s - self.lease(incarnation).listed_s < self._listing_timeout_s
+        """Return whether the latest poll of a worker was answered, and recently."""
+        lease = self.lease(incarnation)
+        is_recent = now_s - lease.listed_s < self._listing_timeout_s
+        return is_recent and not lease.unreachable_s
+
+    def is_unreachable(self, incarnation: WorkerIncarnation) -> bool:
+        """Return whether a poll of a worker has failed since its latest listing."""
+        lease = self.leases.get(incarnation)
+        return lease is not None and lease.unreachable_s > 0
+
+    def mark_unreachable(self, incarnation: WorkerIncarnation, now_s: float) -> bool:
+        """Record that a poll failed; return whether the worker was reachable before.
+
+        A poll of an earlier incarnation than the current one has no effect.
+        """
+        if self.record_of(incarnation) is None or self.is_unreachable(incarnation):
+            return False
+        self.lease(incarnation).unreachable_s = now_s
+        return True
+
+    def mark_reachable(self, incarnation: WorkerIncarnation) -> float:
+        """Record a listing; return since when the worker was unreachable, or 0."""
+        lease = self.lease(incarnation)
+        unreachable_s, lease.unreachable_s = lease.unreachable_s, 0.0
+        record = self.record_of(incarnation)
+        if unreachable_s and record is not None:
+            self.mark_freed(record)
+        return unreachable_s
 
     def placeable_workers(
         self, service: ServiceName, now_s: float
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -5,7 +5,9 @@
 does not execute it. Every message to an agent is valid only for the epoch of its
 channel. Commands are idempotent.
 
-On the wire a message is its tag followed by its fields in the declared order.
+On the wire a message is its tag followed by its fields in the declared order. A tag
+that the receiver does not know ends the channel, so a later message is sent only to
+processes that have announced to accept it.
 """
 
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
@@ -35,6 +37,7 @@
     "TaskTraits",
     "WorkerListing",
     "WorkerReport",
+    "WorkerUnreachable",
 ]
 
 
@@ -46,6 +49,8 @@
     owner: str
     host: str
     port: int
+    accepts_unreachable: bool = False
+    """Whether the owner knows `WorkerUnreachable`; unknown messages end its channel."""
 
 
 @message
@@ -193,6 +198,17 @@
     """Whether best-effort tasks run below their full pace."""
 
 
+@message
+class WorkerUnreachable(Message, frozen=True, tag="j-unreachable"):
+    """Polls of the worker fail; until its next listing, starts would fail too.
+
+    Sent only to an owner whose `OwnerHello` accepts it.
+    """
+
+    started_ms: int
+    verdict: str
+
+
 @message
 class StateRequest(Message, frozen=True, tag="j-state?"):
     """Asks the owner for a job's state."""
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -1,7 +1,7 @@
 """The owner's decisions about all jobs and workers, without input or output.
 
 1. Events change the state: stored and cancelled jobs, workers' reports and listings,
-   answers to commands, and time. A changed job is `dirty`.
+   failed polls, answers to commands, and time. A changed job is `dirty`.
 2. `plan` assigns waiting tasks, most urgent queue first, oldest job first.
 3. `snapshot` returns the records of dirty jobs; once they are stored, `on_stored`
    sends the commands that the stored assignments permit.
@@ -43,6 +43,7 @@
     TaskTraitsUpdate,
     WorkerListing,
     WorkerReport,
+    WorkerUnreachable,
 )
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
@@ -206,9 +207,16 @@
     ) -> None:
         """Handle a worker's listing, and renew its lease."""
         now_s = steady_s()
+        self._lifecycle.on_listing(incarnation, now_s)
         self._attempts.on_listing(incarnation, listing, now_s)
         self._interference.observe(incarnation, listing, now_s)
 
+    def on_unreachable(
+        self, incarnation: WorkerIncarnation, report: WorkerUnreachable
+    ) -> None:
+        """Handle the first failed poll of a worker since its latest listing."""
+        self._lifecycle.on_unreachable(incarnation, report)
+
     def on_start_reply(self, worker_id: WorkerId, reply: StartReply) -> None:
         """Handle the answer to a start command."""
         self._commands.on_start_reply(worker_id, reply)
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -7,7 +7,7 @@
    are still in flight.
 3. Polls run one after another, each waiting at the worker for a task to end. A poll
    carries the lease and the acknowledged ends from the owner, and its result is
-   forwarded to the owner.
+   forwarded to the owner. The first of several failed polls is reported to the owner.
 4. Commands run concurrently with the polls. A revocation is answered only when a poll
    that began after the worker's answer to the stop does not list the attempt.
 5. `WorkerPacing` paces the best-effort tasks based on the listed tail latencies.
@@ -37,6 +37,7 @@
     TaskTraitsUpdate,
     WorkerListing,
     WorkerReport,
+    WorkerUnreachable,
 )
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.network import Listener, Network
@@ -69,6 +70,8 @@
     """Number of the last end that was forwarded."""
     is_confirmed: bool = False
     """The latest poll was answered, by this incarnation."""
+    failed_verdict: str = ""
+    """Why the first poll since the latest listing failed; empty if none has."""
 
 
 class WorkerAgent:
@@ -192,6 +195,14 @@
             )
         )
 
+    def _send_unreachable(self, incarnation: _Incarnation) -> None:
+        if self._owner is not None and self._owner.accepts_unreachable:
+            self._post(
+                WorkerUnreachable(
+                    incarnation.state.started_ms, incarnation.failed_verdict
+                )
+            )
+
     def _post(self, body: Message) -> None:
         if self._channel is not None:
             self._channel.post(body)
@@ -221,6 +232,8 @@
             )
         self._channel = channel
         self._send_report(has_left=False)
+        if self._incarnation is not None and self._incarnation.failed_verdict:
+            self._send_unreachable(self._incarnation)
         self._changed.set()
         while True:
             body = await channel.receive()
@@ -373,6 +386,7 @@
                     verdict=poll.verdict.value,
                     reason=poll.reason,
                 )
+                self._on_poll_failed(incarnation, poll.verdict)
                 await asyncio.sleep(self._options.poll_retry_s)
                 continue
             if poll.started_ms != incarnation.state.started_ms:
@@ -381,6 +395,7 @@
                     born=poll.started_ms,
                     known=incarnation.state.started_ms,
                 )
+                self._on_poll_failed(incarnation, Verdict.OTHER_INCARNATION)
                 await asyncio.sleep(self._options.poll_retry_s)
                 continue
             self._forward_poll(incarnation, poll)
@@ -395,7 +410,7 @@
             if self._pacing.is_needed
             else self._options.poll_wait_ms
         )
-        if incarnation.until_ms == 0:
+        if incarnation.until_ms == 0 or incarnation.failed_verdict:
             wait_ms = 0
         self._metrics.count("looks")
         n_acknowledged = incarnation.n_acknowledged if incarnation.is_confirmed else 0
@@ -404,7 +419,14 @@
             PollRequest(self._epoch, n_acknowledged, incarnation.until_ms, wait_ms),
         )
 
+    def _on_poll_failed(self, incarnation: _Incarnation, verdict: Verdict) -> None:
+        """Report the first failed poll since the latest listing."""
+        if incarnation is self._incarnation and not incarnation.failed_verdict:
+            incarnation.failed_verdict = verdict.value
+            self._send_unreachable(incarnation)
+
     def _forward_poll(self, incarnation: _Incarnation, poll: WorkerPoll) -> None:
+        incarnation.failed_verdict = ""
         self._post(
             WorkerListing(
                 poll.started_ms,
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -19,7 +19,7 @@
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
 from almondspan_jobs.job_table import JobTable
-from almondspan_jobs.messages import WorkerReport
+from almondspan_jobs.messages import WorkerReport, WorkerUnreachable
 from almondspan_jobs.options import JobOptions
 
 __all__ = ["WorkerLifecycle"]
@@ -29,7 +29,11 @@
 
 
 class WorkerLifecycle:
-    """Applies workers' reports about themselves, and the expiry of their leases."""
+    """Applies workers' reports, failed polls of them, and the expiry of their leases.
+
+    Nothing is placed on a worker from a failed poll to its next listing; what it holds
+    stays, since a worker without contact may still run it.
+    """
 
     def __init__(
         self,
@@ -72,6 +76,33 @@
             return
         self._update(known, report)
 
+    def on_unreachable(
+        self, incarnation: WorkerIncarnation, report: WorkerUnreachable
+    ) -> None:
+        """Handle the first failed poll of a worker since its latest listing."""
+        if not self._fleet.mark_unreachable(incarnation, steady_s()):
+            return
+        self._log.line(
+            "worker_unreachable",
+            worker=incarnation.worker_id,
+            born=incarnation.started_ms,
+            verdict=report.verdict,
+            n_tasks=len(self._fleet.held_by(incarnation)),
+        )
+
+    def on_listing(self, incarnation: WorkerIncarnation, now_s: float) -> None:
+        """End the time in which a worker could not be polled."""
+        unreachable_s = self._fleet.mark_reachable(incarnation)
+        if not unreachable_s:
+            return
+        self._log.line(
+            "worker_reachable",
+            worker=incarnation.worker_id,
+            born=incarnation.started_ms,
+            after_ms=int((now_s - unreachable_s) * 1000),
+        )
+        self._table.needs_planning = True
+
     def _update(self, record: WorkerRecord, report: WorkerReport) -> None:
         """Apply what a known incarnation now says of itself."""
         worker_id = record.incarnation.worker_id
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -123,6 +123,11 @@
         self.late_share = 0.0
         """Share of commands that are executed 2 to 8 s later, without a response."""
         self.is_down = False
+        self.closes_on_crash = False
+        """Whether a crash ends a poll in progress, as when only the process dies.
+
+        When the machine loses power, the poll's connection stays open.
+        """
         self.on_task_crash: Callable[[], None] = self.crash
         """Called when a task crashes the worker."""
         self._incarnation = _Incarnation(worker_id, 1_000, self._now_s())
@@ -375,6 +380,7 @@
             not incarnation.ended
             and self._now_s() < limit_s
             and incarnation is self._incarnation
+            and not (self.is_down and self.closes_on_crash)
         ):
             next_s = [
                 min(item.done_s, item.stop_s or item.done_s)
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -11,7 +11,7 @@
 from almondspan_decisions.job_progress import WorkerIncarnation
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs import clocks
-from almondspan_jobs.messages import WorkerListing, WorkerReport
+from almondspan_jobs.messages import WorkerListing, WorkerReport, WorkerUnreachable
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.scheduler import Scheduler
@@ -73,6 +73,7 @@
         is_leaving: bool = False,
         cpu_millicores: int = 4_000,
         memory_mb: int = 8_000,
+        is_listed: bool = True,
     ) -> None:
         self.scheduler.on_report(
             node,
@@ -89,7 +90,8 @@
                 0,
             ),
         )
-        self.list_worker(worker, started_ms)
+        if is_listed:
+            self.list_worker(worker, started_ms)
 
     def list_worker(
         self,
@@ -103,6 +105,14 @@
         )
         self.scheduler.on_listing(WorkerIncarnation(worker, started_ms), listing)
 
+    def fail_poll(
+        self, worker: WorkerId = WORKER, started_ms: int = STARTED_MS
+    ) -> None:
+        self.scheduler.on_unreachable(
+            WorkerIncarnation(worker, started_ms),
+            WorkerUnreachable(started_ms, "not_taken"),
+        )
+
     def add(self, *steps: StepSpec) -> None:
         self.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", steps or (STEP,)))
         self.plan_and_store()
