Send no start to a worker whose polls fail

A start was still sent to a crashed worker if its placement was stored, or a command was repeated, after the owner had heard of the failed poll; it was answered `not_taken` and cost the caller one more placement and store commit.

`CommandDispatcher` now sends no start to a worker from a failed poll to its next listing. An attempt without any sent start is released with `worker_unreachable`, as for a worker that is not fit, and placed elsewhere: nothing of it can run. One with a sent start stays, unrevoked; the start is repeated after the next listing. If only a poll's answer was lost, the unsent attempts move to other workers, or are placed again after the next listing about 0.15 s later.

Evidence: three tests on released and kept starts failed before, and the simulation of half of the workers crashing with the limit of 4 starts at dead workers.

--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -2,7 +2,8 @@
 
 A command is sent only for a stored assignment, and repeated until it has an effect.
 After several unanswered starts, or when the worker does not list the attempt, the
-attempt is revoked instead.
+attempt is revoked instead. No start is sent to a worker whose polls fail; an attempt
+without any sent start is released.
 """
 
 from collections.abc import Callable
@@ -211,6 +212,10 @@
             else:
                 task.is_revoking = True
             return
+        if self._fleet.is_unreachable(incarnation):
+            if task.n_sends == 0:
+                self._assignments.release(job, key, "worker_unreachable")
+            return
         command = StartCommand(
             incarnation.started_ms,
             task.n_attempts,
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -43,6 +43,8 @@
         clocks.use_clocks(lambda: self.now_s, lambda: 1_700_000_000 + self.now_s)
         self.options = JobOptions()
         self.sent: list[tuple[WorkerId, Message]] = []
+        self.is_linked = True
+        """Whether the channels to the agents are open."""
         self.log = Log()
         self.confirmed_s = lambda: self.now_s
         self.restart_owner()
@@ -55,8 +57,9 @@
         self.scheduler.rules = {QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500)}
 
     def _post(self, worker_id: WorkerId, body: Message) -> bool:
-        self.sent.append((worker_id, body))
-        return True
+        if self.is_linked:
+            self.sent.append((worker_id, body))
+        return self.is_linked
 
     def take_sent(self, kind: type[Message]) -> list[Message]:
         """Return the sent messages of a type, and clear all sent messages."""
--- a/tests/jobs/test_unreachable_workers.py
+++ b/tests/jobs/test_unreachable_workers.py
@@ -6,22 +6,25 @@
 from job_simulation import JobSimulation
 from scheduler_harness import (
     JOB,
+    QUEUE,
     STARTED_MS,
+    STEP,
+    TASK,
     WORKER,
     SchedulerHarness,
 )
 
 from almondspan_decisions.ids import WorkerId
-from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.job_graph import JobSpec, StepSpec
 from almondspan_decisions.job_progress import JobState, WorkerIncarnation
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs import clocks
-from almondspan_jobs.messages import StartCommand, StopCommand
+from almondspan_jobs.messages import StartCommand, StartReply, StopCommand
 
 N_AGENTS = 8
 JOB_INTERVAL_S = 0.1
 DOWN_S = 1.0
-MAX_REFUSED_STARTS = 7
+MAX_REFUSED_STARTS = 4
 STEPS = (StepSpec(3, Shape(500, 500), estimate_ms=800),)
 
 
@@ -116,6 +119,55 @@
     assert n_placed(harness) == 0
 
 
+def test_unsent_start_on_a_worker_whose_poll_failed_is_released(
+    harness: SchedulerHarness,
+) -> None:
+    harness.report_worker()
+    harness.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    harness.scheduler.plan()
+    snapshot = harness.scheduler.snapshot()
+    harness.fail_poll()
+    assert n_placed(harness) == 1
+    harness.scheduler.on_stored(snapshot)
+    assert harness.take_sent(StartCommand) == []
+    assert n_placed(harness) == 0
+    harness.list_worker()
+    harness.plan_and_store()
+    assert [command.attempt for command in harness.take_sent(StartCommand)] == [2]
+
+
+def test_start_lost_with_the_channel_is_released_after_a_failed_poll(
+    harness: SchedulerHarness,
+) -> None:
+    harness.report_worker()
+    harness.is_linked = False
+    harness.add()
+    assert n_placed(harness) == 1
+    harness.fail_poll()
+    harness.advance(harness.options.tick_s)
+    assert n_placed(harness) == 0
+
+
+def test_sent_start_is_repeated_after_the_next_listing_and_not_before(
+    harness: SchedulerHarness,
+) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.scheduler.on_start_reply(
+        WORKER, StartReply(STARTED_MS, TASK, 1, "no_answer")
+    )
+    harness.sent.clear()
+    harness.fail_poll()
+    harness.advance(harness.options.command_resend_s)
+    assert [
+        body for _, body in harness.sent if isinstance(body, StartCommand | StopCommand)
+    ] == []
+    assert n_placed(harness) == 1
+    harness.list_worker()
+    harness.advance(harness.options.tick_s)
+    assert [command.attempt for command in harness.take_sent(StartCommand)] == [1]
+
+
 def test_start_of_the_failed_polls_is_kept_with_a_replaced_incarnation(
     harness: SchedulerHarness,
 ) -> None:
