--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -16,6 +16,7 @@
     StartReply,
     WorkerListing,
     WorkerReport,
+    WorkerUnreachable,
 )
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
@@ -49,6 +50,8 @@
         clocks.use_clocks(lambda: self.now_s, lambda: 1_700_000_000 + self.now_s)
         self.options = JobOptions()
         self.sent: list[tuple[WorkerId, Message]] = []
+        self.is_linked = True
+        """Whether the channels to the agents are open."""
         self.log = Log()
         self.confirmed_s = lambda: self.now_s
         self.restart_owner()
@@ -61,8 +64,9 @@
         self.scheduler.rules = {QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500)}
 
     def _post(self, worker_id: WorkerId, body: Message) -> bool:
-        self.sent.append((worker_id, body))
-        return True
+        if self.is_linked:
+            self.sent.append((worker_id, body))
+        return self.is_linked
 
     def take_sent(self, kind: type[Message]) -> list[Message]:
         """Return the sent messages of a type, and clear all sent messages."""
@@ -96,6 +100,7 @@
         is_leaving: bool = False,
         cpu_millicores: int = 4_000,
         memory_mb: int = 8_000,
+        is_listed: bool = True,
     ) -> None:
         self.scheduler.on_report(
             node,
@@ -112,7 +117,8 @@
                 0,
             ),
         )
-        self.list_worker(worker, started_ms)
+        if is_listed:
+            self.list_worker(worker, started_ms)
 
     def list_worker(
         self,
@@ -126,6 +132,14 @@
         )
         self.scheduler.on_listing(WorkerIncarnation(worker, started_ms), listing)
 
+    def fail_poll(
+        self, worker: WorkerId = WORKER, started_ms: int = STARTED_MS
+    ) -> None:
+        self.scheduler.on_unreachable(
+            WorkerIncarnation(worker, started_ms),
+            WorkerUnreachable(started_ms, "not_taken"),
+        )
+
     def add(self, *steps: StepSpec) -> None:
         self.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", steps or (STEP,)))
         self.plan_and_store()
