Count a start without an answer in time as possible while polls fail too

The joint of two changes: a start whose answer is overdue is repeated, and is then uncertain; to a worker whose polls fail none is repeated, so that its crash was not counted at all. The row poll_failed of test_what_counts_as_a_crash failed and passes.

--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -214,6 +214,8 @@
         if self._fleet.is_unreachable(incarnation):
             if task.n_sends == 0:
                 self._assignments.release(job, key, "worker_unreachable")
+            else:
+                task.record_start(is_proven=False)
             return
         command = StartCommand(
             incarnation.started_ms,
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -88,6 +88,14 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_without_an_answer_after_a_failed_poll(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.fail_poll()
+    harness.advance(0.7)
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
 def crash_answered_the_second_time(harness: SchedulerHarness) -> None:
     harness.report_worker()
     harness.add()
@@ -184,6 +192,9 @@
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
         pytest.param(crash_without_an_answer_in_time, 0, 1, id="no_answer_in_time"),
+        pytest.param(
+            crash_without_an_answer_after_a_failed_poll, 0, 1, id="poll_failed"
+        ),
         pytest.param(crash_answered_by_a_successor, 0, 1, id="answer_of_a_successor"),
         pytest.param(crash_under_a_new_owner, 0, 1, id="under_a_new_owner"),
         pytest.param(crash_with_the_answer_expected, 0, 0, id="answer_expected"),
