--- a/tests/jobs/test_crashing_tasks.py
+++ b/tests/jobs/test_crashing_tasks.py
@@ -121,7 +121,8 @@
 
 
 WAVE_S = 6.0
-N_WAVES = 6
+N_WAVES = 8
+N_LASTING = 4
 SUBMIT_INTERVAL_S = 0.25
 
 
@@ -133,24 +134,36 @@
 
 
 def play_waves(
-    seed: int, n_crashing: int, on_wave: Callable[[JobSimulation], None], keeps_id: bool
+    seed: int,
+    n_crashing: int,
+    on_wave: Callable[[JobSimulation], None],
+    keeps_id: bool,
+    crash_after_s: float = 0.01,
+    closes_on_crash: bool = False,
 ) -> tuple[JobSimulation, list[SubmittedJob]]:
-    """Play jobs, the first of which crash workers, while workers crash in waves."""
+    """Play jobs, the first of which crash workers, while workers crash in waves.
+
+    `N_LASTING` jobs last through all waves.
+    """
     simulation = JobSimulation(seed, n_entries=2, n_agents=8)
+    for machine in simulation.agents:
+        machine.worker.closes_on_crash = closes_on_crash
     simulation.run(4.0)
+    for _ in range(N_LASTING):
+        simulation.submit(simulation.make_job(LASTING), simulation.entries[0])
     jobs: list[SubmittedJob] = []
     for _ in range(N_WAVES):
         for _ in range(int(WAVE_S / SUBMIT_INTERVAL_S)):
             job = simulation.make_job(SHORT)
             if len(jobs) < n_crashing:
-                simulation.crashing[f"{job.job_id}.0.0.1"] = 0.01
+                simulation.crashing[f"{job.job_id}.0.0.1"] = crash_after_s
             jobs.append(job)
             simulation.submit(job, simulation.entries[0])
             simulation.run(SUBMIT_INTERVAL_S)
         simulation.run_in_loop(lambda played: crash_half(played, keeps_id))
         simulation.run_in_loop(on_wave)
     simulation.run(15.0)
-    for job in jobs:
+    for job in simulation.jobs.values():
         simulation.ask_state(job, simulation.entries[1])
     simulation.run(1.0)
     return simulation, jobs
@@ -180,3 +193,31 @@
         assert crashing == [JobState.FAILED] * n_crashing
     finally:
         simulation.close()
+
+
+@pytest.mark.parametrize("seed", [1, 3])
+@pytest.mark.parametrize(
+    ("n_crashing", "crash_after_s", "closes_on_crash"),
+    [
+        pytest.param(0, 0.0, True, id="no_task_at_fault"),
+        pytest.param(0, 0.0, False, id="workers_lose_power"),
+        pytest.param(3, 0.01, True, id="beside_crashing_tasks"),
+        pytest.param(3, 0.8, True, id="beside_tasks_that_crash_in_their_runs"),
+    ],
+)
+def test_lasting_job_whose_workers_crash_in_waves_is_not_failed(
+    n_crashing: int, crash_after_s: float, closes_on_crash: bool, seed: int
+) -> None:
+    simulation, jobs = play_waves(
+        seed, n_crashing, nothing, False, crash_after_s, closes_on_crash
+    )
+    try:
+        assert simulation.violations() == []
+        crashing = [simulation.state_of(job) for job in jobs[:n_crashing]]
+        assert crashing == [JobState.FAILED] * n_crashing
+        lasting = [job for job in simulation.jobs.values() if job not in jobs]
+        assert [simulation.state_of(job) for job in lasting] == [
+            JobState.RUNNING
+        ] * N_LASTING
+    finally:
+        simulation.close()
