Count no crash of many workers at once for a task that ran on one of them

Each crash was counted by itself, so that a cause outside of the tasks looked like four crashes by the task.

The owner knows to some hundredths of a second when a worker's polls began to fail. If a quarter of all workers, and four at least, fall silent within 0.1 s, a task that was seen running there is blamed only if its job had tasks on all of them. Tasks in doubt, whose start is uncertain, or under which two workers have crashed already, are blamed as before, so that a task that does crash its workers is given up in time. `crash_counted` says what counted.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -13,11 +13,15 @@
 3. A task that crashes its workers later in its run is never alone in doubt. From the
    second crash on such tasks are kept apart where possible, and one under which
    `MAX_CRASHES` workers have crashed is given up in any case.
-4. A start without an answer may have crashed its worker. Such crashes can't be proven,
+4. If a large share of all workers falls silent at the same moment, they crash from one
+   cause. It can only be a job that had tasks on each of them. For other jobs' tasks the
+   crash does not count, unless they are in doubt, their start is uncertain, or
+   `N_CRASHES_APART` crashes count for them already.
+5. A start without an answer may have crashed its worker. Such crashes can't be proven,
    but a task is given up if there are `MAX_POSSIBLE_CRASHES` with those that are.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -31,7 +35,9 @@
     "N_CRASHES_APART",
     "TRIAL_S",
     "CrashedTask",
+    "SilentWorker",
     "is_in_doubt",
+    "jobs_at_fault",
     "tasks_to_give_up",
 ]
 
@@ -47,6 +53,15 @@
 N_CRASHES_APART: Final = 2
 """Crashes after which a task is kept apart from others with as many."""
 
+COMMON_CAUSE_S: Final = 0.1
+"""Workers that fall silent within this time of each other do so from one cause."""
+
+MIN_COMMON_CAUSE: Final = 4
+"""Least number of workers with a common cause; fewer may each have their own."""
+
+COMMON_CAUSE_SHARE: Final = 0.25
+"""Least share of all workers with a common cause."""
+
 TRIAL_S: Final = 0.3
 """A task that has run for this long does not crash its worker by starting."""
 
@@ -65,6 +80,32 @@
     """Whether the task was on trial there and is still in doubt."""
 
 
+@dataclass(frozen=True, slots=True)
+class SilentWorker:
+    """A worker that has fallen silent, and the jobs with tasks that it may have run."""
+
+    silent_s: float
+    job_ids: frozenset[JobId]
+
+
+def jobs_at_fault(
+    worker: SilentWorker, others: Iterable[SilentWorker], n_workers: int
+) -> frozenset[JobId] | None:
+    """Return the jobs that may have silenced a worker and all that fell silent with it.
+
+    None stands for every job: too few of the `n_workers` fell silent at that moment.
+    """
+    peers = [
+        other
+        for other in others
+        if abs(other.silent_s - worker.silent_s) < COMMON_CAUSE_S
+    ]
+    n_silent = len(peers) + 1
+    if n_silent < max(MIN_COMMON_CAUSE, COMMON_CAUSE_SHARE * n_workers):
+        return None
+    return worker.job_ids.intersection(*(peer.job_ids for peer in peers))
+
+
 def is_in_doubt(task: TaskState) -> bool:
     """Return whether a task may have crashed its worker by starting there.
 
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -8,14 +8,20 @@
 
 A worker that is silent until its lease has expired may have crashed or may be cut off.
 Its tasks are remembered: if it comes back as a later incarnation, it had crashed.
+
+Which workers fell silent at the same moment is remembered too, with the jobs that they
+ran, since a crash of several workers is no fault of a job that only some of them ran.
 """
 
 from dataclasses import dataclass
 from typing import Final
 
 from almondspan_decisions.crash_blame import (
+    N_CRASHES_APART,
     CrashedTask,
+    SilentWorker,
     is_in_doubt,
+    jobs_at_fault,
     tasks_to_give_up,
 )
 from almondspan_decisions.ids import JobId
@@ -29,7 +35,7 @@
 __all__ = ["CrashMonitor"]
 
 LOST_MEMORY_S: Final = 60.0
-"""How long the tasks of a silent worker are remembered after its lease has expired."""
+"""How long a worker is remembered after it fell silent, or its lease expired."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +49,11 @@
     """Whether the worker is known to have started it."""
     is_in_doubt: bool
 
+    @property
+    def is_seen_running(self) -> bool:
+        """Whether the worker has run it for longer than a start takes."""
+        return self.is_proven and not self.is_in_doubt
+
 
 @dataclass(frozen=True, slots=True)
 class _LostWorker:
@@ -65,6 +76,16 @@
         self._log: Final = log
         self._metrics: Final = metrics
         self._lost: Final[dict[WorkerIncarnation, _LostWorker]] = {}
+        self._silent: Final[dict[WorkerIncarnation, SilentWorker]] = {}
+
+    def on_silent(self, incarnation: WorkerIncarnation, now_s: float) -> None:
+        """Remember when a worker fell silent, and the jobs that it ran."""
+        job_ids = frozenset(task.job_id for task in self._started_tasks(incarnation))
+        self._silent[incarnation] = SilentWorker(now_s, job_ids)
+
+    def on_heard(self, incarnation: WorkerIncarnation) -> None:
+        """Forget that a worker was silent."""
+        self._silent.pop(incarnation, None)
 
     def on_crash(self, incarnation: WorkerIncarnation, now_s: float) -> None:
         """Count a crash for the tasks that the worker may have started."""
@@ -100,6 +121,9 @@
         for incarnation, lost in tuple(self._lost.items()):
             if now_s - lost.lost_s > LOST_MEMORY_S:
                 del self._lost[incarnation]
+        for incarnation, silent in tuple(self._silent.items()):
+            if now_s - silent.silent_s > LOST_MEMORY_S:
+                del self._silent[incarnation]
 
     def _started_tasks(
         self, incarnation: WorkerIncarnation
@@ -129,7 +153,20 @@
         was_sound: bool,
     ) -> None:
         self._metrics.count("worker_crashes")
-        crashed = [found for task in started if (found := self._count(task))]
+        at_fault = self._jobs_at_fault(incarnation)
+        suspects = [
+            task
+            for task in started
+            if at_fault is None or task.job_id in at_fault or self._is_suspect(task)
+        ]
+        crashed = [found for task in suspects if (found := self._count(task))]
+        self._log.line(
+            "crash_counted",
+            worker=incarnation.worker_id,
+            n_started=len(started),
+            n_counted=len(crashed),
+            is_alone=at_fault is None,
+        )
         for task in tasks_to_give_up(crashed, was_worker_sound=was_sound):
             self._table[task.job_id].is_failed = True
             self._metrics.count("tasks_given_up")
@@ -145,6 +182,21 @@
         for task in crashed:
             self._table.mark_dirty(self._table[task.job_id])
 
+    def _jobs_at_fault(self, incarnation: WorkerIncarnation) -> frozenset[JobId] | None:
+        """Return the jobs that may have crashed a worker; None stands for every job."""
+        silent = self._silent.get(incarnation)
+        if silent is None:
+            return None
+        others = (other for other in self._silent.values() if other is not silent)
+        return jobs_at_fault(silent, others, len(self._fleet.workers))
+
+    def _is_suspect(self, started: _StartedTask) -> bool:
+        """Return whether a task may have crashed its worker in any case."""
+        job = self._table.jobs.get(started.job_id)
+        task = job.task(started.key) if job is not None else None
+        n_crashes = task.n_crashes if task is not None else 0
+        return not started.is_seen_running or n_crashes >= N_CRASHES_APART
+
     def _count(self, started: _StartedTask) -> CrashedTask | None:
         """Count a crash under one task; None if it does not count."""
         job = self._table.jobs.get(started.job_id)
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -80,8 +80,10 @@
         self, incarnation: WorkerIncarnation, report: WorkerUnreachable
     ) -> None:
         """Handle the first failed poll of a worker since its latest listing."""
-        if not self._fleet.mark_unreachable(incarnation, steady_s()):
+        now_s = steady_s()
+        if not self._fleet.mark_unreachable(incarnation, now_s):
             return
+        self._crashes.on_silent(incarnation, now_s)
         self._log.line(
             "worker_unreachable",
             worker=incarnation.worker_id,
@@ -95,6 +97,7 @@
         unreachable_s = self._fleet.mark_reachable(incarnation)
         if not unreachable_s:
             return
+        self._crashes.on_heard(incarnation)
         self._log.line(
             "worker_reachable",
             worker=incarnation.worker_id,
--- a/tests/decisions/test_crash_blame.py
+++ b/tests/decisions/test_crash_blame.py
@@ -4,7 +4,9 @@
 
 from almondspan_decisions.crash_blame import (
     CrashedTask,
+    SilentWorker,
     is_in_doubt,
+    jobs_at_fault,
     tasks_to_give_up,
 )
 from almondspan_decisions.ids import JobId
@@ -67,3 +69,36 @@
         was_worker_sound=was_worker_sound,
     )
     assert [task.key.position for task in found] == given_up
+
+
+SILENT_S = 50.0
+
+
+@pytest.mark.parametrize(
+    ("others", "n_workers", "expected"),
+    [
+        pytest.param([], 8, None, id="alone"),
+        pytest.param([(0.0, "b")] * 2, 8, None, id="three_workers"),
+        pytest.param([(0.0, "b")] * 3, 8, "", id="four_workers"),
+        pytest.param([(0.05, "b")] * 3, 8, "", id="a_moment_later"),
+        pytest.param([(-0.2, "b")] * 3, 8, None, id="at_other_moments"),
+        pytest.param([(0.0, "b")] * 3, 17, None, id="small_share_of_a_large_fleet"),
+        pytest.param([(0.0, "ab")] * 3, 8, "a", id="a_job_on_all_of_them"),
+        pytest.param(
+            [(0.0, "ab"), (0.0, "ab"), (0.0, "b")], 8, "", id="a_job_on_some_of_them"
+        ),
+    ],
+)
+def test_job_that_ran_on_some_of_the_silent_workers_is_not_at_fault(
+    others: list[tuple[float, str]], n_workers: int, expected: str | None
+) -> None:
+    found = jobs_at_fault(
+        SilentWorker(SILENT_S, jobs("ac")),
+        [SilentWorker(SILENT_S + after_s, jobs(ids)) for after_s, ids in others],
+        n_workers,
+    )
+    assert found == (None if expected is None else jobs(expected))
+
+
+def jobs(ids: str) -> frozenset[JobId]:
+    return frozenset(JobId(name) for name in ids)
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -378,3 +378,63 @@
     assert task.n_crashes == [first, second].count(Verdict.DONE)
     assert task.n_unproven_crashes == [first, second].count(Verdict.NO_ANSWER)
     assert harness.scheduler.stored_states[JOB] is state
+
+
+@pytest.mark.parametrize(
+    ("n_silent", "is_job_on_all", "is_seen_running", "n_crashes"),
+    [
+        pytest.param(4, False, True, 0, id="many_at_once"),
+        pytest.param(3, False, True, 1, id="few_at_once"),
+        pytest.param(4, True, True, 1, id="job_with_tasks_on_all"),
+        pytest.param(4, False, False, 1, id="task_in_doubt"),
+    ],
+)
+def test_crash_of_many_workers_at_once_is_no_fault_of_a_task_on_one(
+    harness: SchedulerHarness,
+    n_silent: int,
+    is_job_on_all: bool,
+    is_seen_running: bool,
+    n_crashes: int,
+) -> None:
+    """Four workers report; `n_silent` of them crash, the first with the task."""
+    shape = Shape(3_000, 100)
+    n_tasks = 4 if is_job_on_all else 1
+    for number in range(4):
+        worker = WorkerId(f"w-{number}")
+        harness.report_worker(worker, STARTED_MS, node=f"node-{number}")
+    harness.add(StepSpec(n_tasks, shape, estimate_ms=1_000))
+    harness.answer_starts()
+    crashed = WorkerId(placed_on(harness, 1)[0])
+    if is_seen_running:
+        harness.now_s += 1.0
+        harness.list_worker(crashed, running=[(TASK, 1, "", 10, 0.0)])
+    silent = sorted(
+        (WorkerId(f"w-{number}") for number in range(4)),
+        key=lambda worker: worker != crashed,
+    )
+    for worker in silent[:n_silent]:
+        harness.fail_poll(worker)
+    node = crashed.replace("w", "node")
+    harness.report_worker(WorkerId("w-9"), STARTED_MS + 1, node=node)
+    assert task_of(harness).n_crashes == n_crashes
+
+
+def test_worker_that_is_heard_again_has_not_crashed_with_others(
+    harness: SchedulerHarness,
+) -> None:
+    for number in range(4):
+        worker = WorkerId(f"w-{number}")
+        harness.report_worker(worker, STARTED_MS, node=f"node-{number}")
+    harness.add()
+    harness.answer_starts()
+    crashed = WorkerId(placed_on(harness, 1)[0])
+    harness.now_s += 1.0
+    harness.list_worker(crashed, running=[(TASK, 1, "", 10, 0.0)])
+    for number in range(4):
+        harness.fail_poll(WorkerId(f"w-{number}"))
+    for number in range(4):
+        if f"w-{number}" != crashed:
+            harness.list_worker(WorkerId(f"w-{number}"))
+    node = crashed.replace("w", "node")
+    harness.report_worker(WorkerId("w-9"), STARTED_MS + 1, node=node)
+    assert task_of(harness).n_crashes == 1
