Count a crash whose cause is known for no other task that was seen running

What callers saw: jobs beside tasks that crash their workers were failed with them.

When a trial failed, the task on trial was given up, and the same crash was counted for every task beside it all the same.

`blame` decides in one place for which tasks a crash counts and which are given up. With a failed trial the crash counts for the task on trial and for tasks that may have crashed the worker too: those in doubt, with an uncertain start, or with two counted crashes before (the last keeps tasks that crash late in their runs within their limit). The log line `task_given_up` says `on_trial`.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -8,16 +8,17 @@
    crash a worker do so at their start. Its next attempt is a trial, and a worker runs
    one trial at a time (see `step_placement`), until the task has run for `TRIAL_S`.
 2. If a worker crashes under a trial, the task has now twice been in doubt, and no other
-   task there has: it is given up, if both crashes are proven. A worker that had crashed
-   shortly before proves nothing.
+   task there has. If both crashes are proven, it is the cause and is given up. A worker
+   that had crashed shortly before proves nothing.
 3. A task that crashes its workers later in its run is never alone in doubt. From the
    second crash on such tasks are kept apart where possible, and one under which
    `MAX_CRASHES` workers have crashed is given up in any case.
 4. If a large share of all workers falls silent at the same moment, they crash from one
-   cause. It can only be a job that had tasks on each of them. For other jobs' tasks the
-   crash does not count, unless they are in doubt, their start is uncertain, or
-   `N_CRASHES_APART` crashes count for them already.
-5. A start without an answer may have crashed its worker. Such crashes can't be proven,
+   cause. It can only be a job that had tasks on each of them.
+5. A crash of which another task, or none of the task's job, is the cause does not count
+   for a task, unless it is in doubt, its start is uncertain, or `N_CRASHES_APART` crashes
+   count for it already.
+6. A start without an answer may have crashed its worker. Such crashes can't be proven,
    but a task is given up if there are `MAX_POSSIBLE_CRASHES` with those that are.
 """
 
@@ -34,11 +35,12 @@
     "MAX_POSSIBLE_CRASHES",
     "N_CRASHES_APART",
     "TRIAL_S",
+    "CrashBlame",
     "CrashedTask",
     "SilentWorker",
+    "blame",
     "is_in_doubt",
     "jobs_at_fault",
-    "tasks_to_give_up",
 ]
 
 MAX_CRASHES: Final = 4
@@ -68,16 +70,33 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashedTask:
-    """A task that a worker had been told to start before it crashed."""
+    """A task that a worker had started, or may have started, before it crashed."""
 
     job_id: JobId
     key: TaskKey
     n_crashes: int
-    """Proven crashes of the task's workers, this one included."""
-    n_possible_crashes: int
-    """Proven and unproven crashes, this one included."""
-    has_failed_trial: bool
-    """Whether the task was on trial there and is still in doubt."""
+    """Proven crashes that count for the task so far, without this one."""
+    n_unproven_crashes: int
+    """The same for crashes that are not proven."""
+    is_proven: bool
+    """Whether the worker is known to have started it."""
+    is_in_doubt: bool
+    was_on_trial: bool
+
+    @property
+    def is_at_limit(self) -> bool:
+        """Whether no further crash is allowed, this one included."""
+        n_crashes = self.n_crashes + self.is_proven
+        n_possible = self.n_crashes + self.n_unproven_crashes + 1
+        return n_crashes >= MAX_CRASHES or n_possible >= MAX_POSSIBLE_CRASHES
+
+
+@dataclass(frozen=True, slots=True)
+class CrashBlame:
+    """The tasks for which a crash counts, and those of them to give up."""
+
+    counted: tuple[CrashedTask, ...]
+    given_up: tuple[CrashedTask, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,20 +136,43 @@
     return task.listed_s - task.placed_s < TRIAL_S
 
 
-def tasks_to_give_up(
-    tasks: Sequence[CrashedTask], *, was_worker_sound: bool
-) -> list[CrashedTask]:
-    """Return the tasks to give up after the crash of a worker that had `tasks`."""
-    failed = [task for task in tasks if task.has_failed_trial]
-    is_certain = len(failed) == 1 and was_worker_sound
-    return [task for task in tasks if _is_at_limit(task)] + [
-        task
-        for task in failed
-        if is_certain and task.n_crashes >= MIN_CRASHES and not _is_at_limit(task)
-    ]
+def blame(
+    tasks: Sequence[CrashedTask],
+    *,
+    was_worker_sound: bool,
+    at_fault: frozenset[JobId] | None,
+) -> CrashBlame:
+    """Decide for which tasks of a worker its crash counts, and which to give up.
+
+    Parameters
+    ----------
+    tasks : sequence of CrashedTask
+        All tasks that the worker had started, or may have started.
+    was_worker_sound : bool
+        Whether the worker had not crashed shortly before.
+    at_fault : frozenset of JobId or None
+        What `jobs_at_fault` returns.
+    """
+    culprit = _failed_trial(tasks) if was_worker_sound else None
+    counted = tuple(task for task in tasks if _is_suspect(task, culprit, at_fault))
+    given_up = tuple(task for task in counted if task is culprit or task.is_at_limit)
+    return CrashBlame(counted, given_up)
 
 
-def _is_at_limit(task: CrashedTask) -> bool:
-    return (
-        task.n_crashes >= MAX_CRASHES or task.n_possible_crashes >= MAX_POSSIBLE_CRASHES
-    )
+def _failed_trial(tasks: Sequence[CrashedTask]) -> CrashedTask | None:
+    """Return the task whose trial the crash has ended, if it must be the cause."""
+    failed = [task for task in tasks if task.was_on_trial and task.is_in_doubt]
+    if len(failed) != 1 or not failed[0].is_proven:
+        return None
+    return failed[0] if failed[0].n_crashes + 1 >= MIN_CRASHES else None
+
+
+def _is_suspect(
+    task: CrashedTask, culprit: CrashedTask | None, at_fault: frozenset[JobId] | None
+) -> bool:
+    """Return whether a task may have crashed its worker."""
+    if task.is_in_doubt or not task.is_proven:
+        return True
+    if task.n_crashes >= N_CRASHES_APART:
+        return True
+    return culprit is None and (at_fault is None or task.job_id in at_fault)
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -149,6 +149,13 @@
         elif self.start is StartOutcome.SENT:
             self.start = StartOutcome.UNCERTAIN
 
+    def record_crash(self, *, is_proven: bool) -> None:
+        """Count a crash of a worker that had started the task, or may have."""
+        if is_proven:
+            self.n_crashes += 1
+        else:
+            self.n_unproven_crashes += 1
+
     def request_stop(self) -> None:
         """Mark the attempt to be stopped; the stop command is due immediately."""
         self.is_stopping = True
@@ -348,22 +355,6 @@
         task.incarnation = incarnation
         return True
 
-    def record_crash(self, key: TaskKey, attempt: int, *, is_proven: bool) -> bool:
-        """Count a crash of the worker that may have started an attempt of a task.
-
-        Returns whether it counts: an attempt ends with the first crash of its worker.
-        """
-        task = self.task(key)
-        assert task is not None
-        if attempt <= task.crashed_attempt:
-            return False
-        task.crashed_attempt = attempt
-        if is_proven:
-            task.n_crashes += 1
-        else:
-            task.n_unproven_crashes += 1
-        return True
-
     def end(
         self, key: TaskKey, kind: EndKind, checkpoint: str, max_failures: int
     ) -> None:
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -17,12 +17,11 @@
 from typing import Final
 
 from almondspan_decisions.crash_blame import (
-    N_CRASHES_APART,
     CrashedTask,
     SilentWorker,
+    blame,
     is_in_doubt,
     jobs_at_fault,
-    tasks_to_give_up,
 )
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
@@ -49,11 +48,6 @@
     """Whether the worker is known to have started it."""
     is_in_doubt: bool
 
-    @property
-    def is_seen_running(self) -> bool:
-        """Whether the worker has run it for longer than a start takes."""
-        return self.is_proven and not self.is_in_doubt
-
 
 @dataclass(frozen=True, slots=True)
 class _LostWorker:
@@ -154,33 +148,19 @@
     ) -> None:
         self._metrics.count("worker_crashes")
         at_fault = self._jobs_at_fault(incarnation)
-        suspects = [
-            task
-            for task in started
-            if at_fault is None or task.job_id in at_fault or self._is_suspect(task)
-        ]
-        crashed = [found for task in suspects if (found := self._count(task))]
+        tasks = [found for task in started if (found := self._crashed(task))]
+        verdict = blame(tasks, was_worker_sound=was_sound, at_fault=at_fault)
         self._log.line(
             "crash_counted",
             worker=incarnation.worker_id,
-            n_started=len(started),
-            n_counted=len(crashed),
+            n_started=len(tasks),
+            n_counted=len(verdict.counted),
             is_alone=at_fault is None,
         )
-        for task in tasks_to_give_up(crashed, was_worker_sound=was_sound):
-            self._table[task.job_id].is_failed = True
-            self._metrics.count("tasks_given_up")
-            self._log.line(
-                "task_given_up",
-                task=format_task_name(task.job_id, task.key),
-                worker=incarnation.worker_id,
-                n_crashes=task.n_crashes,
-                n_possible=task.n_possible_crashes,
-                has_failed_trial=task.has_failed_trial,
-                n_beside=len(crashed) - 1,
-            )
-        for task in crashed:
-            self._table.mark_dirty(self._table[task.job_id])
+        for task in verdict.counted:
+            self._count(task)
+        for task in verdict.given_up:
+            self._give_up(task, incarnation, n_beside=len(tasks) - 1)
 
     def _jobs_at_fault(self, incarnation: WorkerIncarnation) -> frozenset[JobId] | None:
         """Return the jobs that may have crashed a worker; None stands for every job."""
@@ -190,30 +170,48 @@
         others = (other for other in self._silent.values() if other is not silent)
         return jobs_at_fault(silent, others, len(self._fleet.workers))
 
-    def _is_suspect(self, started: _StartedTask) -> bool:
-        """Return whether a task may have crashed its worker in any case."""
-        job = self._table.jobs.get(started.job_id)
-        task = job.task(started.key) if job is not None else None
-        n_crashes = task.n_crashes if task is not None else 0
-        return not started.is_seen_running or n_crashes >= N_CRASHES_APART
+    def _crashed(self, started: _StartedTask) -> CrashedTask | None:
+        """Return a task that a crash concerns; None if its attempt has crashed before.
 
-    def _count(self, started: _StartedTask) -> CrashedTask | None:
-        """Count a crash under one task; None if it does not count."""
+        An attempt ends with the first crash of its worker.
+        """
         job = self._table.jobs.get(started.job_id)
-        if job is None or not job.is_active:
-            return None
-        if not job.record_crash(
-            started.key, started.attempt, is_proven=started.is_proven
-        ):
+        task = job.task(started.key) if job is not None and job.is_active else None
+        if task is None or started.attempt <= task.crashed_attempt:
             return None
-        task = job.task(started.key)
-        assert task is not None
-        has_failed_trial = task.is_in_doubt and started.is_in_doubt
-        task.is_in_doubt |= started.is_in_doubt
+        task.crashed_attempt = started.attempt
         return CrashedTask(
             started.job_id,
             started.key,
             task.n_crashes,
-            task.n_crashes + task.n_unproven_crashes,
-            has_failed_trial,
+            task.n_unproven_crashes,
+            started.is_proven,
+            started.is_in_doubt,
+            was_on_trial=task.is_in_doubt,
+        )
+
+    def _count(self, crashed: CrashedTask) -> None:
+        job = self._table[crashed.job_id]
+        task = job.task(crashed.key)
+        assert task is not None
+        task.record_crash(is_proven=crashed.is_proven)
+        task.is_in_doubt |= crashed.is_in_doubt
+        self._table.mark_dirty(job)
+
+    def _give_up(
+        self, crashed: CrashedTask, incarnation: WorkerIncarnation, n_beside: int
+    ) -> None:
+        job = self._table[crashed.job_id]
+        task = job.task(crashed.key)
+        assert task is not None
+        job.is_failed = True
+        self._metrics.count("tasks_given_up")
+        self._log.line(
+            "task_given_up",
+            task=format_task_name(crashed.job_id, crashed.key),
+            worker=incarnation.worker_id,
+            n_crashes=task.n_crashes,
+            n_possible=task.n_crashes + task.n_unproven_crashes,
+            on_trial=crashed.was_on_trial,
+            n_beside=n_beside,
         )
