Notice a link that ends while a duplicate's channel is being closed

Cause: after `_connect_once` had found that the entry was already linked, it closed the duplicate's channel and only then took the event that the end of a link sets. An end during that close set the event of before, which is replaced at once, so the wait was for the next end of a link or for DUPLICATE_RETRY_S.

Change: the event is taken when the duplicate is found, before the first await. The link is then still open, so its end can only come later and sets this event.

Evidence: the new test holds the close of the duplicate until the link has ended.

--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -232,15 +232,17 @@
             if entry_id not in self._channels:
                 await self._serve_link(entry_id, channel)
                 return
+            # Taken before the channel is closed: the link may end during the close.
+            link_ended = self._link_ended
         finally:
             await channel.close()
-        await self._wait_before_redial()
+        await self._wait_before_redial(link_ended)
 
-    async def _wait_before_redial(self) -> None:
-        """Wait until any channel ends, at most for `DUPLICATE_RETRY_S`."""
+    async def _wait_before_redial(self, link_ended: asyncio.Event) -> None:
+        """Wait for the end of a link, at most for `DUPLICATE_RETRY_S`."""
         try:
             async with asyncio.timeout(DUPLICATE_RETRY_S):
-                await self._link_ended.wait()
+                await link_ended.wait()
         except TimeoutError:
             return
 
@@ -281,7 +283,7 @@
         finally:
             del self._channels[entry_id]
             self._n_bytes_closed += channel.n_bytes_sent + channel.n_bytes_received
-            # Wakes the current waiters; later ones wait for the next end of a link.
+            # Wakes all who took this event; later ones get one for the next end.
             self._link_ended.set()
             self._link_ended = asyncio.Event()
             listener.entry_left(entry_id)
--- a/tests/daemon/test_membership_links.py
+++ b/tests/daemon/test_membership_links.py
@@ -6,6 +6,7 @@
 import pytest
 from loopback_members import LOOPBACK, QUICK, WAIT_S, Agent, Entry, hello, wait_until
 
+from almondspan_daemon import entry_links
 from almondspan_daemon.entry_links import MAX_UNLISTED_FAILURES
 from almondspan_decisions.ids import AgentId, EntryId, PlaceName, ShardId
 from almondspan_standins.tcp_proxy import TcpProxy
@@ -191,6 +192,48 @@
     run(main())
 
 
+class HeldChannel(StreamChannel):
+    """A channel whose `close` waits until the test sets `release`."""
+
+    closing: list[StreamChannel]
+    release: asyncio.Event
+
+    async def close(self) -> None:
+        self.closing.append(self)
+        await self.release.wait()
+        await super().close()
+
+
+def test_link_that_ends_while_a_duplicate_closes_is_not_missed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a duplicate that is dialled again only at `DUPLICATE_RETRY_S`."""
+
+    async def main() -> None:
+        monkeypatch.setattr(HeldChannel, "closing", [], raising=False)
+        monkeypatch.setattr(HeldChannel, "release", asyncio.Event(), raising=False)
+        monkeypatch.setattr(entry_links, "StreamChannel", HeldChannel)
+        agent, entry = Agent(), Entry("e1")
+        await entry.start()
+        first, second = TcpProxy(entry.port), TcpProxy(entry.port)
+        await first.start()
+        await second.start()
+        await agent.links.start([(LOOPBACK, first.port)])
+        await wait_until(lambda: agent.events == ["joined e1"])
+        agent.links.add((LOOPBACK, second.port))
+        await wait_until(lambda: len(HeldChannel.closing) == 1)
+        await first.close()
+        await wait_until(lambda: agent.events == ["joined e1", "left e1"])
+        HeldChannel.release.set()
+        await wait_until(lambda: agent.events == ["joined e1", "left e1", "joined e1"])
+        assert second.n_accepted == 2
+        await agent.links.close()
+        await second.close()
+        await entry.directory.close()
+
+    run(main())
+
+
 def entry_list(*entries: Entry) -> EntryList:
     return EntryList(
         tuple(
