Read the members again when an owner steps down

Seen: an entry that had been paused for some seconds could believe in an owner that is gone. With two entries nobody owned the jobs from then on, until the owner's key changed again; or the entry took itself for the owner, so it counted as linked and could not ask the true owner.

Cause: the entry sets the known owner in two places, from the watch and from its own steps. `_run_owner` sets the successor that an agent named, after the await of the close; `_take_over` sets its own record after the await of the write. If the watch has already told of the end of that owner, the older record replaces the later one and clears the vacancy, and the watch does not tell of it again.

Change: after each step-down the members are read again and watched from that read. Whatever was set before, the store's state is applied after it.

--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -5,7 +5,8 @@
 conditional group of writes: the owner's key must be absent and the head unchanged, and
 the group writes the head with the next epoch. The owner renews its lease; if its key is
 lost while the head is still its own, it writes the key again. It steps down when
-another entry has changed the head.
+another entry has changed the head. It then reads the members again, since the watch may
+have told of a later owner, or of none, before the step-down.
 
 The states are following, taking, owning and closed.
 """
@@ -13,7 +14,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
 from transitions import Machine
@@ -98,16 +99,24 @@
         self.owner: Owner | None = None
         self._lease: LeaseId | None = None
         self._is_vacant: Final = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._watch_task: asyncio.Task[None] | None = None
+        self._ownership_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start to watch the members and to take over when there is no owner."""
-        self._tasks = [
-            asyncio.create_task(self._watch_members()),
-            asyncio.create_task(self._ownership_loop()),
-        ]
-        for task in self._tasks:
-            task.add_done_callback(self._on_task_done)
+        self._watch_task = self._spawn(self._watch_members())
+        self._ownership_task = self._spawn(self._ownership_loop())
+
+    def _spawn(self, body: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(body)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _restart_watch(self) -> None:
+        """Read the members and watch them from then on."""
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+        self._watch_task = self._spawn(self._watch_members())
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -116,9 +125,11 @@
     async def close(self) -> None:
         """Resign from the ownership and stop watching."""
         self.trigger_event("end")
-        for task in self._tasks:
+        running = (self._watch_task, self._ownership_task)
+        tasks = [task for task in running if task is not None]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self.owner is not None:
             await self.owner.close()
             await self._resign()
@@ -301,6 +312,7 @@
                 self.owner = None
                 if owner.successor is not None:
                     self._set_owner(owner.successor)
+                self._restart_watch()
 
     async def _renew_until_end(self, owner: Owner, committer: HeadCommitter) -> None:
         while not owner.ended.is_set():
--- /dev/null
+++ b/tests/jobs/test_step_down.py
@@ -0,0 +1,93 @@
+"""Owners that step down, and what their entries then know of the ownership."""
+
+from collections.abc import Iterator
+
+import pytest
+from job_simulation import JobSimulation, SimulatedEntry
+
+from almondspan_jobs.records import OWNER_KEY, OwnerRecord, decode_record
+
+PAUSE_S = 6.0
+LATE_ANSWER_S = 0.9
+STEP_S = 0.01
+MAX_STEPS = 1_000
+
+
+@pytest.fixture
+def simulation() -> Iterator[JobSimulation]:
+    made = JobSimulation(3, n_entries=2, n_agents=2)
+    made.run(4.0)
+    yield made
+    made.close()
+
+
+def owner_of(simulation: JobSimulation) -> SimulatedEntry:
+    machine = simulation.owner()
+    assert machine is not None
+    return machine
+
+
+def other_than(simulation: JobSimulation, machine: SimulatedEntry) -> SimulatedEntry:
+    return next(other for other in simulation.entries if other is not machine)
+
+
+def stored_owner(simulation: JobSimulation) -> str:
+    found: list[str] = []
+
+    def read(simulation: JobSimulation) -> None:
+        item = simulation.store.get(OWNER_KEY)
+        if item is not None:
+            record = decode_record(OwnerRecord, item.value)
+            assert isinstance(record, OwnerRecord)
+            found.append(record.node)
+
+    simulation.run_in_loop(read)
+    return found[0] if found else ""
+
+
+def test_resumed_owner_takes_over_when_its_successor_has_resigned(
+    simulation: JobSimulation,
+) -> None:
+    """Guards against an entry that waits for the end of an owner that is gone.
+
+    While the owner is paused, its successor takes over and resigns. When the owner
+    resumes, the watch tells it of the resignation before an agent names the successor.
+    """
+    paused = owner_of(simulation)
+    successor = other_than(simulation, paused)
+    simulation.pause(paused.process, PAUSE_S)
+    simulation.run(PAUSE_S / 2)
+    assert stored_owner(simulation) == successor.name
+    assert successor.entry is not None
+    simulation.spawn(successor.process, successor.entry.leadership.close())
+    simulation.run(0.5)
+    assert stored_owner(simulation) == ""
+    simulation.kill(successor.process)
+    simulation.run(PAUSE_S)
+    assert stored_owner(simulation) == paused.name
+
+
+def test_entry_with_a_late_takeover_learns_of_its_successor(
+    simulation: JobSimulation,
+) -> None:
+    """Guards against an entry that regards itself as the owner for good.
+
+    It is paused between its takeover's write and the answer, until another entry has
+    taken over. When it resumes, the watch tells it of that before the answer arrives.
+    """
+    first = owner_of(simulation)
+    late = other_than(simulation, first)
+    late.faults.answer_s = LATE_ANSWER_S
+    simulation.kill(first.process)
+    for _ in range(MAX_STEPS):
+        if stored_owner(simulation) == late.name:
+            break
+        simulation.run(STEP_S)
+    assert late.entry is not None and late.entry.leadership.owner is None
+    simulation.pause(late.process, PAUSE_S)
+    late.faults.answer_s = 0.004
+    first.boot()
+    simulation.run(2 * PAUSE_S)
+    assert stored_owner(simulation) == first.name
+    known = late.entry.leadership.owner_record
+    assert known is not None and known.node == first.name
