Let agents change while an owner closes its links

Seen: an agent that registers, moves or is removed while an owner closes could end the entry's ownership loop ("leadership_failed": dictionary changed size during iteration). That entry never took over again, until its restart. A link that was added then was never closed: it kept dialling for an owner that had ended.

Cause: `Owner.close` awaits the close of each link while it iterates over the links; the watch of the members calls `set_agents` in between.

Change: `close` iterates over a copy, and `set_agents` neither adds nor removes a link once `ended` is set, which is the first step of `close`.

Evidence: the new test failed before with that RuntimeError, and passes now. tests/jobs without the tests of hand-over passed (150).

--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -129,23 +129,24 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for link in self._links.values():
+        for link in tuple(self._links.values()):
             await link.close()
 
     async def set_agents(self, agents: Mapping[str, AgentRecord]) -> None:
-        """Connect to the registered agents, once the state is loaded.
+        """Connect to the registered agents, from the end of the load to `ended`.
 
         Before that, every task in a listing would be treated as unknown and stopped.
+        After `ended` the links are closed, and none may be added or taken out.
         """
         self._agents = agents
         if self._loaded_at is None:
             return
         for node, link in tuple(self._links.items()):
-            if agents.get(node) != link.address:
+            if agents.get(node) != link.address and not self.ended.is_set():
                 del self._links[node]
                 await link.close()
         for node, address in agents.items():
-            if node not in self._links:
+            if node not in self._links and not self.ended.is_set():
                 await self._link_agent(node, address)
 
     async def _link_agent(self, node: str, address: AgentRecord) -> None:
--- a/tests/jobs/test_step_down.py
+++ b/tests/jobs/test_step_down.py
@@ -1,11 +1,12 @@
 """Owners that step down, and what their entries then know of the ownership."""
 
+import asyncio
 from collections.abc import Iterator
 
 import pytest
 from job_simulation import JobSimulation, SimulatedEntry
 
-from almondspan_jobs.records import OWNER_KEY, OwnerRecord, decode_record
+from almondspan_jobs.records import OWNER_KEY, AgentRecord, OwnerRecord, decode_record
 
 PAUSE_S = 6.0
 LATE_ANSWER_S = 0.9
@@ -91,3 +92,35 @@
     assert stored_owner(simulation) == first.name
     known = late.entry.leadership.owner_record
     assert known is not None and known.node == first.name
+
+
+def test_agent_that_registers_while_an_owner_closes_is_not_linked(
+    simulation: JobSimulation,
+) -> None:
+    """Guards against an entry that never takes over again.
+
+    A change of the links would end the close with an error, and with it the loop that
+    takes over.
+    """
+    machine = owner_of(simulation)
+    assert machine.entry is not None
+    owner = machine.entry.leadership.owner
+    assert owner is not None
+    agents = {agent.name: AgentRecord(agent.name, 1) for agent in simulation.agents}
+    errors: list[BaseException] = []
+
+    async def close_and_register() -> None:
+        closing = asyncio.create_task(owner.close())
+        while not closing.done():
+            await owner.set_agents(agents)
+            agents[f"later{len(agents)}"] = AgentRecord("later", 1)
+            await asyncio.sleep(0)
+        if closing.exception() is not None:
+            errors.append(closing.exception())  # type: ignore[arg-type]
+
+    simulation.spawn(machine.process, close_and_register())
+    simulation.run(4.0)
+    assert errors == []
+    assert set(owner._links) == {agent.name for agent in simulation.agents}
+    assert not any("leadership_failed" in line for line in simulation.trace)
+    assert stored_owner(simulation) != ""
