Send a command under the epoch of the owner that gave it

Seen: around a hand-over, a start or stop of the earlier owner could be carried out as if the later owner had sent it, and the later owner got the answer. The answer counts for the later owner's single known send of that attempt: after "no room" or "too late" it releases the attempt, although another start of the earlier owner may be unanswered and still run, and places the next attempt elsewhere.

Cause: the agent read its current epoch when it sent a command, after waiting for the slot, and posted every answer on the current channel.

Change: the epoch of the channel on which a command arrived goes with it. It is the fence of the command, and an answer is posted only while that epoch is the agent's; else it is logged as reply_dropped. The later owner sends its own command for an inherited attempt and learns of what runs from the listings, so it needs no answer to another's command.

--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -2,9 +2,9 @@
 
 1. The worker reports itself to the agent; the latest report tells its current
    incarnation.
-2. An owner connects. The agent follows the owner with the highest epoch; that epoch is
-   the fence of every command, so the worker refuses commands of earlier owners that
-   are still in flight.
+2. An owner connects. The agent follows the owner with the highest epoch. The fence of a
+   command is the epoch of the owner that sent it, so the worker refuses commands of
+   earlier owners that are still in flight; only that owner gets the answer.
 3. Polls run one after another, each waiting at the worker for a task to end. A poll
    carries the lease and the acknowledged ends from the owner, and its result is
    forwarded to the owner.
@@ -229,19 +229,19 @@
             if self._channel is not channel:
                 self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
                 break
-            self._on_message(body)
+            self._on_message(body, hello.epoch)
         if self._channel is channel:
             self._channel = None
             self._log.line("owner_lost", owner=hello.owner, epoch=hello.epoch)
 
-    def _on_message(self, body: Message) -> None:
+    def _on_message(self, body: Message, epoch: int) -> None:
         if isinstance(body, LeaseRenewal):
             self._on_renewal(body)
         elif isinstance(body, StartCommand):
             self._pacing.add_traits(body.traits)
-            self._spawn(self._start_task(body))
+            self._spawn(self._start_task(body, epoch))
         elif isinstance(body, StopCommand):
-            self._spawn(self._stop_task(body))
+            self._spawn(self._stop_task(body, epoch))
         elif isinstance(body, InterferenceUpdate):
             self._pacing.set_weights(body)
         elif isinstance(body, TaskTraitsUpdate):
@@ -269,7 +269,22 @@
 
     # Commands
 
-    async def _start_task(self, command: StartCommand) -> None:
+    def _reply(self, epoch: int, body: Message) -> None:
+        """Answer a command, unless its owner has been replaced.
+
+        The later owner would take the answer for that to a command of its own.
+        """
+        if epoch == self._epoch:
+            self._post(body)
+        else:
+            self._log.line(
+                "reply_dropped",
+                kind=type(body).__name__,
+                epoch=epoch,
+                known=self._epoch,
+            )
+
+    async def _start_task(self, command: StartCommand, epoch: int) -> None:
         incarnation = self._incarnation
         name = command.traits.task
         if incarnation is None or incarnation.state.started_ms != command.started_ms:
@@ -286,7 +301,7 @@
                         command.payload,
                         command.checkpoint,
                         max(command.until_ms, incarnation.until_ms),
-                        self._epoch,
+                        epoch,
                     ),
                 )
         self._metrics.count(f"start_{verdict.value}")
@@ -295,35 +310,36 @@
             task=name,
             attempt=command.attempt,
             born=command.started_ms,
-            fence=self._epoch,
+            fence=epoch,
             verdict=verdict.value,
         )
-        self._post(StartReply(command.started_ms, name, command.attempt, verdict.value))
+        reply = StartReply(command.started_ms, name, command.attempt, verdict.value)
+        self._reply(epoch, reply)
         if verdict is Verdict.DONE and incarnation is not None:
             await self._pacing.pace_after_start(
                 incarnation.state.worker_id,
                 command.traits,
                 command.attempt,
-                self._epoch,
+                epoch,
             )
             if command.is_trial:
-                await self._list_after_trial(incarnation)
+                await self._list_after_trial(incarnation, epoch)
 
-    async def _list_after_trial(self, incarnation: _Incarnation) -> None:
+    async def _list_after_trial(self, incarnation: _Incarnation, epoch: int) -> None:
         """List the worker's tasks once a task on trial has run long enough."""
         await asyncio.sleep(self._options.trial_list_s)
-        poll = await self._worker.list_tasks(incarnation.state.worker_id, self._epoch)
+        poll = await self._worker.list_tasks(incarnation.state.worker_id, epoch)
         if isinstance(poll, WorkerPoll):
             if poll.started_ms == incarnation.state.started_ms:
                 self._forward_poll(incarnation, poll)
 
-    async def _stop_task(self, command: StopCommand) -> None:
+    async def _stop_task(self, command: StopCommand, epoch: int) -> None:
         incarnation = self._incarnation
         if incarnation is None:
             return
         async with self._command_slots:
             verdict = await self._worker.stop_task(
-                incarnation.state.worker_id, command.task, command.attempt, self._epoch
+                incarnation.state.worker_id, command.task, command.attempt, epoch
             )
         self._log.line(
             "stop_answered",
@@ -333,13 +349,13 @@
             verdict=verdict.value,
         )
         if command.is_revocation and verdict is Verdict.DONE:
-            await self._confirm_revocation(incarnation, command)
+            await self._confirm_revocation(incarnation, command, epoch)
 
     async def _confirm_revocation(
-        self, incarnation: _Incarnation, command: StopCommand
+        self, incarnation: _Incarnation, command: StopCommand, epoch: int
     ) -> None:
         """Answer a revocation if a new poll does not list the attempt as running."""
-        poll = await self._worker.list_tasks(incarnation.state.worker_id, self._epoch)
+        poll = await self._worker.list_tasks(incarnation.state.worker_id, epoch)
         if (
             not isinstance(poll, WorkerPoll)
             or poll.started_ms != incarnation.state.started_ms
@@ -350,7 +366,9 @@
             (task.task, task.attempt) != (command.task, command.attempt)
             for task in poll.running
         ):
-            self._post(AttemptRevoked(poll.started_ms, command.task, command.attempt))
+            self._reply(
+                epoch, AttemptRevoked(poll.started_ms, command.task, command.attempt)
+            )
 
     # Polls
 
--- /dev/null
+++ b/tests/jobs/test_agent_hand_over.py
@@ -0,0 +1,200 @@
+"""Commands that an agent still holds when a later owner connects."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import replace
+
+import pytest
+from memory_network import Hub, MemoryChannel, MemoryNetwork
+from virtual_loop import Process, VirtualLoop
+
+from almondspan_decisions.ids import PlaceName, ServiceName, WorkerId
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs import clocks
+from almondspan_jobs.messages import (
+    AttemptRevoked,
+    OwnerHello,
+    StartCommand,
+    StartReply,
+    StopCommand,
+    TaskTraits,
+)
+from almondspan_jobs.metrics import Metrics
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.worker_agent import WorkerAgent
+from almondspan_platform.task_worker import (
+    PollFailed,
+    PollRequest,
+    StartTask,
+    Verdict,
+    WorkerPoll,
+    WorkerState,
+)
+from almondspan_wire.codec import Message
+
+STARTED_MS = 5
+HOST, PORT = "machine", 1
+OPTIONS = replace(JobOptions(), max_concurrent_commands=1)
+
+
+class Log:
+    def line(self, event: str, **fields: object) -> None:
+        pass
+
+
+class HeldWorker:
+    """Records the commands that arrive, and answers them once it is released."""
+
+    def __init__(self) -> None:
+        self.fences: list[tuple[str, int]] = []
+        self.release = asyncio.Event()
+
+    async def _answer(self, task: str, fence: int) -> Verdict:
+        self.fences.append((task, fence))
+        await self.release.wait()
+        return Verdict.TOO_LATE
+
+    async def start_task(self, worker_id: WorkerId, request: StartTask) -> Verdict:
+        return await self._answer(request.task, request.fence)
+
+    async def stop_task(
+        self, worker_id: WorkerId, task: str, attempt: int, fence: int
+    ) -> Verdict:
+        await self._answer(task, fence)
+        return Verdict.DONE
+
+    async def pace_task(
+        self, worker_id: WorkerId, task: str, attempt: int, percent: int, fence: int
+    ) -> Verdict:
+        return Verdict.DONE
+
+    async def list_tasks(
+        self, worker_id: WorkerId, fence: int
+    ) -> WorkerPoll | PollFailed:
+        return WorkerPoll(STARTED_MS, 1, (), ())
+
+    async def poll(
+        self, worker_id: WorkerId, request: PollRequest
+    ) -> WorkerPoll | PollFailed:
+        await asyncio.sleep(1.0)
+        return PollFailed(Verdict.NO_ANSWER, "held")
+
+
+class HandOver:
+    """An agent, and the channels of its owners."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.worker = HeldWorker()
+        self._network = MemoryNetwork(hub)
+        self._agent = WorkerAgent(
+            HOST, PORT, self._network, self.worker, OPTIONS, Log(), Metrics()
+        )
+
+    async def start(self) -> None:
+        await self._agent.start()
+        self._agent.on_report(
+            WorkerState(
+                WorkerId("w"),
+                STARTED_MS,
+                ServiceName("pool"),
+                PlaceName("here"),
+                Shape(1_000, 1_000),
+                (),
+                False,
+                0,
+            )
+        )
+
+    async def connect_owner(self, epoch: int) -> MemoryChannel:
+        channel = await self._network.dial(HOST, PORT, 1.0)
+        assert isinstance(channel, MemoryChannel)
+        await channel.send(OwnerHello(epoch, f"entry{epoch}", f"entry{epoch}", 1))
+        await asyncio.sleep(0.1)
+        return channel
+
+    async def close(self) -> None:
+        await self._agent.close()
+
+
+RunTest = Callable[[Callable[[HandOver], Awaitable[None]]], None]
+
+
+@pytest.fixture
+def run_test() -> Iterator[RunTest]:
+    loop = VirtualLoop()
+    clocks.use_clocks(loop.time)
+
+    def run(body: Callable[[HandOver], Awaitable[None]]) -> None:
+        async def inner() -> None:
+            hand_over = HandOver(Hub(loop))
+            await hand_over.start()
+            await body(hand_over)
+            await hand_over.close()
+
+        context = Process(HOST).new_context()
+        loop.run_until_complete(loop.create_task(inner(), context=context))
+
+    yield run
+    clocks.use_clocks()
+    loop.close()
+
+
+def start(task: str) -> StartCommand:
+    traits = TaskTraits(task, "", 0, False, 100)
+    return StartCommand(STARTED_MS, 1, "", "", 1_000, traits, False)
+
+
+def revoke(task: str) -> StopCommand:
+    return StopCommand(task, 1, is_revocation=True)
+
+
+@pytest.mark.parametrize(
+    ("make_command", "reply"),
+    [
+        pytest.param(start, StartReply, id="start"),
+        pytest.param(revoke, AttemptRevoked, id="revocation"),
+    ],
+)
+def test_waiting_command_of_an_earlier_owner_is_not_taken_for_its_successors(
+    run_test: RunTest, make_command: Callable[[str], Message], reply: type[Message]
+) -> None:
+    """Guards against a command that gets the fence of an owner who never sent it.
+
+    The worker would carry it out for the successor, and the successor would take its
+    answer for that to a command of its own.
+    """
+
+    async def body(hand_over: HandOver) -> None:
+        first = await hand_over.connect_owner(1)
+        first.post(make_command("a"))
+        first.post(make_command("b"))
+        await asyncio.sleep(0.1)
+        second = await hand_over.connect_owner(2)
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.fences == [("a", 1), ("b", 1)]
+        assert not [body for body in second.inbox if isinstance(body, reply)]
+
+    run_test(body)
+
+
+@pytest.mark.parametrize(
+    ("make_command", "reply"),
+    [
+        pytest.param(start, StartReply, id="start"),
+        pytest.param(revoke, AttemptRevoked, id="revocation"),
+    ],
+)
+def test_owner_that_reconnects_gets_the_answers_to_its_commands(
+    run_test: RunTest, make_command: Callable[[str], Message], reply: type[Message]
+) -> None:
+    async def body(hand_over: HandOver) -> None:
+        first = await hand_over.connect_owner(1)
+        first.post(make_command("a"))
+        await asyncio.sleep(0.1)
+        again = await hand_over.connect_owner(1)
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert len([body for body in again.inbox if isinstance(body, reply)]) == 1
+
+    run_test(body)
