Take only what RunnerAdmission uses

Seen: every caller of RunnerAdmission had to pass an agent id and a random number generator that it never read ("not used at present").

Change: both arguments are gone, from the constructor and from its callers.

--- a/misc/bench_service.py
+++ b/misc/bench_service.py
@@ -114,9 +114,7 @@
         return await channel.send(body)
 
     url = f"http://{HOST}:{runner_port}"
-    admission = RunnerAdmission(
-        AGENT, SERVICE, url, send, AdmissionOptions(), Random(1)
-    )
+    admission = RunnerAdmission(SERVICE, url, send, AdmissionOptions())
     await admission.start()
     await channel.send(AgentHello(AGENT, WorkerId(""), PlaceName("here"), EMPTY_SHAPE))
 
--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -142,14 +142,12 @@
 
     def _make_admission(self, runner: RunnerSection) -> RunnerAdmission:
         return RunnerAdmission(
-            self.agent_id,
             ServiceName(runner.name),
             runner.runner_address,
             self._links.send,
             AdmissionOptions(
                 n_slots=runner.n_slots, n_connections=runner.n_connections
             ),
-            self._rng,
         )
 
     async def start(self) -> None:
--- a/packages/service/almondspan_service/runner_admission.py
+++ b/packages/service/almondspan_service/runner_admission.py
@@ -19,11 +19,10 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from functools import partial
-from random import Random
 from typing import Final
 
 from almondspan_decisions.fleet import FleetConfig
-from almondspan_decisions.ids import AgentId, EntryId, ServiceName
+from almondspan_decisions.ids import EntryId, ServiceName
 from almondspan_decisions.latency_sketch import LatencySketch
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_decisions.recent_calls import RecentSummary
@@ -63,23 +62,19 @@
 
     Parameters
     ----------
-    agent_id : the agent on the runner's node.
     service : the service that the runner serves.
     runner_url : the runner's address (``http://ip:port``).
     send : sends a message to an entry; returns False when the channel is lost.
     options : limits and time-outs.
-    rng : random number generator; not used at present.
     client : client of the runner; by default HTTP to `runner_url`.
     """
 
     def __init__(
         self,
-        agent_id: AgentId,
         service: ServiceName,
         runner_url: str,
         send: SendToEntry,
         options: AdmissionOptions,
-        rng: Random,
         client: RunnerClient | None = None,
     ) -> None:
         self._service = service
--- a/tests/service/service_path.py
+++ b/tests/service/service_path.py
@@ -215,12 +215,10 @@
         options = admission_options or AdmissionOptions()
         self.admissions = {
             agent_id: RunnerAdmission(
-                agent_id,
                 SERVICE,
                 "",
                 self._sender_of(agent_id),
                 options,
-                self.rng,
                 runner,
             )
             for agent_id, runner in self.runners.items()
--- a/tests/service/test_forgotten_calls.py
+++ b/tests/service/test_forgotten_calls.py
@@ -4,11 +4,10 @@
 """
 
 import asyncio
-from random import Random
 
 import pytest
 from service_path import SERVICE, FakeRunner
-from test_service_faults import A, echo_slowly
+from test_service_faults import echo_slowly
 from virtual_clock import run_virtual
 
 from almondspan_decisions.ids import CallerId, EntryId, RequestId
@@ -67,7 +66,7 @@
 
         runner = FakeRunner(echo_slowly(5.0))
         options = AdmissionOptions(n_remembered_entries=n_entries)
-        admission = RunnerAdmission(A, SERVICE, "", send, options, Random(1), runner)
+        admission = RunnerAdmission(SERVICE, "", send, options, runner)
         admission.on_message(FIRST, opening("one"))
         await asyncio.sleep(0.1)
         admission.entry_left(FIRST)
--- a/tests/service/test_service_http.py
+++ b/tests/service/test_service_http.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from random import Random
 
 import pytest
 from aiohttp import ClientError, ClientSession, web
@@ -111,12 +110,10 @@
     async with TestServer(runner_app()) as runner, path, ClientSession() as session:
         agent_id = AgentId("a")
         admission = RunnerAdmission(
-            agent_id,
             SERVICE,
             str(runner.make_url("/")),
             path._sender_of(agent_id),
             AdmissionOptions(),
-            Random(1),
         )
         path.admissions[agent_id] = admission
         await admission.start()
