Bound what a quota slice remembers of received transfers

Seen: `QuotaSlice.received` held the id of every transfer that the slice ever received, and a stored slice would have grown without limit. Two givers with the same transfer id also lost units, because the ids were not told apart by giver. No process moves units yet.

Cause: a transfer was only known by its id, so none could be forgotten.

Change: a giver numbers its transfers to each receiver. Since it repeats each until it is confirmed, no number stays missing; the receiver keeps the last number up to which it has all, and those that came ahead of a missing one. That is one entry for each giver, and a late duplicate is still recognised.

--- a/packages/decisions/almondspan_decisions/quotas.py
+++ b/packages/decisions/almondspan_decisions/quotas.py
@@ -7,6 +7,10 @@
 and the giver drops the transfer when the receiver has confirmed it. At all times the
 slices and the transfers in flight add up to the quota, so neither a crash nor a
 duplicate message can create units.
+
+A giver numbers its transfers to each receiver. It repeats each until it is confirmed,
+so the receiver gets every number in the end and need only remember how far it has got,
+and the numbers that arrived ahead of a missing one.
 """
 
 from collections.abc import Mapping, Sequence
@@ -19,6 +23,7 @@
 __all__ = [
     "QUOTA_UNITS",
     "QuotaSlice",
+    "ReceivedNumbers",
     "Transfer",
     "TransferId",
     "confirm_transfer",
@@ -88,27 +93,57 @@
 
 @dataclass(frozen=True, slots=True)
 class Transfer:
-    """Units in flight from one shard to another."""
+    """Units in flight from one shard to another.
+
+    ``number`` counts the giver's transfers to this receiver, from 1.
+    """
 
     transfer_id: TransferId
     giver: ShardId
     receiver: ShardId
+    number: int
     n_units: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedNumbers:
+    """The numbers of the transfers that were added, of one giver.
+
+    These are all up to ``last_contiguous``, and those in ``beyond``, which follow a
+    number that is missing.
+    """
+
+    last_contiguous: int = 0
+    beyond: frozenset[int] = field(default_factory=frozenset)
+
+    def __contains__(self, number: int) -> bool:
+        return number <= self.last_contiguous or number in self.beyond
+
+    def add(self, number: int) -> "ReceivedNumbers":
+        """Return the numbers with one more."""
+        beyond = set(self.beyond) | {number}
+        last = self.last_contiguous
+        while last + 1 in beyond:
+            last += 1
+            beyond.remove(last)
+        return ReceivedNumbers(last, frozenset(beyond))
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaSlice:
     """One shard's slice of one team's quota.
 
-    ``outgoing`` holds the transfers that the receiver has not confirmed; ``received``
-    the ids of the transfers that were added.
+    ``outgoing`` holds the transfers that the receiver has not confirmed, ``last_given``
+    the last number given to each receiver, and ``received`` the numbers of the
+    transfers that were added, by giver.
     """
 
     shard_id: ShardId
     n_units: int
     n_units_used: int = 0
     outgoing: tuple[Transfer, ...] = ()
-    received: frozenset[TransferId] = field(default_factory=frozenset)
+    last_given: Mapping[ShardId, int] = field(default_factory=dict)
+    received: Mapping[ShardId, ReceivedNumbers] = field(default_factory=dict)
 
 
 def give_units(
@@ -119,25 +154,25 @@
         return quota_slice
     if n_units <= 0 or n_units > quota_slice.n_units - quota_slice.n_units_used:
         return None
-    transfer = Transfer(transfer_id, quota_slice.shard_id, receiver, n_units)
+    number = quota_slice.last_given.get(receiver, 0) + 1
+    transfer = Transfer(transfer_id, quota_slice.shard_id, receiver, number, n_units)
     return replace(
         quota_slice,
         n_units=quota_slice.n_units - n_units,
         outgoing=(*quota_slice.outgoing, transfer),
+        last_given={**quota_slice.last_given, receiver: number},
     )
 
 
 def receive_transfer(quota_slice: QuotaSlice, transfer: Transfer) -> QuotaSlice:
     """Add a transfer to the receiver's slice; a duplicate has no effect."""
-    if (
-        transfer.receiver != quota_slice.shard_id
-        or transfer.transfer_id in quota_slice.received
-    ):
+    numbers = quota_slice.received.get(transfer.giver, ReceivedNumbers())
+    if transfer.receiver != quota_slice.shard_id or transfer.number in numbers:
         return quota_slice
     return replace(
         quota_slice,
         n_units=quota_slice.n_units + transfer.n_units,
-        received=quota_slice.received | {transfer.transfer_id},
+        received={**quota_slice.received, transfer.giver: numbers.add(transfer.number)},
     )
 
 
--- a/tests/decisions/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -82,6 +82,51 @@
         assert min(each.n_units for each in slices) >= 0
 
 
+def give(quota_slice: QuotaSlice, name: str, receiver: int) -> QuotaSlice:
+    """Give one unit that is free."""
+    given_slice = give_units(quota_slice, TransferId(name), ShardId(receiver), 1)
+    assert given_slice is not None
+    return given_slice
+
+
+@pytest.mark.parametrize("order", ["in order", "reversed", "shuffled"])
+def test_memory_of_received_transfers_is_bounded(order: str) -> None:
+    """Guards against a slice that grows with every transfer that it ever received.
+
+    Late duplicates still have no effect.
+    """
+    n_transfers = 200
+    giver, receiver = QuotaSlice(ShardId(0), 1_000), QuotaSlice(ShardId(1), 0)
+    for n in range(n_transfers):
+        giver = give(giver, f"t{n}", 1)
+    transfers = list(giver.outgoing)
+    if order == "reversed":
+        transfers.reverse()
+    elif order == "shuffled":
+        random.Random(1).shuffle(transfers)
+    for transfer in transfers:
+        receiver = receive_transfer(receiver, transfer)
+        giver = confirm_transfer(giver, transfer.transfer_id)
+    assert len(receiver.received) == 1
+    assert all(not numbers.beyond for numbers in receiver.received.values())
+    for transfer in transfers:
+        assert receive_transfer(receiver, transfer) == receiver
+    assert (giver.n_units, receiver.n_units) == (800, 200)
+
+
+def test_transfers_of_several_givers_are_told_apart() -> None:
+    receiver = QuotaSlice(ShardId(9), 0)
+    for shard in range(3):
+        giver = give(QuotaSlice(ShardId(shard), 10), "t", 9)
+        receiver = receive_transfer(receiver, giver.outgoing[0])
+    assert receiver.n_units == 3
+
+
+def test_repeated_transfer_is_given_once() -> None:
+    once = give(QuotaSlice(ShardId(0), 10), "t", 1)
+    assert give(once, "t", 1) == once
+
+
 def test_used_units_are_not_given() -> None:
     held = QuotaSlice(ShardId(0), n_units=100, n_units_used=80)
     assert give_units(held, TransferId("t"), ShardId(1), 21) is None
