--- a/misc/job_mutant_table.py
+++ b/misc/job_mutant_table.py
@@ -54,6 +54,27 @@
         "        if hello.epoch < self._epoch:\n            self._log.line(",
         "        if False:\n            self._log.line(",
     ),
+    mutant(
+        "send waiting commands under the latest epoch",
+        "jobs",
+        "worker_agent.py",
+        "            self._on_message(body, hello.epoch)\n",
+        "            self._on_message(body, self._epoch)\n",
+    ),
+    mutant(
+        "answer a later owner",
+        "jobs",
+        "worker_agent.py",
+        "        if epoch == self._epoch:\n",
+        "        if True:\n",
+    ),
+    mutant(
+        "trust the watch of before a step-down",
+        "jobs",
+        "leadership.py",
+        "                self._restart_watch()\n",
+        "",
+    ),
     mutant(
         "connect to agents before the state is loaded",
         "jobs",
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -198,3 +198,18 @@
         assert len([body for body in again.inbox if isinstance(body, reply)]) == 1
 
     run_test(body)
+
+
+def test_commands_of_an_owner_that_connects_after_its_successor_are_ignored(
+    run_test: RunTest,
+) -> None:
+    """Guards against a resumed owner that still gives commands."""
+
+    async def body(hand_over: HandOver) -> None:
+        await hand_over.connect_owner(2)
+        earlier = await hand_over.connect_owner(1)
+        earlier.post(start("a"))
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.fences == []
+
+    run_test(body)
