Refuse no job that another request may still store

Seen: a caller that submitted the same job again at the same entry, while its first request was still writing, could be told that the job is not stored; then the first request's write took effect and the job ran.

Cause: a request looked once, before its first await, for an uncertain write of the job. The first request records its write as uncertain only when it gives up.

Change: the look is made before each refusal, and also counts requests for the job that are still writing. While there is one, the answer is "unknown"; the last request to end, with no uncertain write, is refused as before.

Evidence: the new test (second request 0.1, 0.5, 1.0 and 1.5 s after the first) failed before in the first three cases: one of the answers was not_done. It passes now; tests/jobs and tests/site pass (262). The mutant "refuse a job with an uncertain write" follows the renamed condition.

--- a/misc/job_mutant_table.py
+++ b/misc/job_mutant_table.py
@@ -174,7 +174,7 @@
         "refuse a job with an uncertain write",
         "jobs",
         "job_api.py",
-        "StoreResult.UNKNOWN if is_uncertain else StoreResult.NOT_DONE",
+        "StoreResult.UNKNOWN if may_be_stored else StoreResult.NOT_DONE",
         "StoreResult.NOT_DONE",
     ),
     mutant(
--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -2,15 +2,17 @@
 
 - A job is stored by a write that requires its key to be absent, so the same job
   submitted at several entries is stored once. It is accepted once it is stored.
-- A job is refused only when no write of it can take effect any more. An unanswered
-  write is repeated, here and through the owner; if the outcome stays uncertain, it is
-  reported as unknown and the caller may submit again.
+- A job is refused only when no write of it can take effect any more, of this request or
+  of another one at this entry. An unanswered write is repeated, here and through the
+  owner; if the outcome stays uncertain, it is reported as unknown and the caller may
+  submit again.
 - States come from the owner's stored decisions. Without an owner they are read from
   the store; only the store can tell that a job does not exist.
 """
 
 import asyncio
 import math
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -93,6 +95,8 @@
         self._metrics: Final = metrics
         self._uncertain_since_s: dict[JobId, float] = {}
         """Jobs with a write of uncertain outcome, and when it was given up."""
+        self._n_requests: Final[Counter[JobId]] = Counter()
+        """Number of requests that are writing a job now."""
         self._probe_failed_s = -math.inf
         """When a probe of the store last got no answer."""
 
@@ -146,12 +150,23 @@
         self, job_id: JobId, record: bytes, group: WriteGroup, until_s: float
     ) -> JobAnswer:
         """Write directly or through the owner until stored or out of time."""
+        self._n_requests[job_id] += 1
+        try:
+            return await self._write_until_answered(job_id, record, group, until_s)
+        finally:
+            self._n_requests[job_id] -= 1
+            if not self._n_requests[job_id]:
+                del self._n_requests[job_id]
+
+    async def _write_until_answered(
+        self, job_id: JobId, record: bytes, group: WriteGroup, until_s: float
+    ) -> JobAnswer:
         now_s = steady_s()
         refuse_until_s = now_s + self._options.refused_write_retry_s
         if self._store.silent_s > self._options.store_suspect_s:
             refuse_until_s = now_s
         until_s = min(until_s, now_s + self._options.uncertain_write_retry_s)
-        is_uncertain = self._has_uncertain_write(job_id, now_s)
+        is_uncertain = False
         while True:
             outcome = await self.write_once(group)
             if outcome.result is not StoreResult.STORED and not self._owner.is_local:
@@ -161,14 +176,19 @@
                 return outcome
             is_uncertain |= outcome.result is StoreResult.UNKNOWN
             now_s = steady_s()
-            if now_s > (until_s if is_uncertain else refuse_until_s):
+            may_be_stored = is_uncertain or self._may_store_otherwise(job_id, now_s)
+            if now_s > (until_s if may_be_stored else refuse_until_s):
                 break
             await asyncio.sleep(self._options.retry_s)
         if is_uncertain:
             self._uncertain_since_s[job_id] = now_s
-        result = StoreResult.UNKNOWN if is_uncertain else StoreResult.NOT_DONE
+        result = StoreResult.UNKNOWN if may_be_stored else StoreResult.NOT_DONE
         return JobAnswer(result, outcome.reason)
 
+    def _may_store_otherwise(self, job_id: JobId, now_s: float) -> bool:
+        """Return whether another request's write of the job may still take effect."""
+        return self._n_requests[job_id] > 1 or self._has_uncertain_write(job_id, now_s)
+
     def _has_uncertain_write(self, job_id: JobId, now_s: float) -> bool:
         """Return whether an earlier write of the job may still take effect."""
         limit_s = now_s - self._options.late_write_s
--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -152,6 +152,37 @@
     assert job.answers == [StoreResult.UNKNOWN, StoreResult.UNKNOWN]
 
 
+@pytest.mark.parametrize("after_s", [0.1, 0.5, 1.0, 1.5])
+def test_job_with_another_write_in_flight_is_never_refused(
+    simulation: JobSimulation, after_s: float
+) -> None:
+    """Guards against a refusal of a job that an earlier request still stores."""
+    machine = follower_of(simulation)
+    machine.faults.late_share = 1.0
+    owner_of(simulation).faults.is_silent = True
+    job = simulation.make_job(STEPS)
+    simulation.submit(job, machine)
+    simulation.run(after_s)
+    for other in simulation.entries:
+        refuse(other)
+    simulation.submit(job, machine)
+    simulation.run(5.0)
+    assert job.answers == [StoreResult.UNKNOWN, StoreResult.UNKNOWN]
+
+
+def test_last_of_two_refused_requests_is_told_so(simulation: JobSimulation) -> None:
+    for machine in simulation.entries:
+        refuse(machine)
+    job = simulation.make_job(STEPS)
+    machine = follower_of(simulation)
+    simulation.submit(job, machine)
+    simulation.run(0.1)
+    simulation.submit(job, machine)
+    simulation.run(2.0)
+    assert StoreResult.STORED not in job.answers
+    assert job.answers[-1] is StoreResult.NOT_DONE
+
+
 def test_same_job_at_several_entries_runs_once(simulation: JobSimulation) -> None:
     job = simulation.make_job(STEPS)
     for machine in simulation.entries:
