Close a channel to a relay when its request is cancelled

Seen: each time an entry learnt of another owner while it was asking an agent for a channel to the earlier one, that channel stayed open for good, with its heartbeats, and took one of the 64 places of the agent that joins channels.

Cause: `dial_via_agent` closed the channel after a refusal or a timeout, but not when it was cancelled in the wait for the agent's answer.

Evidence: the new test cancels in that wait; it failed before (the channel was open) and passes now, with tests/jobs/test_relay.py.

--- a/packages/jobs/almondspan_jobs/relay.py
+++ b/packages/jobs/almondspan_jobs/relay.py
@@ -55,13 +55,18 @@
         channel = await network.dial(relay.host, relay.port, timeout_s)
         if isinstance(channel, DialFailed):
             continue
-        reply = await _request_relay(channel, request, timeout_s)
+        reply = None
+        try:
+            reply = await _request_relay(channel, request, timeout_s)
+        finally:
+            # Also when the caller is cancelled.
+            if reply is None:
+                await channel.close()
         if reply is not None:
             owner = None
             if target is None:
                 owner = OwnerRecord(reply.epoch, reply.owner, reply.host, reply.port)
             return RelayedChannel(channel, relay, owner)
-        await channel.close()
     return None
 
 
