Count a relayed pair from before its dial

Seen: an agent that many processes asked at once joined more than its limit of 64 pairs of channels: the test had 128 of 128 requests joined.

Cause: the limit was checked before the dial of the target and the pair counted after it.

Change: a request takes its place before the dial and gives it back when it ends.

--- a/packages/jobs/almondspan_jobs/relay.py
+++ b/packages/jobs/almondspan_jobs/relay.py
@@ -90,6 +90,7 @@
         self._options: Final = options
         self._log: Final = log
         self._n_joined = 0
+        """Pairs that are joined or whose target is being dialled."""
 
     async def serve(
         self, channel: Channel, request: RelayRequest, owner: OwnerHello | None
@@ -101,21 +102,27 @@
         if not host or self._n_joined >= MAX_RELAYED:
             self._log.line("relay_refused", host=host, n_joined=self._n_joined)
             return
+        ready = RelayReady(0, "", host, port)
+        if owner is not None:
+            ready = RelayReady(owner.epoch, owner.owner, host, port)
+        self._n_joined += 1
+        try:
+            await self._join_target(channel, ready)
+        finally:
+            self._n_joined -= 1
+
+    async def _join_target(self, channel: Channel, ready: RelayReady) -> None:
+        host, port = ready.host, ready.port
         timeout_s = self._options.dial_timeout_s
         target = await self._network.dial(host, port, timeout_s)
         if isinstance(target, DialFailed):
             self._log.line("relay_unreachable", host=host, port=port, why=target.reason)
             return
         self._log.line("relay_joined", host=host, port=port)
-        ready = RelayReady(0, "", host, port)
-        if owner is not None:
-            ready = RelayReady(owner.epoch, owner.owner, host, port)
-        self._n_joined += 1
         try:
             await channel.send(ready)
             await _join(channel, target)
         finally:
-            self._n_joined -= 1
             await target.close()
             self._log.line("relay_parted", host=host, port=port)
 
