Check the worker again when a start has waited for its slot

Cause: the agent checked the incarnation and `is_leaving` only before that wait.

Change: the checks are made before the wait, so that a refusal needs no slot, and again after it.

--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -287,23 +287,13 @@
     async def _start_task(self, command: StartCommand, epoch: int) -> None:
         incarnation = self._incarnation
         name = command.traits.task
-        if incarnation is None or incarnation.state.started_ms != command.started_ms:
-            verdict = Verdict.OTHER_INCARNATION
-        elif incarnation.state.is_leaving:
-            verdict = Verdict.NOT_TAKEN
-        else:
+        verdict = self._refusal(command)
+        if verdict is None:
             async with self._command_slots:
-                verdict = await self._worker.start_task(
-                    incarnation.state.worker_id,
-                    StartTask(
-                        name,
-                        command.attempt,
-                        command.payload,
-                        command.checkpoint,
-                        max(command.until_ms, incarnation.until_ms),
-                        epoch,
-                    ),
-                )
+                # The worker may have changed in the wait for the slot.
+                verdict = self._refusal(command)
+                if verdict is None:
+                    verdict = await self._send_start(command, epoch)
         self._metrics.count(f"start_{verdict.value}")
         self._log.line(
             "start_answered",
@@ -325,6 +315,30 @@
             if command.is_trial:
                 await self._list_after_trial(incarnation, epoch)
 
+    def _refusal(self, command: StartCommand) -> Verdict | None:
+        """Return why a start must not be sent to the worker; None if it may be."""
+        incarnation = self._incarnation
+        if incarnation is None or incarnation.state.started_ms != command.started_ms:
+            return Verdict.OTHER_INCARNATION
+        if incarnation.state.is_leaving:
+            return Verdict.NOT_TAKEN
+        return None
+
+    async def _send_start(self, command: StartCommand, epoch: int) -> Verdict:
+        incarnation = self._incarnation
+        assert incarnation is not None
+        return await self._worker.start_task(
+            incarnation.state.worker_id,
+            StartTask(
+                command.traits.task,
+                command.attempt,
+                command.payload,
+                command.checkpoint,
+                max(command.until_ms, incarnation.until_ms),
+                epoch,
+            ),
+        )
+
     async def _list_after_trial(self, incarnation: _Incarnation, epoch: int) -> None:
         """List the worker's tasks once a task on trial has run long enough."""
         await asyncio.sleep(self._options.trial_list_s)
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -1,8 +1,9 @@
-"""Commands that an agent still holds when a later owner connects."""
+"""Commands that an agent holds while another owner connects or its worker changes."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
+from typing import Any
 
 import pytest
 from memory_network import Hub, MemoryChannel, MemoryNetwork
@@ -92,15 +93,18 @@
 
     async def start(self) -> None:
         await self._agent.start()
+        self.report()
+
+    def report(self, started_ms: int = STARTED_MS, is_leaving: bool = False) -> None:
         self._agent.on_report(
             WorkerState(
                 WorkerId("w"),
-                STARTED_MS,
+                started_ms,
                 ServiceName("pool"),
                 PlaceName("here"),
                 Shape(1_000, 1_000),
                 (),
-                False,
+                is_leaving,
                 0,
             )
         )
@@ -200,6 +204,38 @@
     run_test(body)
 
 
+@pytest.mark.parametrize(
+    ("report", "verdict"),
+    [
+        pytest.param({"is_leaving": True}, Verdict.NOT_TAKEN, id="leaving"),
+        pytest.param(
+            {"started_ms": STARTED_MS + 1}, Verdict.OTHER_INCARNATION, id="restarted"
+        ),
+    ],
+)
+def test_waiting_start_is_not_sent_once_the_worker_has_changed(
+    run_test: RunTest, report: dict[str, Any], verdict: Verdict
+) -> None:
+    """Guards against a check of the worker that was made before the wait."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        owner.post(start("a"))
+        owner.post(start("b"))
+        await asyncio.sleep(0.1)
+        hand_over.report(**report)
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.fences == [("a", 1)]
+        replies = [body for body in owner.inbox if isinstance(body, StartReply)]
+        assert [(each.task, each.verdict) for each in replies] == [
+            ("a", Verdict.TOO_LATE.value),
+            ("b", verdict.value),
+        ]
+
+    run_test(body)
+
+
 def test_commands_of_an_owner_that_connects_after_its_successor_are_ignored(
     run_test: RunTest,
 ) -> None:
