--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -16,8 +16,8 @@
 4. If a large share of all workers falls silent at the same moment, they crash from one
    cause. It can only be a job that had tasks on each of them.
 5. A crash of which another task, or none of the task's job, is the cause does not count
-   for a task, unless it is in doubt, its start is uncertain, or `N_CRASHES_APART` crashes
-   count for it already.
+   for a task, unless it is in doubt, or its start is uncertain, or it has been on
+   `N_CRASHES_APART` workers that crashed.
 6. A start without an answer may have crashed its worker. Such crashes can't be proven,
    but a task is given up if there are `MAX_POSSIBLE_CRASHES` with those that are.
 """
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -2,9 +2,9 @@
 
 1. The worker reports itself to the agent; the latest report tells its current
    incarnation.
-2. An owner connects. The agent follows the owner with the highest epoch; that epoch is
-   the fence of every command, so the worker refuses commands of earlier owners that
-   are still in flight.
+2. An owner connects. The agent follows the owner with the highest epoch. The fence of a
+   command is the epoch of the owner that sent it, so the worker refuses commands of
+   earlier owners that are still in flight; only that owner gets the answer.
 3. Polls run one after another, each waiting at the worker for a task to end. A poll
    carries the lease and the acknowledged ends from the owner, and its result is
    forwarded to the owner. The first of several failed polls is reported to the owner.
@@ -246,19 +246,19 @@
             if self._channel is not channel:
                 self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
                 break
-            self._on_message(body)
+            self._on_message(body, hello.epoch)
         if self._channel is channel:
             self._channel = None
             self._log.line("owner_lost", owner=hello.owner, epoch=hello.epoch)
 
-    def _on_message(self, body: Message) -> None:
+    def _on_message(self, body: Message, epoch: int) -> None:
         if isinstance(body, LeaseRenewal):
             self._on_renewal(body)
         elif isinstance(body, StartCommand):
             self._pacing.add_traits(body.traits)
-            self._spawn(self._start_task(body))
+            self._spawn(self._start_task(body, epoch))
         elif isinstance(body, StopCommand):
-            self._spawn(self._stop_task(body))
+            self._spawn(self._stop_task(body, epoch))
         elif isinstance(body, InterferenceUpdate):
             self._pacing.set_weights(body)
         elif isinstance(body, TaskTraitsUpdate):
@@ -286,54 +286,81 @@
 
     # Commands
 
-    async def _start_task(self, command: StartCommand) -> None:
+    def _reply(self, epoch: int, body: Message) -> None:
+        """Answer a command, unless its owner has been replaced.
+
+        The later owner would take the answer for that to a command of its own.
+        """
+        if epoch == self._epoch:
+            self._post(body)
+        else:
+            self._log.line(
+                "reply_dropped",
+                kind=type(body).__name__,
+                epoch=epoch,
+                known=self._epoch,
+            )
+
+    async def _start_task(self, command: StartCommand, epoch: int) -> None:
         incarnation = self._incarnation
         name = command.traits.task
         is_proven = False
-        if incarnation is None or incarnation.state.started_ms != command.started_ms:
-            verdict = Verdict.OTHER_INCARNATION
-        elif incarnation.state.is_leaving:
-            verdict = Verdict.NOT_TAKEN
-        else:
+        verdict = self._refusal(command)
+        if verdict is None:
             async with self._command_slots:
-                sent_s = steady_s()
-                answer = await self._send_start(incarnation, command)
-            verdict = answer.verdict
-            is_proven = (
-                verdict is Verdict.DONE
-                and incarnation.clock is not None
-                and incarnation.clock.is_continued(
-                    answer.clock_ms, sent_s, self._options.clock_drift
-                )
-            )
+                # The worker may have changed in the wait for the slot.
+                verdict = self._refusal(command)
+                if verdict is None:
+                    sent_s = steady_s()
+                    answer = await self._send_start(command, epoch)
+                    verdict = answer.verdict
+                    is_proven = self._is_proven(incarnation, answer, sent_s)
         self._metrics.count(f"start_{verdict.value}")
         self._log.line(
             "start_answered",
             task=name,
             attempt=command.attempt,
             born=command.started_ms,
-            fence=self._epoch,
+            fence=epoch,
             verdict=verdict.value,
             proven=is_proven,
         )
-        self._post(
-            StartReply(
-                command.started_ms, name, command.attempt, verdict.value, is_proven
-            )
+        reply = StartReply(
+            command.started_ms, name, command.attempt, verdict.value, is_proven
         )
+        self._reply(epoch, reply)
         if verdict is Verdict.DONE and incarnation is not None:
             await self._pacing.pace_after_start(
                 incarnation.state.worker_id,
                 command.traits,
                 command.attempt,
-                self._epoch,
+                epoch,
             )
             if command.is_trial:
-                await self._list_after_trial(incarnation)
+                await self._list_after_trial(incarnation, epoch)
+
+    def _refusal(self, command: StartCommand) -> Verdict | None:
+        """Return why a start must not be sent to the worker; None if it may be."""
+        incarnation = self._incarnation
+        if incarnation is None or incarnation.state.started_ms != command.started_ms:
+            return Verdict.OTHER_INCARNATION
+        if incarnation.state.is_leaving:
+            return Verdict.NOT_TAKEN
+        return None
+
+    def _is_proven(
+        self, incarnation: _Incarnation | None, answer: StartAnswer, sent_s: float
+    ) -> bool:
+        """Return whether the answer to a start came from this incarnation."""
+        if incarnation is None or incarnation.clock is None:
+            return False
+        return answer.verdict is Verdict.DONE and incarnation.clock.is_continued(
+            answer.clock_ms, sent_s, self._options.clock_drift
+        )
 
-    async def _send_start(
-        self, incarnation: _Incarnation, command: StartCommand
-    ) -> StartAnswer:
+    async def _send_start(self, command: StartCommand, epoch: int) -> StartAnswer:
+        incarnation = self._incarnation
+        assert incarnation is not None
         return await self._worker.start_task(
             incarnation.state.worker_id,
             StartTask(
@@ -342,25 +369,25 @@
                 command.payload,
                 command.checkpoint,
                 max(command.until_ms, incarnation.until_ms),
-                self._epoch,
+                epoch,
             ),
         )
 
-    async def _list_after_trial(self, incarnation: _Incarnation) -> None:
+    async def _list_after_trial(self, incarnation: _Incarnation, epoch: int) -> None:
         """List the worker's tasks once a task on trial has run long enough."""
         await asyncio.sleep(self._options.trial_list_s)
-        poll = await self._worker.list_tasks(incarnation.state.worker_id, self._epoch)
+        poll = await self._worker.list_tasks(incarnation.state.worker_id, epoch)
         if isinstance(poll, WorkerPoll):
             if poll.started_ms == incarnation.state.started_ms:
                 self._forward_poll(incarnation, poll)
 
-    async def _stop_task(self, command: StopCommand) -> None:
+    async def _stop_task(self, command: StopCommand, epoch: int) -> None:
         incarnation = self._incarnation
         if incarnation is None:
             return
         async with self._command_slots:
             verdict = await self._worker.stop_task(
-                incarnation.state.worker_id, command.task, command.attempt, self._epoch
+                incarnation.state.worker_id, command.task, command.attempt, epoch
             )
         self._log.line(
             "stop_answered",
@@ -370,13 +397,13 @@
             verdict=verdict.value,
         )
         if command.is_revocation and verdict is Verdict.DONE:
-            await self._confirm_revocation(incarnation, command)
+            await self._confirm_revocation(incarnation, command, epoch)
 
     async def _confirm_revocation(
-        self, incarnation: _Incarnation, command: StopCommand
+        self, incarnation: _Incarnation, command: StopCommand, epoch: int
     ) -> None:
         """Answer a revocation if a new poll does not list the attempt as running."""
-        poll = await self._worker.list_tasks(incarnation.state.worker_id, self._epoch)
+        poll = await self._worker.list_tasks(incarnation.state.worker_id, epoch)
         if (
             not isinstance(poll, WorkerPoll)
             or poll.started_ms != incarnation.state.started_ms
@@ -387,7 +414,9 @@
             (task.task, task.attempt) != (command.task, command.attempt)
             for task in poll.running
         ):
-            self._post(AttemptRevoked(poll.started_ms, command.task, command.attempt))
+            self._reply(
+                epoch, AttemptRevoked(poll.started_ms, command.task, command.attempt)
+            )
 
     # Polls
 
