Decode deeply nested input without an exception

Callers saw: a process that decoded one odd entry, answer or message ended its task with a RecursionError: the watch of the members or of the configuration, the poll of the runner, the reader of a channel. The entry then no longer followed the list, or an owner ended and its successor ended on the same record.

Cause: msgspec and json raise RecursionError for input that is nested about a thousand levels deep, also in an additional field that is skipped. It is no ValueError, and no place that decodes caught it.

A report with a long unknown state no longer logs all of it. The peers of tests/wire/test_channel.py now close their writers: one that was collected while pytest parsed a module ended the test run.

Why it works: each of these places already had a value for unreadable input; the same value is now returned for every error that a decoder can raise.

--- a/packages/admin/almondspan_admin/api.py
+++ b/packages/admin/almondspan_admin/api.py
@@ -30,6 +30,7 @@
     Route,
     refuse,
 )
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_tasks.job_client import JobClient
 
@@ -131,9 +132,11 @@
         if route.body is not None:
             try:
                 body = msgspec.json.decode(data, type=route.body)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            except DECODE_ERRORS as error:
                 self.counters.n_malformed += 1
-                return refuse(HTTPStatus.BAD_REQUEST, "bad_request", str(error))
+                return refuse(
+                    HTTPStatus.BAD_REQUEST, "bad_request", decode_reason(error)
+                )
         call = ApiCall(identity, request.match_info, body)
         return await route.handler(self._context, call)
 
--- a/packages/admin/almondspan_admin/stored_config.py
+++ b/packages/admin/almondspan_admin/stored_config.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_wire.membership import ConfigPush
 
 __all__ = [
@@ -64,5 +65,5 @@
     """Decode a revision, or return why it cannot be decoded."""
     try:
         return msgspec.json.decode(data, type=StoredConfig)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return UnreadableConfig(str(error))
+    except DECODE_ERRORS as error:
+        return UnreadableConfig(decode_reason(error))
--- a/packages/daemon/almondspan_daemon/entry_registration.py
+++ b/packages/daemon/almondspan_daemon/entry_registration.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from almondspan_decisions.decoding import DECODE_ERRORS
 from almondspan_decisions.ids import EntryId, PlaceName, RegionName
 from almondspan_platform.store import (
     ABSENT_REVISION,
@@ -70,7 +71,7 @@
             int(fields["port"]),
             PlaceName(str(fields["place"])),
         )
-    except (ValueError, KeyError, TypeError):
+    except (*DECODE_ERRORS, KeyError, TypeError):
         return None
 
 
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import JobSpec
 from almondspan_decisions.job_progress import (
@@ -155,7 +156,6 @@
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _SPEC_DECODER: Final = msgspec.msgpack.Decoder(JobSpec)
 _PROGRESS_DECODER: Final = msgspec.msgpack.Decoder(_StoredProgress)
-_DECODE_ERRORS: Final = (msgspec.DecodeError, msgspec.ValidationError, ValueError)
 
 
 def job_key(job_id: JobId) -> str:
@@ -188,8 +188,8 @@
     """Decode a record of the given type."""
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except _DECODE_ERRORS as error:
-        return Unreadable(str(error))
+    except DECODE_ERRORS as error:
+        return Unreadable(decode_reason(error))
 
 
 def encode_spec(spec: JobSpec) -> bytes:
@@ -201,8 +201,8 @@
     """Decode a job's specification."""
     try:
         return _SPEC_DECODER.decode(data)
-    except _DECODE_ERRORS as error:
-        return Unreadable(str(error))
+    except DECODE_ERRORS as error:
+        return Unreadable(decode_reason(error))
 
 
 def encode_progress(job: JobProgress) -> bytes:
@@ -246,8 +246,8 @@
             job.occurrences[occurrence] = [
                 StepState([_decode_task(row) for row in rows]) for rows in steps
             ]
-    except (*_DECODE_ERRORS, KeyError) as error:
-        return Unreadable(str(error))
+    except (*DECODE_ERRORS, KeyError) as error:
+        return Unreadable(decode_reason(error))
     job.is_cancelled = progress.is_cancelled
     job.is_failed = progress.is_failed
     job.has_started = progress.has_started
--- a/packages/operator/almondspan/client.py
+++ b/packages/operator/almondspan/client.py
@@ -20,6 +20,7 @@
 
 from almondspan.answers import Refusal
 from almondspan.texts import NOT_TRUSTED
+from almondspan_decisions.decoding import DECODE_ERRORS
 
 __all__ = ["AdminClient", "Connection", "NoAnswer", "Refused", "path_of"]
 
@@ -169,7 +170,7 @@
         if status == HTTPStatus.OK:
             return msgspec.json.decode(data, type=response_type)
         refusal = msgspec.json.decode(data, type=Refusal)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         # A load balancer or a failing entry responded. Unless this is a client error,
         # the request may have reached an entry first and taken effect.
         is_client_error = 400 <= status < 500
--- a/packages/platform/almondspan_platform/etcd_json.py
+++ b/packages/platform/almondspan_platform/etcd_json.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
 from almondspan_platform.registry import (
@@ -245,9 +246,10 @@
             return answer
         try:
             return msgspec.json.decode(answer, type=response_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.n_failed += 1
-            return CallFailed(f"invalid answer: {error}", may_have_applied=True)
+            reason = f"invalid answer: {decode_reason(error)}"
+            return CallFailed(reason, may_have_applied=True)
 
     def _use_next_address(self) -> None:
         self._address_index = (self._address_index + 1) % len(self._addresses)
@@ -303,7 +305,7 @@
     if answer.status == 404:
         try:
             error = msgspec.json.decode(answer.body, type=etcd.ErrorBody)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return Unavailable(answer.reason)
         if error.code == etcd.CODE_NOT_FOUND:
             return LeaseLapsed()
@@ -323,8 +325,8 @@
         return WatchLost(line.reason)
     try:
         body = msgspec.json.decode(line, type=etcd.WatchLine)
-    except msgspec.DecodeError as error:
-        return WatchLost(f"invalid answer: {error}")
+    except DECODE_ERRORS as error:
+        return WatchLost(f"invalid answer: {decode_reason(error)}")
     if body.error is not None or body.result is None:
         return WatchLost(f"the store rejected the watch: {body.error}")
     result = body.result
--- a/packages/platform/almondspan_platform/http_json.py
+++ b/packages/platform/almondspan_platform/http_json.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_decisions.ids import TaskId
 from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
 from almondspan_platform.registry import (
@@ -174,9 +175,10 @@
     ) -> Response | WorkerUnavailable:
         try:
             return msgspec.json.decode(answer, type=response_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.n_failed += 1
-            return WorkerUnavailable(f"invalid answer from the worker: {error}")
+            reason = f"invalid answer from the worker: {decode_reason(error)}"
+            return WorkerUnavailable(reason)
 
 
 @worker_adapter("http_json")
--- a/packages/wire/almondspan_wire/codec.py
+++ b/packages/wire/almondspan_wire/codec.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
+
 __all__ = ["MAX_FRAME_BYTES", "Malformed", "Message", "decode", "encode", "message"]
 
 MAX_FRAME_BYTES: Final = 2_000_000
@@ -66,5 +68,5 @@
         _decoder = msgspec.msgpack.Decoder(union)
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Malformed(str(error))
+    except DECODE_ERRORS as error:
+        return Malformed(decode_reason(error))
--- a/tests/admin/test_api_bodies.py
+++ b/tests/admin/test_api_bodies.py
@@ -54,6 +54,12 @@
     ("body", "status", "reason"),
     [
         pytest.param(b"{", 400, "truncated", id="no JSON"),
+        pytest.param(
+            b'{"jobs": ' + b"[" * 5_000 + b"]" * 5_000 + b"}",
+            400,
+            "",
+            id="nested too deeply",
+        ),
         pytest.param({"jobs": []}, 400, "length >= 1", id="no job"),
         pytest.param({"job": [job()]}, 400, "unknown field", id="unknown field"),
         pytest.param(
--- a/tests/daemon/test_entry_registration.py
+++ b/tests/daemon/test_entry_registration.py
@@ -222,3 +222,23 @@
 
 def test_address_round_trips() -> None:
     assert decode_address(encode_address(OWN)) == OWN
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"[" * 100_000, id="nested too deeply"),
+    ],
+)
+def test_odd_entry_does_not_hide_the_others(value: bytes) -> None:
+    async def use(harness: Harness) -> None:
+        harness.core.compare_and_swap(
+            entries_prefix(REGION) + "odd", ABSENT_REVISION, value, None
+        )
+        await asyncio.sleep(2 * RETRY_S)
+        harness.put_other()
+        await wait_until(harness.has_other, 4 * RETRY_S)
+        assert len(harness.registration.entry_list().entries) == 2
+
+    run(use)
--- a/tests/operator/test_client.py
+++ b/tests/operator/test_client.py
@@ -33,6 +33,7 @@
 BAD_GATEWAY = respond(502, "<html>bad gateway</html>")
 REFUSED = respond(403, '{"kind": "forbidden", "reason": "no"}')
 NOT_FOUND = respond(404, "404: Not Found")
+DEEP = '{"more": ' + "[" * 5_000 + "]" * 5_000 + "}"
 
 
 @pytest.mark.parametrize(
@@ -61,6 +62,7 @@
         pytest.param([SERVER_ERROR], True, id="server error"),
         pytest.param([BAD_GATEWAY], True, id="load balancer"),
         pytest.param([respond(200, "{")], True, id="truncated response"),
+        pytest.param([respond(200, DEEP)], True, id="nested too deeply"),
         pytest.param(
             [UNAVAILABLE_MAY_HAVE_APPLIED, UNAVAILABLE],
             True,
--- a/tests/platform/test_etcd_json.py
+++ b/tests/platform/test_etcd_json.py
@@ -196,6 +196,7 @@
     assert requests == [(path, sent)]
 
 
+DEEP = b'{"more":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
 NOT_FOUND = b'{"error":"etcdserver: requested lease not found","code":5}'
 
 
@@ -210,6 +211,7 @@
         pytest.param(200, b"", True, id="empty"),
         pytest.param(200, b'{"succeeded":', True, id="truncated"),
         pytest.param(200, b'{"succeeded":"yes"}', True, id="wrong-type"),
+        pytest.param(200, DEEP, True, id="nested-too-deeply"),
     ],
 )
 def test_bad_answer_to_a_write(
@@ -230,6 +232,7 @@
         pytest.param(404, NOT_FOUND, LeaseLapsed, id="no-such-lease"),
         pytest.param(404, b'{"error":"x","code":12}', Unavailable, id="no-such-call"),
         pytest.param(404, b"404 page not found", Unavailable, id="no-such-page"),
+        pytest.param(404, DEEP, Unavailable, id="nested-too-deeply"),
         pytest.param(503, NOT_FOUND, Unavailable, id="unavailable"),
     ],
 )
@@ -253,6 +256,7 @@
         pytest.param(503, b"", id="unavailable"),
         pytest.param(200, b"", id="ended"),
         pytest.param(200, b"{]\n", id="not-json"),
+        pytest.param(200, DEEP + b"\n", id="nested-too-deeply"),
         pytest.param(200, b'{"error":{"code":14}}\n', id="error"),
         pytest.param(200, b'{"result":{"canceled":true}}\n', id="cancelled"),
         pytest.param(200, b'{"result":{"compact_revision":"8"}}\n', id="compacted"),
--- a/tests/platform/test_http_json.py
+++ b/tests/platform/test_http_json.py
@@ -81,3 +81,23 @@
     assert not outcome.may_have_applied
     assert worker.n_sent == 2
     await worker.close()
+
+
+async def test_deeply_nested_answer_is_no_answer() -> None:
+    """Guards against an answer that raises in the task that made the call."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        body = b'{"more":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    worker = HttpJsonWorker(f"http://127.0.0.1:{port}")
+    await worker.start()
+    assert isinstance(await worker.info(), WorkerUnavailable)
+    await worker.close()
+    server.close()
--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -17,6 +17,9 @@
     read_settings,
 )
 
+DEEP = b"[" * 5_000 + b"]" * 5_000
+"""The value of an additional field, nested too deeply for the decoder."""
+
 QUEUE = QueueName("q")
 STEP = {"count": 4, "cpu": 500, "memMb": 256}
 
@@ -76,6 +79,7 @@
         pytest.param(b'{"steps": 3}', id="steps_no_list"),
         pytest.param(b'{"steps": [{"count": "4"}]}', id="count_no_number"),
         pytest.param(b"\xff\xfe", id="no_text"),
+        pytest.param(b'{"steps": [], "more": ' + DEEP + b"}", id="nested_too_deeply"),
         pytest.param(
             json.dumps({"spec": "x" * 4_001, "steps": [STEP]}).encode(), id="long_spec"
         ),
@@ -134,6 +138,10 @@
         pytest.param(b"nonsense", id="no_json"),
         pytest.param(b'{"version": "3", "routes": []}', id="version_no_number"),
         pytest.param(b'{"version": 3}', id="no_routes"),
+        pytest.param(
+            b'{"version": 3, "routes": [], "more": ' + DEEP + b"}",
+            id="nested_too_deeply",
+        ),
     ],
 )
 def test_malformed_configuration(data: bytes) -> None:
@@ -172,6 +180,7 @@
         pytest.param("{", id="cut_short"),
         pytest.param({}, id="empty"),
         pytest.param({**SETTINGS, "portRange": "7720"}, id="other_type"),
+        pytest.param('{"more": ' + DEEP.decode() + "}", id="nested_too_deeply"),
         pytest.param(
             {**SETTINGS, "platform": {"address": "a", "form": "log"}}, id="other_store"
         ),
--- /dev/null
+++ b/tests/site/test_odd_answers.py
@@ -0,0 +1,190 @@
+"""Answers of the platform, reports and requests that another writer has made odd."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from fake_platform import FakeServer
+
+from almondspan_decisions.ids import WorkerId
+from almondspan_jobs.metrics import Metrics
+from almondspan_jobs.options import JobOptions
+from almondspan_jobs.worker_agent import WorkerAgent
+from almondspan_platform.group_store import WriteGroup
+from almondspan_platform.store import LeaseId, Revision, Unavailable
+from almondspan_platform.task_worker import PollFailed, StartTask, Verdict
+from almondspan_site.http_task_worker import HttpTaskWorker
+from almondspan_site.kv_store import KvStore
+from almondspan_site.worker_reports import WorkerReports
+
+DEEP = "[" * 5_000 + "]" * 5_000
+MAX_LOGGED_CHARS = 1_000
+WORKER = WorkerId("i-1")
+TASK = "00000000000000aa.0.0.0"
+
+
+class Log:
+    """Collects the lines that are logged."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def line(self, event: str, **fields: Any) -> None:
+        assert len(str(fields)) <= MAX_LOGGED_CHARS
+        self.lines.append((event, fields))
+
+
+class ScriptedServer(FakeServer):
+    """Answers every call with the same status and body."""
+
+    def __init__(self, status: int, body: str) -> None:
+        async def handle(request: web.Request) -> web.Response:
+            return web.Response(
+                status=status, text=body, content_type="application/json"
+            )
+
+        super().__init__([web.route("*", "/{path:.*}", handle)])
+
+
+def call_store(
+    status: int, body: str, call: Callable[[KvStore], Awaitable[object]]
+) -> object:
+    async def main() -> object:
+        server = ScriptedServer(status, body)
+        await server.start()
+        client = KvStore(server.address, 1_000.0)
+        await client.start()
+        try:
+            return await call(client)
+        finally:
+            await client.close()
+            await server.close()
+
+    return asyncio.run(main())
+
+
+STORE_CALLS = [
+    pytest.param(lambda store: store.get("k"), 200, id="get"),
+    pytest.param(lambda store: store.get_range("k"), 200, id="get_range"),
+    pytest.param(lambda store: store.commit(WriteGroup()), 200, id="commit"),
+    pytest.param(lambda store: store.commit(WriteGroup()), 412, id="conflict"),
+    pytest.param(lambda store: store.grant_lease(1.0), 200, id="grant_lease"),
+    pytest.param(lambda store: store.keep_lease(LeaseId(1)), 200, id="keep_lease"),
+    pytest.param(lambda store: store.changes("k", Revision(1), 0), 200, id="changes"),
+]
+
+
+@pytest.mark.parametrize(("call", "status"), STORE_CALLS)
+def test_deeply_nested_answer_of_the_store(
+    call: Callable[[KvStore], Awaitable[object]], status: int
+) -> None:
+    outcome = call_store(status, f'{{"more": {DEEP}}}', call)
+    assert isinstance(outcome, Unavailable)
+
+
+def call_runner(
+    status: int, body: str, call: Callable[[HttpTaskWorker], Awaitable[object]]
+) -> object:
+    async def main() -> object:
+        server = ScriptedServer(status, body)
+        await server.start()
+        client = HttpTaskWorker(server.address, 0.4, 0.6)
+        await client.start()
+        try:
+            return await call(client)
+        finally:
+            await client.close()
+            await server.close()
+
+    return asyncio.run(main())
+
+
+def list_tasks(client: HttpTaskWorker) -> Awaitable[object]:
+    return client.list_tasks(WORKER, 1)
+
+
+def start_task(client: HttpTaskWorker) -> Awaitable[object]:
+    return client.start_task(WORKER, StartTask(TASK, 1, "spec", "", 5_000, 1))
+
+
+def listing(running: str = "", ended: str = "", **fields: str) -> str:
+    more = "".join(f', "{name}": {value}' for name, value in fields.items())
+    return f'{{"clockMs": 1, "running": [{running}], "ended": [{ended}]{more}}}'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(listing(more=DEEP), id="additional_field_nested_too_deeply"),
+        pytest.param(listing(f'["{TASK}", 1, "", {DEEP}]'), id="row_nested_too_deeply"),
+    ],
+)
+def test_odd_listing_of_the_runner(body: str) -> None:
+    outcome = call_runner(200, body, list_tasks)
+    assert isinstance(outcome, PollFailed)
+    assert outcome.verdict is Verdict.MALFORMED
+    assert len(outcome.reason) <= MAX_LOGGED_CHARS
+
+
+def test_deeply_nested_refusal_of_the_runner() -> None:
+    body = f'{{"reason": "fence", "more": {DEEP}}}'
+    assert call_runner(409, body, start_task) is Verdict.MALFORMED
+
+
+REPORT = (
+    '"backend": "pool", "zone": "here", "state": "ready",'
+    ' "capacity": {"cpu": 1, "memMb": 1}'
+)
+
+
+async def send_reports(*reports: tuple[str, str]) -> tuple[list[int], Log, WorkerAgent]:
+    """Send reports of id and body; return the statuses, the log and the agent."""
+    log = Log()
+    worker = HttpTaskWorker("127.0.0.1:1", 0.1, 0.1)
+    agent = WorkerAgent(
+        "127.0.0.1", 1, NoNetwork(), worker, JobOptions(), log, Metrics()
+    )
+    reports_handler = WorkerReports(agent, log)
+    server = FakeServer([web.route("*", "/{path:.*}", reports_handler.handle)])
+    await server.start()
+    statuses = []
+    async with aiohttp.ClientSession() as session:
+        for worker_id, body in reports:
+            url = f"http://{server.address}/api/runners/{worker_id}"
+            async with session.put(url, data=body) as response:
+                statuses.append(response.status)
+    await server.close()
+    return statuses, log, agent
+
+
+class NoNetwork:
+    """A network on which nothing listens."""
+
+    async def listen(self, host: str, port: int, handler: Any) -> Any:
+        raise NotImplementedError
+
+    async def dial(self, host: str, port: int, timeout_s: float) -> Any:
+        raise NotImplementedError
+
+
+@pytest.mark.parametrize(
+    ("worker_id", "body"),
+    [
+        pytest.param("i-2", f'{{{REPORT}, "seq": 1, "more": {DEEP}}}', id="deep"),
+        pytest.param(
+            "i-2", f'{{{REPORT}, "seq": 1, "state": "{"x" * 99_999}"}}', id="long_state"
+        ),
+    ],
+)
+def test_odd_report_is_refused_and_the_next_is_accepted(
+    worker_id: str, body: str
+) -> None:
+    good = f'{{{REPORT}, "seq": 2, "born": 7}}'
+    statuses, log, agent = asyncio.run(send_reports((worker_id, body), ("i-1", good)))
+    assert statuses == [400, 200]
+    assert log.lines[0][0] == "report_malformed"
+    assert agent._incarnation is not None
+    assert agent._incarnation.state.worker_id == WORKER
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -29,7 +29,14 @@
     peer: Peer, use: Callable[[StreamChannel], Awaitable[None]], options: ChannelOptions
 ) -> None:
     """Run `use` on a channel whose other end is `peer`."""
-    server = await asyncio.start_server(peer, "127.0.0.1", 0)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await peer(reader, writer)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
     reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
     channel = StreamChannel(reader, writer, options)
     await channel.start()
@@ -93,6 +100,19 @@
             id="frame too long",
         ),
         pytest.param(b"\x00\x00\x00\x01\xc1", CloseCause.MALFORMED, id="no message"),
+        pytest.param(
+            struct.pack(">I", 5_001) + b"\x91" * 5_001,
+            CloseCause.MALFORMED,
+            id="nested too deeply",
+        ),
+        pytest.param(
+            struct.pack(">I", 5_014)
+            + b"\x93\xa8nominate\x03"
+            + b"\x91" * 5_002
+            + b"\x01",
+            CloseCause.MALFORMED,
+            id="additional field nested too deeply",
+        ),
     ],
 )
 def test_a_channel_ends_with_its_cause(data: bytes | None, cause: CloseCause) -> None:
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -30,6 +30,12 @@
 ]
 
 
+DEEP = (
+    b"\x93" + msgspec.msgpack.encode("nominate") + b"\x03" + b"\x91" * 5_000 + b"\x01"
+)
+"""A nomination with an additional field, as a later release may append one."""
+
+
 @pytest.mark.parametrize("body", MESSAGES)
 def test_decoding_an_encoded_message_returns_it(body: Message) -> None:
     assert decode(encode(body)) == body
@@ -44,6 +50,7 @@
         pytest.param(msgspec.msgpack.encode(["nominate", "x"]), id="wrong type"),
         pytest.param(msgspec.msgpack.encode(["post", "a", "b"]), id="too short"),
         pytest.param(encode(NominateOwner(ShardId(3)))[:-1], id="cut"),
+        pytest.param(DEEP, id="nested too deeply"),
     ],
 )
 def test_other_bytes_are_malformed(data: bytes) -> None:
