Refuse an address whose port or host is out of range

Callers saw: another writer left an entry with a port out of range among those of the runners. The owner's link to that address ended with an exception that was logged nowhere; when that address was chosen as a relay, the link to a sound agent ended too, and was not dialled again until a new owner. An entry's link to an odd owner ended the same way, for good.

Cause: a record took any integer as a port and any text as a host. Dialling raises OverflowError for a port above 65535 or below 0, ValueError for a null character, and UnicodeError for a host with an empty or long label; the dials caught OSError and TimeoutError only. A host that is a name was resolved in a thread that outlives the time limit of the dial, and a process waits for such threads when it ends.

Change: almondspan_wire.fields has the types `Host` and `Port`; records, registrations and the messages that carry addresses use them, so an odd one is unreadable or malformed. TcpNetwork.dial returns DialFailed for what is no address and dials IP numbers only, which is what the settings hold. The daemon's dial logs such an address as a failed dial and drops it when it is not listed. Unreadable entries are logged. The network in memory refuses such addresses with an exception as TCP did.

Why it works: the range is checked once, where the value enters; the dial no longer relies on that for addresses in messages of other releases.

--- a/packages/daemon/almondspan_daemon/agent_role.py
+++ b/packages/daemon/almondspan_daemon/agent_role.py
@@ -295,6 +295,8 @@
                 address = decode_address(item.value)
                 if address is not None:
                     self._links.add(_host_port(address.host, address.port))
+                else:
+                    _log.warning("entry unreadable", extra={"key": item.key})
 
     async def _send_status_on_change(self) -> None:
         """Send the status at once when the shards or the free capacity change.
--- a/packages/daemon/almondspan_daemon/entry_links.py
+++ b/packages/daemon/almondspan_daemon/entry_links.py
@@ -28,6 +28,7 @@
 import msgspec
 
 from almondspan_daemon.supervisor import Supervisor
+from almondspan_decisions.decoding import decode_reason
 from almondspan_decisions.ids import EntryId
 from almondspan_wire.channel import ChannelClosed, ChannelOptions, StreamChannel
 from almondspan_wire.codec import Message
@@ -253,6 +254,11 @@
                 )
         except (OSError, TimeoutError):
             return None
+        except (ValueError, OverflowError) as error:
+            # Not an address: another writer may have registered it.
+            reason = decode_reason(error)
+            _log.warning("entry not dialled", extra={"port": address[1], "why": reason})
+            return None
         channel = StreamChannel(reader, writer, self._channel_options)
         await channel.start()
         return channel
--- a/packages/daemon/almondspan_daemon/entry_registration.py
+++ b/packages/daemon/almondspan_daemon/entry_registration.py
@@ -19,6 +19,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+
 from almondspan_decisions.decoding import DECODE_ERRORS
 from almondspan_decisions.ids import EntryId, PlaceName, RegionName
 from almondspan_platform.store import (
@@ -35,6 +37,7 @@
     Unavailable,
     WatchLost,
 )
+from almondspan_wire.fields import Host, Port
 from almondspan_wire.membership import EntryAddress, EntryList
 
 __all__ = ["EntryRegistration", "decode_address", "encode_address", "entries_prefix"]
@@ -45,6 +48,15 @@
 _log = logging.getLogger(__name__)
 
 
+class _Registration(msgspec.Struct):
+    """The value of an entry's key."""
+
+    entry_id: str
+    host: Host
+    port: Port
+    place: str
+
+
 def entries_prefix(region: RegionName) -> str:
     """Return the prefix of the keys under which a region's entries register."""
     return f"entries/{region}/"
@@ -64,15 +76,12 @@
 def decode_address(value: bytes) -> EntryAddress | None:
     """Decode the value of an entry's key; return None if it is malformed."""
     try:
-        fields = json.loads(value)
-        return EntryAddress(
-            EntryId(str(fields["entry_id"])),
-            str(fields["host"]),
-            int(fields["port"]),
-            PlaceName(str(fields["place"])),
-        )
-    except (*DECODE_ERRORS, KeyError, TypeError):
+        found = msgspec.json.decode(value, type=_Registration)
+    except DECODE_ERRORS:
         return None
+    return EntryAddress(
+        EntryId(found.entry_id), found.host, found.port, PlaceName(found.place)
+    )
 
 
 class EntryRegistration:
@@ -159,6 +168,8 @@
             address = decode_address(item.value)
             if address is not None:
                 self._known[item.key] = address
+            else:
+                _log.warning("entry unreadable", extra={"key": item.key})
 
     async def _apply_changes(self, found: RangeFound) -> None:
         async for event in self._store.watch(self._prefix, found.revision):
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -11,6 +11,7 @@
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
 from almondspan_decisions.job_graph import QueueName
 from almondspan_wire.codec import Message, message
+from almondspan_wire.fields import Host, OptionalHost, OptionalPort, Port
 
 __all__ = [
     "PendingCountRequest",
@@ -44,8 +45,8 @@
 
     epoch: int
     owner: str
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 @message
@@ -54,16 +55,16 @@
 
     epoch: int
     owner: str
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 @message
 class RelayRequest(Message, frozen=True, tag="j-relay"):
     """Asks an agent to relay to an address; an empty host means its owner."""
 
-    host: str
-    port: int
+    host: OptionalHost
+    port: OptionalPort
 
 
 @message
@@ -72,8 +73,8 @@
 
     epoch: int
     owner: str
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 @message
--- a/packages/jobs/almondspan_jobs/network.py
+++ b/packages/jobs/almondspan_jobs/network.py
@@ -1,10 +1,12 @@
 """Channels between the processes of almondspan: listening and dialling.
 
 `TcpNetwork` is the implementation over TCP; tests use a network in memory. A listener
-runs its handler in one task per accepted channel.
+runs its handler in one task per accepted channel. A dial never raises: the address may
+come from another writer.
 """
 
 import asyncio
+import ipaddress
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
@@ -68,11 +70,15 @@
     async def dial(
         self, host: str, port: int, timeout_s: float
     ) -> Channel | DialFailed:
-        """Open a channel to another process."""
+        """Open a channel to another process; its host must be an IP number.
+
+        Names are not resolved: the thread that resolves one outlives the time limit.
+        """
         try:
+            number = str(ipaddress.ip_address(host))
             async with asyncio.timeout(timeout_s):
-                reader, writer = await asyncio.open_connection(host, port)
-        except (OSError, TimeoutError) as error:
+                reader, writer = await asyncio.open_connection(number, port)
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             was_refused = isinstance(error, ConnectionRefusedError)
             return DialFailed(f"{type(error).__name__} {error}", was_refused)
         channel = StreamChannel(reader, writer, LINK_OPTIONS)
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -31,6 +31,7 @@
     TaskState,
     WorkerIncarnation,
 )
+from almondspan_wire.fields import Host, Port
 
 __all__ = [
     "AGENT_PREFIX",
@@ -80,15 +81,15 @@
 
     epoch: int
     node: str
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
     """Where an agent listens for the owner."""
 
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 class HeadRecord(msgspec.Struct, frozen=True):
--- a/tests/daemon/test_entry_registration.py
+++ b/tests/daemon/test_entry_registration.py
@@ -1,6 +1,7 @@
 """Registration of an entry under faults of the store, in virtual time."""
 
 import asyncio
+import json
 import random
 from collections.abc import Awaitable, Callable
 
@@ -29,6 +30,12 @@
 OTHER_KEY = entries_prefix(REGION) + OTHER.entry_id
 
 
+def address(host: str = "127.0.0.9", port: float = 4000) -> bytes:
+    """Return an entry's value with another address."""
+    fields = {"entry_id": "odd", "host": host, "port": port, "place": "p"}
+    return json.dumps(fields).encode()
+
+
 class Harness:
     """One entry's registration with an in-memory store."""
 
@@ -214,6 +221,12 @@
         pytest.param(b'{"entry_id": "e"}', id="no address"),
         pytest.param(b'{"entry_id":"e","host":"h","port":"x","place":"p"}', id="port"),
         pytest.param(b"\xff", id="no text"),
+        pytest.param(address(port=0), id="port zero"),
+        pytest.param(address(port=65_536), id="port out of range"),
+        pytest.param(address(port=10**400), id="port too large"),
+        pytest.param(address(port=float("inf")), id="port infinite"),
+        pytest.param(address(host=""), id="no host"),
+        pytest.param(address(host="a\0b"), id="host with a null character"),
     ],
 )
 def test_malformed_value_is_ignored(value: bytes) -> None:
@@ -229,6 +242,8 @@
     [
         pytest.param(b"", id="empty"),
         pytest.param(b"[" * 100_000, id="nested too deeply"),
+        pytest.param(address(port=65_536), id="port out of range"),
+        pytest.param(address(port=float("inf")), id="port infinite"),
     ],
 )
 def test_odd_entry_does_not_hide_the_others(value: bytes) -> None:
--- a/tests/daemon/test_membership_links.py
+++ b/tests/daemon/test_membership_links.py
@@ -6,7 +6,7 @@
 import pytest
 from loopback_members import LOOPBACK, QUICK, WAIT_S, Agent, Entry, hello, wait_until
 
-from almondspan_daemon.entry_links import MAX_UNLISTED_FAILURES
+from almondspan_daemon.entry_links import MAX_UNLISTED_FAILURES, HostPort
 from almondspan_decisions.ids import AgentId, EntryId, PlaceName, ShardId
 from almondspan_standins.tcp_proxy import TcpProxy
 from almondspan_wire.channel import ChannelClosed, StreamChannel
@@ -319,3 +319,29 @@
             await entry.directory.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        pytest.param((LOOPBACK, 65_536), id="port out of range"),
+        pytest.param((LOOPBACK, 2**64 - 1), id="port of 64 bits"),
+        pytest.param(("a\0b", 1), id="host with a null character"),
+        pytest.param(("..", 1), id="host with an empty label"),
+    ],
+)
+def test_odd_address_ends_no_dial_loop(odd: HostPort) -> None:
+    """Guards against restarts of the task, which would never drop the address."""
+
+    async def main() -> None:
+        entry, agent = Entry("e1"), Agent()
+        await agent.links.start([await entry.start()])
+        agent.links.add(odd)
+        agent.links.replace_list(EntryList(()))
+        await wait_until(lambda: odd not in agent.links.addresses())
+        assert agent.supervisor.n_restarts == 0
+        assert agent.links.entry_ids() == ["e1"]
+        await agent.links.close()
+        await entry.directory.close()
+
+    run(main())
--- a/tests/jobs/memory_network.py
+++ b/tests/jobs/memory_network.py
@@ -20,6 +20,8 @@
 LATENCY_S = 0.0005
 SILENCE_S = 1.6
 CHECK_S = 0.4
+MAX_PORT = 65_535
+MAX_HOST = 253
 
 
 class MemoryChannel:
@@ -157,6 +159,8 @@
     ) -> MemoryChannel | DialFailed:
         process = PROCESS.get()
         assert process is not None
+        if not 1 <= port <= MAX_PORT or "\0" in host or not 0 < len(host) <= MAX_HOST:
+            raise OverflowError(f"no address: {host[:MAX_HOST]!r} {port}")
         found = self._hub.listeners.get((host, port))
         if found is None:
             await asyncio.sleep(LATENCY_S)
--- /dev/null
+++ b/tests/jobs/test_odd_entries.py
@@ -0,0 +1,139 @@
+"""One odd entry among those of the members: the others are followed, and work goes on.
+
+Another writer may leave any bytes under a key of the members. The entries go on to
+follow the list, and the owner to link to the agents that it names.
+"""
+
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+from job_simulation import JobSimulation, SimulatedAgent, SimulatedEntry
+
+from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.job_progress import JobState
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs.job_api import StoreResult
+from almondspan_jobs.records import AGENT_PREFIX
+from almondspan_platform.group_store import Write, WriteGroup
+
+STEPS = (StepSpec(8, Shape(1_000, 100), estimate_ms=300),)
+MAX_LINE_CHARS = 600
+MAX_LINES = 40
+"""How often all entries together may log the odd entry."""
+
+NESTED = b"\x91" * 5_000 + b"\x01"
+
+
+def address(host: object = "odd", port: object = 1) -> bytes:
+    return msgspec.msgpack.encode({"host": host, "port": port})
+
+
+def with_nested_field(data: bytes) -> bytes:
+    return bytes([data[0] + 1]) + data[1:] + msgspec.msgpack.encode("more") + NESTED
+
+
+ODD_ADDRESSES = [
+    pytest.param({"port": 0}, id="port_zero"),
+    pytest.param({"port": -1}, id="port_negative"),
+    pytest.param({"port": 65_536}, id="port_out_of_range"),
+    pytest.param({"port": 2**64 - 1}, id="port_of_64_bits"),
+    pytest.param({"port": 1e300}, id="port_as_float"),
+    pytest.param({"host": ""}, id="no_host"),
+    pytest.param({"host": "a\0b"}, id="host_with_a_null_character"),
+    pytest.param({"host": "a b"}, id="host_with_a_space"),
+    pytest.param({"host": "x" * 100_000}, id="host_too_long"),
+]
+ODD_BYTES = [
+    pytest.param(b"", id="empty"),
+    pytest.param(b"\xc1", id="no_message_pack"),
+    pytest.param(b'{"host": "odd"}', id="json"),
+    pytest.param(NESTED, id="nested_too_deeply"),
+    pytest.param(b"\xdd\xff\xff\xff\xff", id="array_longer_than_the_bytes"),
+]
+
+
+@pytest.fixture
+def simulation() -> Iterator[JobSimulation]:
+    made = JobSimulation(7, n_agents=2)
+    made.run(4.0)
+    yield made
+    made.close()
+
+
+def put(simulation: JobSimulation, key: str, value: bytes) -> None:
+    simulation.run_in_loop(
+        lambda made: _commit(made, WriteGroup(writes=(Write(key, value),)))
+    )
+
+
+def _commit(simulation: JobSimulation, group: WriteGroup) -> None:
+    simulation.store.commit(group)
+
+
+def add_agent(simulation: JobSimulation, name: str) -> None:
+    simulation.run_in_loop(
+        lambda made: made.agents.append(SimulatedAgent(made, name)),
+    )
+
+
+def owner_of(simulation: JobSimulation) -> SimulatedEntry:
+    machine = simulation.owner()
+    assert machine is not None
+    return machine
+
+
+def complete_job(simulation: JobSimulation, machine: SimulatedEntry) -> None:
+    job = simulation.make_job(STEPS)
+    simulation.submit(job, machine)
+    simulation.run(6.0)
+    assert job.answers == [StoreResult.STORED]
+    simulation.ask_state(job, machine)
+    simulation.run(1.0)
+    assert simulation.state_of(job) is JobState.COMPLETED
+
+
+def lines(simulation: JobSimulation, text: str) -> list[str]:
+    return [line for line in simulation.trace if text in line]
+
+
+def assert_followed(simulation: JobSimulation, key: str) -> None:
+    """Check that nothing ended, and that the odd entry was logged a few times."""
+    assert simulation.violations() == []
+    assert not lines(simulation, "task_failed")
+    assert not lines(simulation, "leadership_failed")
+    found = lines(simulation, f"record_unreadable key={key}")
+    assert 0 < len(found) <= MAX_LINES
+    assert max(map(len, found)) <= MAX_LINE_CHARS
+
+
+ODD_AGENTS = [
+    *(pytest.param(address(**one.values[0]), id=one.id) for one in ODD_ADDRESSES),
+    pytest.param(with_nested_field(address()), id="additional_field_nested"),
+    *ODD_BYTES,
+]
+
+
+@pytest.mark.parametrize("value", ODD_AGENTS)
+def test_odd_agent_among_others_stops_no_follower(
+    simulation: JobSimulation, value: bytes
+) -> None:
+    key = f"{AGENT_PREFIX}odd"
+    put(simulation, key, value)
+    simulation.run(1.0)
+    add_agent(simulation, "late")
+    simulation.run(3.0)
+    assert lines(simulation, "agent_linked agent=late")
+    complete_job(simulation, simulation.entries[0])
+    # The next owner reads the list with the odd entry in it.
+    owner_of(simulation).kill()
+    simulation.run(4.0)
+    successor = owner_of(simulation)
+    linked = lines(simulation, f"{successor.name} agent_linked")
+    assert {line.split("agent=")[1].split()[0] for line in linked} >= {
+        "agent0",
+        "agent1",
+        "late",
+    }
+    complete_job(simulation, successor)
+    assert_followed(simulation, key)
