Replace an unreadable owner's key

Callers saw: after another writer had overwritten the owner's key with something unreadable, entries that started later knew no owner and answered 503 or read states from the store; once the owner had ended, no entry took over any more, for good.

Cause: an unreadable owner's key was logged and otherwise ignored. A takeover requires the key to be absent; this one has no lease, so it never becomes absent. The owner renews its lease, which tells nothing of the key, so it did not write it again.

Change: an unreadable owner's key counts as a lost one.

Why it works: the head orders all owners as before; the key at its revision and the absent key are equally exact conditions of the takeover.

--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -5,7 +5,8 @@
 conditional group of writes: the owner's key must be absent and the head unchanged, and
 the group writes the head with the next epoch. The owner renews its lease; if its key is
 lost while the head is still its own, it writes the key again. It steps down when
-another entry has changed the head.
+another entry has changed the head. An unreadable owner's key counts as lost: if no
+owner has rewritten it within a lease, an entry takes over by replacing it.
 
 The states are following, taking, owning and closed.
 """
@@ -98,6 +99,8 @@
         self.owner: Owner | None = None
         self._lease: LeaseId | None = None
         self._is_vacant: Final = asyncio.Event()
+        self._vacant_at: Revision = ABSENT_REVISION
+        """The revision of the owner's key that a takeover replaces."""
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -186,7 +189,7 @@
             self._apply_item(item)
         for key in deleted:
             if key == OWNER_KEY:
-                self._set_owner(None)
+                self._set_vacant(ABSENT_REVISION)
             else:
                 self._agents.pop(key.removeprefix(AGENT_PREFIX), None)
         if self.owner is not None:
@@ -198,6 +201,7 @@
             if not isinstance(record, Unreadable):
                 self._set_owner(record)
                 return
+            self._set_vacant(item.revision)
         elif item.key.startswith(AGENT_PREFIX):
             agent = decode_record(AgentRecord, item.value)
             if not isinstance(agent, Unreadable):
@@ -205,6 +209,11 @@
                 return
         self._log.line("record_unreadable", key=item.key, revision=item.revision)
 
+    def _set_vacant(self, revision: Revision) -> None:
+        """Handle an owner's key that is absent, or unreadable at a revision."""
+        self._vacant_at = revision
+        self._set_owner(None)
+
     def _set_owner(self, record: OwnerRecord | None) -> None:
         if record == self.owner_record:
             if record is None:
@@ -224,6 +233,9 @@
         while True:
             await self._is_vacant.wait()
             jitter_s = self._rng.uniform(0, self._options.takeover_jitter_s)
+            if self._vacant_at != ABSENT_REVISION:
+                # The owner, if there is one, writes its key again first.
+                jitter_s += self._options.owner_ttl_s
             await asyncio.sleep(jitter_s)
             if not self._is_vacant.is_set():
                 continue
@@ -250,7 +262,7 @@
         head = HeadRecord(epoch + 1, self._node, secrets.token_hex(8))
         record = self._make_record(head.epoch)
         group = WriteGroup(
-            ((OWNER_KEY, ABSENT_REVISION), (HEAD_KEY, revision)),
+            ((OWNER_KEY, self._vacant_at), (HEAD_KEY, revision)),
             (
                 Write(OWNER_KEY, encode_record(record), lease.lease_id),
                 Write(HEAD_KEY, encode_record(head)),
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -14,7 +14,13 @@
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs.job_api import StoreResult
-from almondspan_jobs.records import AGENT_PREFIX
+from almondspan_jobs.records import (
+    AGENT_PREFIX,
+    OWNER_KEY,
+    OwnerRecord,
+    Unreadable,
+    decode_record,
+)
 from almondspan_platform.group_store import Write, WriteGroup
 
 STEPS = (StepSpec(8, Shape(1_000, 100), estimate_ms=300),)
@@ -29,6 +35,11 @@
     return msgspec.msgpack.encode({"host": host, "port": port})
 
 
+def owner(host: object = "odd", port: object = 1, epoch: object = 1) -> bytes:
+    fields = {"epoch": epoch, "node": "odd", "host": host, "port": port}
+    return msgspec.msgpack.encode(fields)
+
+
 def with_nested_field(data: bytes) -> bytes:
     return bytes([data[0] + 1]) + data[1:] + msgspec.msgpack.encode("more") + NESTED
 
@@ -83,6 +94,19 @@
     return machine
 
 
+def stored_owner(simulation: JobSimulation) -> str:
+    found: list[str] = []
+
+    def read(made: JobSimulation) -> None:
+        item = made.store.get(OWNER_KEY)
+        assert item is not None
+        record = decode_record(OwnerRecord, item.value)
+        found.append("" if isinstance(record, Unreadable) else record.node)
+
+    simulation.run_in_loop(read)
+    return found[0]
+
+
 def complete_job(simulation: JobSimulation, machine: SimulatedEntry) -> None:
     job = simulation.make_job(STEPS)
     simulation.submit(job, machine)
@@ -137,3 +161,36 @@
     }
     complete_job(simulation, successor)
     assert_followed(simulation, key)
+
+
+ODD_OWNERS = [
+    *(pytest.param(owner(**one.values[0]), id=one.id) for one in ODD_ADDRESSES),
+    pytest.param(with_nested_field(owner()), id="additional_field_nested"),
+    *ODD_BYTES,
+]
+
+
+@pytest.mark.parametrize("value", ODD_OWNERS)
+def test_odd_owner_is_replaced_by_the_owner(
+    simulation: JobSimulation, value: bytes
+) -> None:
+    before = owner_of(simulation)
+    put(simulation, OWNER_KEY, value)
+    simulation.run(3.0)
+    assert owner_of(simulation) is before
+    assert stored_owner(simulation) == before.name
+    complete_job(simulation, simulation.entries[0])
+    assert_followed(simulation, OWNER_KEY)
+
+
+@pytest.mark.parametrize("value", ODD_OWNERS)
+def test_odd_owner_keeps_no_entry_from_taking_over(
+    simulation: JobSimulation, value: bytes
+) -> None:
+    before = owner_of(simulation)
+    before.kill()
+    put(simulation, OWNER_KEY, value)
+    simulation.run(6.0)
+    assert stored_owner(simulation) == owner_of(simulation).name
+    complete_job(simulation, owner_of(simulation))
+    assert_followed(simulation, OWNER_KEY)
