Refuse numbers out of range where they are decoded

Callers saw: after an odd listing of the runner, the agent no longer polled it; after an odd report, no owner could connect to the agent; after an odd record of a job or of its progress, each owner in turn ended on it; after an odd head, an entry took part in no election any more.

Cause: JSON holds integers of any size, MessagePack those of 64 bits, and floats that are infinite or no number. They were kept as decoded. Encoding them again, adding to them or dividing them raised OverflowError later, in the task that used them. int() raises ValueError for more than 4300 digits, in names of tasks, keys, headers and TOML. A stored job could name a step that it does not have, or more tasks than memory holds; stored progress could lack tasks of its job.

Change: almondspan_wire.fields has types of bounded numbers, which the records, the messages of agents and owners and the platform's bodies use. spec_fault checks the numbers of a job and the tasks of all its occurrences, and is also applied to stored jobs; stored progress must have the steps and tasks of its job. A report is refused if its id can't be sent in a header or its start is beyond any clock. One value in a list of the store that is no base64 no longer hides the list: its key is listed without a value, so that its reader logs and skips it; the same holds for a key of etcd that is no text. Values of an owner of another release (results, states, ends) no longer raise.

Why it works: the range is checked once, where the value enters, and is far enough from the limits of the encodings that sums of a few such numbers fit as well.

--- a/packages/daemon/almondspan_daemon/message_routing.py
+++ b/packages/daemon/almondspan_daemon/message_routing.py
@@ -21,6 +21,7 @@
 __all__ = ["AgentMessageRouter", "EntryMessageRouter", "shard_of_address"]
 
 SHARD_PREFIX: Final = "shard:"
+MAX_DIGITS: Final = 15
 
 
 def shard_of_address(to: str) -> ShardId | None:
@@ -28,7 +29,8 @@
     if not to.startswith(SHARD_PREFIX):
         return None
     digits = to[len(SHARD_PREFIX) :]
-    return ShardId(int(digits)) if digits.isdigit() else None
+    is_number = digits.isdecimal() and len(digits) <= MAX_DIGITS
+    return ShardId(int(digits)) if is_number else None
 
 
 class EntryMessageRouter:
--- a/packages/daemon/almondspan_daemon/settings.py
+++ b/packages/daemon/almondspan_daemon/settings.py
@@ -112,7 +112,7 @@
     except OSError as error:
         cause = error.strerror or str(error)
         return SettingsFault(str(path), "(file)", cause, "a readable TOML file")
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except ValueError as error:
         return SettingsFault(str(path), "(file)", str(error), "TOML in UTF-8")
     except RecursionError:
         return SettingsFault(str(path), "(file)", "nested too deeply", "tables")
--- a/packages/decisions/almondspan_decisions/fleet_document.py
+++ b/packages/decisions/almondspan_decisions/fleet_document.py
@@ -94,7 +94,7 @@
     try:
         decoded = text.decode() if isinstance(text, bytes) else text
         document = tomllib.loads(decoded)
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except ValueError as error:
         return ConfigFaults((ConfigFault("(text)", str(error), "TOML in UTF-8"),))
     except RecursionError:
         return ConfigFaults((ConfigFault("(text)", "nested too deeply", "tables"),))
--- a/packages/decisions/almondspan_decisions/fleet_rules.py
+++ b/packages/decisions/almondspan_decisions/fleet_rules.py
@@ -10,6 +10,7 @@
 from datetime import datetime
 from typing import Any, Final
 
+from almondspan_decisions.decoding import MAX_NUMBER
 from almondspan_decisions.fleet import (
     OrderConfig,
     PolicyConfig,
@@ -30,9 +31,6 @@
 
 NAME_PATTERN: Final = re.compile(r"[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?")
 SHA256_PATTERN: Final = re.compile(r"[0-9a-f]{64}")
-MAX_NUMBER: Final = 2**53
-"""Up to this, every whole number is exactly representable as a float."""
-
 FIRST_YEAR: Final = 2000
 LAST_YEAR: Final = 9000
 
--- a/packages/decisions/almondspan_decisions/job_graph.py
+++ b/packages/decisions/almondspan_decisions/job_graph.py
@@ -5,9 +5,11 @@
 each due time. Specifications are immutable; `JobProgress` holds a job's state.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import NamedTuple, NewType
+from typing import Final, NamedTuple, NewType
 
+from almondspan_decisions.decoding import MAX_NUMBER
 from almondspan_decisions.ids import JobId, ServiceName
 from almondspan_decisions.shapes import Shape
 
@@ -22,6 +24,12 @@
     "spec_fault",
 ]
 
+MAX_TASKS: Final = 200_000
+"""Limit of a job's tasks over all of its occurrences."""
+
+MAX_DIGITS: Final = 15
+"""Limit of the digits of a number in a task's name."""
+
 QueueName = NewType("QueueName", str)
 """Name of a job queue in the configuration."""
 
@@ -111,11 +119,15 @@
 def parse_task_name(name: str) -> tuple[JobId, TaskKey] | None:
     """Return the job and task of a task name; None if the name is not valid."""
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    if len(parts) != 4 or not all(map(_is_number, parts[1:])):
         return None
     return JobId(parts[0]), TaskKey(int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def _is_number(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def spec_fault(spec: JobSpec) -> str:
     """Return why a job specification is invalid; empty if it is valid."""
     if not spec.steps:
@@ -125,4 +137,20 @@
             return f"step {number} has no tasks"
         if any(earlier < 0 or earlier >= number for earlier in step.after):
             return f"step {number} waits for a step that is not before it"
+    if any(abs(number) > MAX_NUMBER for number in _numbers(spec)):
+        return f"a number is beyond {MAX_NUMBER}"
+    n_tasks = sum(step.n_tasks for step in spec.steps) * spec.n_total_occurrences
+    if n_tasks > MAX_TASKS:
+        return f"the job has {n_tasks} tasks in all, the limit is {MAX_TASKS}"
     return ""
+
+
+def _numbers(spec: JobSpec) -> Iterator[int]:
+    """Yield every number of a specification, but for the indexes of steps."""
+    yield from (spec.accepted_ms, spec.first_due_ms, spec.interval_ms)
+    yield spec.n_occurrences
+    for step in spec.steps:
+        shape = step.shape
+        yield from (shape.cpu_millicores, shape.memory_mb, shape.n_accelerators)
+        yield from (step.n_tasks, step.estimate_ms, step.max_per_worker)
+        yield from (step.tail_target_ms, step.n_may_be_away)
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -120,7 +120,9 @@
             )
             return
         job, key = found
-        self._assignments.end(job, key, _END_KINDS[how], checkpoint, how)
+        # An agent of a later release may know other ends; the attempt is over.
+        kind = _END_KINDS.get(how, EndKind.INTERRUPTED)
+        self._assignments.end(job, key, kind, checkpoint, how)
         lease.unacknowledged.append((number, job.job_id, self._table.version(job)))
 
     def _on_running(
--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -58,6 +58,11 @@
     NO_JOB = "no_job"
 
 
+# An owner of a later release may answer with other values.
+_STORE_RESULTS: Final = {result.value: result for result in StoreResult}
+_JOB_STATES: Final = {state.value: state for state in JobState}
+
+
 @dataclass(frozen=True, slots=True)
 class JobAnswer:
     """The outcome of a submission or a cancellation."""
@@ -187,7 +192,8 @@
             self._options.store_timeout_s,
         )
         if isinstance(reply, StoreReply):
-            return JobAnswer(StoreResult(reply.result), f"via the owner; {reason}")
+            result = _STORE_RESULTS.get(reply.result, StoreResult.UNKNOWN)
+            return JobAnswer(result, f"via the owner ({reply.result}); {reason}")
         was_sent = isinstance(reply, NoAnswer) and reply.was_sent
         result = StoreResult.UNKNOWN if was_sent else StoreResult.NOT_DONE
         return JobAnswer(result, f"the owner did not answer; {reason}")
@@ -262,8 +268,8 @@
         reply = await self._owner.request(
             lambda number: StateRequest(number, job_id), self._options.ask_timeout_s
         )
-        if isinstance(reply, StateReply) and reply.state:
-            answer = StateAnswer(JobState(reply.state), True)
+        if isinstance(reply, StateReply) and reply.state in _JOB_STATES:
+            answer = StateAnswer(_JOB_STATES[reply.state], True)
         else:
             answer = await self._stored_state(job_id)
             self._log.line(
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -11,7 +11,15 @@
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
 from almondspan_decisions.job_graph import QueueName
 from almondspan_wire.codec import Message, message
-from almondspan_wire.fields import Host, OptionalHost, OptionalPort, Port
+from almondspan_wire.fields import (
+    Count,
+    Host,
+    Measure,
+    Number,
+    OptionalHost,
+    OptionalPort,
+    Port,
+)
 
 __all__ = [
     "PendingCountRequest",
@@ -43,7 +51,7 @@
 class OwnerHello(Message, frozen=True, tag="j-hello"):
     """The owner's first message to an agent; the epoch is the fence of its commands."""
 
-    epoch: int
+    epoch: Count
     owner: str
     host: Host
     port: Port
@@ -53,7 +61,7 @@
 class OwnerReplaced(Message, frozen=True, tag="j-replaced"):
     """Tells an owner that a later owner has connected, and where that one listens."""
 
-    epoch: int
+    epoch: Count
     owner: str
     host: Host
     port: Port
@@ -71,7 +79,7 @@
 class RelayReady(Message, frozen=True, tag="j-relayed"):
     """The agent is connected to the address; `epoch` and `owner` describe its owner."""
 
-    epoch: int
+    epoch: Count
     owner: str
     host: Host
     port: Port
@@ -112,7 +120,7 @@
     of the second image use all processors of its worker.
     """
 
-    weights: list[tuple[str, str, float]]
+    weights: list[tuple[str, str, Measure]]
 
 
 @message
@@ -166,15 +174,15 @@
     """The latest report of the agent's worker about itself."""
 
     worker_id: WorkerId
-    started_ms: int
+    started_ms: Count
     service: ServiceName
     place: PlaceName
-    cpu_millicores: int
-    memory_mb: int
-    n_accelerators: int
+    cpu_millicores: Count
+    memory_mb: Count
+    n_accelerators: Count
     labels: list[str]
     is_leaving: bool
-    leaves_ms: int
+    leaves_ms: Number
     has_left: bool = False
 
 
@@ -186,10 +194,10 @@
     has rows of number, task, attempt, end reason and checkpoint.
     """
 
-    started_ms: int
-    clock_ms: int
-    running: list[tuple[str, int, str, int, float]]
-    ended: list[tuple[int, str, int, str, str]]
+    started_ms: Count
+    clock_ms: Number
+    running: list[tuple[str, Count, str, Number, Measure]]
+    ended: list[tuple[Count, str, Count, str, str]]
     is_paced: bool = False
     """Whether best-effort tasks run below their full pace."""
 
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -23,7 +23,7 @@
 
 from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_decisions.ids import JobId, WorkerId
-from almondspan_decisions.job_graph import JobSpec
+from almondspan_decisions.job_graph import JobSpec, spec_fault
 from almondspan_decisions.job_progress import (
     JobProgress,
     StepState,
@@ -31,7 +31,7 @@
     TaskState,
     WorkerIncarnation,
 )
-from almondspan_wire.fields import Host, Port
+from almondspan_wire.fields import Count, Host, Measure, Port
 
 __all__ = [
     "AGENT_PREFIX",
@@ -79,7 +79,7 @@
 class OwnerRecord(msgspec.Struct, frozen=True):
     """The entry that owns the jobs, and where it listens for other entries."""
 
-    epoch: int
+    epoch: Count
     node: str
     host: Host
     port: Port
@@ -95,7 +95,7 @@
 class HeadRecord(msgspec.Struct, frozen=True):
     """The head, which every group of decisions rewrites, so that groups are ordered."""
 
-    epoch: int
+    epoch: Count
     node: str
     nonce: str
 
@@ -106,7 +106,7 @@
     `homes` maps the agent's name to rows of worker id and start time in milliseconds.
     """
 
-    homes: dict[str, list[tuple[str, int]]]
+    homes: dict[str, list[tuple[str, Count]]]
 
 
 class InterferenceRecord(msgspec.Struct, frozen=True):
@@ -116,18 +116,18 @@
     maps each serving image to its mean level.
     """
 
-    weights: list[tuple[str, str, float, float]]
-    means: dict[str, float]
+    weights: list[tuple[str, str, Measure, Measure]]
+    means: dict[str, Measure]
 
 
 class _TaskRow(msgspec.Struct, frozen=True, array_like=True):
     phase: int
-    n_attempts: int
-    n_failed: int
+    n_attempts: Count
+    n_failed: Count
     worker_id: str = ""
-    started_ms: int = 0
+    started_ms: Count = 0
     checkpoint: str = ""
-    n_crashes: int = 0
+    n_crashes: Count = 0
 
 
 class _StoredProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -135,7 +135,7 @@
     is_cancelled: bool
     is_failed: bool
     has_started: bool
-    finished_ms: int
+    finished_ms: Count
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,9 +201,11 @@
 def decode_spec(data: bytes) -> JobSpec | Unreadable:
     """Decode a job's specification."""
     try:
-        return _SPEC_DECODER.decode(data)
+        spec = _SPEC_DECODER.decode(data)
     except DECODE_ERRORS as error:
         return Unreadable(decode_reason(error))
+    fault = spec_fault(spec)
+    return Unreadable(fault) if fault else spec
 
 
 def encode_progress(job: JobProgress) -> bytes:
@@ -242,6 +244,8 @@
     """Decode a job's progress; its counts are recomputed from the tasks."""
     try:
         progress = _PROGRESS_DECODER.decode(data)
+        if not _fits_job(progress, spec):
+            return Unreadable("the occurrences, steps or tasks are not the job's")
         job = JobProgress(job_id, spec)
         for occurrence, steps in progress.occurrences.items():
             job.occurrences[occurrence] = [
@@ -257,6 +261,20 @@
     return job
 
 
+def _fits_job(progress: _StoredProgress, spec: JobSpec) -> bool:
+    """Return whether the first occurrences are there, with all steps and tasks."""
+    n_tasks = [step.n_tasks for step in spec.steps]
+    n_occurrences = len(progress.occurrences)
+    return (
+        n_occurrences <= spec.n_total_occurrences
+        and set(progress.occurrences) == set(range(n_occurrences))
+        and all(
+            [len(rows) for rows in steps] == n_tasks
+            for steps in progress.occurrences.values()
+        )
+    )
+
+
 def _decode_task(row: _TaskRow) -> TaskState:
     phase = _PHASES_BY_CODE[row.phase]
     incarnation = None
--- a/packages/platform/almondspan_platform/etcd_json.py
+++ b/packages/platform/almondspan_platform/etcd_json.py
@@ -272,7 +272,12 @@
 
 
 def _key_value(kv: etcd.EtcdKeyValue) -> KeyValue:
-    return KeyValue(kv.key.decode(), kv.value, Revision(int(kv.mod_revision)))
+    return KeyValue(_text(kv.key), kv.value, Revision(int(kv.mod_revision)))
+
+
+def _text(key: bytes) -> str:
+    """Return a key as text; one that is not UTF-8 belongs to another writer."""
+    return key.decode(errors="replace")
 
 
 def _prefix_range(prefix: str) -> tuple[bytes, bytes]:
@@ -344,6 +349,6 @@
         tuple(
             _key_value(newest.kv) for newest in last.values() if newest.type == "PUT"
         ),
-        tuple(key.decode() for key, newest in last.items() if newest.type == "DELETE"),
+        tuple(_text(key) for key, newest in last.items() if newest.type == "DELETE"),
         Revision(max(int(event.kv.mod_revision) for event in events)),
     )
--- a/packages/platform/almondspan_platform/etcd_messages.py
+++ b/packages/platform/almondspan_platform/etcd_messages.py
@@ -4,7 +4,7 @@
 integers are strings, and a field with its default value is omitted.
 """
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -40,7 +40,10 @@
     "range_end_of_prefix",
 ]
 
-Int64 = str | int
+Int64 = (
+    Annotated[str, msgspec.Meta(pattern=r"\A-?[0-9]{1,19}\Z")]
+    | Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+)
 """A 64-bit integer: encoded as a string, decoded from a string or a number."""
 
 CODE_NOT_FOUND: Final = 5
--- a/packages/tasks/almondspan_tasks/head.py
+++ b/packages/tasks/almondspan_tasks/head.py
@@ -6,6 +6,7 @@
 counter. The state is the snapshot chunks, then the delta chunks, then the tail.
 """
 
+import re
 from enum import Enum
 from typing import Final
 
@@ -24,8 +25,11 @@
     "decode_head",
     "encode_head",
     "head_key",
+    "is_chunk_key",
 ]
 
+CHUNK_NAME: Final = re.compile(r"[0-9]{8,15}-[0-9]{6,15}")
+
 NO_OWNER: Final = AgentId("")
 """The owner in the head of a shard that its owner has released."""
 
@@ -91,6 +95,11 @@
     return f"{chunk_prefix(region, shard_id)}{epoch:08d}-{number:06d}"
 
 
+def is_chunk_key(key: str) -> bool:
+    """Return whether a key is one that `chunk_key` makes."""
+    return CHUNK_NAME.fullmatch(key.rpartition("/")[2]) is not None
+
+
 def chunk_epoch(key: str) -> int:
     """Return the epoch in a chunk's key."""
     return int(key.rpartition("/")[2].partition("-")[0])
--- a/packages/tasks/almondspan_tasks/shard_log.py
+++ b/packages/tasks/almondspan_tasks/shard_log.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,6 +27,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import MAX_REASON_CHARS
 from almondspan_decisions.ids import AgentId, Epoch, RegionName, ShardId
 from almondspan_platform.store import (
     ABSENT_REVISION,
@@ -56,12 +58,15 @@
     decode_head,
     encode_head,
     head_key,
+    is_chunk_key,
 )
 from almondspan_tasks.options import OwnerOptions
 from almondspan_tasks.state import ShardState, apply
 
 __all__ = ["LogCounters", "LogEnd", "ShardLog", "TakeOver"]
 
+_log = logging.getLogger(__name__)
+
 _STATE_ENCODER: Final = msgspec.msgpack.Encoder()
 _STATE_DECODER: Final = msgspec.msgpack.Decoder(ShardState)
 
@@ -410,6 +415,9 @@
         if isinstance(found, Unavailable):
             return
         for item in found.items:
+            if not is_chunk_key(item.key):
+                _log.warning("not a chunk", extra={"key": item.key[:MAX_REASON_CHARS]})
+                continue
             # A chunk of a later epoch means that this process was superseded. The
             # writer of an earlier epoch can no longer write a head that refers to
             # its chunks.
--- a/packages/tasks/almondspan_tasks/team_usage.py
+++ b/packages/tasks/almondspan_tasks/team_usage.py
@@ -10,12 +10,18 @@
 """
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
 
+from almondspan_decisions.decoding import (
+    DECODE_ERRORS,
+    MAX_REASON_CHARS,
+    decode_reason,
+)
 from almondspan_decisions.ids import RegionName, ShardId, TeamName
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_platform.store import (
@@ -31,6 +37,8 @@
 
 UsageByTeam = dict[TeamName, Shape]
 
+_log = logging.getLogger(__name__)
+
 _ENCODER: Final = msgspec.msgpack.Encoder(order="deterministic")
 _DECODER: Final = msgspec.msgpack.Decoder(UsageByTeam)
 
@@ -99,9 +107,14 @@
         found = await self._store.get_range(self._prefix)
         if isinstance(found, Unavailable):
             return
-        self._read = {
-            ShardId(int(item.key.removeprefix(self._prefix))): _DECODER.decode(
-                item.value
-            )
-            for item in found.items
-        }
+        self._read = {}
+        for item in found.items:
+            try:
+                shard_id = ShardId(int(item.key.removeprefix(self._prefix)))
+                self._read[shard_id] = _DECODER.decode(item.value)
+            except DECODE_ERRORS as error:
+                extra = {
+                    "key": item.key[:MAX_REASON_CHARS],
+                    "why": decode_reason(error),
+                }
+                _log.warning("usage unreadable", extra=extra)
--- a/tests/daemon/test_message_routing.py
+++ b/tests/daemon/test_message_routing.py
@@ -32,6 +32,8 @@
         pytest.param("shard:7", 7, id="shard"),
         pytest.param("shard:", None, id="no number"),
         pytest.param("shard:-1", None, id="negative"),
+        pytest.param("shard:\u00b2", None, id="a digit that is no number"),
+        pytest.param("shard:" + "9" * 5_000, None, id="too many digits"),
         pytest.param("agent-1", None, id="process"),
     ],
 )
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -241,6 +241,7 @@
             "a = " + "[" * 5000, "(file)", "nested too deeply", "tables", id="deep"
         ),
         pytest.param("[process", "(file)", "Expected", "TOML", id="no TOML"),
+        pytest.param("a = " + "9" * 5000, "(file)", "4300", "TOML", id="digits"),
     ],
 )
 def test_fault(tmp_path: Path, text: str, key: str, value: str, allowed: str) -> None:
--- a/tests/decisions/test_fleet_document.py
+++ b/tests/decisions/test_fleet_document.py
@@ -64,6 +64,7 @@
             "a = " + "[" * 5000, "(text)", "nested too deeply", "tables", id="deep"
         ),
         pytest.param(b"\xff", "(text)", "utf-8", "UTF-8", id="no text"),
+        pytest.param("a = " + "9" * 5000, "(text)", "4300", "TOML", id="digits"),
         pytest.param(
             TEXT + "[polices]",
             "polices",
--- /dev/null
+++ b/tests/jobs/test_job_api.py
@@ -0,0 +1,81 @@
+"""Answers of an owner that this release does not know."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from almondspan_decisions.ids import JobId
+from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec
+from almondspan_decisions.job_progress import JobState
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs.job_api import JobApi, StoreResult
+from almondspan_jobs.messages import StateReply, StoreReply
+from almondspan_jobs.metrics import Metrics
+from almondspan_jobs.options import JobOptions
+from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
+from almondspan_wire.codec import Message
+
+JOB = JobId("0123456789abcdef")
+SPEC = JobSpec(QueueName("q"), "payload", (StepSpec(1, Shape(100, 100)),))
+
+
+class Log:
+    def line(self, event: str, **fields: Any) -> None:
+        pass
+
+
+class Owner:
+    """An owner's link that always gives the same reply."""
+
+    is_local = False
+
+    def __init__(self, reply: Message) -> None:
+        self._reply = reply
+
+    async def request(self, make_request: Any, timeout_s: float) -> Message:
+        return self._reply
+
+    def notify(self, body: Message) -> None:
+        pass
+
+
+def make_api(reply: Message, faults: StoreFaults) -> JobApi:
+    store = MemoryGroupStore(random.Random(1)).client(faults)
+    owner: Any = Owner(reply)
+    return JobApi(store, owner, JobOptions(), Log(), Metrics())
+
+
+@pytest.mark.parametrize(
+    ("result", "expected"),
+    [
+        pytest.param("stored", StoreResult.STORED, id="known"),
+        pytest.param("kept", StoreResult.UNKNOWN, id="unknown"),
+    ],
+)
+def test_unknown_result_of_the_owner_is_uncertain(
+    result: str, expected: StoreResult
+) -> None:
+    async def main() -> StoreResult:
+        api = make_api(StoreReply(1, result), StoreFaults(is_refusing=True))
+        return (await api.submit(JOB, SPEC, 0.1)).result
+
+    assert asyncio.run(main()) is expected
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [
+        pytest.param("running", JobState.RUNNING, id="known"),
+        pytest.param("melted", None, id="unknown"),
+    ],
+)
+def test_unknown_state_of_the_owner_is_read_from_the_store(
+    state: str, expected: JobState | None
+) -> None:
+    async def main() -> JobState | None:
+        api = make_api(StateReply(1, state), StoreFaults())
+        return (await api.state(JOB)).state
+
+    assert asyncio.run(main()) is expected
--- a/tests/jobs/test_network.py
+++ b/tests/jobs/test_network.py
@@ -1,19 +1,25 @@
-"""Dialling an address that is no address fails, and raises nothing."""
+"""Odd addresses and messages of other processes: each ends as a value, none raises."""
 
 import asyncio
 
+import msgspec
 import pytest
 
+from almondspan_decisions.ids import PlaceName, ServiceName, WorkerId
 from almondspan_jobs.messages import (
+    InterferenceUpdate,
     OwnerHello,
     OwnerReplaced,
     RelayReady,
     RelayRequest,
+    WorkerListing,
+    WorkerReport,
 )
 from almondspan_jobs.network import DialFailed, TcpNetwork
 from almondspan_wire.codec import Malformed, Message, decode, encode
 
 TIMEOUT_S = 2.0
+TOO_LARGE = 2**64 - 1
 HOST = "127.0.0.1"
 
 
@@ -50,6 +56,13 @@
     asyncio.run(main())
 
 
+def report(**fields: int) -> WorkerReport:
+    body = WorkerReport(
+        WorkerId("w"), 1, ServiceName("pool"), PlaceName("p"), 1, 1, 0, [], False, 0
+    )
+    return msgspec.structs.replace(body, **fields)
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -59,9 +72,33 @@
         pytest.param(OwnerReplaced(1, "entry0", "", 1), id="replaced_host"),
         pytest.param(RelayRequest(HOST, -1), id="relay_request"),
         pytest.param(RelayReady(1, "entry0", HOST, 2**63), id="relay_ready"),
+        pytest.param(OwnerHello(TOO_LARGE, "entry0", HOST, 1), id="hello_epoch"),
+        pytest.param(OwnerReplaced(TOO_LARGE, "entry0", HOST, 1), id="replaced_epoch"),
+        pytest.param(RelayReady(TOO_LARGE, "entry0", HOST, 1), id="relay_ready_epoch"),
+        pytest.param(report(started_ms=TOO_LARGE), id="report_start_time"),
+        pytest.param(report(cpu_millicores=TOO_LARGE), id="report_processors"),
+        pytest.param(report(memory_mb=TOO_LARGE), id="report_memory"),
+        pytest.param(report(leaves_ms=TOO_LARGE), id="report_leaves"),
+        pytest.param(WorkerListing(TOO_LARGE, 1, [], []), id="listing_start_time"),
+        pytest.param(WorkerListing(1, TOO_LARGE, [], []), id="listing_clock"),
+        pytest.param(
+            WorkerListing(1, 1, [("t", TOO_LARGE, "", 0, 0.0)], []), id="attempt"
+        ),
+        pytest.param(
+            WorkerListing(1, 1, [("t", 1, "", TOO_LARGE, 0.0)], []), id="percent"
+        ),
+        pytest.param(
+            WorkerListing(1, 1, [("t", 1, "", 0, float("nan"))], []), id="measurement"
+        ),
+        pytest.param(
+            WorkerListing(1, 1, [], [(TOO_LARGE, "t", 1, "done", "")]), id="end_number"
+        ),
+        pytest.param(
+            InterferenceUpdate([("live", "heavy", float("inf"))]), id="weight"
+        ),
     ],
 )
-def test_message_with_an_odd_address_is_malformed(body: Message) -> None:
+def test_message_out_of_range_is_malformed(body: Message) -> None:
     assert isinstance(decode(encode(body)), Malformed)
 
 
@@ -70,6 +107,11 @@
     [
         pytest.param(RelayRequest("", 0), id="relay_to_the_owner"),
         pytest.param(OwnerHello(1, "entry0", "::1", 65_535), id="hello"),
+        pytest.param(report(leaves_ms=-1), id="report"),
+        pytest.param(
+            WorkerListing(1, 1, [("t", 1, "", 41, 0.5)], [(1, "t", 1, "done", "")]),
+            id="listing",
+        ),
     ],
 )
 def test_message_with_an_address_is_decoded(body: Message) -> None:
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -16,10 +16,14 @@
 from almondspan_jobs.job_api import StoreResult
 from almondspan_jobs.records import (
     AGENT_PREFIX,
+    HEAD_KEY,
+    JOBS_PREFIX,
     OWNER_KEY,
+    HeadRecord,
     OwnerRecord,
     Unreadable,
     decode_record,
+    encode_record,
 )
 from almondspan_platform.group_store import Write, WriteGroup
 
@@ -121,11 +125,15 @@
     return [line for line in simulation.trace if text in line]
 
 
-def assert_followed(simulation: JobSimulation, key: str) -> None:
-    """Check that nothing ended, and that the odd entry was logged a few times."""
+def assert_not_ended(simulation: JobSimulation) -> None:
     assert simulation.violations() == []
     assert not lines(simulation, "task_failed")
     assert not lines(simulation, "leadership_failed")
+
+
+def assert_followed(simulation: JobSimulation, key: str) -> None:
+    """Check that nothing ended, and that the odd entry was logged a few times."""
+    assert_not_ended(simulation)
     found = lines(simulation, f"record_unreadable key={key}")
     assert 0 < len(found) <= MAX_LINES
     assert max(map(len, found)) <= MAX_LINE_CHARS
@@ -194,3 +202,65 @@
     assert stored_owner(simulation) == owner_of(simulation).name
     complete_job(simulation, owner_of(simulation))
     assert_followed(simulation, OWNER_KEY)
+
+
+def spec(**fields: object) -> bytes:
+    step = {"n_tasks": 1, "shape": {"cpu_millicores": 100, "memory_mb": 100}}
+    body = {"queue": "batch", "payload": "p", "steps": [step], **fields}
+    return msgspec.msgpack.encode(body)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        *ODD_BYTES,
+        pytest.param(with_nested_field(spec()), id="additional_field_nested"),
+        pytest.param(spec(accepted_ms=2**64 - 1), id="number_of_64_bits"),
+        pytest.param(spec(first_due_ms=-(2**63)), id="number_negative"),
+        pytest.param(
+            spec(steps=[{"n_tasks": 1, "shape": {}, "after": [5]}]),
+            id="waits_for_no_step",
+        ),
+    ],
+)
+def test_odd_job_among_others_ends_no_owner(
+    simulation: JobSimulation, value: bytes
+) -> None:
+    before = owner_of(simulation)
+    key = f"{JOBS_PREFIX}00000000000000aa/job"
+    put(simulation, key, value)
+    simulation.run(1.0)
+    assert owner_of(simulation) is before
+    complete_job(simulation, simulation.entries[0])
+    before.kill()
+    simulation.run(5.0)
+    complete_job(simulation, owner_of(simulation))
+    assert_not_ended(simulation)
+    assert 0 < len(lines(simulation, "record_unreadable")) <= MAX_LINES
+
+
+@pytest.mark.parametrize(
+    "epoch", [pytest.param(2**64 - 1, id="largest"), pytest.param(-1, id="negative")]
+)
+def test_odd_head_ends_no_election(simulation: JobSimulation, epoch: int) -> None:
+    """The epoch can't be told, so there is no owner until the head is repaired."""
+    item = simulation_head(simulation)
+    put(simulation, HEAD_KEY, encode_record(HeadRecord(epoch, "odd", "n")))
+    simulation.run(5.0)
+    assert simulation.owner() is None
+    put(simulation, HEAD_KEY, item)
+    simulation.run(5.0)
+    complete_job(simulation, owner_of(simulation))
+    assert_not_ended(simulation)
+
+
+def simulation_head(simulation: JobSimulation) -> bytes:
+    found: list[bytes] = []
+
+    def read(made: JobSimulation) -> None:
+        item = made.store.get(HEAD_KEY)
+        assert item is not None
+        found.append(item.value)
+
+    simulation.run_in_loop(read)
+    return found[0]
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -349,3 +349,23 @@
     harness.report_worker(cpu_millicores=5_000)
     harness.plan_and_store()
     assert len(harness.take_sent(StartCommand)) == 2
+
+
+@pytest.mark.parametrize(
+    ("ended", "running"),
+    [
+        pytest.param([(1, TASK, 1, "melted", "")], [], id="unknown_end"),
+        pytest.param([(1, "a.0.0." + "9" * 5_000, 1, "done", "")], [], id="end_name"),
+        pytest.param([], [("a.0.0." + "9" * 5_000, 1, "", 0, 0.0)], id="task_name"),
+    ],
+)
+def test_odd_row_of_a_listing_raises_nothing(
+    harness: SchedulerHarness,
+    ended: list[tuple[int, str, int, str, str]],
+    running: list[tuple[str, int, str, int, float]],
+) -> None:
+    """Guards against the end of the link to the agent that forwards the listing."""
+    harness.report_worker()
+    harness.add()
+    harness.list_worker(ended=ended, running=running)
+    assert harness.scheduler.jobs[JOB].state is JobState.RUNNING
--- a/tests/platform/test_etcd_json.py
+++ b/tests/platform/test_etcd_json.py
@@ -212,6 +212,15 @@
         pytest.param(200, b'{"succeeded":', True, id="truncated"),
         pytest.param(200, b'{"succeeded":"yes"}', True, id="wrong-type"),
         pytest.param(200, DEEP, True, id="nested-too-deeply"),
+        pytest.param(
+            200, b'{"header":{"revision":"x"},"succeeded":true}', True, id="no-number"
+        ),
+        pytest.param(
+            200,
+            b'{"header":{"revision":"%s"},"succeeded":true}' % (b"9" * 5_000),
+            True,
+            id="number-too-large",
+        ),
     ],
 )
 def test_bad_answer_to_a_write(
@@ -257,6 +266,11 @@
         pytest.param(200, b"", id="ended"),
         pytest.param(200, b"{]\n", id="not-json"),
         pytest.param(200, DEEP + b"\n", id="nested-too-deeply"),
+        pytest.param(
+            200,
+            b'{"result":{"events":[{"kv":{"key":"Zm9v","mod_revision":"x"}}]}}\n',
+            id="no-number",
+        ),
         pytest.param(200, b'{"error":{"code":14}}\n', id="error"),
         pytest.param(200, b'{"result":{"canceled":true}}\n', id="cancelled"),
         pytest.param(200, b'{"result":{"compact_revision":"8"}}\n', id="compacted"),
@@ -393,3 +407,44 @@
 def test_no_address_is_refused() -> None:
     with pytest.raises(ValueError, match="address"):
         EtcdJsonStore(())
+
+
+@pytest.mark.parametrize(
+    ("call", "answer"),
+    [
+        pytest.param(
+            lambda store: store.grant_lease(9.5), b'{"ID":"7","TTL":"inf"}', id="grant"
+        ),
+        pytest.param(
+            lambda store: store.grant_lease(9.5), b'{"ID":"x","TTL":"9"}', id="lease"
+        ),
+        pytest.param(
+            lambda store: store.keep_lease(LeaseId(8)),
+            b'{"result":{"ID":"8","TTL":"%s"}}' % (b"9" * 400),
+            id="keep",
+        ),
+        pytest.param(
+            lambda store: store.get("foo"),
+            b'{"kvs":[{"key":"Zm9v","mod_revision":"x"}]}',
+            id="get",
+        ),
+        pytest.param(
+            lambda store: store.get_range("foo"),
+            b'{"header":{"revision":%s}}' % (b"9" * 400),
+            id="range",
+        ),
+    ],
+)
+def test_number_out_of_range(call: Call, answer: bytes) -> None:
+    got, _ = asyncio.run(call_scripted(200, answer, call))
+    assert isinstance(got, Unavailable)
+
+
+def test_key_that_is_no_text_hides_no_other() -> None:
+    odd = b'{"key":"Zm9v/w==","mod_revision":"3","value":"eA=="}'
+    answer = b"{" + HEADER + b',"kvs":[' + odd + b"," + KV + b"]}"
+    got, _ = asyncio.run(
+        call_scripted(200, answer, lambda store: store.get_range("foo"))
+    )
+    assert isinstance(got, RangeFound)
+    assert ITEM in got.items and len(got.items) == 2
--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -80,6 +80,16 @@
         pytest.param(b'{"steps": [{"count": "4"}]}', id="count_no_number"),
         pytest.param(b"\xff\xfe", id="no_text"),
         pytest.param(b'{"steps": [], "more": ' + DEEP + b"}", id="nested_too_deeply"),
+        *(
+            pytest.param(
+                json.dumps({"steps": [{**STEP, field: 2**64}]}).encode(), id=field
+            )
+            for field in ("count", "cpu", "memMb", "gpu", "estimateMs", "targetMs")
+        ),
+        *(
+            pytest.param(json.dumps({"steps": [STEP], field: 2**64}).encode(), id=field)
+            for field in ("repetitions", "startAtMs", "intervalMs")
+        ),
         pytest.param(
             json.dumps({"spec": "x" * 4_001, "steps": [STEP]}).encode(), id="long_spec"
         ),
@@ -142,6 +152,7 @@
             b'{"version": 3, "routes": [], "more": ' + DEEP + b"}",
             id="nested_too_deeply",
         ),
+        pytest.param(b'{"version": %d, "routes": []}' % 2**64, id="version"),
     ],
 )
 def test_malformed_configuration(data: bytes) -> None:
@@ -180,6 +191,9 @@
         pytest.param("{", id="cut_short"),
         pytest.param({}, id="empty"),
         pytest.param({**SETTINGS, "portRange": "7720"}, id="other_type"),
+        pytest.param({**SETTINGS, "portRange": [65_536, 65_540]}, id="port"),
+        pytest.param({**SETTINGS, "portRange": [0, 1]}, id="port_zero"),
+        pytest.param({**SETTINGS, "bounds": {"maxHoldMs": 2**64}}, id="bound"),
         pytest.param('{"more": ' + DEEP.decode() + "}", id="nested_too_deeply"),
         pytest.param(
             {**SETTINGS, "platform": {"address": "a", "form": "log"}}, id="other_store"
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -14,13 +14,23 @@
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.worker_agent import WorkerAgent
 from almondspan_platform.group_store import WriteGroup
-from almondspan_platform.store import LeaseId, Revision, Unavailable
+from almondspan_platform.store import (
+    LeaseId,
+    RangeFound,
+    Revision,
+    Unavailable,
+    WatchEvent,
+)
 from almondspan_platform.task_worker import PollFailed, StartTask, Verdict
+from almondspan_site.http_server import HttpServer
 from almondspan_site.http_task_worker import HttpTaskWorker
 from almondspan_site.kv_store import KvStore
 from almondspan_site.worker_reports import WorkerReports
 
 DEEP = "[" * 5_000 + "]" * 5_000
+HUGE = "9" * 400
+"""A number that no float can hold."""
+
 MAX_LOGGED_CHARS = 1_000
 WORKER = WorkerId("i-1")
 TASK = "00000000000000aa.0.0.0"
@@ -85,6 +95,84 @@
     assert isinstance(outcome, Unavailable)
 
 
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        pytest.param(
+            lambda store: store.get("k"),
+            f'{{"key": "k", "value": "", "revision": {HUGE}}}',
+            id="get",
+        ),
+        pytest.param(
+            lambda store: store.get_range("k"),
+            f'{{"items": [], "hasMore": false, "atRev": {HUGE}}}',
+            id="get_range",
+        ),
+        pytest.param(
+            lambda store: store.commit(WriteGroup()),
+            f'{{"revision": {HUGE}}}',
+            id="commit",
+        ),
+        pytest.param(
+            lambda store: store.grant_lease(1.0),
+            f'{{"lease": 1, "ttlMs": {HUGE}}}',
+            id="grant_lease",
+        ),
+        pytest.param(
+            lambda store: store.grant_lease(1.0),
+            f'{{"lease": {HUGE}, "ttlMs": 1}}',
+            id="lease",
+        ),
+        pytest.param(
+            lambda store: store.keep_lease(LeaseId(1)),
+            f'{{"ttlMs": {HUGE}}}',
+            id="keep_lease",
+        ),
+        pytest.param(
+            lambda store: store.changes("k", Revision(1), 0),
+            f'{{"events": [], "atRev": {HUGE}}}',
+            id="changes",
+        ),
+    ],
+)
+def test_number_out_of_range_in_an_answer_of_the_store(
+    call: Callable[[KvStore], Awaitable[object]], body: str
+) -> None:
+    assert isinstance(call_store(200, body, call), Unavailable)
+
+
+ODD_VALUE = '{"key": "p/odd", "value": "?", "revision": 1}'
+GOOD_VALUE = '{"key": "p/good", "value": "Zw==", "revision": 2}'
+
+
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        pytest.param(
+            lambda store: store.get_range("p/"),
+            f'{{"items": [{ODD_VALUE}, {GOOD_VALUE}], "hasMore": false, "atRev": 2}}',
+            id="get_range",
+        ),
+        pytest.param(
+            lambda store: store.changes("p/", Revision(0), 0),
+            f'{{"events": [{ODD_VALUE}, {GOOD_VALUE}], "atRev": 2}}',
+            id="changes",
+        ),
+    ],
+)
+def test_value_that_is_no_base64_hides_no_other(
+    call: Callable[[KvStore], Awaitable[object]], body: str
+) -> None:
+    """The value is empty, which is no record, so its reader logs and skips it."""
+    outcome = call_store(200, body, call)
+    assert isinstance(outcome, RangeFound | WatchEvent)
+    items = outcome.items if isinstance(outcome, RangeFound) else outcome.changed
+    assert [(item.key, item.value) for item in items] == [
+        ("p/odd", b""),
+        ("p/good", b"g"),
+    ]
+
+
 def call_runner(
     status: int, body: str, call: Callable[[HttpTaskWorker], Awaitable[object]]
 ) -> object:
@@ -120,6 +208,22 @@
     [
         pytest.param(listing(more=DEEP), id="additional_field_nested_too_deeply"),
         pytest.param(listing(f'["{TASK}", 1, "", {DEEP}]'), id="row_nested_too_deeply"),
+        pytest.param(listing(clockMs=HUGE), id="clock"),
+        pytest.param(listing(born=HUGE), id="start_time"),
+        pytest.param(listing(born=str(2**64)), id="start_time_of_65_bits"),
+        pytest.param(listing(f'["{TASK}", {HUGE}, "", 0]'), id="attempt"),
+        pytest.param(listing(f'["{TASK}", -1, "", 0]'), id="attempt_negative"),
+        pytest.param(listing(f'["{TASK}", "{"9" * 5_000}", "", 0]'), id="attempt_text"),
+        pytest.param(listing(f'["{TASK}", 1, "", {HUGE}]'), id="percent"),
+        pytest.param(listing(f'["{TASK}", 1, "", 0, {HUGE}]'), id="measurement"),
+        pytest.param(listing(f'["{TASK}", 1, "", 0, 1e300]'), id="measurement_float"),
+        pytest.param(listing(f'["{TASK}", 1, "", 0, "nan"]'), id="measurement_nan"),
+        pytest.param(listing(f'["{TASK}"]'), id="row_too_short"),
+        pytest.param(listing("", f'[{HUGE}, "{TASK}", 1, "done", ""]'), id="number"),
+        pytest.param(listing("", f'[1, "{TASK}", {HUGE}, "done", ""]'), id="ended"),
+        pytest.param(
+            listing("", f'[1, "{TASK}", 1, "{"x" * 99_999}", ""]'), id="reason"
+        ),
     ],
 )
 def test_odd_listing_of_the_runner(body: str) -> None:
@@ -148,12 +252,13 @@
         "127.0.0.1", 1, NoNetwork(), worker, JobOptions(), log, Metrics()
     )
     reports_handler = WorkerReports(agent, log)
-    server = FakeServer([web.route("*", "/{path:.*}", reports_handler.handle)])
+    server = HttpServer("127.0.0.1:0", reports_handler.handle)
     await server.start()
+    port = server._runner.addresses[0][1]
     statuses = []
     async with aiohttp.ClientSession() as session:
         for worker_id, body in reports:
-            url = f"http://{server.address}/api/runners/{worker_id}"
+            url = f"http://127.0.0.1:{port}/api/runners/{worker_id}"
             async with session.put(url, data=body) as response:
                 statuses.append(response.status)
     await server.close()
@@ -177,6 +282,26 @@
         pytest.param(
             "i-2", f'{{{REPORT}, "seq": 1, "state": "{"x" * 99_999}"}}', id="long_state"
         ),
+        pytest.param("i-2", f'{{{REPORT}, "seq": {HUGE}}}', id="count"),
+        pytest.param("i-2", f'{{{REPORT}, "seq": 1, "born": {HUGE}}}', id="start_time"),
+        pytest.param(
+            "i-2", f'{{{REPORT}, "seq": 1, "born": {2**53}}}', id="born_in_another_age"
+        ),
+        pytest.param(
+            "i-2", f'{{{REPORT}, "seq": 1, "born": {2**64}}}', id="start_of_65_bits"
+        ),
+        pytest.param(
+            "i-2", f'{{{REPORT}, "seq": 1, "remainingMs": {HUGE}}}', id="remaining"
+        ),
+        pytest.param(
+            "i-2",
+            f'{{{REPORT}, "seq": 1, "capacity": {{"cpu": {HUGE}, "memMb": 1}}}}',
+            id="processors",
+        ),
+        pytest.param("a%0Ab", f'{{{REPORT}, "seq": 1}}', id="line_break_in_the_id"),
+        pytest.param("a%00b", f'{{{REPORT}, "seq": 1}}', id="null_character_in_the_id"),
+        pytest.param("x" * 2_000, f'{{{REPORT}, "seq": 1}}', id="id_too_long"),
+        pytest.param("", f'{{{REPORT}, "seq": 1}}', id="no_id"),
     ],
 )
 def test_odd_report_is_refused_and_the_next_is_accepted(
--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -23,7 +23,7 @@
 from almondspan_decisions.outcomes import Outcome, OutcomeKind
 from almondspan_decisions.shapes import Shape
 from almondspan_decisions.tasks import JobSpec, StageSpec
-from almondspan_platform.store import Found
+from almondspan_platform.store import ABSENT_REVISION, Found
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.memory_store import MemoryStore
 from almondspan_standins.store_core import CallKind, StoreCore
@@ -375,6 +375,38 @@
     assert other.in_other_shards(ShardId(1)) == {}
 
 
+async def odd_usage_among_others_hides_none(harness: Harness) -> None:
+    await harness.host.start()
+    harness.host.set_fleet(FleetConfig(teams=(TeamConfig(TEAM, 0.5, ""),)))
+    await harness.submit(job("a"))
+    odd = {
+        "usage/viti/odd": b"\x80",
+        "usage/viti/" + "9" * 5_000: b"\x80",
+        "usage/viti/8": b"\xc1",
+        "usage/viti/9": b"\x81\xa1t\x81\xa4more" + b"\x91" * 5_000 + b"\x01",
+    }
+    for key, value in odd.items():
+        harness.core.compare_and_swap(key, ABSENT_REVISION, value, None)
+    await asyncio.sleep(10.0)
+    other = TeamUsage(
+        RegionName("viti"), MemoryStore(harness.core), 1.0, random.Random(1), dict
+    )
+    await other._read_all()
+    assert other.in_other_shards(ShardId(1)) == {TEAM: SHAPE}
+
+
+async def odd_chunk_among_others_ends_no_owner(harness: Harness) -> None:
+    await harness.submit(job("a"))
+    for name in ("odd", "9" * 5_000):
+        key = f"chunks/viti/0/{name}-1"
+        harness.core.compare_and_swap(key, ABSENT_REVISION, b"x", None)
+    owner = harness.host.owner(SHARD)
+    assert owner is not None
+    owner.log._next_gc_s = 0.0
+    await owner.log._collect_garbage_if_due()
+    assert harness.core.get("chunks/viti/0/odd-1") is not None
+
+
 async def a_silent_owner_is_replaced_within_seconds(harness: Harness) -> None:
     await harness.submit(job("a"))
     await harness.host.close()
@@ -444,6 +476,8 @@
             orders_are_paged,
             claims_are_granted_once,
             a_teams_usage_counts_over_all_shards,
+            odd_usage_among_others_hides_none,
+            odd_chunk_among_others_ends_no_owner,
             a_silent_owner_is_replaced_within_seconds,
             a_live_owner_is_not_replaced,
             a_release_is_followed_by_a_takeover_within_a_second,
