Bound the texts of reports, listings and stored jobs

Callers could see: an agent whose runner lists a very long checkpoint or name, or an owner with a job whose image is a very long name, sends a message beyond the frame limit. StreamChannel.post raises ValueError for it, in the poll of the runner or in the link to the agent. A long checkpoint also makes the progress of its job longer than the store takes, and the owner repeats that write.

Cause: texts from reports, listings and stored jobs had no limit of their own.

Evidence: 8 cases of tests/site/test_odd_answers.py and 3 of tests/jobs/ test_odd_records.py failed before: the texts were accepted.

--- a/packages/decisions/almondspan_decisions/decoding.py
+++ b/packages/decisions/almondspan_decisions/decoding.py
@@ -8,13 +8,22 @@
 
 from typing import Final
 
-__all__ = ["DECODE_ERRORS", "MAX_NUMBER", "MAX_REASON_CHARS", "decode_reason"]
+__all__ = [
+    "DECODE_ERRORS",
+    "MAX_NAME_CHARS",
+    "MAX_NUMBER",
+    "MAX_REASON_CHARS",
+    "decode_reason",
+]
 
 DECODE_ERRORS: Final = (ValueError, OverflowError, RecursionError)
 
 MAX_NUMBER: Final = 2**53
 """Up to this, every whole number is exactly representable as a float."""
 
+MAX_NAME_CHARS: Final = 200
+"""Longest name of an image, a label and the like."""
+
 MAX_REASON_CHARS: Final = 200
 """Longest reason in a log line; an error may quote the whole input."""
 
--- a/packages/decisions/almondspan_decisions/job_graph.py
+++ b/packages/decisions/almondspan_decisions/job_graph.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple, NewType
 
-from almondspan_decisions.decoding import MAX_NUMBER
+from almondspan_decisions.decoding import MAX_NAME_CHARS, MAX_NUMBER
 from almondspan_decisions.ids import JobId, ServiceName
 from almondspan_decisions.shapes import Shape
 
@@ -139,12 +139,19 @@
             return f"step {number} waits for a step that is not before it"
     if any(abs(number) > MAX_NUMBER for number in _numbers(spec)):
         return f"a number is beyond {MAX_NUMBER}"
+    names = (name for step in spec.steps for name in _names(step))
+    if any(len(name) > MAX_NAME_CHARS for name in names):
+        return f"a name is longer than {MAX_NAME_CHARS} characters"
     n_tasks = sum(step.n_tasks for step in spec.steps) * spec.n_total_occurrences
     if n_tasks > MAX_TASKS:
         return f"the job has {n_tasks} tasks in all, the limit is {MAX_TASKS}"
     return ""
 
 
+def _names(step: StepSpec) -> tuple[str, ...]:
+    return step.image, step.label, step.data_rack
+
+
 def _numbers(spec: JobSpec) -> Iterator[int]:
     """Yield every number of a specification, but for the indexes of steps."""
     yield from (spec.accepted_ms, spec.first_due_ms, spec.interval_ms)
--- a/packages/wire/almondspan_wire/fields.py
+++ b/packages/wire/almondspan_wire/fields.py
@@ -9,9 +9,18 @@
 
 import msgspec
 
-from almondspan_decisions.decoding import MAX_NUMBER
-
-__all__ = ["Count", "Host", "Measure", "Number", "OptionalHost", "OptionalPort", "Port"]
+from almondspan_decisions.decoding import MAX_NAME_CHARS, MAX_NUMBER
+
+__all__ = [
+    "Count",
+    "Host",
+    "Measure",
+    "Name",
+    "Number",
+    "OptionalHost",
+    "OptionalPort",
+    "Port",
+]
 
 Host = Annotated[str, msgspec.Meta(max_length=253, pattern=r"\A[!-~]+\Z")]
 """The host of an address: printable ASCII without spaces."""
@@ -25,6 +34,9 @@
 OptionalPort = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 """A port, or 0 for none."""
 
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+"""A name of a few characters."""
+
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A whole number from 0."""
 
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -125,6 +125,9 @@
         pytest.param(with_step(max_per_worker=TOO_LARGE), id="tasks_per_worker"),
         pytest.param(with_step(tail_target_ms=TOO_LARGE), id="target"),
         pytest.param(with_step(n_may_be_away=TOO_LARGE), id="away"),
+        pytest.param(with_step(image="x" * 100_000), id="image"),
+        pytest.param(with_step(label="x" * 100_000), id="label"),
+        pytest.param(with_step(data_rack="x" * 100_000), id="rack"),
     ],
 )
 def test_spec_with_a_number_out_of_range(spec: JobSpec) -> None:
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -1,6 +1,7 @@
 """Answers of the platform, reports and requests that another writer has made odd."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -224,6 +225,20 @@
         pytest.param(
             listing("", f'[1, "{TASK}", 1, "{"x" * 99_999}", ""]'), id="reason"
         ),
+        pytest.param(
+            listing("", f'[1, "{TASK}", 1, "done", "{"x" * 99_999}"]'),
+            id="checkpoint_of_an_end",
+        ),
+        pytest.param(
+            listing(f'["{TASK}", 1, "{"x" * 99_999}", 0]'), id="checkpoint_too_long"
+        ),
+        pytest.param(listing(f'["{"x" * 99_999}", 1, "", 0]'), id="name_too_long"),
+        pytest.param(
+            listing("", f'[1, "{"x" * 99_999}", 1, "done", ""]'), id="name_of_an_end"
+        ),
+        pytest.param(
+            listing(", ".join([f'["{TASK}", 1, "", 0]'] * 60_000)), id="answer_too_long"
+        ),
     ],
 )
 def test_odd_listing_of_the_runner(body: str) -> None:
@@ -282,6 +297,19 @@
         pytest.param(
             "i-2", f'{{{REPORT}, "seq": 1, "state": "{"x" * 99_999}"}}', id="long_state"
         ),
+        pytest.param(
+            "i-2",
+            f'{{{REPORT}, "seq": 1, "labels": ["{"x" * 900_000}"]}}',
+            id="long_label",
+        ),
+        pytest.param(
+            "i-2",
+            f'{{{REPORT}, "seq": 1, "labels": {json.dumps(["a"] * 1_001)}}}',
+            id="too_many_labels",
+        ),
+        pytest.param(
+            "i-2", f'{{{REPORT}, "seq": 1, "zone": "{"x" * 99_999}"}}', id="long_zone"
+        ),
         pytest.param("i-2", f'{{{REPORT}, "seq": {HUGE}}}', id="count"),
         pytest.param("i-2", f'{{{REPORT}, "seq": 1, "born": {HUGE}}}', id="start_time"),
         pytest.param(
