End no process for what a worker lists or a shard's chunk holds

Callers could see: an agent's process ended by itself, again after each start, while its worker listed an ended attempt without an outcome, or while a chunk of a shard's state had another length than its head says.

Cause: both were assertions. An AssertionError in any task counts as a broken invariant and ends the process; these conditions depend on input of another process. A number of more than 64 bits in a worker's JSON raised OverflowError when it was sent on.

Change: such an attempt ends with an unknown outcome; such a chunk is logged and the takeover is tried again as after an unanswered read; an answer of the worker that can't be encoded as a message is no answer.

Why it works: the callers already handle each of these outcomes.

--- a/packages/platform/almondspan_platform/http_json.py
+++ b/packages/platform/almondspan_platform/http_json.py
@@ -174,7 +174,10 @@
         self, answer: bytes, response_type: type[Response]
     ) -> Response | WorkerUnavailable:
         try:
-            return msgspec.json.decode(answer, type=response_type)
+            found = msgspec.json.decode(answer, type=response_type)
+            # Messages hold numbers of 64 bits; JSON holds longer ones.
+            msgspec.msgpack.encode(found)
+            return found
         except DECODE_ERRORS as error:
             self.n_failed += 1
             reason = f"invalid answer from the worker: {decode_reason(error)}"
--- a/packages/tasks/almondspan_tasks/shard_log.py
+++ b/packages/tasks/almondspan_tasks/shard_log.py
@@ -201,7 +201,9 @@
         if isinstance(answer, Unavailable) or answer.item is None:
             # A chunk is missing only when the head that refers to it is outdated.
             return None
-        assert len(answer.item.value) == ref.n_bytes, f"chunk {ref.key} is damaged"
+        if len(answer.item.value) != ref.n_bytes:
+            _log.error("damaged chunk", extra={"key": ref.key[:MAX_REASON_CHARS]})
+            return None
         return answer.item.value
 
     # Appending.
--- a/packages/tasks/almondspan_tasks/worker_reconciler.py
+++ b/packages/tasks/almondspan_tasks/worker_reconciler.py
@@ -198,14 +198,14 @@
         return held
 
     def _on_ended(self, held: HeldAttempt, found: WorkerAttempt) -> None:
-        assert found.outcome is not None or found.evicted
         advance(held, LifecycleStep.FINISH)
         if held.abandoned:
             self._reporter.forget(held)
             return
         outcome = found.outcome
         if outcome is None:
-            outcome = Outcome(OutcomeKind.UNKNOWN, "evicted", b"", True)
+            reason = "evicted" if found.evicted else "the worker lists no outcome"
+            outcome = Outcome(OutcomeKind.UNKNOWN, reason, b"", True)
         if not found.evicted:
             now_s = self._state.now_s()
             self._state.resting.record_outcome(now_s, held.task_id, outcome.kind)
--- a/tests/platform/test_http_json.py
+++ b/tests/platform/test_http_json.py
@@ -83,14 +83,25 @@
     await worker.close()
 
 
-async def test_deeply_nested_answer_is_no_answer() -> None:
+INFO = '{"worker_id": "w", "capacity": {"cpu_millicores": %s}, "lease_s": 5.0}'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(
+            '{"more":' + "[" * 5_000 + "]" * 5_000 + "}", id="nested-too-deeply"
+        ),
+        pytest.param(INFO % ("9" * 30), id="number-too-large"),
+    ],
+)
+async def test_odd_answer_is_no_answer(body: str) -> None:
     """Guards against an answer that raises in the task that made the call."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        body = b'{"more":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body)
+        writer.write((head + body).encode())
         await writer.drain()
         writer.close()
 
--- a/tests/tasks/test_attempt_agent.py
+++ b/tests/tasks/test_attempt_agent.py
@@ -17,6 +17,7 @@
 )
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
+from almondspan_platform.worker import AttemptState, WorkerAttempt
 from almondspan_standins.memory_worker import MemoryWorker
 from almondspan_standins.worker_core import WorkerCore, task_payload
 from almondspan_tasks.attempt_agent import AttemptAgent
@@ -315,6 +316,31 @@
     assert harness.reserve() != ""
 
 
+async def an_end_without_an_outcome_is_unknown(harness: Harness) -> None:
+    """Guards against the end of the process, as of a broken invariant."""
+    worker = harness.attempt_agent._state.worker
+    listed = WorkerAttempt(
+        TASK,
+        1,
+        AttemptState.ENDED,
+        TaskClass("cut"),
+        HALF,
+        SHARD,
+        epoch=5,
+        idempotent=False,
+        ran_s=1.0,
+    )
+
+    async def list_attempts() -> tuple[WorkerAttempt, ...]:
+        return (listed,)
+
+    worker.list_attempts = list_attempts  # type: ignore[method-assign]
+    await asyncio.sleep(3.0)
+    report = harness.last(AttemptReport)
+    assert isinstance(report, AttemptReport)
+    assert report.outcome.kind is OutcomeKind.UNKNOWN
+
+
 @pytest.mark.parametrize(
     "case",
     [
@@ -336,6 +362,7 @@
             work_that_cannot_resume_is_not_evicted,
             draining_refuses_at_once,
             resting_refuses,
+            an_end_without_an_outcome_is_unknown,
         )
     ],
 )
--- a/tests/tasks/test_owner.py
+++ b/tests/tasks/test_owner.py
@@ -27,6 +27,7 @@
 from almondspan_standins.faults import StoreFaults
 from almondspan_standins.memory_store import MemoryStore
 from almondspan_standins.store_core import CallKind, StoreCore
+from almondspan_tasks.head import ChunkKind, ChunkRef
 from almondspan_tasks.host import ShardHost
 from almondspan_tasks.job_client import ClaimState, SubmitState
 from almondspan_tasks.options import OwnerOptions
@@ -407,6 +408,17 @@
     assert harness.core.get("chunks/viti/0/odd-1") is not None
 
 
+async def odd_chunk_of_the_state_ends_no_process(harness: Harness) -> None:
+    """Guards against an `AssertionError`, which ends the process."""
+    key = "chunks/viti/0/00000001-000001"
+    harness.core.compare_and_swap(key, ABSENT_REVISION, b"odd", None)
+    owner = harness.host.owner(SHARD)
+    assert owner is not None
+    whole, damaged = (ChunkRef(key, ChunkKind.DELTAS, n_bytes) for n_bytes in (3, 9))
+    assert await owner.log._read_chunk(whole) == b"odd"
+    assert await owner.log._read_chunk(damaged) is None
+
+
 async def a_silent_owner_is_replaced_within_seconds(harness: Harness) -> None:
     await harness.submit(job("a"))
     await harness.host.close()
@@ -478,6 +490,7 @@
             a_teams_usage_counts_over_all_shards,
             odd_usage_among_others_hides_none,
             odd_chunk_among_others_ends_no_owner,
+            odd_chunk_of_the_state_ends_no_process,
             a_silent_owner_is_replaced_within_seconds,
             a_live_owner_is_not_replaced,
             a_release_is_followed_by_a_takeover_within_a_second,
