Log odd fields in bounded length

Callers could see: a request with a Host header that is no UTF-8 got 500 instead of 404, since logging it raised UnicodeEncodeError; a task that logs a value that can't be encoded ends.

Cause: StdoutLog.line encoded the fields as they were; msgspec raises for lone surrogates, integers of more than 4300 digits, deep nesting and other types. A line had no limit of its length.

Change: fields of a line that can't be encoded, or of one longer than 16 KB, are logged as short texts.

Why it works: a string, a float or None of bounded length can always be encoded.

--- a/packages/jobs/almondspan_jobs/event_log.py
+++ b/packages/jobs/almondspan_jobs/event_log.py
@@ -4,7 +4,7 @@
 Lines are buffered and written together every few milliseconds. When the reader of the
 output is slow, lines beyond the buffer's limit are dropped and counted; the count is
 logged once the buffer is empty again. Each event is also limited to a number of lines
-per second.
+per second, and each line to a length; a field that can't be encoded is cut short.
 """
 
 import asyncio
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, MAX_REASON_CHARS
 from almondspan_jobs.clocks import steady_s
 
 __all__ = ["EventLog", "StdoutLog"]
@@ -23,6 +24,9 @@
 MAX_LINES_PER_S: Final = 400
 """Limit for each event; the number of suppressed lines is logged."""
 
+MAX_LINE_BYTES: Final = 16 * 1024
+"""The fields of a longer line are cut short."""
+
 STDOUT: Final = 1
 
 
@@ -75,10 +79,21 @@
         if len(self._buffer) > BUFFER_LIMIT_BYTES:
             self.n_dropped += 1
             return
-        self._buffer += self._encoder.encode(body) + b"\n"
+        self._buffer += self._encode(body) + b"\n"
         if not self._is_scheduled:
             self._schedule()
 
+    def _encode(self, body: dict[str, Any]) -> bytes:
+        """Encode a line; fields that can't be encoded, or are too long, are cut."""
+        try:
+            data = self._encoder.encode(body)
+        except (*DECODE_ERRORS, TypeError):
+            data = b""
+        if 0 < len(data) <= MAX_LINE_BYTES:
+            return data
+        texts = {name: _short_text(value) for name, value in body.items()}
+        return self._encoder.encode(texts)
+
     def _schedule(self) -> None:
         try:
             loop = asyncio.get_running_loop()
@@ -105,3 +120,14 @@
         elif self.n_dropped:
             n_dropped, self.n_dropped = self.n_dropped, 0
             self.line("lines_dropped", n=n_dropped)
+
+
+def _short_text(value: object) -> object:
+    """Return a field as short text."""
+    if isinstance(value, float) or value is None:
+        return value
+    try:
+        text = value if isinstance(value, str) else repr(value)
+    except DECODE_ERRORS as error:
+        text = type(error).__name__
+    return text[:MAX_REASON_CHARS].encode(errors="replace").decode()
