--- a/tests/jobs/test_hostile_channel.py
+++ b/tests/jobs/test_hostile_channel.py
@@ -1,4 +1,4 @@
-"""A hostile message ends its channel with a logged reason; the process serves others."""
+"""A hostile message ends its channel with a reason; the process serves others."""
 
 import asyncio
 import random
