Load a pair of images once that is stored twice

Callers could see: owners that end one after the other, each on the first listing of a serving task, while the stored interference weights name one pair of images twice.

Cause: LinearFilter.add took the feature a second time, which left its index beyond those of its weights; the next sample raised IndexError in the owner.

Change: the last row of a pair counts.

Why it works: the model gets each pair once, as from its own records.

--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -137,12 +137,15 @@
 
     def load(self, record: InterferenceRecord) -> None:
         """Load the weights that an earlier owner stored."""
-        rows = [
-            InterferenceRow(Image(serving), Image(best_effort), weight, variance)
+        # The model takes each pair once; another writer may have stored one twice.
+        rows = {
+            (serving, best_effort): InterferenceRow(
+                Image(serving), Image(best_effort), weight, variance
+            )
             for serving, best_effort, weight, variance in record.weights
-        ]
+        }
         means = {Image(image): mean for image, mean in record.means.items()}
-        self._model.load(rows, means)
+        self._model.load(list(rows.values()), means)
         self.scores = BestEffortScores(self._model.weights())
 
     @property
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler: releases, acknowledgements, failure budgets and commands."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 from scheduler_harness import (
@@ -351,6 +352,24 @@
     assert len(harness.take_sent(StartCommand)) == 2
 
 
+def test_pair_of_images_that_is_stored_twice_raises_nothing(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against owners that end one after the other on the same record."""
+    serving = replace(STEP, lasts=True, image="live", tail_target_ms=10)
+    record = InterferenceRecord(
+        [("live", "heavy", 1.0, 0.5), ("live", "heavy", 3.0, 0.5)], {}
+    )
+    harness.scheduler.load_interference(record)
+    harness.report_worker()
+    harness.add(serving)
+    harness.advance(1.0)
+    harness.list_worker(running=[(TASK, 1, "", 100, 5.0)])
+    harness.advance(2.0)
+    weights = harness.scheduler.interference_weights.weights
+    assert [pair for pair in weights] == [(Image("live"), Image("heavy"))]
+
+
 @pytest.mark.parametrize(
     ("ended", "running"),
     [
