Write the owner's key again when it names another owner

Callers could see: entries that dial an address of another writer instead of the owner, as long as that owner lives, after another writer has stored a well-formed record under the owner's key.

Cause: the owner wrote its key again only if it was lost, not if it was another's.

Evidence: test_foreign_owner_is_replaced_by_the_owner in tests/jobs/test_odd_entries.py failed before: the foreign record remained.

Change: with each renewal the owner compares the key, as last watched, with its record.

Why it works: the write requires the head to be its own, so it fails, and ends the ownership, where the key names a later owner.

--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -328,7 +328,8 @@
     async def _renew_lease(self, committer: HeadCommitter) -> None:
         assert self._lease is not None
         kept = await self._store.keep_lease(self._lease)
-        if isinstance(kept, LeaseLapsed) or self.owner_record is None:
+        is_own = self.owner_record == self._make_record(committer.epoch)
+        if isinstance(kept, LeaseLapsed) or not is_own:
             self._log.line("owner_key_lost", epoch=committer.epoch, lease=str(kept))
             await self._restore_key(committer)
         elif not isinstance(kept, LeaseGranted):
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -263,3 +263,14 @@
 
     simulation.run_in_loop(read)
     return found[0]
+
+
+def test_foreign_owner_is_replaced_by_the_owner(simulation: JobSimulation) -> None:
+    """A record that can be read, of a writer that does not own the head."""
+    before = owner_of(simulation)
+    put(simulation, OWNER_KEY, owner(epoch=1))
+    simulation.run(3.0)
+    assert owner_of(simulation) is before
+    assert stored_owner(simulation) == before.name
+    complete_job(simulation, simulation.entries[0])
+    assert_not_ended(simulation)
