Refuse times in messages that are no finite number

Callers could see: a call or a reservation of another process with a time limit that is not a number makes a timer whose order among the others of the event loop is undefined.

Cause: MessagePack holds floats that are infinite or no number; the receiver adds them to its clock.

Evidence: test_time_that_is_no_number_is_malformed in tests/wire/test_codec.py failed before for both messages. No wrong order of timers was observed.

Change: the time limits and durations of the messages of calls and attempts are finite numbers of bounded size.

Why it works: the message is malformed and its channel ends with that reason.

--- a/packages/wire/almondspan_wire/service_messages.py
+++ b/packages/wire/almondspan_wire/service_messages.py
@@ -16,6 +16,7 @@
 from almondspan_decisions.ids import CallerId, RequestId, ServiceName
 from almondspan_decisions.outcomes import OutcomeKind
 from almondspan_wire.codec import Message, message
+from almondspan_wire.fields import Measure
 
 __all__ = [
     "REQUEST_WINDOW_BYTES",
@@ -55,7 +56,7 @@
     path: str
     headers: Headers
     idempotent: bool
-    timeout_ms: float
+    timeout_ms: Measure
     credit_bytes: int
     data: bytes = b""
     body_bytes: int = 0
--- a/packages/wire/almondspan_wire/task_messages.py
+++ b/packages/wire/almondspan_wire/task_messages.py
@@ -26,6 +26,7 @@
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_decisions.tasks import JobSpec
 from almondspan_wire.codec import Message, message
+from almondspan_wire.fields import Measure
 
 __all__ = [
     "AttemptRef",
@@ -78,7 +79,7 @@
     task_id: TaskId
     attempt: int
     shape: Shape
-    ttl_s: float
+    ttl_s: Measure
     urgent: bool = False
 
 
@@ -97,7 +98,7 @@
     granted: bool
     worker_id: WorkerId
     reservation: str = ""
-    worker_lease_s: float = 0.0
+    worker_lease_s: Measure = 0.0
     preempting: bool = False
     reason: str = ""
     capacity: Shape = EMPTY_SHAPE
@@ -179,7 +180,7 @@
     outcome: Outcome
     evicted: bool
     checkpoint: bytes
-    ran_s: float
+    ran_s: Measure
 
 
 @message
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,9 +1,22 @@
 """Messages are decoded as they were encoded; all other bytes are malformed."""
 
+from collections.abc import Callable
+
 import msgspec
 import pytest
 
-from almondspan_decisions.ids import AgentId, EntryId, PlaceName, ShardId, WorkerId
+from almondspan_decisions.ids import (
+    AgentId,
+    CallerId,
+    EntryId,
+    Epoch,
+    PlaceName,
+    RequestId,
+    ServiceName,
+    ShardId,
+    TaskId,
+    WorkerId,
+)
 from almondspan_decisions.shapes import Shape
 from almondspan_wire.codec import Malformed, Message, decode, encode, message
 from almondspan_wire.membership import (
@@ -14,6 +27,8 @@
     NominateOwner,
     RoutedMessage,
 )
+from almondspan_wire.service_messages import CallOpen
+from almondspan_wire.task_messages import ReserveCapacity
 
 MESSAGES = [
     pytest.param(
@@ -57,6 +72,36 @@
     assert isinstance(decode(data), Malformed)
 
 
+def call(timeout_ms: float) -> CallOpen:
+    return CallOpen(
+        incarnation=1,
+        call_id=1,
+        service=ServiceName("s"),
+        request_id=RequestId("r"),
+        caller=CallerId("c"),
+        method="GET",
+        path="/",
+        headers=(),
+        idempotent=True,
+        timeout_ms=timeout_ms,
+        credit_bytes=0,
+    )
+
+
+def reservation(ttl_s: float) -> ReserveCapacity:
+    return ReserveCapacity(ShardId(1), Epoch(1), TaskId("t"), 1, Shape(), ttl_s)
+
+
+@pytest.mark.parametrize("make", [call, reservation])
+def test_time_that_is_no_number_is_malformed(
+    make: Callable[[float], Message],
+) -> None:
+    """Guards against a timer that is due at no time."""
+    assert decode(encode(make(5.0))) == make(5.0)
+    for value in (float("nan"), float("inf"), 1e300):
+        assert isinstance(decode(encode(make(value))), Malformed)
+
+
 def test_a_tag_belongs_to_one_class() -> None:
     class Other(Message, frozen=True, tag="nominate"):
         """Uses a tag that is already registered."""
