--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -6,7 +6,9 @@
 the group writes the head with the next epoch. The owner renews its lease; if its key is
 lost while the head is still its own, it writes the key again. It steps down when
 another entry has changed the head. It then reads the members again, since the watch may
-have told of a later owner, or of none, before the step-down.
+have told of a later owner, or of none, before the step-down. An unreadable owner's key
+counts as lost: if no owner has rewritten it within a lease, an entry takes over by
+replacing it.
 
 The states are following, taking, owning and closed.
 """
@@ -39,6 +41,7 @@
     decode_record,
     encode_record,
 )
+from almondspan_jobs.supervision import keep_running
 from almondspan_platform.group_store import GroupStore, Write, WriteGroup
 from almondspan_platform.store import (
     ABSENT_REVISION,
@@ -99,28 +102,28 @@
         self.owner: Owner | None = None
         self._lease: LeaseId | None = None
         self._is_vacant: Final = asyncio.Event()
+        self._vacant_at: Revision = ABSENT_REVISION
+        """The revision of the owner's key that a takeover replaces."""
         self._watch_task: asyncio.Task[None] | None = None
         self._ownership_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start to watch the members and to take over when there is no owner."""
-        self._watch_task = self._spawn(self._watch_members())
-        self._ownership_task = self._spawn(self._ownership_loop())
-
-    def _spawn(self, body: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(body)
-        task.add_done_callback(self._on_task_done)
-        return task
+        self._watch_task = self._spawn("members", self._watch_members)
+        self._ownership_task = self._spawn("election", self._ownership_loop)
+
+    def _spawn(
+        self, name: str, body: Callable[[], Coroutine[Any, Any, None]]
+    ) -> asyncio.Task[None]:
+        return asyncio.create_task(
+            keep_running(name, body, self._options.retry_s, self._log)
+        )
 
     def _restart_watch(self) -> None:
         """Read the members and watch them from then on."""
         if self._watch_task is not None:
             self._watch_task.cancel()
-        self._watch_task = self._spawn(self._watch_members())
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._log.line("leadership_failed", error=repr(task.exception()))
+        self._watch_task = self._spawn("members", self._watch_members)
 
     async def close(self) -> None:
         """Resign from the ownership and stop watching."""
@@ -197,7 +200,7 @@
             self._apply_item(item)
         for key in deleted:
             if key == OWNER_KEY:
-                self._set_owner(None)
+                self._set_vacant(ABSENT_REVISION)
             else:
                 self._agents.pop(key.removeprefix(AGENT_PREFIX), None)
         if self.owner is not None:
@@ -209,6 +212,7 @@
             if not isinstance(record, Unreadable):
                 self._set_owner(record)
                 return
+            self._set_vacant(item.revision)
         elif item.key.startswith(AGENT_PREFIX):
             agent = decode_record(AgentRecord, item.value)
             if not isinstance(agent, Unreadable):
@@ -216,6 +220,11 @@
                 return
         self._log.line("record_unreadable", key=item.key, revision=item.revision)
 
+    def _set_vacant(self, revision: Revision) -> None:
+        """Handle an owner's key that is absent, or unreadable at a revision."""
+        self._vacant_at = revision
+        self._set_owner(None)
+
     def _set_owner(self, record: OwnerRecord | None) -> None:
         if record == self.owner_record:
             if record is None:
@@ -232,9 +241,17 @@
     # Taking over
 
     async def _ownership_loop(self) -> None:
+        # An error leaves the state in which it was raised.
+        if self.state == "taking":
+            self.trigger_event("give_up")
+        elif self.state == "owning":
+            self.trigger_event("step_down")
         while True:
             await self._is_vacant.wait()
             jitter_s = self._rng.uniform(0, self._options.takeover_jitter_s)
+            if self._vacant_at != ABSENT_REVISION:
+                # The owner, if there is one, writes its key again first.
+                jitter_s += self._options.owner_ttl_s
             await asyncio.sleep(jitter_s)
             if not self._is_vacant.is_set():
                 continue
@@ -261,7 +278,7 @@
         head = HeadRecord(epoch + 1, self._node, secrets.token_hex(8))
         record = self._make_record(head.epoch)
         group = WriteGroup(
-            ((OWNER_KEY, ABSENT_REVISION), (HEAD_KEY, revision)),
+            ((OWNER_KEY, self._vacant_at), (HEAD_KEY, revision)),
             (
                 Write(OWNER_KEY, encode_record(record), lease.lease_id),
                 Write(HEAD_KEY, encode_record(head)),
@@ -325,7 +342,8 @@
     async def _renew_lease(self, committer: HeadCommitter) -> None:
         assert self._lease is not None
         kept = await self._store.keep_lease(self._lease)
-        if isinstance(kept, LeaseLapsed) or self.owner_record is None:
+        is_own = self.owner_record == self._make_record(committer.epoch)
+        if isinstance(kept, LeaseLapsed) or not is_own:
             self._log.line("owner_key_lost", epoch=committer.epoch, lease=str(kept))
             await self._restore_key(committer)
         elif not isinstance(kept, LeaseGranted):
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -13,6 +13,15 @@
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
 from almondspan_decisions.job_graph import QueueName
 from almondspan_wire.codec import Message, message
+from almondspan_wire.fields import (
+    Count,
+    Host,
+    Measure,
+    Number,
+    OptionalHost,
+    OptionalPort,
+    Port,
+)
 
 __all__ = [
     "PendingCountRequest",
@@ -45,10 +54,10 @@
 class OwnerHello(Message, frozen=True, tag="j-hello"):
     """The owner's first message to an agent; the epoch is the fence of its commands."""
 
-    epoch: int
+    epoch: Count
     owner: str
-    host: str
-    port: int
+    host: Host
+    port: Port
     accepts_unreachable: bool = False
     """Whether the owner knows `WorkerUnreachable`; unknown messages end its channel."""
 
@@ -57,28 +66,28 @@
 class OwnerReplaced(Message, frozen=True, tag="j-replaced"):
     """Tells an owner that a later owner has connected, and where that one listens."""
 
-    epoch: int
+    epoch: Count
     owner: str
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 @message
 class RelayRequest(Message, frozen=True, tag="j-relay"):
     """Asks an agent to relay to an address; an empty host means its owner."""
 
-    host: str
-    port: int
+    host: OptionalHost
+    port: OptionalPort
 
 
 @message
 class RelayReady(Message, frozen=True, tag="j-relayed"):
     """The agent is connected to the address; `epoch` and `owner` describe its owner."""
 
-    epoch: int
+    epoch: Count
     owner: str
-    host: str
-    port: int
+    host: Host
+    port: Port
 
 
 @message
@@ -116,7 +125,7 @@
     of the second image use all processors of its worker.
     """
 
-    weights: list[tuple[str, str, float]]
+    weights: list[tuple[str, str, Measure]]
 
 
 @message
@@ -172,15 +181,15 @@
     """The latest report of the agent's worker about itself."""
 
     worker_id: WorkerId
-    started_ms: int
+    started_ms: Count
     service: ServiceName
     place: PlaceName
-    cpu_millicores: int
-    memory_mb: int
-    n_accelerators: int
+    cpu_millicores: Count
+    memory_mb: Count
+    n_accelerators: Count
     labels: list[str]
     is_leaving: bool
-    leaves_ms: int
+    leaves_ms: Number
     has_left: bool = False
 
 
@@ -192,10 +201,10 @@
     has rows of number, task, attempt, end reason and checkpoint.
     """
 
-    started_ms: int
-    clock_ms: int
-    running: list[tuple[str, int, str, int, float]]
-    ended: list[tuple[int, str, int, str, str]]
+    started_ms: Count
+    clock_ms: Number
+    running: list[tuple[str, Count, str, Number, Measure]]
+    ended: list[tuple[Count, str, Count, str, str]]
     is_paced: bool = False
     """Whether best-effort tasks run below their full pace."""
 
@@ -207,7 +216,7 @@
     Sent only to an owner whose `OwnerHello` accepts it.
     """
 
-    started_ms: int
+    started_ms: Count
     verdict: str
 
 
--- a/packages/platform/almondspan_platform/etcd_json.py
+++ b/packages/platform/almondspan_platform/etcd_json.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_platform import etcd_messages as etcd
 from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
 from almondspan_platform.registry import (
@@ -245,9 +246,10 @@
             return answer
         try:
             return msgspec.json.decode(answer, type=response_type)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.n_failed += 1
-            return CallFailed(f"invalid answer: {error}", may_have_applied=True)
+            reason = f"invalid answer: {decode_reason(error)}"
+            return CallFailed(reason, may_have_applied=True)
 
     def _use_next_address(self) -> None:
         self._address_index = (self._address_index + 1) % len(self._addresses)
@@ -270,7 +272,12 @@
 
 
 def _key_value(kv: etcd.EtcdKeyValue) -> KeyValue:
-    return KeyValue(kv.key.decode(), kv.value, Revision(int(kv.mod_revision)))
+    return KeyValue(_text(kv.key), kv.value, Revision(int(kv.mod_revision)))
+
+
+def _text(key: bytes) -> str:
+    """Return a key as text; one that is not UTF-8 belongs to another writer."""
+    return key.decode(errors="replace")
 
 
 def _prefix_range(prefix: str) -> tuple[bytes, bytes]:
@@ -303,7 +310,7 @@
     if answer.status == 404:
         try:
             error = msgspec.json.decode(answer.body, type=etcd.ErrorBody)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return Unavailable(answer.reason)
         if error.code == etcd.CODE_NOT_FOUND:
             return LeaseLapsed()
@@ -323,8 +330,8 @@
         return WatchLost(line.reason)
     try:
         body = msgspec.json.decode(line, type=etcd.WatchLine)
-    except msgspec.DecodeError as error:
-        return WatchLost(f"invalid answer: {error}")
+    except DECODE_ERRORS as error:
+        return WatchLost(f"invalid answer: {decode_reason(error)}")
     if body.error is not None or body.result is None:
         return WatchLost(f"the store rejected the watch: {body.error}")
     result = body.result
@@ -342,6 +349,6 @@
         tuple(
             _key_value(newest.kv) for newest in last.values() if newest.type == "PUT"
         ),
-        tuple(key.decode() for key, newest in last.items() if newest.type == "DELETE"),
+        tuple(_text(key) for key, newest in last.items() if newest.type == "DELETE"),
         Revision(max(int(event.kv.mod_revision) for event in events)),
     )
--- a/packages/platform/almondspan_platform/http_json.py
+++ b/packages/platform/almondspan_platform/http_json.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_decisions.ids import TaskId
 from almondspan_platform.http_calls import CallFailed, HttpCaller, HttpOptions
 from almondspan_platform.registry import (
@@ -173,10 +174,14 @@
         self, answer: bytes, response_type: type[Response]
     ) -> Response | WorkerUnavailable:
         try:
-            return msgspec.json.decode(answer, type=response_type)
-        except msgspec.DecodeError as error:
+            found = msgspec.json.decode(answer, type=response_type)
+            # Messages hold numbers of 64 bits; JSON holds longer ones.
+            msgspec.msgpack.encode(found)
+            return found
+        except DECODE_ERRORS as error:
             self.n_failed += 1
-            return WorkerUnavailable(f"invalid answer from the worker: {error}")
+            reason = f"invalid answer from the worker: {decode_reason(error)}"
+            return WorkerUnavailable(reason)
 
 
 @worker_adapter("http_json")
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -1,6 +1,7 @@
 """The scheduler: releases, acknowledgements, failure budgets and commands."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 from scheduler_harness import (
@@ -349,3 +350,41 @@
     harness.report_worker(cpu_millicores=5_000)
     harness.plan_and_store()
     assert len(harness.take_sent(StartCommand)) == 2
+
+
+def test_pair_of_images_that_is_stored_twice_raises_nothing(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against owners that end one after the other on the same record."""
+    serving = replace(STEP, lasts=True, image="live", tail_target_ms=10)
+    record = InterferenceRecord(
+        [("live", "heavy", 1.0, 0.5), ("live", "heavy", 3.0, 0.5)], {}
+    )
+    harness.scheduler.load_interference(record)
+    harness.report_worker()
+    harness.add(serving)
+    harness.advance(1.0)
+    harness.list_worker(running=[(TASK, 1, "", 100, 5.0)])
+    harness.advance(2.0)
+    weights = harness.scheduler.interference_weights.weights
+    assert [pair for pair in weights] == [(Image("live"), Image("heavy"))]
+
+
+@pytest.mark.parametrize(
+    ("ended", "running"),
+    [
+        pytest.param([(1, TASK, 1, "melted", "")], [], id="unknown_end"),
+        pytest.param([(1, "a.0.0." + "9" * 5_000, 1, "done", "")], [], id="end_name"),
+        pytest.param([], [("a.0.0." + "9" * 5_000, 1, "", 0, 0.0)], id="task_name"),
+    ],
+)
+def test_odd_row_of_a_listing_raises_nothing(
+    harness: SchedulerHarness,
+    ended: list[tuple[int, str, int, str, str]],
+    running: list[tuple[str, int, str, int, float]],
+) -> None:
+    """Guards against the end of the link to the agent that forwards the listing."""
+    harness.report_worker()
+    harness.add()
+    harness.list_worker(ended=ended, running=running)
+    assert harness.scheduler.jobs[JOB].state is JobState.RUNNING
--- a/tests/platform/test_http_json.py
+++ b/tests/platform/test_http_json.py
@@ -81,3 +81,34 @@
     assert not outcome.may_have_applied
     assert worker.n_sent == 2
     await worker.close()
+
+
+INFO = '{"worker_id": "w", "capacity": {"cpu_millicores": %s}, "lease_s": 5.0}'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(
+            '{"more":' + "[" * 5_000 + "]" * 5_000 + "}", id="nested-too-deeply"
+        ),
+        pytest.param(INFO % ("9" * 30), id="number-too-large"),
+    ],
+)
+async def test_odd_answer_is_no_answer(body: str) -> None:
+    """Guards against an answer that raises in the task that made the call."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write((head + body).encode())
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    worker = HttpJsonWorker(f"http://127.0.0.1:{port}")
+    await worker.start()
+    assert isinstance(await worker.info(), WorkerUnavailable)
+    await worker.close()
+    server.close()
