Count no crash that the task has outlived

What callers saw: lasting jobs were failed beside tasks that crash their workers, and where workers lose power in waves, since each crash under a lasting task was counted for good.

Evidence for a task was never used: one that has run for 10 s does not crash its worker after 3 s.

Every listing tells how long the attempt has run by the worker's own clock (at least), and the moment a worker fell silent how long it can have run at most. A crash does not count if an earlier attempt ran for longer, and is taken back (`crashes_disproved`) if a later one does. Both bounds are safe: delays only widen them. Tasks that resume from checkpoints, and best-effort tasks, which may be held back, are left out, since their attempts differ.

Not taken: the same for all tasks, as a task that resumes from a checkpoint crashes its worker earlier in each attempt.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -18,7 +18,10 @@
 5. A crash of which another task, or none of the task's job, is the cause does not count
    for a task, unless it is in doubt, or its start is uncertain, or it has been on
    `N_CRASHES_APART` workers that crashed.
-6. A start without an answer may have crashed its worker. Such crashes can't be proven,
+6. A task that neither resumes from checkpoints nor is held back would crash its workers
+   after the same time in each attempt. A crash that it has outlived, in an earlier or a
+   later attempt, is not its own and does not count.
+7. A start without an answer may have crashed its worker. Such crashes can't be proven,
    but a task is given up if there are `MAX_POSSIBLE_CRASHES` with those that are.
 """
 
@@ -27,7 +30,7 @@
 from typing import Final
 
 from almondspan_decisions.ids import JobId
-from almondspan_decisions.job_graph import TaskKey
+from almondspan_decisions.job_graph import StepSpec, TaskKey
 from almondspan_decisions.job_progress import TaskState
 
 __all__ = [
@@ -41,6 +44,7 @@
     "blame",
     "is_in_doubt",
     "jobs_at_fault",
+    "runs_alike",
 ]
 
 MAX_CRASHES: Final = 4
@@ -82,6 +86,8 @@
     """Whether the worker is known to have started it."""
     is_in_doubt: bool
     was_on_trial: bool
+    is_outlived: bool = False
+    """Whether an earlier attempt has run for longer."""
 
     @property
     def is_at_limit(self) -> bool:
@@ -125,6 +131,11 @@
     return worker.job_ids.intersection(*(peer.job_ids for peer in peers))
 
 
+def runs_alike(step: StepSpec) -> bool:
+    """Return whether all attempts at a task of a step begin and proceed alike."""
+    return not step.saves_progress and not step.fills
+
+
 def is_in_doubt(task: TaskState) -> bool:
     """Return whether a task may have crashed its worker by starting there.
 
@@ -171,7 +182,11 @@
     task: CrashedTask, culprit: CrashedTask | None, at_fault: frozenset[JobId] | None
 ) -> bool:
     """Return whether a task may have crashed its worker."""
-    if task.is_in_doubt or not task.is_proven:
+    if not task.is_proven:
+        return True
+    if task.is_outlived:
+        return False
+    if task.is_in_doubt:
         return True
     if task.n_crashes >= N_CRASHES_APART:
         return True
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -107,6 +107,10 @@
     start: StartOutcome = StartOutcome.NOT_SENT
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
+    survived_s: float = 0.0
+    """Longest time for which an attempt is known to have run without a crash."""
+    crash_bounds_s: list[float] = field(default_factory=list)
+    """For proven crashes known to this owner, how long the attempt ran at most."""
     crashed_attempt: int = 0
     """The latest attempt whose worker is known to have crashed; 0 if there is none."""
     placed_s: float = 0.0
@@ -115,6 +119,8 @@
     is_stopping: bool = False
     is_revoking: bool = False
     """The attempt is being revoked: proven absent, so that it can never start."""
+    first_listed_ms: int | None = None
+    """The worker's clock as it first listed the attempt."""
     percent: int = 0
     """Progress of the attempt in percent, as reported by the worker."""
     percent_s: float = 0.0
@@ -129,6 +135,7 @@
         """Clear the command and report state of the previous attempt."""
         self.is_stored = self.is_stopping = self.is_revoking = False
         self.is_inherited = False
+        self.first_listed_ms = None
         self.n_sends = self.percent = 0
         self.start = StartOutcome.NOT_SENT
         self.sent_s = self.listed_s = self.held_s = 0.0
@@ -149,10 +156,35 @@
         elif self.start is StartOutcome.SENT:
             self.start = StartOutcome.UNCERTAIN
 
-    def record_crash(self, *, is_proven: bool) -> None:
-        """Count a crash of a worker that had started the task, or may have."""
+    def record_run(self, clock_ms: int) -> int:
+        """Record that the worker lists the attempt at a time of its clock.
+
+        Returns the number of counted crashes that this disproves: what crashes a worker
+        after some time does not run for longer.
+        """
+        if self.first_listed_ms is None:
+            self.first_listed_ms = clock_ms
+        ran_s = (clock_ms - self.first_listed_ms) / 1000
+        self.survived_s = max(self.survived_s, ran_s)
+        disproved = [bound_s for bound_s in self.crash_bounds_s if bound_s < ran_s]
+        for bound_s in disproved:
+            self.crash_bounds_s.remove(bound_s)
+        self.n_crashes -= len(disproved)
+        return len(disproved)
+
+    def record_crash(self, *, is_proven: bool, bound_s: float) -> None:
+        """Count a crash of a worker that had started the task, or may have.
+
+        Parameters
+        ----------
+        is_proven : bool
+            Whether the worker is known to have started the task.
+        bound_s : float
+            How long the attempt ran at most.
+        """
         if is_proven:
             self.n_crashes += 1
+            self.crash_bounds_s.append(bound_s)
         else:
             self.n_unproven_crashes += 1
 
@@ -353,6 +385,7 @@
         ):
             return False
         task.incarnation = incarnation
+        task.first_listed_ms = None
         return True
 
     def end(
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from almondspan_decisions.crash_blame import is_in_doubt
+from almondspan_decisions.crash_blame import is_in_doubt, runs_alike
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
@@ -78,7 +78,7 @@
         for end in listing.ended:
             self._on_end(incarnation, lease, end)
         for row in listing.running:
-            self._on_running(incarnation, row, now_s, listing.is_paced)
+            self._on_running(incarnation, row, listing, now_s)
         grew = lease.renewal(listing.clock_ms, now_s, self._confirmed_s())
         acknowledged = lease.acknowledge_stored(self._table.is_stored)
         if grew or acknowledged:
@@ -128,8 +128,8 @@
         self,
         incarnation: WorkerIncarnation,
         row: tuple[str, int, str, int, float],
+        listing: WorkerListing,
         now_s: float,
-        is_paced: bool,
     ) -> None:
         name, attempt, checkpoint, percent, _ = row
         found = self._table.find_task(name)
@@ -147,11 +147,31 @@
             self._assignments.end_trial(job, key, incarnation)
         if checkpoint:
             task.checkpoint = checkpoint
-        is_held = is_paced and job.step_of(key).fills
+        self._check_crashes(job, key, task, listing.clock_ms)
+        is_held = listing.is_paced and job.step_of(key).fills
         if percent > task.percent or is_held:
             task.percent = percent
             task.percent_s = now_s
 
+    def _check_crashes(
+        self, job: JobProgress, key: TaskKey, task: TaskState, clock_ms: int
+    ) -> None:
+        """Take back the crashes that the attempt has outlived."""
+        step = job.step_of(key)
+        if not runs_alike(step):
+            return
+        n_disproved = task.record_run(clock_ms)
+        if n_disproved:
+            self._table.mark_dirty(job)
+            self._log.line(
+                "crashes_disproved",
+                task=format_task_name(job.job_id, key),
+                attempt=task.n_attempts,
+                n_disproved=n_disproved,
+                n_crashes=task.n_crashes,
+                survived_s=round(task.survived_s, 1),
+            )
+
     def tick(self, now_s: float) -> None:
         """Check every attempt, and send the commands that are due."""
         for incarnation, held in tuple(self._fleet.held.items()):
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -13,6 +13,7 @@
 ran, since a crash of several workers is no fault of a job that only some of them ran.
 """
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -47,6 +48,8 @@
     is_proven: bool
     """Whether the worker is known to have started it."""
     is_in_doubt: bool
+    bound_s: float
+    """How long the attempt ran at most."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +77,8 @@
 
     def on_silent(self, incarnation: WorkerIncarnation, now_s: float) -> None:
         """Remember when a worker fell silent, and the jobs that it ran."""
-        job_ids = frozenset(task.job_id for task in self._started_tasks(incarnation))
+        tasks = self._started_tasks(incarnation, now_s)
+        job_ids = frozenset(task.job_id for task in tasks)
         self._silent[incarnation] = SilentWorker(now_s, job_ids)
 
     def on_heard(self, incarnation: WorkerIncarnation) -> None:
@@ -85,12 +89,12 @@
         """Count a crash for the tasks that the worker may have started."""
         record = self._fleet.record_of(incarnation)
         was_sound = record is None or not record.has_crashed_lately(now_s)
-        tasks = self._started_tasks(incarnation)
+        tasks = self._started_tasks(incarnation, now_s)
         self._count_crash(incarnation, tasks, was_sound=was_sound)
 
     def on_lost(self, incarnation: WorkerIncarnation, now_s: float) -> None:
         """Remember the tasks of a worker whose lease has expired."""
-        tasks = self._started_tasks(incarnation)
+        tasks = self._started_tasks(incarnation, now_s)
         if tasks:
             node = self._fleet.home_agents.get(incarnation, "")
             self._lost[incarnation] = _LostWorker(node, now_s, tasks)
@@ -120,9 +124,11 @@
                 del self._silent[incarnation]
 
     def _started_tasks(
-        self, incarnation: WorkerIncarnation
+        self, incarnation: WorkerIncarnation, now_s: float
     ) -> tuple[_StartedTask, ...]:
         """Return the tasks that a worker has started, or may have started."""
+        silent = self._silent.get(incarnation)
+        last_s = silent.silent_s if silent is not None else now_s
         found = []
         for job_id, key in self._fleet.held_by(incarnation):
             task = self._table[job_id].task(key)
@@ -135,6 +141,7 @@
                         task.n_attempts,
                         task.start is StartOutcome.STARTED,
                         is_in_doubt(task),
+                        math.inf if task.is_inherited else last_s - task.placed_s,
                     )
                 )
         return tuple(found)
@@ -157,8 +164,9 @@
             n_counted=len(verdict.counted),
             is_alone=at_fault is None,
         )
+        bounds_s = {(task.job_id, task.key): task.bound_s for task in started}
         for task in verdict.counted:
-            self._count(task)
+            self._count(task, bounds_s[task.job_id, task.key])
         for task in verdict.given_up:
             self._give_up(task, incarnation, n_beside=len(tasks) - 1)
 
@@ -188,13 +196,14 @@
             started.is_proven,
             started.is_in_doubt,
             was_on_trial=task.is_in_doubt,
+            is_outlived=started.bound_s < task.survived_s,
         )
 
-    def _count(self, crashed: CrashedTask) -> None:
+    def _count(self, crashed: CrashedTask, bound_s: float) -> None:
         job = self._table[crashed.job_id]
         task = job.task(crashed.key)
         assert task is not None
-        task.record_crash(is_proven=crashed.is_proven)
+        task.record_crash(is_proven=crashed.is_proven, bound_s=bound_s)
         task.is_in_doubt |= crashed.is_in_doubt
         self._table.mark_dirty(job)
 
--- a/tests/decisions/test_crash_blame.py
+++ b/tests/decisions/test_crash_blame.py
@@ -27,6 +27,7 @@
     is_proven: bool = True
     is_in_doubt: bool = False
     was_on_trial: bool = False
+    is_outlived: bool = False
     job: str = "job"
 
     def at(self, position: int) -> CrashedTask:
@@ -38,6 +39,7 @@
             self.is_proven,
             self.is_in_doubt,
             self.was_on_trial,
+            self.is_outlived,
         )
 
 
@@ -161,6 +163,23 @@
     assert [task.key.position for task in found.given_up] == given_up
 
 
+@pytest.mark.parametrize(
+    ("task", "is_counted"),
+    [
+        pytest.param(Had(2, is_outlived=True), False, id="seen_running"),
+        pytest.param(Had(0, is_in_doubt=True, is_outlived=True), False, id="in_doubt"),
+        pytest.param(
+            Had(0, is_proven=False, is_outlived=True), True, id="start_unanswered"
+        ),
+    ],
+)
+def test_crash_that_a_task_has_outlived_does_not_count(
+    task: Had, is_counted: bool
+) -> None:
+    found = blame([task.at(0)], was_worker_sound=True, at_fault=None)
+    assert bool(found.counted) is is_counted
+
+
 @pytest.mark.parametrize(
     ("task", "is_counted"),
     [
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -24,6 +24,7 @@
 from almondspan_platform.task_worker import Verdict
 
 OTHER = WorkerId("w-2")
+SHAPE = Shape(100, 100)
 
 
 @pytest.fixture
@@ -438,3 +439,59 @@
     node = crashed.replace("w", "node")
     harness.report_worker(WorkerId("w-9"), STARTED_MS + 1, node=node)
     assert task_of(harness).n_crashes == 1
+
+
+def run_and_crash(harness: SchedulerHarness, crash: int, run_s: float) -> None:
+    """Let the task run on the next worker, list it meanwhile, and crash the worker."""
+    worker, started_ms = WorkerId(f"w-{crash}"), STARTED_MS + crash
+    harness.plan_and_store()
+    harness.answer_starts()
+    row = (TASK, task_of(harness).n_attempts, "", 5, 0.0)
+    for _ in range(2):
+        harness.list_worker(worker, started_ms, running=[row])
+        harness.now_s += run_s / 2
+    harness.list_worker(worker, started_ms, running=[row])
+    harness.fail_poll(worker, started_ms)
+    harness.now_s += 0.5
+    harness.report_worker(WorkerId(f"w-{crash + 1}"), started_ms + 1)
+
+
+@pytest.mark.parametrize(
+    ("run_times_s", "step", "n_crashes"),
+    [
+        pytest.param([1.0, 1.0], StepSpec(1, SHAPE, lasts=True), 2, id="alike"),
+        pytest.param([1.0, 3.0], StepSpec(1, SHAPE, lasts=True), 1, id="later_longer"),
+        pytest.param(
+            [3.0, 1.0], StepSpec(1, SHAPE, lasts=True), 1, id="earlier_longer"
+        ),
+        pytest.param(
+            [1.0, 1.0, 3.0, 1.0], StepSpec(1, SHAPE, lasts=True), 1, id="all_but_one"
+        ),
+        pytest.param(
+            [1.0, 3.0],
+            StepSpec(1, SHAPE, estimate_ms=9_000, saves_progress=True),
+            2,
+            id="resumes_from_checkpoints",
+        ),
+        pytest.param(
+            [1.0, 3.0],
+            StepSpec(1, SHAPE, estimate_ms=9_000, fills=True),
+            2,
+            id="held_back",
+        ),
+    ],
+)
+def test_crash_that_the_task_has_outlived_is_taken_back(
+    harness: SchedulerHarness,
+    run_times_s: list[float],
+    step: StepSpec,
+    n_crashes: int,
+) -> None:
+    harness.report_worker(WorkerId("w-0"))
+    harness.add(step)
+    for crash, run_s in enumerate(run_times_s):
+        run_and_crash(harness, crash, run_s)
+    assert task_of(harness).n_crashes == n_crashes
+    assert ("crashes_disproved" in harness.log.events) is (
+        n_crashes < len(run_times_s) and run_times_s[0] < max(run_times_s)
+    )
