--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -23,7 +23,7 @@
     WatchEvent,
 )
 from almondspan_platform.task_worker import PollFailed, StartAnswer, StartTask, Verdict
-from almondspan_site.http_server import HttpServer
+from almondspan_site.http_server import MAX_BODY_BYTES, HttpServer
 from almondspan_site.http_task_worker import HttpTaskWorker
 from almondspan_site.kv_store import KvStore
 from almondspan_site.worker_reports import WorkerReports
@@ -341,3 +341,21 @@
     assert log.lines[0][0] == "report_malformed"
     assert agent._incarnation is not None
     assert agent._incarnation.state.worker_id == WORKER
+
+
+@pytest.mark.parametrize(
+    ("n_bytes", "statuses"),
+    [
+        pytest.param(3_000_000, [200], id="long"),
+        pytest.param(MAX_BODY_BYTES - 200, [200], id="up_to_the_limit"),
+        pytest.param(MAX_BODY_BYTES, [413], id="too_long"),
+    ],
+)
+def test_report_of_allowed_length_is_accepted(
+    n_bytes: int, statuses: list[int]
+) -> None:
+    body = f'{{{REPORT}, "seq": 1, "born": 7, "more": "{"x" * n_bytes}"}}'
+    found, log, _ = asyncio.run(send_reports(("i-1", body)))
+    assert found == statuses
+    events = [event for event, _ in log.lines]
+    assert ("report_malformed" in events) is (statuses == [413])
