Count a crash that becomes known after that of a later attempt

Callers could see: a task that crashes its workers is started up to five times after the third crash (BUDGET), where some workers are back soon and others only after their lease.

Cause: a task kept the number of its latest attempt with a known crash, and a crash of an earlier attempt did not count. When a worker is back after its lease, the next attempt has been placed and may have crashed a worker that was back sooner.

Evidence: back_by_turns and back_after_the_next failed before (4 starts after 3 crashes; 1 crash counted of 2).

Change: only the attempt whose crash is known already is left out. Whether an attempt was a trial is remembered with it, since the task may be in doubt for a later one by then; the test of that is a guard and passed before, as the crash was ignored.

Why it works: an attempt is remembered as lost once, and forgotten when its crash is counted.

--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -47,6 +47,7 @@
     is_proven: bool
     """Whether the worker is known to have started it."""
     is_in_doubt: bool
+    was_on_trial: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +136,7 @@
                         task.n_attempts,
                         task.start is StartOutcome.STARTED,
                         is_in_doubt(task),
+                        was_on_trial=task.is_in_doubt,
                     )
                 )
         return tuple(found)
@@ -171,15 +173,16 @@
         return jobs_at_fault(silent, others, len(self._fleet.workers))
 
     def _crashed(self, started: _StartedTask) -> CrashedTask | None:
-        """Return a task that a crash concerns; None if its attempt has crashed before.
+        """Return a task that a crash concerns; None if it is known for the attempt.
 
-        An attempt ends with the first crash of its worker.
+        The crash of an earlier attempt's worker may become known later, when the worker
+        comes back after its lease.
         """
         job = self._table.jobs.get(started.job_id)
         task = job.task(started.key) if job is not None and job.is_active else None
-        if task is None or started.attempt <= task.crashed_attempt:
+        if task is None or started.attempt == task.crashed_attempt:
             return None
-        task.crashed_attempt = started.attempt
+        task.crashed_attempt = max(task.crashed_attempt, started.attempt)
         return CrashedTask(
             started.job_id,
             started.key,
@@ -187,7 +190,7 @@
             task.n_unproven_crashes,
             started.is_proven,
             started.is_in_doubt,
-            was_on_trial=task.is_in_doubt,
+            started.was_on_trial,
         )
 
     def _count(self, crashed: CrashedTask) -> None:
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -139,6 +139,17 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_known_after_that_of_the_next_attempt(harness: SchedulerHarness) -> None:
+    start(harness)
+    harness.advance(7.0)
+    harness.report_worker(OTHER, node="node-2")
+    harness.plan_and_store()
+    assert task_of(harness).n_attempts == 2
+    harness.answer_starts()
+    harness.report_worker(WorkerId("w-3"), STARTED_MS + 1, node="node-2")
+    harness.report_worker(WorkerId("w-4"), STARTED_MS + 1, node="node-1")
+
+
 def crash_under_a_new_owner(harness: SchedulerHarness) -> None:
     start(harness)
     reload(harness)
@@ -189,6 +200,9 @@
         pytest.param(crash_before_a_repeated_start, 1, 0, id="refused_repeated_start"),
         pytest.param(crash_twice_before_the_revocation, 1, 0, id="twice_an_attempt"),
         pytest.param(crash_after_the_lease, 1, 0, id="back_after_its_lease"),
+        pytest.param(
+            crash_known_after_that_of_the_next_attempt, 2, 0, id="back_after_the_next"
+        ),
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
         pytest.param(crash_without_an_answer_in_time, 0, 1, id="no_answer_in_time"),
@@ -273,6 +287,14 @@
     assert "task_given_up" in harness.log.events
 
 
+def test_crash_known_late_of_an_attempt_before_the_trial_is_no_failed_trial(
+    harness: SchedulerHarness,
+) -> None:
+    crash_known_after_that_of_the_next_attempt(harness)
+    harness.plan_and_store()
+    assert harness.scheduler.stored_states[JOB] is JobState.RUNNING
+
+
 def placed_on(harness: SchedulerHarness, n_tasks: int) -> list[str]:
     """Return the workers of the first tasks, "" for one that waits."""
     job = harness.scheduler.jobs[JOB]
--- a/tests/jobs/test_crashing_tasks.py
+++ b/tests/jobs/test_crashing_tasks.py
@@ -28,6 +28,11 @@
         machine.kill()
 
 
+def alternate_down_time(simulation: JobSimulation) -> None:
+    """Let every other worker be back long after its lease has expired."""
+    simulation.crash_down_s = 15.0 - simulation.crash_down_s
+
+
 def nothing(simulation: JobSimulation) -> None:
     pass
 
@@ -72,6 +77,7 @@
         pytest.param(SHORT, 0.01, nothing, 9.0, False, 1, id="back_after_its_lease"),
         pytest.param(SHORT, 0.8, nothing, 3.0, False, 1, id="in_its_run"),
         pytest.param(LONG, 4.0, nothing, 3.0, False, 1, id="late_in_its_run"),
+        pytest.param(LONG, 1.0, alternate_down_time, 3.0, False, 1, id="back_by_turns"),
         pytest.param(LASTING, 0.01, nothing, 3.0, False, 1, id="of_a_lasting_step"),
         pytest.param(SHORT, 0.01, kill_owner, 3.0, False, 1, id="owner_dies_with_it"),
         pytest.param(SHORT, 0.01, kill_all, 3.0, False, 1, id="all_die_with_it"),
