Count one crash once although the owner changes

Callers could see: a job shown as failed after fewer crashes under its tasks than the limits say: where a worker comes back under the same id and owners end before the attempt is revoked, each owner counts the same crash, as possible. With four owners after the first one crash is enough (LOST).

Cause: which attempt has a known crash was kept in the owner's memory only. The next owner takes the attempt, still assigned to the earlier incarnation, for one with an unknown start.

Evidence: known_to_two_owners failed before: 1 proven and 1 possible crash for one.

Change: the attempt is stored with the counts, in a field at the end of the row, which earlier versions ignore; a crash that counts for no task is stored too.

Why it works: the count and the attempt are in the same record.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -83,7 +83,7 @@
 class TaskState:
     """State of one task.
 
-    The fields up to `n_unproven_crashes` are stored, the rest are not.
+    The fields up to `crashed_attempt` are stored, the rest are not.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -96,6 +96,8 @@
     """Number of workers that had started the task and crashed under it."""
     n_unproven_crashes: int = 0
     """Number of workers that crashed and may have started the task."""
+    crashed_attempt: int = 0
+    """The latest attempt whose worker is known to have crashed; 0 if there is none."""
     is_inherited: bool = False
     """An earlier owner has assigned the attempt."""
     is_in_doubt: bool = False
@@ -107,8 +109,6 @@
     start: StartOutcome = StartOutcome.NOT_SENT
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
-    crashed_attempt: int = 0
-    """The latest attempt whose worker is known to have crashed; 0 if there is none."""
     placed_s: float = 0.0
     listed_s: float = 0.0
     """When the worker last listed the attempt as running; 0 if never."""
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -179,10 +179,13 @@
         comes back after its lease.
         """
         job = self._table.jobs.get(started.job_id)
-        task = job.task(started.key) if job is not None and job.is_active else None
+        if job is None or not job.is_active:
+            return None
+        task = job.task(started.key)
         if task is None or started.attempt == task.crashed_attempt:
             return None
         task.crashed_attempt = max(task.crashed_attempt, started.attempt)
+        self._table.mark_dirty(job)
         return CrashedTask(
             started.job_id,
             started.key,
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -129,6 +129,7 @@
     checkpoint: str = ""
     n_crashes: Count = 0
     n_unproven_crashes: Count = 0
+    crashed_attempt: Count = 0
 
 
 class _StoredProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -237,6 +238,7 @@
         task.checkpoint,
         task.n_crashes,
         task.n_unproven_crashes,
+        task.crashed_attempt,
     )
 
 
@@ -290,5 +292,6 @@
         row.checkpoint,
         row.n_crashes,
         row.n_unproven_crashes,
+        row.crashed_attempt,
         is_stored=True,
     )
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -156,6 +156,14 @@
     harness.report_worker(started_ms=STARTED_MS + 1)
 
 
+def crash_known_to_two_owners(harness: SchedulerHarness) -> None:
+    start(harness)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+    harness.plan_and_store()
+    reload(harness)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+
+
 def crash_listed_by_a_new_owner(harness: SchedulerHarness) -> None:
     start(harness)
     reload(harness)
@@ -203,6 +211,7 @@
         pytest.param(
             crash_known_after_that_of_the_next_attempt, 2, 0, id="back_after_the_next"
         ),
+        pytest.param(crash_known_to_two_owners, 1, 0, id="known_to_two_owners"),
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
         pytest.param(crash_without_an_answer_in_time, 0, 1, id="no_answer_in_time"),
@@ -244,7 +253,7 @@
     assert (task.n_crashes, task.n_unproven_crashes) == (n_proven, n_unproven)
 
 
-@pytest.mark.parametrize("n_missing", [1, 2])
+@pytest.mark.parametrize("n_missing", [1, 2, 3])
 def test_progress_stored_by_an_earlier_version_has_no_crashes(
     harness: SchedulerHarness, n_missing: int
 ) -> None:
