Count the crash of a later incarnation that runs the attempt

Cause: a start without an answer may take effect in the next incarnation. The listing assigns the attempt to that one, but the attempt counted as one whose worker has crashed already.

Evidence: later_incarnation failed before: the crash of the incarnation that had listed the task did not count, only that of the one before, as possible.

Change: an attempt that moves to a later incarnation has no known crash there.

Why it works: only a listing by the later incarnation moves it, so the task ran there.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -97,7 +97,8 @@
     n_unproven_crashes: int = 0
     """Number of workers that crashed and may have started the task."""
     crashed_attempt: int = 0
-    """The latest attempt whose worker is known to have crashed; 0 if there is none."""
+    """The latest attempt whose worker is known to have crashed; 0 if there is none, or
+    if a later incarnation of the worker runs the attempt."""
     is_inherited: bool = False
     """An earlier owner has assigned the attempt."""
     is_in_doubt: bool = False
@@ -353,6 +354,7 @@
         ):
             return False
         task.incarnation = incarnation
+        task.crashed_attempt = 0
         return True
 
     def end(
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -132,6 +132,15 @@
     harness.report_worker(started_ms=STARTED_MS + 2)
 
 
+def crash_of_the_later_incarnation_that_started_it(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.answer_starts(Verdict.NO_ANSWER)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+    harness.list_worker(started_ms=STARTED_MS + 1, running=[(TASK, 1, "", 10, 0.0)])
+    harness.report_worker(started_ms=STARTED_MS + 2)
+
+
 def crash_after_the_lease(harness: SchedulerHarness) -> None:
     start(harness)
     harness.advance(7.0)
@@ -211,6 +220,9 @@
         pytest.param(
             crash_known_after_that_of_the_next_attempt, 2, 0, id="back_after_the_next"
         ),
+        pytest.param(
+            crash_of_the_later_incarnation_that_started_it, 1, 1, id="later_incarnation"
+        ),
         pytest.param(crash_known_to_two_owners, 1, 0, id="known_to_two_owners"),
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
