Count a start whose answer is overdue as possible whatever the owner does next

Callers could see: a task that crashes its workers is started more often than its limit permits (BUDGET), where the owner's channel to the agent breaks before the answer, or the attempt is to be stopped.

Cause: a start without an answer became uncertain only when it was repeated, or would have been to a worker whose polls fail. While the channel is closed nothing is sent, and an attempt that is stopped gets no second start; the crash of its worker counted for nothing.

Evidence: cut_off and being_stopped failed before (no crash counted).

Change: the start becomes uncertain when the next command is due, before it is chosen and whether or not it can be sent, unless the attempt is being revoked, as after a refusal.

--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -171,6 +171,9 @@
             return
         if now_s - task.sent_s < self._options.command_resend_s:
             return
+        if not task.is_revoking:
+            # The answer to an earlier start, if one was sent, is overdue.
+            task.record_start(is_proven=False)
         if task.is_revoking or is_unwanted:
             self._send_stop(job, key, task, now_s)
         elif not task.listed_s and task.n_sends < MAX_START_SENDS:
@@ -214,8 +217,6 @@
         if self._fleet.is_unreachable(incarnation):
             if task.n_sends == 0:
                 self._assignments.release(job, key, "worker_unreachable")
-            else:
-                task.record_start(is_proven=False)
             return
         command = StartCommand(
             incarnation.started_ms,
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -96,6 +96,25 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_without_an_answer_while_cut_off(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.is_linked = False
+    harness.advance(0.7)
+    harness.is_linked = True
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
+def crash_without_an_answer_while_stopped(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.advance(0.3)
+    task_of(harness).request_stop()
+    harness.advance(0.2)
+    harness.advance(0.7)
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
 def crash_answered_the_second_time(harness: SchedulerHarness) -> None:
     harness.report_worker()
     harness.add()
@@ -119,6 +138,15 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_long_after_a_refused_start(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.answer_starts(Verdict.OTHER_INCARNATION)
+    harness.advance(0.7)
+    harness.advance(0.7)
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
 def crash_before_a_repeated_start(harness: SchedulerHarness) -> None:
     start(harness)
     harness.advance(0.7)
@@ -230,10 +258,13 @@
         pytest.param(
             crash_without_an_answer_after_a_failed_poll, 0, 1, id="poll_failed"
         ),
+        pytest.param(crash_without_an_answer_while_cut_off, 0, 1, id="cut_off"),
+        pytest.param(crash_without_an_answer_while_stopped, 0, 1, id="being_stopped"),
         pytest.param(crash_answered_by_a_successor, 0, 1, id="answer_of_a_successor"),
         pytest.param(crash_under_a_new_owner, 0, 1, id="under_a_new_owner"),
         pytest.param(crash_with_the_answer_expected, 0, 0, id="answer_expected"),
         pytest.param(crash_before_the_start, 0, 0, id="refused_start"),
+        pytest.param(crash_long_after_a_refused_start, 0, 0, id="refused_long_before"),
         pytest.param(cut_off_until_after_the_lease, 0, 0, id="cut_off_only"),
         pytest.param(start_not_sent, 0, 0, id="start_not_sent"),
         pytest.param(departure, 0, 0, id="departure"),
