Try a task in doubt apart also if none of its crashes is proven

Callers could see: a task that crashes its workers is given up later than it could be, since its trial had another task on trial beside it, and then no trial proves anything.

Cause: the choice of a worker took the cheapest at once for a task without proven crashes. Since possible crashes are counted by themselves, a task can be in doubt without a proven one.

Evidence: test_tasks_in_doubt_are_tried_one_at_a_time_on_a_worker with starts without an answer failed before: two tasks in doubt on one worker.

Change: a task in doubt takes part in the choice that leaves out workers with a trial.

--- a/packages/decisions/almondspan_decisions/step_placement.py
+++ b/packages/decisions/almondspan_decisions/step_placement.py
@@ -185,7 +185,7 @@
         """Return the cheapest worker for a task; None if no worker may run it now."""
         if not self._heap:
             return None
-        if not (task.avoided or task.n_crashes):
+        if not (task.avoided or task.n_crashes or task.is_in_doubt):
             return self._heap[0][2]
         entries = self._heap
         if task.is_in_doubt:
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -357,20 +357,23 @@
     ]
 
 
-def crash_under_three(harness: SchedulerHarness) -> None:
+def crash_under_three(
+    harness: SchedulerHarness, verdict: Verdict = Verdict.DONE
+) -> None:
     """Crash a worker right after it was told to start three tasks."""
     harness.report_worker()
     harness.add(StepSpec(3, Shape(100, 100), estimate_ms=1_000))
-    harness.answer_starts()
+    harness.answer_starts(verdict)
     harness.report_worker(OTHER, STARTED_MS + 1, node="node-2")
     harness.report_worker(WorkerId("w-3"), STARTED_MS + 2, node="node-1")
     harness.plan_and_store()
 
 
+@pytest.mark.parametrize("verdict", [Verdict.DONE, Verdict.NO_ANSWER])
 def test_tasks_in_doubt_are_tried_one_at_a_time_on_a_worker(
-    harness: SchedulerHarness,
+    harness: SchedulerHarness, verdict: Verdict
 ) -> None:
-    crash_under_three(harness)
+    crash_under_three(harness, verdict)
     assert sorted(placed_on(harness, 3)) == ["", "w-2", "w-3"]
 
 
