--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -83,7 +83,7 @@
 class TaskState:
     """State of one task.
 
-    The fields up to `n_unproven_crashes` are stored, the rest are not.
+    The fields up to `crashed_attempt` are stored, the rest are not.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -96,6 +96,9 @@
     """Number of workers that had started the task and crashed under it."""
     n_unproven_crashes: int = 0
     """Number of workers that crashed and may have started the task."""
+    crashed_attempt: int = 0
+    """The latest attempt whose worker is known to have crashed; 0 if there is none, or
+    if a later incarnation of the worker runs the attempt."""
     is_inherited: bool = False
     """An earlier owner has assigned the attempt."""
     is_in_doubt: bool = False
@@ -111,8 +114,6 @@
     """Longest time for which an attempt is known to have run without a crash."""
     crash_bounds_s: list[float] = field(default_factory=list)
     """For proven crashes known to this owner, how long the attempt ran at most."""
-    crashed_attempt: int = 0
-    """The latest attempt whose worker is known to have crashed; 0 if there is none."""
     placed_s: float = 0.0
     listed_s: float = 0.0
     """When the worker last listed the attempt as running; 0 if never."""
@@ -386,6 +387,7 @@
             return False
         task.incarnation = incarnation
         task.first_listed_ms = None
+        task.crashed_attempt = 0
         return True
 
     def end(
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _StartedTask:
-    """A task that a worker was told to start, with the attempt."""
+    """An attempt that a worker has started, or may have started."""
 
     job_id: JobId
     key: TaskKey
@@ -48,6 +48,7 @@
     is_proven: bool
     """Whether the worker is known to have started it."""
     is_in_doubt: bool
+    was_on_trial: bool
     bound_s: float
     """How long the attempt ran at most."""
 
@@ -141,7 +142,10 @@
                         task.n_attempts,
                         task.start is StartOutcome.STARTED,
                         is_in_doubt(task),
-                        math.inf if task.is_inherited else last_s - task.placed_s,
+                        was_on_trial=task.is_in_doubt,
+                        bound_s=(
+                            math.inf if task.is_inherited else last_s - task.placed_s
+                        ),
                     )
                 )
         return tuple(found)
@@ -179,15 +183,19 @@
         return jobs_at_fault(silent, others, len(self._fleet.workers))
 
     def _crashed(self, started: _StartedTask) -> CrashedTask | None:
-        """Return a task that a crash concerns; None if its attempt has crashed before.
+        """Return a task that a crash concerns; None if it is known for the attempt.
 
-        An attempt ends with the first crash of its worker.
+        The crash of an earlier attempt's worker may become known later, when the worker
+        comes back after its lease.
         """
         job = self._table.jobs.get(started.job_id)
-        task = job.task(started.key) if job is not None and job.is_active else None
-        if task is None or started.attempt <= task.crashed_attempt:
+        if job is None or not job.is_active:
             return None
-        task.crashed_attempt = started.attempt
+        task = job.task(started.key)
+        if task is None or started.attempt == task.crashed_attempt:
+            return None
+        task.crashed_attempt = max(task.crashed_attempt, started.attempt)
+        self._table.mark_dirty(job)
         return CrashedTask(
             started.job_id,
             started.key,
@@ -195,7 +203,7 @@
             task.n_unproven_crashes,
             started.is_proven,
             started.is_in_doubt,
-            was_on_trial=task.is_in_doubt,
+            started.was_on_trial,
             is_outlived=started.bound_s < task.survived_s,
         )
 
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -97,6 +97,25 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_without_an_answer_while_cut_off(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.is_linked = False
+    harness.advance(0.7)
+    harness.is_linked = True
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
+def crash_without_an_answer_while_stopped(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.advance(0.3)
+    task_of(harness).request_stop()
+    harness.advance(0.2)
+    harness.advance(0.7)
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
 def crash_answered_the_second_time(harness: SchedulerHarness) -> None:
     harness.report_worker()
     harness.add()
@@ -120,6 +139,15 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_long_after_a_refused_start(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.answer_starts(Verdict.OTHER_INCARNATION)
+    harness.advance(0.7)
+    harness.advance(0.7)
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
 def crash_before_a_repeated_start(harness: SchedulerHarness) -> None:
     start(harness)
     harness.advance(0.7)
@@ -133,6 +161,15 @@
     harness.report_worker(started_ms=STARTED_MS + 2)
 
 
+def crash_of_the_later_incarnation_that_started_it(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.answer_starts(Verdict.NO_ANSWER)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+    harness.list_worker(started_ms=STARTED_MS + 1, running=[(TASK, 1, "", 10, 0.0)])
+    harness.report_worker(started_ms=STARTED_MS + 2)
+
+
 def crash_after_the_lease(harness: SchedulerHarness) -> None:
     start(harness)
     harness.advance(7.0)
@@ -140,12 +177,31 @@
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_known_after_that_of_the_next_attempt(harness: SchedulerHarness) -> None:
+    start(harness)
+    harness.advance(7.0)
+    harness.report_worker(OTHER, node="node-2")
+    harness.plan_and_store()
+    assert task_of(harness).n_attempts == 2
+    harness.answer_starts()
+    harness.report_worker(WorkerId("w-3"), STARTED_MS + 1, node="node-2")
+    harness.report_worker(WorkerId("w-4"), STARTED_MS + 1, node="node-1")
+
+
 def crash_under_a_new_owner(harness: SchedulerHarness) -> None:
     start(harness)
     reload(harness)
     harness.report_worker(started_ms=STARTED_MS + 1)
 
 
+def crash_known_to_two_owners(harness: SchedulerHarness) -> None:
+    start(harness)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+    harness.plan_and_store()
+    reload(harness)
+    harness.report_worker(started_ms=STARTED_MS + 1)
+
+
 def crash_listed_by_a_new_owner(harness: SchedulerHarness) -> None:
     start(harness)
     reload(harness)
@@ -190,16 +246,26 @@
         pytest.param(crash_before_a_repeated_start, 1, 0, id="refused_repeated_start"),
         pytest.param(crash_twice_before_the_revocation, 1, 0, id="twice_an_attempt"),
         pytest.param(crash_after_the_lease, 1, 0, id="back_after_its_lease"),
+        pytest.param(
+            crash_known_after_that_of_the_next_attempt, 2, 0, id="back_after_the_next"
+        ),
+        pytest.param(
+            crash_of_the_later_incarnation_that_started_it, 1, 1, id="later_incarnation"
+        ),
+        pytest.param(crash_known_to_two_owners, 1, 0, id="known_to_two_owners"),
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
         pytest.param(crash_without_an_answer_in_time, 0, 1, id="no_answer_in_time"),
         pytest.param(
             crash_without_an_answer_after_a_failed_poll, 0, 1, id="poll_failed"
         ),
+        pytest.param(crash_without_an_answer_while_cut_off, 0, 1, id="cut_off"),
+        pytest.param(crash_without_an_answer_while_stopped, 0, 1, id="being_stopped"),
         pytest.param(crash_answered_by_a_successor, 0, 1, id="answer_of_a_successor"),
         pytest.param(crash_under_a_new_owner, 0, 1, id="under_a_new_owner"),
         pytest.param(crash_with_the_answer_expected, 0, 0, id="answer_expected"),
         pytest.param(crash_before_the_start, 0, 0, id="refused_start"),
+        pytest.param(crash_long_after_a_refused_start, 0, 0, id="refused_long_before"),
         pytest.param(cut_off_until_after_the_lease, 0, 0, id="cut_off_only"),
         pytest.param(start_not_sent, 0, 0, id="start_not_sent"),
         pytest.param(departure, 0, 0, id="departure"),
@@ -231,7 +297,7 @@
     assert (task.n_crashes, task.n_unproven_crashes) == (n_proven, n_unproven)
 
 
-@pytest.mark.parametrize("n_missing", [1, 2])
+@pytest.mark.parametrize("n_missing", [1, 2, 3])
 def test_progress_stored_by_an_earlier_version_has_no_crashes(
     harness: SchedulerHarness, n_missing: int
 ) -> None:
@@ -274,6 +340,14 @@
     assert "task_given_up" in harness.log.events
 
 
+def test_crash_known_late_of_an_attempt_before_the_trial_is_no_failed_trial(
+    harness: SchedulerHarness,
+) -> None:
+    crash_known_after_that_of_the_next_attempt(harness)
+    harness.plan_and_store()
+    assert harness.scheduler.stored_states[JOB] is JobState.RUNNING
+
+
 def placed_on(harness: SchedulerHarness, n_tasks: int) -> list[str]:
     """Return the workers of the first tasks, "" for one that waits."""
     job = harness.scheduler.jobs[JOB]
@@ -284,20 +358,23 @@
     ]
 
 
-def crash_under_three(harness: SchedulerHarness) -> None:
+def crash_under_three(
+    harness: SchedulerHarness, verdict: Verdict = Verdict.DONE
+) -> None:
     """Crash a worker right after it was told to start three tasks."""
     harness.report_worker()
     harness.add(StepSpec(3, Shape(100, 100), estimate_ms=1_000))
-    harness.answer_starts()
+    harness.answer_starts(verdict)
     harness.report_worker(OTHER, STARTED_MS + 1, node="node-2")
     harness.report_worker(WorkerId("w-3"), STARTED_MS + 2, node="node-1")
     harness.plan_and_store()
 
 
+@pytest.mark.parametrize("verdict", [Verdict.DONE, Verdict.NO_ANSWER])
 def test_tasks_in_doubt_are_tried_one_at_a_time_on_a_worker(
-    harness: SchedulerHarness,
+    harness: SchedulerHarness, verdict: Verdict
 ) -> None:
-    crash_under_three(harness)
+    crash_under_three(harness, verdict)
     assert sorted(placed_on(harness, 3)) == ["", "w-2", "w-3"]
 
 
