Count a crash as possible where it was not counted at all

Two rules that rest on likelihood decided that a crash does not count. What is unlikely happens again and again if the tasks keep in step.

Such a crash counts as possible, and possible and proven ones are limited to five, as for starts without an answer. Crashes of both kinds are taken back if the task outlives them. `blame` returns the tasks of each kind.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -15,14 +15,13 @@
    `MAX_CRASHES` workers have crashed is given up in any case.
 4. If a large share of all workers falls silent at the same moment, they crash from one
    cause. It can only be a job that had tasks on each of them.
-5. A crash of which another task, or none of the task's job, is the cause does not count
-   for a task, unless it is in doubt, or its start is uncertain, or it has been on
-   `N_CRASHES_APART` workers that crashed.
+5. A crash that has such a cause, or of which another task is known to be the cause, is
+   only possible for a task, unless it is in doubt or has been on `N_CRASHES_APART`
+   workers that crashed. So is a crash of a worker that has not answered the start.
+   A task is given up at `MAX_POSSIBLE_CRASHES`, possible and proven ones together.
 6. A task that neither resumes from checkpoints nor is held back would crash its workers
    after the same time in each attempt. A crash that it has outlived, in an earlier or a
    later attempt, is not its own and does not count.
-7. A start without an answer may have crashed its worker. Such crashes can't be proven,
-   but a task is given up if there are `MAX_POSSIBLE_CRASHES` with those that are.
 """
 
 from collections.abc import Iterable, Sequence
@@ -89,20 +88,17 @@
     is_outlived: bool = False
     """Whether an earlier attempt has run for longer."""
 
-    @property
-    def is_at_limit(self) -> bool:
-        """Whether no further crash is allowed, this one included."""
-        n_crashes = self.n_crashes + self.is_proven
-        n_possible = self.n_crashes + self.n_unproven_crashes + 1
-        return n_crashes >= MAX_CRASHES or n_possible >= MAX_POSSIBLE_CRASHES
-
 
 @dataclass(frozen=True, slots=True)
 class CrashBlame:
-    """The tasks for which a crash counts, and those of them to give up."""
+    """What a crash means for the tasks of its worker."""
 
-    counted: tuple[CrashedTask, ...]
+    proven: tuple[CrashedTask, ...]
+    """Tasks for which it counts as proven."""
+    possible: tuple[CrashedTask, ...]
+    """Tasks for which it counts as possible only."""
     given_up: tuple[CrashedTask, ...]
+    """Those of both to give up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,9 +161,23 @@
         What `jobs_at_fault` returns.
     """
     culprit = _failed_trial(tasks) if was_worker_sound else None
-    counted = tuple(task for task in tasks if _is_suspect(task, culprit, at_fault))
-    given_up = tuple(task for task in counted if task is culprit or task.is_at_limit)
-    return CrashBlame(counted, given_up)
+    counted = [task for task in tasks if not (task.is_outlived and task.is_proven)]
+    suspects = tuple(task for task in counted if _is_suspect(task, culprit, at_fault))
+    proven = tuple(task for task in suspects if task.is_proven)
+    possible = tuple(task for task in counted if task not in proven)
+    given_up = tuple(
+        task
+        for task in counted
+        if task is culprit or _is_at_limit(task, is_proven=task in proven)
+    )
+    return CrashBlame(proven, possible, given_up)
+
+
+def _is_at_limit(task: CrashedTask, *, is_proven: bool) -> bool:
+    """Return whether a task may have no further crash, this one included."""
+    n_crashes = task.n_crashes + is_proven
+    n_possible = task.n_crashes + task.n_unproven_crashes + 1
+    return n_crashes >= MAX_CRASHES or n_possible >= MAX_POSSIBLE_CRASHES
 
 
 def _failed_trial(tasks: Sequence[CrashedTask]) -> CrashedTask | None:
@@ -181,13 +191,7 @@
 def _is_suspect(
     task: CrashedTask, culprit: CrashedTask | None, at_fault: frozenset[JobId] | None
 ) -> bool:
-    """Return whether a task may have crashed its worker."""
-    if not task.is_proven:
-        return True
-    if task.is_outlived:
-        return False
-    if task.is_in_doubt:
-        return True
-    if task.n_crashes >= N_CRASHES_APART:
+    """Return whether a task is as likely to have crashed its worker as any other."""
+    if task.is_in_doubt or task.n_crashes >= N_CRASHES_APART:
         return True
     return culprit is None and (at_fault is None or task.job_id in at_fault)
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -16,6 +16,7 @@
 from almondspan_decisions.job_graph import JobSpec, StepSpec, TaskKey
 
 __all__ = [
+    "CrashBound",
     "EndKind",
     "JobProgress",
     "JobState",
@@ -79,6 +80,15 @@
     started_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class CrashBound:
+    """A counted crash, and how long the attempt ran at most."""
+
+    bound_s: float
+    is_proven: bool
+    """Whether it counts as proven, and not as possible only."""
+
+
 @dataclass(slots=True)
 class TaskState:
     """State of one task.
@@ -95,7 +105,7 @@
     n_crashes: int = 0
     """Number of workers that had started the task and crashed under it."""
     n_unproven_crashes: int = 0
-    """Number of workers that crashed and may have started the task."""
+    """Number of workers that may have started the task, or crashed of another cause."""
     crashed_attempt: int = 0
     """The latest attempt whose worker is known to have crashed; 0 if there is none, or
     if a later incarnation of the worker runs the attempt."""
@@ -112,8 +122,8 @@
     """When the latest command for the attempt was sent."""
     survived_s: float = 0.0
     """Longest time for which an attempt is known to have run without a crash."""
-    crash_bounds_s: list[float] = field(default_factory=list)
-    """For proven crashes known to this owner, how long the attempt ran at most."""
+    crash_bounds: list[CrashBound] = field(default_factory=list)
+    """For each counted crash that is known to this owner."""
     placed_s: float = 0.0
     listed_s: float = 0.0
     """When the worker last listed the attempt as running; 0 if never."""
@@ -167,25 +177,19 @@
             self.first_listed_ms = clock_ms
         ran_s = (clock_ms - self.first_listed_ms) / 1000
         self.survived_s = max(self.survived_s, ran_s)
-        disproved = [bound_s for bound_s in self.crash_bounds_s if bound_s < ran_s]
-        for bound_s in disproved:
-            self.crash_bounds_s.remove(bound_s)
-        self.n_crashes -= len(disproved)
+        disproved = [crash for crash in self.crash_bounds if crash.bound_s < ran_s]
+        for crash in disproved:
+            self.crash_bounds.remove(crash)
+        n_proven = sum(crash.is_proven for crash in disproved)
+        self.n_crashes -= n_proven
+        self.n_unproven_crashes -= len(disproved) - n_proven
         return len(disproved)
 
-    def record_crash(self, *, is_proven: bool, bound_s: float) -> None:
-        """Count a crash of a worker that had started the task, or may have.
-
-        Parameters
-        ----------
-        is_proven : bool
-            Whether the worker is known to have started the task.
-        bound_s : float
-            How long the attempt ran at most.
-        """
-        if is_proven:
+    def record_crash(self, crash: CrashBound) -> None:
+        """Count a crash of a worker that had started the task, or may have."""
+        self.crash_bounds.append(crash)
+        if crash.is_proven:
             self.n_crashes += 1
-            self.crash_bounds_s.append(bound_s)
         else:
             self.n_unproven_crashes += 1
 
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -26,7 +26,11 @@
 )
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
-from almondspan_decisions.job_progress import StartOutcome, WorkerIncarnation
+from almondspan_decisions.job_progress import (
+    CrashBound,
+    StartOutcome,
+    WorkerIncarnation,
+)
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.job_table import JobTable
@@ -165,12 +169,14 @@
             "crash_counted",
             worker=incarnation.worker_id,
             n_started=len(tasks),
-            n_counted=len(verdict.counted),
+            n_proven=len(verdict.proven),
+            n_possible=len(verdict.possible),
             is_alone=at_fault is None,
         )
         bounds_s = {(task.job_id, task.key): task.bound_s for task in started}
-        for task in verdict.counted:
-            self._count(task, bounds_s[task.job_id, task.key])
+        for task in (*verdict.proven, *verdict.possible):
+            bound_s = bounds_s[task.job_id, task.key]
+            self._count(task, CrashBound(bound_s, task in verdict.proven))
         for task in verdict.given_up:
             self._give_up(task, incarnation, n_beside=len(tasks) - 1)
 
@@ -207,11 +213,11 @@
             is_outlived=started.bound_s < task.survived_s,
         )
 
-    def _count(self, crashed: CrashedTask, bound_s: float) -> None:
+    def _count(self, crashed: CrashedTask, bound: CrashBound) -> None:
         job = self._table[crashed.job_id]
         task = job.task(crashed.key)
         assert task is not None
-        task.record_crash(is_proven=crashed.is_proven, bound_s=bound_s)
+        task.record_crash(bound)
         task.is_in_doubt |= crashed.is_in_doubt
         self._table.mark_dirty(job)
 
--- a/tests/decisions/test_crash_blame.py
+++ b/tests/decisions/test_crash_blame.py
@@ -79,28 +79,34 @@
 
 
 @pytest.mark.parametrize(
-    ("tasks", "was_worker_sound", "counted", "given_up"),
+    ("tasks", "was_worker_sound", "proven", "possible", "given_up"),
     [
-        pytest.param([fresh(0), seen_running(0)], True, [0, 1], [], id="first_crash"),
-        pytest.param([on_trial(1), seen_running(1)], True, [0], [0], id="failed_trial"),
         pytest.param(
-            [on_trial(1), fresh(0)], True, [0, 1], [0], id="started_beside_a_trial"
+            [fresh(0), seen_running(0)], True, [0, 1], [], [], id="first_crash"
+        ),
+        pytest.param(
+            [on_trial(1), seen_running(1)], True, [0], [1], [0], id="failed_trial"
+        ),
+        pytest.param(
+            [on_trial(1), fresh(0)], True, [0, 1], [], [0], id="started_beside_a_trial"
         ),
         pytest.param(
             [on_trial(1), unanswered(0)],
             True,
-            [0, 1],
+            [0],
+            [1],
             [0],
             id="unanswered_beside_a_trial",
         ),
         pytest.param(
-            [on_trial(1), on_trial(1)], True, [0, 1], [], id="two_failed_trials"
+            [on_trial(1), on_trial(1)], True, [0, 1], [], [], id="two_failed_trials"
         ),
         pytest.param(
             [Had(1, was_on_trial=True), seen_running(0)],
             True,
             [0, 1],
             [],
+            [],
             id="trial_had_ended",
         ),
         pytest.param(
@@ -108,6 +114,7 @@
             False,
             [0, 1],
             [],
+            [],
             id="worker_had_just_crashed",
         ),
         pytest.param(
@@ -115,12 +122,14 @@
             True,
             [0, 1],
             [],
+            [],
             id="first_crash_unproven",
         ),
         pytest.param(
             [Had(1, 0, False, True, True), seen_running(0)],
             True,
-            [0, 1],
+            [1],
+            [0],
             [],
             id="failed_trial_unproven",
         ),
@@ -129,39 +138,54 @@
             True,
             [0, 1],
             [],
+            [],
             id="late_in_their_runs",
         ),
         pytest.param(
-            [seen_running(2), seen_running(1)], True, [0, 1], [0], id="last_crash"
+            [seen_running(2), seen_running(1)], True, [0, 1], [], [0], id="last_crash"
         ),
         pytest.param(
             [seen_running(2), on_trial(1)],
             True,
             [0, 1],
+            [],
             [0, 1],
             id="last_crash_beside_a_trial",
         ),
         pytest.param(
-            [seen_running(2)], False, [0], [0], id="last_crash_worker_not_sound"
+            [seen_running(1, 3), on_trial(1)],
+            True,
+            [1],
+            [0],
+            [0, 1],
+            id="last_possible_crash_beside_a_trial",
+        ),
+        pytest.param(
+            [seen_running(2)], False, [0], [], [0], id="last_crash_worker_not_sound"
         ),
-        pytest.param([on_trial(2)], True, [0], [0], id="last_crash_in_a_trial"),
+        pytest.param([on_trial(2)], True, [0], [], [0], id="last_crash_in_a_trial"),
         pytest.param(
-            [unanswered(2, 1)], True, [0], [], id="last_but_one_possible_crash"
+            [unanswered(2, 1)], True, [], [0], [], id="last_but_one_possible_crash"
         ),
-        pytest.param([unanswered(2, 2)], True, [0], [0], id="last_possible_crash"),
-        pytest.param([unanswered(0, 4)], True, [0], [0], id="last_unproven_crash"),
-        pytest.param([], True, [], [], id="nothing_ran"),
+        pytest.param([unanswered(2, 2)], True, [], [0], [0], id="last_possible_crash"),
+        pytest.param([unanswered(0, 4)], True, [], [0], [0], id="last_unproven_crash"),
+        pytest.param([], True, [], [], [], id="nothing_ran"),
     ],
 )
 def test_for_which_tasks_a_crash_counts(
-    tasks: list[Had], was_worker_sound: bool, counted: list[int], given_up: list[int]
+    tasks: list[Had],
+    was_worker_sound: bool,
+    proven: list[int],
+    possible: list[int],
+    given_up: list[int],
 ) -> None:
     found = blame(
         [task.at(position) for position, task in enumerate(tasks)],
         was_worker_sound=was_worker_sound,
         at_fault=None,
     )
-    assert [task.key.position for task in found.counted] == counted
+    assert [task.key.position for task in found.proven] == proven
+    assert [task.key.position for task in found.possible] == possible
     assert [task.key.position for task in found.given_up] == given_up
 
 
@@ -179,26 +203,28 @@
     task: Had, is_counted: bool
 ) -> None:
     found = blame([task.at(0)], was_worker_sound=True, at_fault=None)
-    assert bool(found.counted) is is_counted
+    assert bool(found.proven + found.possible) is is_counted
 
 
 @pytest.mark.parametrize(
-    ("task", "is_counted"),
+    ("task", "is_proven"),
     [
         pytest.param(Had(1), False, id="seen_running"),
         pytest.param(Had(1, job="culprit"), True, id="of_a_job_at_fault"),
         pytest.param(Had(2), True, id="two_crashes_before"),
         pytest.param(Had(0, is_in_doubt=True), True, id="in_doubt"),
-        pytest.param(Had(0, is_proven=False), True, id="start_unanswered"),
+        pytest.param(Had(0, is_proven=False), False, id="start_unanswered"),
     ],
 )
-def test_crash_of_many_workers_counts_only_for_suspects(
-    task: Had, is_counted: bool
+def test_crash_of_many_workers_is_proven_only_for_suspects(
+    task: Had, is_proven: bool
 ) -> None:
+    crashed = task.at(0)
     found = blame(
-        [task.at(0)], was_worker_sound=True, at_fault=frozenset({JobId("culprit")})
+        [crashed], was_worker_sound=True, at_fault=frozenset({JobId("culprit")})
     )
-    assert bool(found.counted) is is_counted
+    assert found.proven == ((crashed,) if is_proven else ())
+    assert found.possible == (() if is_proven else (crashed,))
 
 
 SILENT_S = 50.0
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -494,7 +494,8 @@
         harness.fail_poll(worker)
     node = crashed.replace("w", "node")
     harness.report_worker(WorkerId("w-9"), STARTED_MS + 1, node=node)
-    assert task_of(harness).n_crashes == n_crashes
+    task = task_of(harness)
+    assert (task.n_crashes, task.n_unproven_crashes) == (n_crashes, 1 - n_crashes)
 
 
 def test_worker_that_is_heard_again_has_not_crashed_with_others(
--- a/tests/jobs/test_crashing_tasks.py
+++ b/tests/jobs/test_crashing_tasks.py
@@ -12,6 +12,7 @@
 SHAPE = Shape(500, 500)
 SHORT = (StepSpec(3, SHAPE, estimate_ms=1_500),)
 LONG = (StepSpec(3, SHAPE, estimate_ms=6_000),)
+ONE = (StepSpec(1, SHAPE, estimate_ms=6_000),)
 LASTING = (StepSpec(3, SHAPE, estimate_ms=100, lasts=True),)
 RUN_S = 70.0
 SUBMIT_S = 20.0
@@ -236,3 +237,47 @@
         assert simulation.violations() == []
     finally:
         simulation.close()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_jobs_that_crash_workers_at_one_moment_are_not_started_too_often(
+    seed: int,
+) -> None:
+    simulation = JobSimulation(seed, n_entries=2, n_agents=8)
+    try:
+        for machine in simulation.agents:
+            machine.worker.closes_on_crash = True
+        simulation.run(4.0)
+        for _ in range(8):
+            job = simulation.make_job(ONE)
+            simulation.crashing[f"{job.job_id}.0.0.0"] = 0.8
+            simulation.submit(job, simulation.entries[0])
+        simulation.run(90.0)
+        assert simulation.violations() == []
+    finally:
+        simulation.close()
+
+
+def test_crash_known_after_the_lease_counts_though_the_owner_died() -> None:
+    def on_crash(simulation: JobSimulation) -> None:
+        simulation.schedule(7.0, lambda: kill_owner(simulation))
+
+    simulation, _, _ = play(SHORT, 0.01, on_crash, 9.0)
+    try:
+        assert simulation.violations() == []
+    finally:
+        simulation.close()
+
+
+@pytest.mark.parametrize(("after_s", "down_s"), [(1.0, 9.0), (4.0, 12.0)])
+def test_crashes_known_late_are_not_followed_by_too_many_starts(
+    after_s: float, down_s: float
+) -> None:
+    def on_crash(simulation: JobSimulation) -> None:
+        simulation.crash_down_s = down_s + 3.0 - simulation.crash_down_s
+
+    simulation, _, _ = play(LONG, after_s, on_crash, down_s)
+    try:
+        assert simulation.violations() == []
+    finally:
+        simulation.close()
