Name what a task needs after a crash apart from what an attempt is in

`is_in_doubt` was a function of an attempt, a field of the task and a field of what a crash concerns. The field of the task says that its next start is a trial and is now `needs_trial`. Docstrings that were not true, named by the review, are. No behaviour changes.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -50,7 +50,7 @@
 """Proven crashes after which a task is given up, whatever else ran beside it."""
 
 MAX_POSSIBLE_CRASHES: Final = 5
-"""The same for all crashes that may have happened under the task."""
+"""The same for proven and possible crashes; a task has two starts after the third."""
 
 MIN_CRASHES: Final = 2
 """Proven crashes without which no failed trial proves anything."""
@@ -133,7 +133,7 @@
 
 
 def is_in_doubt(task: TaskState) -> bool:
-    """Return whether a task may have crashed its worker by starting there.
+    """Return whether a crash now may be due to the start of the task's attempt.
 
     Of an attempt that an earlier owner started, only listings to this owner are known;
     without one the task is not in doubt.
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -111,8 +111,9 @@
     if a later incarnation of the worker runs the attempt."""
     is_inherited: bool = False
     """An earlier owner has assigned the attempt."""
-    is_in_doubt: bool = False
-    """The task may have crashed a worker by starting, so its next start is a trial."""
+    needs_trial: bool = False
+    """The task may have crashed a worker by starting, so a worker that it is started on
+    runs no other such task until it has run for a while (see `crash_blame`)."""
     is_stored: bool = False
     """The assignment is stored, so the start command may be sent."""
     n_sends: int = 0
--- a/packages/decisions/almondspan_decisions/step_placement.py
+++ b/packages/decisions/almondspan_decisions/step_placement.py
@@ -9,8 +9,8 @@
 3. A lasting task is packed onto full workers, any other task goes to the worker with
    the lowest load.
 4. A task that is in doubt of having crashed a worker is tried where no other such task
-   is being tried; one under which workers have crashed repeatedly is kept apart from
-   others like it, and off workers that have just crashed.
+   is being tried; one with repeated proven crashes is kept apart from others like it,
+   and off workers that have just crashed.
 5. Data on another rack, an earlier failure of the task on the worker and a rested
    worker add to the cost.
 """
@@ -185,10 +185,10 @@
         """Return the cheapest worker for a task; None if no worker may run it now."""
         if not self._heap:
             return None
-        if not (task.avoided or task.n_crashes or task.is_in_doubt):
+        if not (task.avoided or task.n_crashes or task.needs_trial):
             return self._heap[0][2]
         entries = self._heap
-        if task.is_in_doubt:
+        if task.needs_trial:
             entries = [entry for entry in entries if not entry[2].trials]
         best = min(
             entries,
--- a/packages/decisions/almondspan_decisions/worker_record.py
+++ b/packages/decisions/almondspan_decisions/worker_record.py
@@ -72,7 +72,7 @@
     """Jobs with a task that failed here since the last success."""
     rested_until_s: float = 0.0
     crashed_s: float = -math.inf
-    """When an earlier incarnation of the worker was last found to have crashed."""
+    """When an earlier incarnation at the same agent was last found to have crashed."""
     trials: set[tuple[JobId, TaskKey]] = field(default_factory=set)
     """Tasks in doubt that have not yet run long enough here (see `crash_blame`)."""
     kept_apart: set[tuple[JobId, TaskKey]] = field(default_factory=set)
--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -121,7 +121,7 @@
         """Record that a task in doubt has run long enough on its worker."""
         task = job.task(key)
         assert task is not None
-        task.is_in_doubt = False
+        task.needs_trial = False
         record = self._fleet.record_of(incarnation)
         if record is not None:
             record.trials.discard((job.job_id, key))
@@ -200,7 +200,7 @@
     """Add a task to those of a worker that are on trial or kept apart, if it is one."""
     task = job.task(key)
     assert task is not None
-    if task.is_in_doubt:
+    if task.needs_trial:
         record.trials.add((job.job_id, key))
     if task.n_crashes >= N_CRASHES_APART:
         record.kept_apart.add((job.job_id, key))
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -143,7 +143,7 @@
             self._metrics.observe_s("start", now_s - task.placed_s)
         task.listed_s = now_s
         task.record_start(is_proven=True)
-        if task.is_in_doubt and not is_in_doubt(task):
+        if task.needs_trial and not is_in_doubt(task):
             self._assignments.end_trial(job, key, incarnation)
         if checkpoint:
             task.checkpoint = checkpoint
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -225,7 +225,7 @@
             task.checkpoint,
             self._fleet.lease(incarnation).until_ms,
             self._task_traits(job, key),
-            task.is_in_doubt,
+            task.needs_trial,
         )
         if command.traits.tail_target_ms:
             self._interference.push(record)
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -146,7 +146,7 @@
                         task.n_attempts,
                         task.start is StartOutcome.STARTED,
                         is_in_doubt(task),
-                        was_on_trial=task.is_in_doubt,
+                        was_on_trial=task.needs_trial,
                         bound_s=(
                             math.inf if task.is_inherited else last_s - task.placed_s
                         ),
@@ -218,7 +218,7 @@
         task = job.task(crashed.key)
         assert task is not None
         task.record_crash(bound)
-        task.is_in_doubt |= crashed.is_in_doubt
+        task.needs_trial |= crashed.is_in_doubt
         self._table.mark_dirty(job)
 
     def _give_up(
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -149,7 +149,7 @@
             task = job.task(key)
             assert task is not None
             worker = placement.cheapest(task)
-            if worker is None and placement.has_candidates and task.is_in_doubt:
+            if worker is None and placement.has_candidates and task.needs_trial:
                 untried = key
                 continue
             if worker is None:
--- a/packages/jobs/almondspan_jobs/worker_lifecycle.py
+++ b/packages/jobs/almondspan_jobs/worker_lifecycle.py
@@ -179,7 +179,7 @@
     def _on_ended(
         self, old: WorkerIncarnation, new: WorkerIncarnation, now_s: float
     ) -> bool:
-        """Handle the end of an incarnation; return whether it has crashed."""
+        """Handle the end of an incarnation; return whether it had not been leaving."""
         record = self._fleet.record_of(old)
         is_leaving = record is not None and record.is_leaving
         held = self._fleet.held_by(old)
--- a/tests/decisions/test_step_placement.py
+++ b/tests/decisions/test_step_placement.py
@@ -100,13 +100,13 @@
     [
         pytest.param(
             [trying(worker("a")), worker("b", 2_000)],
-            TaskState(n_crashes=1, is_in_doubt=True),
+            TaskState(n_crashes=1, needs_trial=True),
             "b",
             id="trial_where_no_other_is",
         ),
         pytest.param(
             [trying(worker("a"))],
-            TaskState(n_crashes=1, is_in_doubt=True),
+            TaskState(n_crashes=1, needs_trial=True),
             None,
             id="no_worker_without_a_trial",
         ),
