Count no crash as proven under a task that may have ended unheard

Behind a cut a task ends, or its lease lapses, and the worker crashes or is restarted later; the owner counted that as a crash under the task, and two or three such made a job fail (LOST).

A crash is proven only if the owner heard of the worker until it fell silent: its agent reported a failed poll, or its last listing is recent. Otherwise it is possible.

Before and after: lease_expired_in_a_cut and cut_off_before of test_what_counts_as_a_crash failed (1 proven) and pass (1 possible).

--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -3,8 +3,9 @@
 `crash_blame` says which tasks are in doubt and which are given up. The count of a task
 is stored with its job, before the next start of the task leaves, so that it outlives
 owners and restarts. A crash is proven for a task that the worker had confirmed or
-listed, and unproven for one whose start has no answer or was sent by an earlier owner.
-A start that was refused, or whose answer is still expected, does not count.
+listed, if the owner heard of the worker until it fell silent. It is unproven for one
+that may have ended unheard, or whose start has no answer or was sent by an earlier
+owner. A start that was refused, or whose answer is still expected, does not count.
 
 A worker that is silent until its lease has expired may have crashed or may be cut off.
 Its tasks are remembered: if it comes back as a later incarnation, it had crashed.
@@ -50,7 +51,7 @@
     key: TaskKey
     attempt: int
     is_proven: bool
-    """Whether the worker is known to have started it."""
+    """Whether the worker is known to have run it when it fell silent."""
     is_in_doubt: bool
     was_on_trial: bool
     bound_s: float
@@ -134,6 +135,9 @@
         """Return the tasks that a worker has started, or may have started."""
         silent = self._silent.get(incarnation)
         last_s = silent.silent_s if silent is not None else now_s
+        is_heard = silent is not None or self._fleet.has_recent_listing(
+            incarnation, now_s
+        )
         found = []
         for job_id, key in self._fleet.held_by(incarnation):
             task = self._table[job_id].task(key)
@@ -144,7 +148,7 @@
                         job_id,
                         key,
                         task.n_attempts,
-                        task.start is StartOutcome.STARTED,
+                        is_heard and task.start is StartOutcome.STARTED,
                         is_in_doubt(task),
                         was_on_trial=task.needs_trial,
                         bound_s=(
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -171,14 +171,29 @@
 
 
 def crash_after_the_lease(harness: SchedulerHarness) -> None:
+    start(harness)
+    harness.fail_poll()
+    harness.advance(7.0)
+    assert harness.scheduler.jobs[JOB].n_placed == 0
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
+def crash_after_a_cut_and_the_lease(harness: SchedulerHarness) -> None:
     start(harness)
     harness.advance(7.0)
     assert harness.scheduler.jobs[JOB].n_placed == 0
     harness.report_worker(OTHER, STARTED_MS + 1)
 
 
+def crash_during_a_cut(harness: SchedulerHarness) -> None:
+    start(harness)
+    harness.now_s += 2.0
+    harness.report_worker(OTHER, STARTED_MS + 1)
+
+
 def crash_known_after_that_of_the_next_attempt(harness: SchedulerHarness) -> None:
     start(harness)
+    harness.fail_poll()
     harness.advance(7.0)
     harness.report_worker(OTHER, node="node-2")
     harness.plan_and_store()
@@ -254,6 +269,10 @@
         ),
         pytest.param(crash_known_to_two_owners, 1, 0, id="known_to_two_owners"),
         pytest.param(crash_listed_by_a_new_owner, 1, 0, id="listed_by_a_new_owner"),
+        pytest.param(
+            crash_after_a_cut_and_the_lease, 0, 1, id="lease_expired_in_a_cut"
+        ),
+        pytest.param(crash_during_a_cut, 0, 1, id="cut_off_before"),
         pytest.param(crash_without_an_answer, 0, 1, id="start_without_an_answer"),
         pytest.param(crash_without_an_answer_in_time, 0, 1, id="no_answer_in_time"),
         pytest.param(
