--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -10,7 +10,7 @@
 import gc
 import random
 import sys
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -54,6 +54,7 @@
 CAPACITY = Shape(8_000, 16_000, 0)
 REPORT_S = 1.0
 RESTART_S = 0.8
+START_S = 4.0
 EPOCH_S = 1_700_000_000
 RULES = {QUEUE: QueueRules(SERVICE, 0, MAX_FAILURES, 2.0, 500)}
 
@@ -472,6 +473,56 @@
         return found
 
 
+def started(
+    seed: int, n_entries: int = 3, n_agents: int = 4
+) -> Iterator[JobSimulation]:
+    """Yield a simulation after its start, and close it: the body of a fixture."""
+    simulation = JobSimulation(seed, n_entries, n_agents)
+    simulation.run(START_S)
+    yield simulation
+    simulation.close()
+
+
+def owner_of(simulation: JobSimulation) -> SimulatedEntry:
+    machine = simulation.owner()
+    assert machine is not None
+    return machine
+
+
+def other_than(simulation: JobSimulation, machine: SimulatedEntry) -> SimulatedEntry:
+    return next(other for other in simulation.entries if other is not machine)
+
+
+def follower_of(simulation: JobSimulation) -> SimulatedEntry:
+    return other_than(simulation, owner_of(simulation))
+
+
+def refuse(machine: SimulatedEntry) -> None:
+    machine.faults.is_refusing = True
+
+
+def silence(machine: SimulatedEntry) -> None:
+    machine.faults.is_silent = True
+
+
+def lines(simulation: JobSimulation, text: str) -> list[str]:
+    """Return the log lines that contain a text."""
+    return [line for line in simulation.trace if text in line]
+
+
+def complete_job(
+    simulation: JobSimulation, machine: SimulatedEntry, steps: tuple[StepSpec, ...]
+) -> None:
+    """Check that a job submitted at an entry is stored and completed."""
+    job = simulation.make_job(steps)
+    simulation.submit(job, machine)
+    simulation.run(6.0)
+    assert job.answers == [StoreResult.STORED]
+    simulation.ask_state(job, machine)
+    simulation.run(1.0)
+    assert simulation.state_of(job) is JobState.COMPLETED
+
+
 def _collect_dead(simulation: JobSimulation) -> None:
     """Garbage-collect the coroutines of dead processes, which can't run clean-up code.
 
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -153,3 +153,7 @@
     def advance(self, for_s: float) -> None:
         self.now_s += for_s
         self.scheduler.tick()
+
+
+def n_placed(harness: SchedulerHarness) -> int:
+    return harness.scheduler.jobs[JOB].n_placed
--- a/tests/jobs/test_agent_restart.py
+++ b/tests/jobs/test_agent_restart.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
-from job_simulation import JobSimulation
+from job_simulation import JobSimulation, started
 
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.shapes import Shape
@@ -16,10 +16,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(7, n_entries=2, n_agents=1)
-    made.run(4.0)
-    yield made
-    made.close()
+    yield from started(7, n_entries=2, n_agents=1)
 
 
 def test_restarted_agent_paces_what_runs(simulation: JobSimulation) -> None:
--- a/tests/jobs/test_best_effort_mover.py
+++ b/tests/jobs/test_best_effort_mover.py
@@ -1,14 +1,11 @@
 """Best-effort tasks move only to workers where they run much faster."""
 
-from collections.abc import Iterator
-
 import pytest
 from scheduler_harness import JOB, QUEUE, STARTED_MS, SchedulerHarness
 
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import JobSpec, StepSpec
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs import clocks
 from almondspan_jobs.messages import StopCommand
 from almondspan_jobs.records import InterferenceRecord
 
@@ -29,12 +26,6 @@
 TAIL_MS = 4.0
 
 
-@pytest.fixture
-def harness() -> Iterator[SchedulerHarness]:
-    yield SchedulerHarness()
-    clocks.use_clocks()
-
-
 def place_tasks(harness: SchedulerHarness, step: StepSpec, weight: float = 7.0) -> None:
     """Place a best-effort task beside a serving task, on the only worker."""
     interference = InterferenceRecord([("live", "heavy", weight, 0.01)], {"live": 2.4})
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -1,6 +1,6 @@
 """Which ends of a worker count as a crash under its tasks, and what is stored of it."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -19,7 +19,6 @@
 from almondspan_decisions.job_graph import JobSpec, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, JobState, TaskState
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs import clocks
 from almondspan_jobs.records import Unreadable, decode_progress, encode_progress
 from almondspan_platform.task_worker import Verdict
 
@@ -28,12 +27,10 @@
 
 
 @pytest.fixture
-def harness() -> Iterator[SchedulerHarness]:
+def harness(harness: SchedulerHarness) -> SchedulerHarness:
     # Leases granted by earlier owners have expired by now.
-    made = SchedulerHarness()
-    made.advance(20.0)
-    yield made
-    clocks.use_clocks()
+    harness.advance(20.0)
+    return harness
 
 
 def task_of(harness: SchedulerHarness) -> TaskState:
--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -3,7 +3,15 @@
 from collections.abc import Callable, Iterator
 
 import pytest
-from job_simulation import JobSimulation, SimulatedEntry
+from job_simulation import (
+    JobSimulation,
+    SimulatedEntry,
+    follower_of,
+    owner_of,
+    refuse,
+    silence,
+    started,
+)
 
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.job_progress import JobState
@@ -15,30 +23,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(7)
-    made.run(4.0)
-    yield made
-    made.close()
-
-
-def owner_of(simulation: JobSimulation) -> SimulatedEntry:
-    machine = simulation.owner()
-    assert machine is not None
-    return machine
-
-
-def follower_of(simulation: JobSimulation) -> SimulatedEntry:
-    return next(
-        machine for machine in simulation.entries if machine is not owner_of(simulation)
-    )
-
-
-def refuse(machine: SimulatedEntry) -> None:
-    machine.faults.is_refusing = True
-
-
-def silence(machine: SimulatedEntry) -> None:
-    machine.faults.is_silent = True
+    yield from started(7)
 
 
 def kill(machine: SimulatedEntry) -> None:
--- a/tests/jobs/test_failing_tasks.py
+++ b/tests/jobs/test_failing_tasks.py
@@ -9,13 +9,17 @@
 from typing import Any
 
 import pytest
-from job_simulation import JobSimulation, SimulatedEntry
+from job_simulation import (
+    JobSimulation,
+    complete_job,
+    lines,
+    owner_of,
+    started,
+)
 from memory_network import MemoryNetwork
 
 from almondspan_decisions.job_graph import StepSpec
-from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs.job_api import StoreResult
 from almondspan_jobs.leadership import Leadership
 from almondspan_jobs.scheduler import Scheduler
 from almondspan_jobs.supervision import MAX_ERROR_CHARS, keep_running
@@ -29,20 +33,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(7, n_agents=2)
-    made.run(4.0)
-    yield made
-    made.close()
-
-
-def owner_of(simulation: JobSimulation) -> SimulatedEntry:
-    machine = simulation.owner()
-    assert machine is not None
-    return machine
-
-
-def lines(simulation: JobSimulation, text: str) -> list[str]:
-    return [line for line in simulation.trace if text in line]
+    yield from started(7, n_agents=2)
 
 
 def raise_once(call: Any, n_raised: list[int], limit: int) -> Callable[..., Any]:
@@ -81,20 +72,14 @@
         owner_of(simulation).kill()
     simulation.run(6.0)
     assert len(n_raised) == 3
-    complete_job(simulation)
+    complete_without_errors(simulation)
     found = lines(simulation, f"task_failed task={task}")
     assert found
     assert max(map(len, found)) <= MAX_ERROR_CHARS + 200
 
 
-def complete_job(simulation: JobSimulation) -> None:
-    job = simulation.make_job(STEPS)
-    simulation.submit(job, simulation.entries[0])
-    simulation.run(6.0)
-    assert job.answers == [StoreResult.STORED]
-    simulation.ask_state(job, simulation.entries[0])
-    simulation.run(1.0)
-    assert simulation.state_of(job) is JobState.COMPLETED
+def complete_without_errors(simulation: JobSimulation) -> None:
+    complete_job(simulation, simulation.entries[0], STEPS)
     assert simulation.loop.errors == []
 
 
@@ -107,7 +92,7 @@
     owner_of(simulation).kill()
     simulation.run(6.0)
     assert len(n_raised) == N_DIALS
-    complete_job(simulation)
+    complete_without_errors(simulation)
     assert lines(simulation, "task_failed task=agent_link")
     assert lines(simulation, "task_failed task=owner_link")
 
@@ -122,7 +107,7 @@
     owner_of(simulation).kill()
     simulation.run(20.0)
     assert len(n_raised) == 4
-    complete_job(simulation)
+    complete_without_errors(simulation)
     assert lines(simulation, "task_failed task=election")
 
 
--- a/tests/jobs/test_hand_over.py
+++ b/tests/jobs/test_hand_over.py
@@ -4,7 +4,14 @@
 
 import pytest
 from job_schedule import run_schedule
-from job_simulation import JobSimulation, SimulatedEntry
+from job_simulation import (
+    JobSimulation,
+    SimulatedEntry,
+    owner_of,
+    refuse,
+    silence,
+    started,
+)
 
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.shapes import Shape
@@ -32,24 +39,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(5, n_entries=3, n_agents=3)
-    made.run(4.0)
-    yield made
-    made.close()
-
-
-def owner_of(simulation: JobSimulation) -> SimulatedEntry:
-    machine = simulation.owner()
-    assert machine is not None
-    return machine
-
-
-def refuse(machine: SimulatedEntry) -> None:
-    machine.faults.is_refusing = True
-
-
-def silence(machine: SimulatedEntry) -> None:
-    machine.faults.is_silent = True
+    yield from started(5, n_entries=3, n_agents=3)
 
 
 @pytest.mark.parametrize(
--- a/tests/jobs/test_leaving.py
+++ b/tests/jobs/test_leaving.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
-from job_simulation import JobSimulation, SimulatedAgent
+from job_simulation import JobSimulation, SimulatedAgent, started
 
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.shapes import Shape
@@ -15,10 +15,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(11, n_entries=2, n_agents=3)
-    made.run(4.0)
-    yield made
-    made.close()
+    yield from started(11, n_entries=2, n_agents=3)
 
 
 def runs_on(machine: SimulatedAgent) -> list[WorkerRun]:
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -8,12 +8,17 @@
 
 import msgspec
 import pytest
-from job_simulation import JobSimulation, SimulatedAgent, SimulatedEntry
+from job_simulation import (
+    JobSimulation,
+    SimulatedAgent,
+    complete_job,
+    lines,
+    owner_of,
+    started,
+)
 
 from almondspan_decisions.job_graph import StepSpec
-from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs.job_api import StoreResult
 from almondspan_jobs.records import (
     AGENT_PREFIX,
     HEAD_KEY,
@@ -70,10 +75,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(7, n_agents=2)
-    made.run(4.0)
-    yield made
-    made.close()
+    yield from started(7, n_agents=2)
 
 
 def put(simulation: JobSimulation, key: str, value: bytes) -> None:
@@ -92,12 +94,6 @@
     )
 
 
-def owner_of(simulation: JobSimulation) -> SimulatedEntry:
-    machine = simulation.owner()
-    assert machine is not None
-    return machine
-
-
 def stored_owner(simulation: JobSimulation) -> str:
     found: list[str] = []
 
@@ -111,20 +107,6 @@
     return found[0]
 
 
-def complete_job(simulation: JobSimulation, machine: SimulatedEntry) -> None:
-    job = simulation.make_job(STEPS)
-    simulation.submit(job, machine)
-    simulation.run(6.0)
-    assert job.answers == [StoreResult.STORED]
-    simulation.ask_state(job, machine)
-    simulation.run(1.0)
-    assert simulation.state_of(job) is JobState.COMPLETED
-
-
-def lines(simulation: JobSimulation, text: str) -> list[str]:
-    return [line for line in simulation.trace if text in line]
-
-
 def assert_not_ended(simulation: JobSimulation) -> None:
     assert simulation.violations() == []
     assert not lines(simulation, "task_failed")
@@ -155,7 +137,7 @@
     add_agent(simulation, "late")
     simulation.run(3.0)
     assert lines(simulation, "agent_linked agent=late")
-    complete_job(simulation, simulation.entries[0])
+    complete_job(simulation, simulation.entries[0], STEPS)
     # The next owner reads the list with the odd entry in it.
     owner_of(simulation).kill()
     simulation.run(4.0)
@@ -166,7 +148,7 @@
         "agent1",
         "late",
     }
-    complete_job(simulation, successor)
+    complete_job(simulation, successor, STEPS)
     assert_followed(simulation, key)
 
 
@@ -186,7 +168,7 @@
     simulation.run(3.0)
     assert owner_of(simulation) is before
     assert stored_owner(simulation) == before.name
-    complete_job(simulation, simulation.entries[0])
+    complete_job(simulation, simulation.entries[0], STEPS)
     assert_followed(simulation, OWNER_KEY)
 
 
@@ -199,7 +181,7 @@
     put(simulation, OWNER_KEY, value)
     simulation.run(6.0)
     assert stored_owner(simulation) == owner_of(simulation).name
-    complete_job(simulation, owner_of(simulation))
+    complete_job(simulation, owner_of(simulation), STEPS)
     assert_followed(simulation, OWNER_KEY)
 
 
@@ -230,10 +212,10 @@
     put(simulation, key, value)
     simulation.run(1.0)
     assert owner_of(simulation) is before
-    complete_job(simulation, simulation.entries[0])
+    complete_job(simulation, simulation.entries[0], STEPS)
     before.kill()
     simulation.run(5.0)
-    complete_job(simulation, owner_of(simulation))
+    complete_job(simulation, owner_of(simulation), STEPS)
     assert_not_ended(simulation)
     assert 0 < len(lines(simulation, "record_unreadable")) <= MAX_LINES
 
@@ -249,7 +231,7 @@
     assert simulation.owner() is None
     put(simulation, HEAD_KEY, item)
     simulation.run(5.0)
-    complete_job(simulation, owner_of(simulation))
+    complete_job(simulation, owner_of(simulation), STEPS)
     assert_not_ended(simulation)
 
 
@@ -272,5 +254,5 @@
     simulation.run(3.0)
     assert owner_of(simulation) is before
     assert stored_owner(simulation) == before.name
-    complete_job(simulation, simulation.entries[0])
+    complete_job(simulation, simulation.entries[0], STEPS)
     assert_not_ended(simulation)
--- a/tests/jobs/test_preemptor.py
+++ b/tests/jobs/test_preemptor.py
@@ -1,14 +1,11 @@
 """Capacity for tasks that fit on no worker: which tasks are stopped or moved."""
 
-from collections.abc import Iterator
-
 import pytest
 from scheduler_harness import QUEUE, SERVICE, STARTED_MS, WORKER, SchedulerHarness
 
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules, StepSpec
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs import clocks
 from almondspan_jobs.messages import StopCommand
 
 OTHER = WorkerId("w-2")
@@ -19,14 +16,12 @@
 
 
 @pytest.fixture
-def harness() -> Iterator[SchedulerHarness]:
-    made = SchedulerHarness()
-    made.scheduler.rules = {
+def harness(harness: SchedulerHarness) -> SchedulerHarness:
+    harness.scheduler.rules = {
         QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500),
         BATCH: QueueRules(SERVICE, 2, 2, 2.0, 500),
     }
-    yield made
-    clocks.use_clocks()
+    return harness
 
 
 def lasting(n_tasks: int, **fields: int) -> StepSpec:
--- a/tests/jobs/test_relay.py
+++ b/tests/jobs/test_relay.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
-from job_simulation import JobSimulation
+from job_simulation import JobSimulation, started
 
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.shapes import Shape
@@ -16,10 +16,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(5, n_entries=3, n_agents=4)
-    made.run(4.0)
-    yield made
-    made.close()
+    yield from started(5, n_entries=3, n_agents=4)
 
 
 def cut(simulation: JobSimulation, name: str, others: list[str]) -> None:
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -1,6 +1,5 @@
 """The scheduler: releases, acknowledgements, failure budgets and commands."""
 
-from collections.abc import Iterator
 from dataclasses import replace
 
 import pytest
@@ -13,6 +12,7 @@
     TASK,
     WORKER,
     SchedulerHarness,
+    n_placed,
 )
 
 from almondspan_decisions.ids import JobId, WorkerId
@@ -23,7 +23,6 @@
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
 from almondspan_decisions.tail_latency_model import Image
-from almondspan_jobs import clocks
 from almondspan_jobs.messages import (
     AttemptRevoked,
     LeaseRenewal,
@@ -42,16 +41,6 @@
 )
 
 
-@pytest.fixture
-def harness() -> Iterator[SchedulerHarness]:
-    yield SchedulerHarness()
-    clocks.use_clocks()
-
-
-def n_placed(harness: SchedulerHarness) -> int:
-    return harness.scheduler.jobs[JOB].n_placed
-
-
 def test_start_is_sent_after_its_assignment_is_stored(
     harness: SchedulerHarness,
 ) -> None:
--- a/tests/jobs/test_step_down.py
+++ b/tests/jobs/test_step_down.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 import pytest
-from job_simulation import JobSimulation, SimulatedEntry
+from job_simulation import JobSimulation, other_than, owner_of, started
 
 from almondspan_jobs.records import OWNER_KEY, AgentRecord, OwnerRecord, decode_record
 
@@ -16,20 +16,7 @@
 
 @pytest.fixture
 def simulation() -> Iterator[JobSimulation]:
-    made = JobSimulation(3, n_entries=2, n_agents=2)
-    made.run(4.0)
-    yield made
-    made.close()
-
-
-def owner_of(simulation: JobSimulation) -> SimulatedEntry:
-    machine = simulation.owner()
-    assert machine is not None
-    return machine
-
-
-def other_than(simulation: JobSimulation, machine: SimulatedEntry) -> SimulatedEntry:
-    return next(other for other in simulation.entries if other is not machine)
+    yield from started(3, n_entries=2, n_agents=2)
 
 
 def stored_owner(simulation: JobSimulation) -> str:
--- a/tests/jobs/test_unreachable_workers.py
+++ b/tests/jobs/test_unreachable_workers.py
@@ -1,7 +1,5 @@
 """Nothing is placed on a worker from a failed poll of it to its next listing."""
 
-from collections.abc import Iterator
-
 import pytest
 from job_simulation import JobSimulation
 from scheduler_harness import (
@@ -12,13 +10,13 @@
     TASK,
     WORKER,
     SchedulerHarness,
+    n_placed,
 )
 
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import JobSpec, StepSpec
 from almondspan_decisions.job_progress import JobState, WorkerIncarnation
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs import clocks
 from almondspan_jobs.messages import StartCommand, StartReply, StopCommand
 
 N_AGENTS = 8
@@ -28,16 +26,6 @@
 STEPS = (StepSpec(3, Shape(500, 500), estimate_ms=800),)
 
 
-@pytest.fixture
-def harness() -> Iterator[SchedulerHarness]:
-    yield SchedulerHarness()
-    clocks.use_clocks()
-
-
-def n_placed(harness: SchedulerHarness) -> int:
-    return harness.scheduler.jobs[JOB].n_placed
-
-
 def test_nothing_is_placed_on_a_worker_whose_poll_failed(
     harness: SchedulerHarness,
 ) -> None:
