--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -47,8 +47,9 @@
 QUEUE = QueueName("batch")
 SERVICE = ServiceName("pool")
 MAX_FAILURES = 3
-MAX_CRASHES = 3
+BUDGET_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 3
+"""Starts of a task after its third crash that are one too many."""
 MIN_CRASHES = 2
 """A job may fail for a task under which this many workers have crashed."""
 CAPACITY = Shape(8_000, 16_000, 0)
@@ -586,10 +587,10 @@
     crash_times_s = [
         run.ended_s for run in runs if run.how is None and run.ended_s is not None
     ]
-    if len(crash_times_s) < MAX_CRASHES:
+    if len(crash_times_s) < BUDGET_CRASHES:
         return []
-    third_s = sorted(crash_times_s)[MAX_CRASHES - 1]
+    third_s = sorted(crash_times_s)[BUDGET_CRASHES - 1]
     n_later = sum(run.begun_s > third_s for run in runs)
     if n_later < MAX_STARTS_AFTER_CRASHES:
         return []
-    return [f"BUDGET {task} started {n_later} times after {MAX_CRASHES} crashes"]
+    return [f"BUDGET {task} started {n_later} times after {BUDGET_CRASHES} crashes"]
