--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import Any
 
 from runner import Work
 from small_fleet import Record, SmallFleet, route, run_case, wait_until
@@ -29,7 +30,7 @@
     try:
         await fleet.start([clips, other])
         await asyncio.sleep(3)
-        steps = [
+        steps: list[dict[str, Any]] = [
             {"count": 4, "cpu": 1000, "memMb": 512, "estimateMs": 4000},
             {"count": 2, "cpu": 1000, "memMb": 512, "estimateMs": 4000, "after": [0]},
         ]
--- a/review/standins/small_fleet.py
+++ b/review/standins/small_fleet.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -438,7 +438,7 @@
     return False
 
 
-Case = Callable[[Record, Path, bool], Awaitable[bool]]
+Case = Callable[[Record, Path, bool], Coroutine[Any, Any, bool]]
 
 
 def run_case(folder: Path, case: Case) -> int:
