Run the timers of one moment in the order in which they were set

Cause: the simulation's loop popped timers of the same virtual time in the order of asyncio's heap, which changes with every other timer.

Change: each timer is later than the one before by 1e-12 s, so the order is that of setting.

--- a/tests/tasks/virtual_loop.py
+++ b/tests/tasks/virtual_loop.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
+TIMER_STEP_S = 1e-12
+
 PROCESS: contextvars.ContextVar["Process | None"] = contextvars.ContextVar(
     "process", default=None
 )
@@ -83,6 +85,7 @@
         super().__init__(selector)
         selector.loop = self
         self.now_s = 1000.0
+        self._n_timers = 0
         self.errors: list[str] = []
         self.set_exception_handler(self._record_error)
 
@@ -100,6 +103,9 @@
         return call.handle
 
     def call_at(self, when, callback, *args, context=None):  # type: ignore[no-untyped-def]
+        # Timers of one moment run in the order in which they were set.
+        self._n_timers += 1
+        when += self._n_timers * TIMER_STEP_S
         call = _call_of(callback, args, context)
         if call is None:
             return super().call_at(when, callback, *args, context=context)
