Keep a removed job in memory until the store has reported the removal

Cause: the owner dropped finished jobs from memory and then removed their records. While the store did not take that group, a read of all jobs (history lost) took them for new ones.

Change: the records are removed first, by a task of their own, so the tick no longer waits for the store; the jobs leave memory when the watch of the jobs is past the revision of the removal. Why it works: a read or event that still shows such a job is of an earlier revision, and at that time the job is still known.

--- a/packages/jobs/almondspan_jobs/committer.py
+++ b/packages/jobs/almondspan_jobs/committer.py
@@ -56,6 +56,11 @@
         """The epoch of the owner."""
         return self._head.epoch
 
+    @property
+    def revision(self) -> Revision:
+        """The revision of the latest group that is known to be stored."""
+        return self._revision
+
     async def commit(
         self, writes: tuple[Write, ...], removals: tuple[str, ...] = ()
     ) -> bool:
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -3,10 +3,14 @@
 Every change of a job raises its version and makes it dirty; `take_dirty` returns dirty
 jobs to store, and `on_stored` records which version the store has. Callers are told
 only stored states.
+
+A finished job past its retention is first removed from the store. It stays in the table
+until everything that the store reports is later than the removal, so that the job is
+never taken for a new one.
 """
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -21,6 +25,7 @@
 from almondspan_decisions.job_progress import JobProgress, JobState
 from almondspan_jobs.clocks import steady_s, wall_ms
 from almondspan_jobs.event_log import EventLog
+from almondspan_platform.store import Revision
 
 __all__ = ["JobTable"]
 
@@ -58,6 +63,8 @@
         self.placeable: Final[set[JobId]] = set()
         """Jobs with tasks that wait for placement."""
         self.needs_planning = False
+        self._removed_at: Final[dict[JobId, Revision]] = {}
+        """Jobs that are removed from the store, and at which revision at the latest."""
 
     def __getitem__(self, job_id: JobId) -> JobProgress:
         return self.jobs[job_id]
@@ -194,15 +201,29 @@
                 if job.add_due_occurrences(now_ms):
                     self.mark_dirty(job)
 
-    def forget_finished(self, retention_s: float, n_jobs: int) -> list[JobId]:
-        """Drop and return some finished jobs past their retention time."""
+    # Removal
+
+    def removable(self, retention_s: float, n_jobs: int) -> list[JobId]:
+        """Return some finished jobs that are past their retention."""
         limit_ms = wall_ms() - int(retention_s * 1000)
-        old = [
+        return [
             job.job_id
             for job in self.jobs.values()
-            if job.finished_ms and job.finished_ms < limit_ms and not job.n_placed
+            if job.finished_ms
+            and job.finished_ms < limit_ms
+            and not job.n_placed
+            and job.job_id not in self._removed_at
         ][:n_jobs]
-        for job_id in old:
-            del self.jobs[job_id], self.stored_states[job_id], self._tracking[job_id]
-            self._dirty.pop(job_id, None)
-        return old
+
+    def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
+        """Record that jobs are removed from the store."""
+        self._removed_at.update((job_id, revision) for job_id in job_ids)
+
+    def forget_removed(self, reported: Revision) -> None:
+        """Drop removed jobs; the store has reported its changes up to a revision."""
+        for job_id, revision in tuple(self._removed_at.items()):
+            if revision <= reported:
+                del self._removed_at[job_id]
+                del self.jobs[job_id], self.stored_states[job_id]
+                del self._tracking[job_id]
+                self._dirty.pop(job_id, None)
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -43,6 +43,7 @@
     decode_progress,
     decode_record,
     decode_spec,
+    keys_of_job,
 )
 from almondspan_jobs.scheduler import Scheduler
 from almondspan_platform.group_store import GroupStore
@@ -57,8 +58,8 @@
 
 __all__ = ["Owner"]
 
-TICKS_PER_SWEEP: Final = 50
-"""Number of ticks between two removals of finished jobs."""
+REMOVAL_INTERVAL_S: Final = 10.0
+"""Time between two removals of finished jobs."""
 
 
 class Owner:
@@ -195,6 +196,7 @@
         self._spawn(self._watch_jobs(loaded_at))
         self._spawn(self._tick())
         self._spawn(self._confirm())
+        self._spawn(self._remove_finished())
         await self._plan_and_store()
 
     async def _read_range(self, prefix: str) -> RangeFound:
@@ -288,11 +290,13 @@
             if isinstance(event, WatchEvent):
                 self._handle_items(event.changed)
                 after = event.revision
+                self.scheduler.forget_removed(after)
             elif isinstance(event, WatchLost):
                 self._log.line("watch_lost", prefix=JOBS_PREFIX, reason=event.reason)
                 found = await self._read_range(JOBS_PREFIX)
                 self._handle_items(found.items)
                 after = found.revision
+                self.scheduler.forget_removed(after)
             else:
                 self._log.line("watch_unanswered", reason=event.reason)
                 await asyncio.sleep(self._options.retry_s)
@@ -336,16 +340,28 @@
                 self.scheduler.on_stored(snapshot)
 
     async def _tick(self) -> None:
-        n_ticks = 0
         while True:
             await asyncio.sleep(self._options.tick_s)
             self.scheduler.tick()
             self.wake()
-            n_ticks += 1
-            if n_ticks % TICKS_PER_SWEEP == 0:
-                keys = self.scheduler.forget_finished()
-                if keys and not await self._committer.commit((), keys):
-                    self.ended.set()
+
+    async def _remove_finished(self) -> None:
+        """Remove the records of finished jobs; the watch then lets the jobs be dropped.
+
+        A read of all jobs that began before the removal may still return them.
+        """
+        while True:
+            await asyncio.sleep(REMOVAL_INTERVAL_S)
+            job_ids = self.scheduler.removable_jobs()
+            if not job_ids:
+                continue
+            keys = [key for job_id in job_ids for key in keys_of_job(job_id)]
+            if not await self._committer.commit((), tuple(keys)):
+                self.ended.set()
+                return
+            revision = self._committer.revision
+            self.scheduler.on_removed(job_ids, revision)
+            self._log.line("jobs_removed", revision=revision, jobs=job_ids)
 
     async def _confirm(self) -> None:
         """Confirm the ownership by a read when no write has done so."""
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -56,6 +56,7 @@
     "encode_record",
     "encode_spec",
     "job_key",
+    "keys_of_job",
     "progress_key",
 ]
 
@@ -176,6 +177,11 @@
     return f"{PROGRESS_PREFIX}{job_id}"
 
 
+def keys_of_job(job_id: JobId) -> tuple[str, ...]:
+    """Return every key that a job may have."""
+    return job_key(job_id), cancel_key(job_id), progress_key(job_id)
+
+
 def encode_record(
     record: OwnerRecord
     | AgentRecord
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -12,7 +12,7 @@
 `Scheduler` holds the parts and passes each event to those that it concerns.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -51,13 +51,12 @@
 from almondspan_jobs.preemptor import Preemptor
 from almondspan_jobs.records import (
     InterferenceRecord,
-    cancel_key,
     encode_progress,
-    job_key,
     progress_key,
 )
 from almondspan_jobs.worker_lifecycle import WorkerLifecycle
 from almondspan_platform.group_store import Write
+from almondspan_platform.store import Revision
 from almondspan_wire.codec import Message
 
 __all__ = ["Scheduler", "Snapshot"]
@@ -288,13 +287,18 @@
                 self._commands.send_due(job, key, task, now_s)
         self._attempts.acknowledge_stored()
 
-    def forget_finished(self) -> tuple[str, ...]:
-        """Drop finished jobs past their retention time; return the keys to remove."""
-        forgotten = self._table.forget_finished(
+    # Removing finished jobs
+
+    def removable_jobs(self) -> list[JobId]:
+        """Return some finished jobs whose records are to be removed from the store."""
+        return self._table.removable(
             self._options.finished_retention_s, self._options.max_jobs_per_commit // 2
         )
-        return tuple(
-            key
-            for job_id in forgotten
-            for key in (job_key(job_id), cancel_key(job_id), progress_key(job_id))
-        )
+
+    def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
+        """Record that the records of jobs are removed from the store."""
+        self._table.on_removed(job_ids, revision)
+
+    def forget_removed(self, reported: Revision) -> None:
+        """Drop removed jobs; the store has reported its changes up to a revision."""
+        self._table.forget_removed(reported)
--- a/packages/standins/almondspan_standins/memory_group_store.py
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -169,6 +169,11 @@
         lease.expires_s = asyncio.get_running_loop().time() + lease.ttl_s
         return LeaseGranted(lease_id, lease.ttl_s)
 
+    def extend_leases(self, by_s: float) -> None:
+        """Extend every lease, as a service does that stops their time while down."""
+        for lease in self._leases.values():
+            lease.expires_s += by_s
+
     def _expire(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for lease_id, lease in tuple(self._leases.items()):
--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -212,13 +212,19 @@
 
     rules: Mapping[QueueName, QueueRules] = RULES
 
-    def __init__(self, seed: int, n_entries: int = 3, n_agents: int = 4) -> None:
+    def __init__(
+        self,
+        seed: int,
+        n_entries: int = 3,
+        n_agents: int = 4,
+        options: JobOptions | None = None,
+    ) -> None:
         self.rng = random.Random(seed)
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         clocks.use_clocks(self.loop.time, lambda: EPOCH_S + self.loop.now_s)
         self.trace: list[str] = []
-        self.options = JobOptions()
+        self.options = options or JobOptions()
         self.jobs: dict[JobId, SubmittedJob] = {}
         self.scripts: dict[str, TaskScript] = {}
         self.crashing: dict[str, float] = {}
@@ -475,10 +481,13 @@
 
 
 def started(
-    seed: int, n_entries: int = 3, n_agents: int = 4
+    seed: int,
+    n_entries: int = 3,
+    n_agents: int = 4,
+    options: JobOptions | None = None,
 ) -> Iterator[JobSimulation]:
     """Yield a simulation after its start, and close it: the body of a fixture."""
-    simulation = JobSimulation(seed, n_entries, n_agents)
+    simulation = JobSimulation(seed, n_entries, n_agents, options)
     simulation.run(START_S)
     yield simulation
     simulation.close()
--- /dev/null
+++ b/tests/jobs/test_finished_jobs.py
@@ -0,0 +1,114 @@
+"""Finished jobs stay finished, whatever becomes of the removal of their records."""
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+from job_simulation import (
+    JobSimulation,
+    SubmittedJob,
+    lines,
+    owner_of,
+    started,
+)
+
+from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs.options import JobOptions
+from almondspan_platform.group_store import CommitOutcome, Write, WriteGroup
+from almondspan_platform.store import Unavailable
+from almondspan_standins.memory_group_store import GroupStoreClient
+
+RETENTION_S = 4.0
+SWEEP_S = 11.0
+"""Within this time finished jobs past their retention are removed once."""
+N_JOBS = 5
+STEPS = (StepSpec(2, Shape(200, 200), estimate_ms=200),)
+
+
+@pytest.fixture
+def simulation() -> Iterator[JobSimulation]:
+    options = JobOptions(finished_retention_s=RETENTION_S)
+    yield from started(11, n_agents=2, options=options)
+
+
+def finish_jobs(simulation: JobSimulation) -> list[SubmittedJob]:
+    """Let all jobs run to their ends; they are not old enough to be removed."""
+    jobs = [simulation.make_job(STEPS) for _ in range(N_JOBS)]
+    for job in jobs:
+        simulation.submit(job, simulation.entries[0])
+    simulation.run(2.0)
+    assert all(job.is_accepted for job in jobs)
+    assert len(lines(simulation, " job_ended ")) == N_JOBS
+    return jobs
+
+
+class Removals:
+    """Refuses groups with removals, or applies them and loses the answers."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, is_applied: bool) -> None:
+        self.is_failing = True
+        self.n_failed = 0
+        self._is_applied = is_applied
+        self._commit = GroupStoreClient.commit
+        removals = self
+
+        async def commit(client: GroupStoreClient, group: WriteGroup) -> CommitOutcome:
+            return await removals.commit(client, group)
+
+        monkeypatch.setattr(GroupStoreClient, "commit", commit)
+
+    async def commit(
+        self, client: GroupStoreClient, group: WriteGroup
+    ) -> CommitOutcome:
+        if not group.removals or not self.is_failing:
+            return await self._commit(client, group)
+        self.n_failed += 1
+        if self._is_applied and self.n_failed == 1:
+            await self._commit(client, group)
+        await asyncio.sleep(0.1)
+        return Unavailable("no answer", may_have_applied=True)
+
+
+def lose_history(simulation: JobSimulation) -> None:
+    """Drop the history with a change that no watch has reported yet."""
+    simulation.store.commit(WriteGroup(writes=(Write("other", b""),)))
+    simulation.store.drop_history()
+
+
+@pytest.mark.parametrize(
+    "is_applied",
+    [pytest.param(False, id="not_stored"), pytest.param(True, id="answer_lost")],
+)
+def test_finished_jobs_do_not_run_again_while_their_removal_is_not_stored(
+    simulation: JobSimulation, monkeypatch: pytest.MonkeyPatch, is_applied: bool
+) -> None:
+    """Guards against TWICE: jobs that are forgotten while the store still has them.
+
+    The store has dropped its history meanwhile, so the owner reads all jobs again.
+    """
+    finish_jobs(simulation)
+    owner = owner_of(simulation)
+    n_runs = len(simulation.runs())
+    removals = Removals(monkeypatch, is_applied)
+    simulation.run(SWEEP_S)
+    assert removals.n_failed
+    simulation.run_in_loop(lose_history)
+    simulation.run(1.0)
+    removals.is_failing = False
+    simulation.run(2.0)
+    assert owner_of(simulation) is owner
+    assert lines(simulation, " watch_lost ")
+    assert len(simulation.runs()) == n_runs
+    assert simulation.violations() == []
+
+
+def test_finished_jobs_leave_the_store_and_then_the_memory(
+    simulation: JobSimulation,
+) -> None:
+    jobs = finish_jobs(simulation)
+    simulation.run(SWEEP_S + JobOptions().watch_wait_s)
+    owner = owner_of(simulation).entry.leadership.owner
+    assert not owner.scheduler.jobs
+    keys = [key for key in simulation.store.items if jobs[0].job_id in key]
+    assert keys == []
