Count the retention of a finished job from the moment its end is stored

A job that ended while the store was away, for as long as its retention, was removed with the store's return, before its end was ever shown (LOST). A jump of the time of day forward removed jobs early likewise.

Cause: the retention counted from the end in the owner's memory, by the time of day.

Evidence: test_job_that_ended_while_the_store_was_away_is_shown_as_completed and test_jump_of_the_time_of_day_does_not_shorten_the_retention failed before (the job unknown at the store's return; removable at once), pass now.

Change: the retention counts from the moment at which the store has the final state, on the steady clock; a job that is loaded counts the age that its record gives.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -18,6 +18,7 @@
 __all__ = [
     "CrashBound",
     "EndKind",
+    "FINAL_STATES",
     "JobProgress",
     "JobState",
     "StartOutcome",
@@ -41,6 +42,12 @@
     CANCELLED = "cancelled"
 
 
+FINAL_STATES: Final = frozenset(
+    {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
+)
+"""States that a job never leaves."""
+
+
 class TaskPhase(Enum):
     """Scheduling phase of a task."""
 
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -9,6 +9,7 @@
 never taken for a new one.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -22,7 +23,7 @@
     TaskKey,
     parse_task_name,
 )
-from almondspan_decisions.job_progress import JobProgress, JobState
+from almondspan_decisions.job_progress import FINAL_STATES, JobProgress, JobState
 from almondspan_jobs.clocks import steady_s, wall_ms
 from almondspan_jobs.event_log import EventLog
 from almondspan_platform.store import Revision
@@ -45,6 +46,8 @@
     stored_version: int = 0
     seen_s: float = field(default_factory=steady_s)
     """When the owner first saw the job."""
+    ended_s: float = math.inf
+    """When the store had the job's final state."""
 
 
 class JobTable:
@@ -101,6 +104,9 @@
         self.jobs[job.job_id] = job
         self._tracking[job.job_id] = _JobTracking()
         self._set_stored_state(job, stored)
+        if job.finished_ms:
+            age_s = max(0, wall_ms() - job.finished_ms) / 1000
+            self._tracking[job.job_id].ended_s -= age_s
         self._update_placeable(job)
 
     def cancel(self, job_id: JobId) -> None:
@@ -176,6 +182,8 @@
     def _set_stored_state(self, job: JobProgress, state: JobState) -> None:
         before = self.stored_states.get(job.job_id)
         self.stored_states[job.job_id] = state
+        if before is not state and state in FINAL_STATES:
+            self._tracking[job.job_id].ended_s = steady_s()
         was_pending, is_pending = (
             before is JobState.PENDING,
             state is JobState.PENDING,
@@ -204,15 +212,14 @@
     # Removal
 
     def removable(self, retention_s: float, n_jobs: int) -> list[JobId]:
-        """Return some finished jobs that are past their retention."""
-        limit_ms = wall_ms() - int(retention_s * 1000)
+        """Return some jobs whose final state was stored for their retention."""
+        limit_s = steady_s() - retention_s
         return [
-            job.job_id
-            for job in self.jobs.values()
-            if job.finished_ms
-            and job.finished_ms < limit_ms
-            and not job.n_placed
-            and job.job_id not in self._removed_at
+            job_id
+            for job_id, tracking in self._tracking.items()
+            if tracking.ended_s < limit_s
+            and not self.jobs[job_id].n_placed
+            and job_id not in self._removed_at
         ][:n_jobs]
 
     def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
--- a/tests/jobs/test_finished_jobs.py
+++ b/tests/jobs/test_finished_jobs.py
@@ -9,11 +9,15 @@
     SubmittedJob,
     lines,
     owner_of,
+    refuse,
     started,
 )
+from scheduler_harness import JOB, TASK, SchedulerHarness
 
 from almondspan_decisions.job_graph import StepSpec
+from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
+from almondspan_jobs import clocks
 from almondspan_jobs.options import JobOptions
 from almondspan_platform.group_store import CommitOutcome, Write, WriteGroup
 from almondspan_platform.store import Unavailable
@@ -112,3 +116,43 @@
     assert not owner.scheduler.jobs
     keys = [key for key in simulation.store.items if jobs[0].job_id in key]
     assert keys == []
+
+
+def test_job_that_ended_while_the_store_was_away_is_shown_as_completed(
+    simulation: JobSimulation,
+) -> None:
+    """Guards against LOST: a job that is removed before its end is stored."""
+    job = simulation.make_job(STEPS)
+    simulation.submit(job, simulation.entries[0])
+    simulation.run(0.15)
+    assert job.is_accepted
+    for machine in simulation.entries:
+        refuse(machine)
+    outage_s = RETENTION_S + SWEEP_S
+    simulation.store.extend_leases(outage_s)
+    simulation.run(outage_s)
+    assert lines(simulation, f" job_ended job={job.job_id} ")
+    for machine in simulation.entries:
+        machine.faults.is_refusing = False
+    simulation.run(1.0)
+    simulation.ask_state(job, simulation.entries[0])
+    simulation.run(1.0)
+    assert simulation.state_of(job) is JobState.COMPLETED
+    assert simulation.violations() == []
+
+
+def test_jump_of_the_time_of_day_does_not_shorten_the_retention(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against LOST: a job that is removed before callers can have asked."""
+    harness.report_worker()
+    harness.add()
+    harness.scheduler.cancel_job(JOB)
+    harness.plan_and_store()
+    harness.list_worker(ended=[(1, TASK, 1, "stopped", "")])
+    harness.plan_and_store()
+    clocks.use_clocks(lambda: harness.now_s, lambda: 2_000_000_000 + harness.now_s)
+    harness.now_s += harness.options.finished_retention_s - 1.0
+    assert harness.scheduler.removable_jobs() == []
+    harness.now_s += 2.0
+    assert harness.scheduler.removable_jobs() == [JOB]
