Send a start with its own deadline

Cause: a start that had waited at the agent was sent with the lease's newest deadline, which was granted after its attempt had been released by the lease's expiry, so the runner accepted it.

Change: the agent sends the deadline of the command. A new owner sends no start before it has granted a lease: its deadline was 0, and the newest one had hidden that (test_new_owner_sends_no_start_before_it_has_granted_a_lease). Why it works: an attempt is released only after its deadline has passed on the worker's clock, however slow, and a worker refuses a start whose deadline has passed.

--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -218,12 +218,16 @@
             if task.n_sends == 0:
                 self._assignments.release(job, key, "worker_unreachable")
             return
+        until_ms = self._fleet.lease(incarnation).until_ms
+        if not until_ms:
+            # The worker's next listing gets its lease from this owner.
+            return
         command = StartCommand(
             incarnation.started_ms,
             task.n_attempts,
             job.spec.payload,
             task.checkpoint,
-            self._fleet.lease(incarnation).until_ms,
+            until_ms,
             self._task_traits(job, key),
             task.needs_trial,
         )
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -376,7 +376,7 @@
                 command.attempt,
                 command.payload,
                 command.checkpoint,
-                max(command.until_ms, incarnation.until_ms),
+                command.until_ms,
                 epoch,
             ),
         )
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -3,7 +3,7 @@
 Each `MemoryTaskWorker` is one machine; `MemoryTaskWorker.restart` starts a new
 incarnation with the same or another id. `MemoryTaskWorker.runs` records all runs for
 checks by tests. As faults, a command may be executed seconds later and without a
-response, and a task may crash the worker.
+response, a worker may hang, and a task may crash the worker.
 """
 
 import asyncio
@@ -31,6 +31,8 @@
 
 ANSWER_S: Final = 0.001
 COMMAND_TIMEOUT_S: Final = 0.4
+POLL_TIMEOUT_S: Final = 0.6
+"""Added to the time that the poll itself waits."""
 STOP_S: Final = 0.2
 MAX_LEASE_S: Final = 6.0
 
@@ -123,6 +125,9 @@
         self.runs: Final[list[WorkerRun]] = []
         self.late_share = 0.0
         """Share of commands that are executed 2 to 8 s later, without a response."""
+        self.start_s = 0.0
+        """Time from the arrival of a start to its execution."""
+        self._hung_until_s = 0.0
         self.is_down = False
         self.closes_on_crash = False
         """Whether a crash ends a poll in progress, as when only the process dies.
@@ -173,6 +178,14 @@
         )
         self.is_down = False
 
+    def hang(self, for_s: float) -> None:
+        """Neither execute nor answer any call for a while; runs go on."""
+        self._hung_until_s = self._now_s() + for_s
+
+    @property
+    def _is_hung(self) -> bool:
+        return self._now_s() < self._hung_until_s
+
     # Clock and ends of runs
 
     def _advance(self) -> None:
@@ -242,6 +255,9 @@
             )
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Verdict.NO_ANSWER
+        if self._is_hung and not self.is_down:
+            await asyncio.sleep(COMMAND_TIMEOUT_S)
+            return Verdict.NO_ANSWER
         if self.is_down:
             return Verdict.NOT_TAKEN
         return self._execute(worker_id, command)
@@ -274,6 +290,8 @@
 
     async def start_task(self, worker_id: WorkerId, request: StartTask) -> StartAnswer:
         """Start an attempt."""
+        if self.start_s:
+            await asyncio.sleep(self.start_s)
         verdict = await self._deliver(worker_id, lambda: self._start(request))
         return StartAnswer(verdict, self.clock_ms() if verdict is Verdict.DONE else 0)
 
@@ -391,6 +409,9 @@
             until_s = min([limit_s, self._now_s() + 0.05, *next_s])
             await asyncio.sleep(max(until_s - self._now_s(), 0.0005))
             self._advance()
+        if self._is_hung:
+            await asyncio.sleep(POLL_TIMEOUT_S)
+            return PollFailed(Verdict.NO_ANSWER, "the worker hangs")
         if self.is_down or incarnation is not self._incarnation:
             return PollFailed(Verdict.NO_ANSWER, "the worker has crashed or restarted")
         return WorkerPoll(
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -173,6 +173,25 @@
     assert n_placed(harness) == 0
 
 
+def test_new_owner_sends_no_start_before_it_has_granted_a_lease(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against a start that its worker refuses as late while it runs the task."""
+    harness.report_worker()
+    harness.add()
+    job = harness.scheduler.jobs[JOB]
+    stored = decode_progress(JOB, job.spec, encode_progress(job))
+    harness.restart_owner()
+    harness.sent.clear()
+    harness.scheduler.load(stored)
+    harness.report_worker(is_listed=False)
+    harness.advance(harness.options.command_resend_s)
+    assert harness.take_sent(StartCommand) == []
+    harness.list_worker()
+    harness.advance(harness.options.command_resend_s)
+    assert [body.until_ms > 0 for body in harness.take_sent(StartCommand)] == [True]
+
+
 def test_lease_is_bounded_by_the_confirmed_ownership(
     harness: SchedulerHarness,
 ) -> None:
