Let a stop withdraw the starts that wait at an agent

Cause: starts and stops waited in one queue at the agent, without a limit, and a start was sent in its turn whatever had been ordered since.

Change: starts and stops have slots of their own; a stop withdraws the waiting starts of its attempt; a start sent again while it waits is not queued twice; in its turn a start is refused if polls of the worker fail or no owner is connected. Why it works: after the stop has reached the agent, no start of that attempt can leave it; an agent without an owner, which would bring the stop, sends none.

--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -36,6 +36,7 @@
     acknowledge_wait_s: float = 0.2
     """How long the next poll is delayed for listed ends to be acknowledged."""
     max_concurrent_commands: int = 12
+    """How many starts, and how many stops, are under way at a worker at once."""
     trial_list_s: float = 0.35
     """When a worker is listed again after the start of a task on trial."""
     pace_interval_s: float = 0.3
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -8,8 +8,10 @@
 3. Polls run one after another, each waiting at the worker for a task to end. A poll
    carries the lease and the acknowledged ends from the owner, and its result is
    forwarded to the owner. The first of several failed polls is reported to the owner.
-4. Commands run concurrently with the polls. A revocation is answered only when a poll
-   that began after the worker's answer to the stop does not list the attempt.
+4. Commands run concurrently with the polls; `CommandSlots` limits how many. A start
+   that waits is sent only if it still may be, and a stop of its attempt withdraws it. A
+   revocation is answered only when a poll that began after the worker's answer to the
+   stop does not list the attempt.
 5. `WorkerPacing` paces the best-effort tasks based on the listed tail latencies.
 6. `Relay` joins channels of processes that can't reach each other directly.
 
@@ -19,11 +21,12 @@
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from almondspan_decisions.clock_reading import ClockReading
 from almondspan_decisions.ids import WorkerId
 from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.command_slots import CommandSlots
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
     AttemptRevoked,
@@ -62,6 +65,14 @@
 __all__ = ["WorkerAgent"]
 
 
+class _AttemptKey(NamedTuple):
+    """Identifies the start of an attempt by the owner of an epoch."""
+
+    task: str
+    attempt: int
+    epoch: int
+
+
 @dataclass(slots=True)
 class _Incarnation:
     """The agent's state of its worker's current incarnation."""
@@ -108,7 +119,11 @@
         self._channel: Channel | None = None
         self._pacing: Final = WorkerPacing(worker, options, log)
         self._changed: Final = asyncio.Event()
-        self._command_slots: Final = asyncio.Semaphore(options.max_concurrent_commands)
+        n_slots = options.max_concurrent_commands
+        self._start_slots: Final[CommandSlots[_AttemptKey]] = CommandSlots(n_slots)
+        self._stop_slots: Final[CommandSlots[tuple[StopCommand, int]]] = CommandSlots(
+            n_slots
+        )
         self._command_tasks: Final[set[asyncio.Task[None]]] = set()
         self._poll_task: asyncio.Task[None] | None = None
 
@@ -312,17 +327,13 @@
     async def _start_task(self, command: StartCommand, epoch: int) -> None:
         incarnation = self._incarnation
         name = command.traits.task
-        is_proven = False
-        verdict = self._refusal(command)
+        key = _AttemptKey(name, command.attempt, epoch)
+        if self._start_slots.is_waiting(key):
+            # The command was sent again; the one that waits gets the answer.
+            return
+        verdict, is_proven = self._refusal(command), False
         if verdict is None:
-            async with self._command_slots:
-                # The worker may have changed in the wait for the slot.
-                verdict = self._refusal(command)
-                if verdict is None:
-                    sent_s = steady_s()
-                    answer = await self._send_start(command, epoch)
-                    verdict = answer.verdict
-                    is_proven = self._is_proven(incarnation, answer, sent_s)
+            verdict, is_proven = await self._send_in_turn(command, key)
         self._metrics.count(f"start_{verdict.value}")
         self._log.line(
             "start_answered",
@@ -347,12 +358,31 @@
             if command.is_trial:
                 await self._list_after_trial(incarnation, epoch)
 
+    async def _send_in_turn(
+        self, command: StartCommand, key: _AttemptKey
+    ) -> tuple[Verdict, bool]:
+        """Send a start once it has a slot; return its verdict and if that is proven."""
+        if not await self._start_slots.acquire(key):
+            return Verdict.NOT_TAKEN, False
+        try:
+            # What allowed the start before the wait may have changed.
+            verdict = self._refusal(command)
+            if verdict is not None:
+                return verdict, False
+            incarnation = self._incarnation
+            sent_s = steady_s()
+            answer = await self._send_start(command, key.epoch)
+            return answer.verdict, self._is_proven(incarnation, answer, sent_s)
+        finally:
+            self._start_slots.release()
+
     def _refusal(self, command: StartCommand) -> Verdict | None:
         """Return why a start must not be sent to the worker; None if it may be."""
         incarnation = self._incarnation
         if incarnation is None or incarnation.state.started_ms != command.started_ms:
             return Verdict.OTHER_INCARNATION
-        if incarnation.state.is_leaving:
+        is_silent = bool(incarnation.failed_verdict)
+        if incarnation.state.is_leaving or is_silent or self._channel is None:
             return Verdict.NOT_TAKEN
         return None
 
@@ -390,13 +420,18 @@
                 self._forward_poll(incarnation, poll)
 
     async def _stop_task(self, command: StopCommand, epoch: int) -> None:
+        self._withdraw_starts(command)
         incarnation = self._incarnation
-        if incarnation is None:
+        key = (command, epoch)
+        if incarnation is None or self._stop_slots.is_waiting(key):
             return
-        async with self._command_slots:
+        await self._stop_slots.acquire(key)
+        try:
             verdict = await self._worker.stop_task(
                 incarnation.state.worker_id, command.task, command.attempt, epoch
             )
+        finally:
+            self._stop_slots.release()
         self._log.line(
             "stop_answered",
             task=command.task,
@@ -407,6 +442,19 @@
         if command.is_revocation and verdict is Verdict.DONE:
             await self._confirm_revocation(incarnation, command, epoch)
 
+    def _withdraw_starts(self, stop: StopCommand) -> None:
+        """Withdraw the waiting starts of an attempt that is to be stopped."""
+        withdrawn = self._start_slots.withdraw(
+            lambda start: start.task == stop.task and start.attempt <= stop.attempt
+        )
+        for start in withdrawn:
+            self._log.line(
+                "start_withdrawn",
+                task=start.task,
+                attempt=start.attempt,
+                fence=start.epoch,
+            )
+
     async def _confirm_revocation(
         self, incarnation: _Incarnation, command: StopCommand, epoch: int
     ) -> None:
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -1,4 +1,4 @@
-"""Commands that an agent holds while another owner connects or its worker changes."""
+"""Commands that wait at an agent while an owner, the worker or their need changes."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
@@ -49,6 +49,7 @@
 
     def __init__(self) -> None:
         self.fences: list[tuple[str, int]] = []
+        self.started: list[str] = []
         self.release = asyncio.Event()
 
     async def _answer(self, task: str, fence: int) -> Verdict:
@@ -57,6 +58,7 @@
         return Verdict.TOO_LATE
 
     async def start_task(self, worker_id: WorkerId, request: StartTask) -> StartAnswer:
+        self.started.append(request.task)
         return StartAnswer(await self._answer(request.task, request.fence))
 
     async def stop_task(
@@ -237,6 +239,69 @@
     run_test(body)
 
 
+def test_stop_withdraws_the_waiting_start_of_its_attempt(run_test: RunTest) -> None:
+    """Guards against a start that is sent seconds after its stop was ordered."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        for name in ("a", "b", "c"):
+            owner.post(start(name))
+        owner.post(StopCommand("b", 1))
+        await asyncio.sleep(0.1)
+        replies = [body for body in owner.inbox if isinstance(body, StartReply)]
+        assert [(each.task, each.verdict) for each in replies] == [
+            ("b", Verdict.NOT_TAKEN.value)
+        ]
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a", "c"]
+        assert hand_over.worker.fences == [("a", 1), ("b", 1), ("c", 1)]
+
+    run_test(body)
+
+
+def test_start_that_waits_is_not_sent_twice(run_test: RunTest) -> None:
+    """Guards against a queue that grows with each repetition of a command."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        for name in ("a", "b", "b"):
+            owner.post(start(name))
+        await asyncio.sleep(0.1)
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a", "b"]
+
+    run_test(body)
+
+
+@pytest.mark.parametrize(
+    ("is_owner_gone", "wait_s"),
+    [
+        pytest.param(True, 0.1, id="owner_gone"),
+        pytest.param(False, 1.1, id="poll_failed"),
+    ],
+)
+def test_waiting_start_is_not_sent_without_an_owner_or_beside_failing_polls(
+    run_test: RunTest, is_owner_gone: bool, wait_s: float
+) -> None:
+    """Guards against a start that is sent long after it was ordered."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        owner.post(start("a"))
+        owner.post(start("b"))
+        await asyncio.sleep(0.1)
+        if is_owner_gone:
+            await owner.close()
+        await asyncio.sleep(wait_s)
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a"]
+
+    run_test(body)
+
+
 def test_commands_of_an_owner_that_connects_after_its_successor_are_ignored(
     run_test: RunTest,
 ) -> None:
