--- a/packages/decisions/almondspan_decisions/job_graph.py
+++ b/packages/decisions/almondspan_decisions/job_graph.py
@@ -73,6 +73,19 @@
     """How many lasting tasks the scheduler may have stopped at the same time."""
 
 
+@dataclass(frozen=True, slots=True)
+class QueueRules:
+    """Configured rules for the jobs of a queue."""
+
+    service: ServiceName
+    priority: int
+    max_failures: int
+    """Number of failures of one task that fail its job."""
+    stretch: float
+    target_ms: int
+    has_advisor: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class JobSpec:
     """A job as it was accepted."""
@@ -85,6 +98,9 @@
     n_occurrences: int = 0
     first_due_ms: int = 0
     interval_ms: int = 0
+    accepted_rules: QueueRules | None = None
+    """The rules of the queue as it was accepted; None in records of earlier releases.
+    They apply while no queue of this name is configured."""
 
     @property
     def n_total_occurrences(self) -> int:
@@ -98,19 +114,6 @@
         return self.first_due_ms + occurrence * self.interval_ms
 
 
-@dataclass(frozen=True, slots=True)
-class QueueRules:
-    """Configured rules for the jobs of a queue."""
-
-    service: ServiceName
-    priority: int
-    max_failures: int
-    """Number of failures of one task that fail its job."""
-    stretch: float
-    target_ms: int
-    has_advisor: bool = False
-
-
 def format_task_name(job_id: JobId, key: TaskKey) -> str:
     """Return the name that identifies a task to its worker."""
     return f"{job_id}.{key.occurrence}.{key.step}.{key.position}"
@@ -139,7 +142,9 @@
             return f"step {number} waits for a step that is not before it"
     if any(abs(number) > MAX_NUMBER for number in _numbers(spec)):
         return f"a number is beyond {MAX_NUMBER}"
-    names = (name for step in spec.steps for name in _names(step))
+    names = [name for step in spec.steps for name in _names(step)]
+    if spec.accepted_rules is not None:
+        names.append(spec.accepted_rules.service)
     if any(len(name) > MAX_NAME_CHARS for name in names):
         return f"a name is longer than {MAX_NAME_CHARS} characters"
     n_tasks = sum(step.n_tasks for step in spec.steps) * spec.n_total_occurrences
@@ -156,6 +161,9 @@
     """Yield every number of a specification, but for the indexes of steps."""
     yield from (spec.accepted_ms, spec.first_due_ms, spec.interval_ms)
     yield spec.n_occurrences
+    rules = spec.accepted_rules
+    if rules is not None:
+        yield from (rules.priority, rules.max_failures, rules.target_ms)
     for step in spec.steps:
         shape = step.shape
         yield from (shape.cpu_millicores, shape.memory_mb, shape.n_accelerators)
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -242,6 +242,8 @@
     is_failed: bool = False
     n_placed: int = 0
     n_steps_done: int = 0
+    n_most_failures: int = 0
+    """The most failures of one task; tasks that last don't count."""
     has_started: bool = False
     finished_ms: int = 0
     """Unix time in milliseconds at which the job reached a final state; 0 before."""
@@ -269,6 +271,15 @@
         self.n_placed = sum(
             len(step.tasks) - step.n_waiting - step.n_done for step in steps
         )
+        counted = [
+            step.tasks
+            for steps in self.occurrences.values()
+            for step, spec in zip(steps, self.spec.steps, strict=True)
+            if not spec.lasts
+        ]
+        self.n_most_failures = max(
+            (task.n_failed for tasks in counted for task in tasks), default=0
+        )
 
     def step_state(self, key: TaskKey) -> StepState | None:
         """Return the state of a task's step; None if the job has no such step yet."""
@@ -402,9 +413,7 @@
         task.crashed_attempt = 0
         return True
 
-    def end(
-        self, key: TaskKey, kind: EndKind, checkpoint: str, max_failures: int
-    ) -> None:
+    def end(self, key: TaskKey, kind: EndKind, checkpoint: str) -> None:
         """Record how the assigned attempt of a task ended."""
         task, state = self.task(key), self.step_state(key)
         assert task is not None and task.incarnation is not None and state is not None
@@ -425,5 +434,12 @@
         if kind is EndKind.FAILED:
             task.n_failed += 1
             task.avoid(worker_id)
-            if task.n_failed >= max_failures and not step.lasts:
-                self.is_failed = True
+            if not step.lasts:
+                self.n_most_failures = max(self.n_most_failures, task.n_failed)
+
+    def apply_failure_limit(self, max_failures: int) -> bool:
+        """Fail the job if a task has failed as often; return whether it failed now."""
+        if not self.is_active or self.n_most_failures < max_failures:
+            return False
+        self.is_failed = True
+        return True
--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -156,7 +156,8 @@
             record.kept_apart.discard((job.job_id, key))
             self._fleet.mark_freed(record)
             self._record_outcome(record, job, kind, now_s)
-        job.end(key, kind, checkpoint, self._table.max_failures(job))
+        job.end(key, kind, checkpoint)
+        self._table.apply_failure_limit(job)
         self._table.mark_dirty(job)
         self._table.needs_planning = True
 
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -30,11 +30,8 @@
 
 __all__ = ["JobTable"]
 
-_UNKNOWN_QUEUE: Final = 1
-"""Allowed failures of a task whose queue is no longer configured."""
-
 LAST_PRIORITY: Final = 99
-"""Priority of jobs whose queue is no longer configured."""
+"""Priority of jobs without rules."""
 
 
 @dataclass(slots=True)
@@ -55,7 +52,7 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log: Final = log
-        self.rules: Mapping[QueueName, QueueRules] = {}
+        self._rules: Mapping[QueueName, QueueRules] = {}
         self.jobs: Final[dict[JobId, JobProgress]] = {}
         self.stored_states: Final[dict[JobId, JobState]] = {}
         """Job states as last stored; callers are only told these."""
@@ -83,6 +80,8 @@
     def load(self, job: JobProgress) -> None:
         """Add a job with its stored progress."""
         self._add(job, job.state)
+        if self.apply_failure_limit(job):
+            self.mark_dirty(job)
 
     def add(self, job_id: JobId, spec: JobSpec) -> None:
         """Add a stored job without progress; a known one is left unchanged."""
@@ -118,19 +117,48 @@
         self.mark_dirty(job)
         self._log.line("job_cancelled", job=job_id, n_placed=job.n_placed)
 
+    # Rules
+
+    @property
+    def rules(self) -> Mapping[QueueName, QueueRules]:
+        """The rules of the configured queues."""
+        return self._rules
+
+    def set_rules(self, rules: Mapping[QueueName, QueueRules]) -> None:
+        """Set the rules of a new configuration, and apply them to every job."""
+        self._rules = rules
+        self.needs_planning = True
+        for job in self.jobs.values():
+            if self.apply_failure_limit(job):
+                self.mark_dirty(job)
+
     def rules_of(self, job: JobProgress) -> QueueRules | None:
-        """Return the rules of a job's queue; None if it is no longer configured."""
-        return self.rules.get(job.spec.queue)
+        """Return the rules of a job's queue, or else those that it was accepted under.
+
+        None stands for a job of an earlier release whose queue is not configured, or
+        of any queue before this process has read the configuration.
+        """
+        return self._rules.get(job.spec.queue) or job.spec.accepted_rules
 
     def priority(self, job: JobProgress) -> int:
         """Return the priority of a job's queue; 0 is the most urgent."""
         rules = self.rules_of(job)
         return rules.priority if rules is not None else LAST_PRIORITY
 
-    def max_failures(self, job: JobProgress) -> int:
-        """Return how many failures of one task fail its job."""
+    def apply_failure_limit(self, job: JobProgress) -> bool:
+        """Fail a job one of whose tasks has failed too often; without rules, wait."""
         rules = self.rules_of(job)
-        return rules.max_failures if rules is not None else _UNKNOWN_QUEUE
+        if rules is None or not job.apply_failure_limit(rules.max_failures):
+            return False
+        self._log.line(
+            "failures_used_up",
+            job=job.job_id,
+            queue=job.spec.queue,
+            n_failures=job.n_most_failures,
+            max_failures=rules.max_failures,
+            is_configured=job.spec.queue in self._rules,
+        )
+        return True
 
     def seen_s(self, job: JobProgress) -> float:
         """Return when the owner first saw a job."""
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -132,8 +132,7 @@
 
     @rules.setter
     def rules(self, rules: Mapping[QueueName, QueueRules]) -> None:
-        self._table.rules = rules
-        self._table.needs_planning = True
+        self._table.set_rules(rules)
 
     @property
     def jobs(self) -> Mapping[JobId, JobProgress]:
--- a/tests/decisions/test_job_progress.py
+++ b/tests/decisions/test_job_progress.py
@@ -77,11 +77,13 @@
     for occurrence in (0, 1):
         key = TaskKey(occurrence, 0, 0)
         job.place(key, INCARNATION, 0.0)
-        job.end(key, EndKind.DONE, "", MAX_FAILURES)
+        job.end(key, EndKind.DONE, "")
+        job.apply_failure_limit(MAX_FAILURES)
     assert job.state is JobState.RUNNING
     job.add_due_occurrences(200)
     job.place(TaskKey(2, 0, 0), INCARNATION, 0.0)
-    job.end(TaskKey(2, 0, 0), EndKind.DONE, "", MAX_FAILURES)
+    job.end(TaskKey(2, 0, 0), EndKind.DONE, "")
+    job.apply_failure_limit(MAX_FAILURES)
     assert job.state is JobState.COMPLETED
 
 
@@ -136,7 +138,8 @@
     key = TaskKey(0, 0, 0)
     for kind in (EndKind.DONE, EndKind.FAILED, EndKind.FAILED, EndKind.FAILED):
         job.place(key, INCARNATION, 0.0)
-        job.end(key, kind, "", MAX_FAILURES)
+        job.end(key, kind, "")
+        job.apply_failure_limit(MAX_FAILURES)
         assert job.state is JobState.RUNNING
         assert job.waiting(0, 0) == [key]
 
@@ -172,7 +175,8 @@
             if task.phase is TaskPhase.WAITING and job.is_active:
                 job.place(key, INCARNATION, 0.0)
         elif name in kinds and task.phase is TaskPhase.PLACED:
-            job.end(key, kinds[name], "", MAX_FAILURES)
+            job.end(key, kinds[name], "")
+            job.apply_failure_limit(MAX_FAILURES)
         steps = job.occurrences[0]
         phases = [[task.phase for task in state.tasks] for state in steps]
         for state, row in zip(steps, phases, strict=True):
--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -283,6 +283,13 @@
                 return machine
         return None
 
+    def configure(self, rules: Mapping[QueueName, QueueRules]) -> None:
+        """Put a configuration in force at every entry."""
+        self.rules = rules
+        for machine in self.entries:
+            if machine.entry is not None:
+                machine.entry.leadership.set_rules(rules)
+
     # Callers
 
     def script(self, task: str, attempt: int) -> TaskScript:
@@ -302,7 +309,10 @@
         job_id = JobId(f"{self.rng.getrandbits(64):016x}")
         if steps is None:
             steps = self._random_steps()
-        spec = JobSpec(QUEUE, "payload", steps, int(self.loop.now_s * 1000))
+        accepted_ms = int(self.loop.now_s * 1000)
+        spec = JobSpec(
+            QUEUE, "payload", steps, accepted_ms, accepted_rules=RULES[QUEUE]
+        )
         job = self.jobs[job_id] = SubmittedJob(job_id, spec)
         return job
 
--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec
+from almondspan_decisions.ids import ServiceName
+from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules, StepSpec
 from almondspan_decisions.shapes import Shape
 from almondspan_site.configuration import Configuration, decode_configuration
 from almondspan_site.job_decoding import JobFault, decode_job
@@ -21,6 +22,7 @@
 """The value of an additional field, nested too deeply for the decoder."""
 
 QUEUE = QueueName("q")
+RULES = QueueRules(ServiceName("pool"), 1, 3, 2.0, 500)
 STEP = {"count": 4, "cpu": 500, "memMb": 256}
 
 
@@ -66,8 +68,8 @@
 )
 def test_step(body: dict[str, Any], step: StepSpec) -> None:
     data = json.dumps({"spec": "text", "steps": [body], "unknown": 1}).encode()
-    found = decode_job(data, QUEUE, 7, 4_000)
-    assert found == JobSpec(QUEUE, "text", (step,), 7)
+    found = decode_job(data, QUEUE, RULES, 7, 4_000)
+    assert found == JobSpec(QUEUE, "text", (step,), 7, accepted_rules=RULES)
 
 
 @pytest.mark.parametrize(
@@ -96,7 +98,7 @@
     ],
 )
 def test_malformed_job(data: bytes) -> None:
-    assert isinstance(decode_job(data, QUEUE, 7, 4_000), JobFault)
+    assert isinstance(decode_job(data, QUEUE, RULES, 7, 4_000), JobFault)
 
 
 def route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
