Take a message about a stored job for what the store has

A message of an entry about a job that was removed since made the owner take it for a new one, and an entry whose write came second told the owner of its own record instead of the one that is stored.

Evidence: test_late_message_about_a_removed_job_does_not_start_it_again and test_owner_is_told_of_the_job_that_is_stored fail with the old handling, pass now.

Change: the message names the stored record and its revision. The owner ignores one whose revision the watch of the jobs has passed: such a job is known or has been removed.

--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -45,7 +45,13 @@
     progress_key,
 )
 from almondspan_platform.group_store import GroupConflict, GroupStore, Write, WriteGroup
-from almondspan_platform.store import ABSENT_REVISION, Found, Swapped, Unavailable
+from almondspan_platform.store import (
+    ABSENT_REVISION,
+    Found,
+    KeyValue,
+    Swapped,
+    Unavailable,
+)
 
 __all__ = ["JobAnswer", "JobApi", "StateAnswer", "StoreResult"]
 
@@ -71,6 +77,8 @@
 
     result: StoreResult
     reason: str = ""
+    stored: KeyValue | None = None
+    """What the store has, if it told this entry."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,11 +122,16 @@
         else:
             record = encode_spec(spec)
             answer = await self._store_job(job_id, record, began_s + budget_s)
-            if answer.result is StoreResult.STORED:
-                self._owner.notify(JobStored(job_id, record))
+            self._notify_of_job(job_id, answer)
         self._record_outcome("job_submitted", "submit", job_id, answer, began_s)
         return answer
 
+    def _notify_of_job(self, job_id: JobId, answer: JobAnswer) -> None:
+        """Tell the owner of a job what the store has, which may be another's record."""
+        stored = answer.stored
+        if stored is not None:
+            self._owner.notify(JobStored(job_id, stored.value, stored.revision))
+
     def _rejection_reason(self, spec: JobSpec) -> str:
         n_tasks = sum(step.n_tasks for step in spec.steps)
         if n_tasks > self._options.max_tasks_per_job:
@@ -230,11 +243,14 @@
                 return JobAnswer(
                     StoreResult.NOT_DONE, "the store did not answer a probe"
                 )
+        write = group.writes[0]
         outcome = await self._store.commit(group)
         if isinstance(outcome, Swapped):
-            return JobAnswer(StoreResult.STORED)
+            stored = KeyValue(write.key, write.value, outcome.revision)
+            return JobAnswer(StoreResult.STORED, stored=stored)
         if isinstance(outcome, GroupConflict):
-            return JobAnswer(StoreResult.STORED, "it was already stored")
+            found = outcome.item(write.key)
+            return JobAnswer(StoreResult.STORED, "it was already stored", found)
         if isinstance(outcome, Unavailable) and outcome.may_have_applied:
             return JobAnswer(StoreResult.UNKNOWN, outcome.reason)
         return JobAnswer(StoreResult.NOT_DONE, str(outcome))
@@ -259,12 +275,10 @@
         else:
             group = _cancellation(body.job_id)
         answer = await self.write_once(group)
-        if answer.result is StoreResult.STORED:
-            self._owner.notify(
-                JobStored(body.job_id, body.record)
-                if body.record
-                else JobCancelled(body.job_id)
-            )
+        if body.record:
+            self._notify_of_job(body.job_id, answer)
+        elif answer.result is StoreResult.STORED:
+            self._owner.notify(JobCancelled(body.job_id))
         return StoreReply(body.number, answer.result.value)
 
     async def cancel(self, job_id: JobId, budget_s: float) -> JobAnswer:
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -258,6 +258,8 @@
 
     job_id: JobId
     record: bytes
+    revision: Count = 0
+    """The store's revision of the record; 0 from an entry of an earlier release."""
 
 
 @message
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -94,6 +94,8 @@
         self._tasks: Final[list[asyncio.Task[None]]] = []
         self._wake: Final = asyncio.Event()
         self._loaded_at: Revision | None = None
+        self._reported: Revision | None = None
+        """The revision up to which the watch has reported all changes of jobs."""
         self._agents: Mapping[str, AgentRecord] = {}
         self.ended: Final = asyncio.Event()
 
@@ -191,7 +193,7 @@
 
     async def _run(self) -> None:
         loaded_at = await self._load()
-        self._loaded_at = loaded_at
+        self._loaded_at = self._reported = loaded_at
         await self.set_agents(self._agents)
         self._spawn(self._watch_jobs(loaded_at))
         self._spawn(self._tick())
@@ -290,17 +292,22 @@
             if isinstance(event, WatchEvent):
                 self._handle_items(event.changed)
                 after = event.revision
-                self.scheduler.forget_removed(after)
+                self._on_reported(after)
             elif isinstance(event, WatchLost):
                 self._log.line("watch_lost", prefix=JOBS_PREFIX, reason=event.reason)
                 found = await self._read_range(JOBS_PREFIX)
                 self._handle_items(found.items)
                 after = found.revision
-                self.scheduler.forget_removed(after)
+                self._on_reported(after)
             else:
                 self._log.line("watch_unanswered", reason=event.reason)
                 await asyncio.sleep(self._options.retry_s)
 
+    def _on_reported(self, revision: Revision) -> None:
+        """Note that the watch has reported all changes up to a revision."""
+        self._reported = revision
+        self.scheduler.forget_removed(revision)
+
     def answer(self, body: Message) -> Message | None:
         """Handle an entry's message; None if it needs no answer."""
         if isinstance(body, StateRequest):
@@ -313,13 +320,22 @@
         if isinstance(body, PendingCountRequest):
             n_jobs = self.scheduler.n_pending(body.queue) if self.is_serving else -1
             return PendingCountReply(body.number, n_jobs)
-        if isinstance(body, JobStored) and self._loaded_at is not None:
-            self.add_stored_job(body.job_id, body.record)
+        if isinstance(body, JobStored):
+            self._on_job_stored(body)
         elif isinstance(body, JobCancelled) and self._loaded_at is not None:
             self.scheduler.cancel_job(body.job_id)
         self.wake()
         return None
 
+    def _on_job_stored(self, body: JobStored) -> None:
+        """Add a job ahead of the watch, unless the watch has already passed it.
+
+        Such a job is known, or has been removed since.
+        """
+        if self._reported is None or 0 < body.revision <= self._reported:
+            return
+        self.add_stored_job(body.job_id, body.record)
+
     # Planning and storing
 
     async def _plan_and_store(self) -> None:
--- a/tests/jobs/test_finished_jobs.py
+++ b/tests/jobs/test_finished_jobs.py
@@ -18,7 +18,9 @@
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs import clocks
+from almondspan_jobs.messages import JobStored
 from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import job_key
 from almondspan_platform.group_store import CommitOutcome, Write, WriteGroup
 from almondspan_platform.store import Unavailable
 from almondspan_standins.memory_group_store import GroupStoreClient
@@ -118,6 +120,21 @@
     assert keys == []
 
 
+def test_late_message_about_a_removed_job_does_not_start_it_again(
+    simulation: JobSimulation,
+) -> None:
+    """Guards against TWICE: an entry that resumes with a message of long ago."""
+    job = finish_jobs(simulation)[0]
+    item = simulation.store.items[job_key(job.job_id)]
+    simulation.run(SWEEP_S + JobOptions().watch_wait_s)
+    n_runs = len(simulation.runs())
+    owner = owner_of(simulation).entry.leadership.owner
+    message = JobStored(job.job_id, item.value, item.revision)
+    simulation.run_in_loop(lambda _: owner.answer(message))
+    simulation.run(2.0)
+    assert len(simulation.runs()) == n_runs
+
+
 def test_job_that_ended_while_the_store_was_away_is_shown_as_completed(
     simulation: JobSimulation,
 ) -> None:
--- a/tests/jobs/test_job_api.py
+++ b/tests/jobs/test_job_api.py
@@ -1,7 +1,8 @@
-"""Answers of an owner that this release does not know."""
+"""What an entry tells the owner of jobs, and odd answers of the owner."""
 
 import asyncio
 import random
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -11,9 +12,10 @@
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs.job_api import JobApi, StoreResult
-from almondspan_jobs.messages import StateReply, StoreReply
+from almondspan_jobs.messages import JobStored, StateReply, StoreReply
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
+from almondspan_jobs.records import encode_spec
 from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
 from almondspan_wire.codec import Message
 
@@ -33,12 +35,13 @@
 
     def __init__(self, reply: Message) -> None:
         self._reply = reply
+        self.notified: list[Message] = []
 
     async def request(self, make_request: Any, timeout_s: float) -> Message:
         return self._reply
 
     def notify(self, body: Message) -> None:
-        pass
+        self.notified.append(body)
 
 
 def make_api(reply: Message, faults: StoreFaults) -> JobApi:
@@ -79,3 +82,23 @@
         return (await api.state(JOB)).state
 
     assert asyncio.run(main()) is expected
+
+
+def test_owner_is_told_of_the_job_that_is_stored() -> None:
+    """Guards against a record in memory that is not the one in the store."""
+
+    async def main() -> list[Message]:
+        store = MemoryGroupStore(random.Random(1))
+        owners = [Owner(StateReply(1, "")), Owner(StateReply(1, ""))]
+        for owner, spec in zip(
+            owners, (SPEC, replace(SPEC, accepted_ms=7)), strict=True
+        ):
+            link: Any = owner
+            client = store.client(StoreFaults())
+            api = JobApi(client, link, JobOptions(), Log(), Metrics())
+            answer = await api.submit(JOB, spec, 1.0)
+            assert answer.result is StoreResult.STORED
+        return [body for owner in owners for body in owner.notified]
+
+    revision = 2
+    assert asyncio.run(main()) == [JobStored(JOB, encode_spec(SPEC), revision)] * 2
