Keep the tasks of a worker and the placeable jobs in a fixed order

Cause: sets of names are iterated in an order that changes with PYTHONHASHSEED, so a run of the simulation repeated only under the same one; test_tasks_beside_one_that_crashes_their_worker_are_ not_given_up[three_jobs_at_once] failed under some and passed under 0.

Change: dictionaries in place of the sets, in the owner and in the simulated network.

--- a/packages/jobs/almondspan_jobs/assignments.py
+++ b/packages/jobs/almondspan_jobs/assignments.py
@@ -98,7 +98,7 @@
             return False
         held = (job.job_id, key)
         task.is_revoking = False
-        self._fleet.held[old].discard(held)
+        self._fleet.release(old, held)
         self._fleet.hold(incarnation, held)
         record = self._fleet.record_of(incarnation)
         if record is not None:
@@ -148,7 +148,7 @@
             checkpoint=checkpoint,
             ran_ms=int((now_s - task.placed_s) * 1000),
         )
-        self._fleet.held[incarnation].discard((job.job_id, key))
+        self._fleet.release(incarnation, (job.job_id, key))
         record = self._fleet.record_of(incarnation)
         if record is not None:
             record.release(job.step_of(key))
--- a/packages/jobs/almondspan_jobs/fleet.py
+++ b/packages/jobs/almondspan_jobs/fleet.py
@@ -37,8 +37,8 @@
         self.home_agents: Final[dict[WorkerIncarnation, str]] = {}
         """The agent that each incarnation reported to."""
         self.are_home_agents_dirty = False
-        self.held: Final[dict[WorkerIncarnation, set[HeldTask]]] = {}
-        """The tasks assigned to each incarnation."""
+        self.held: Final[dict[WorkerIncarnation, dict[HeldTask, None]]] = {}
+        """The tasks assigned to each incarnation, in the order of assignment."""
         self._freed: dict[WorkerId, WorkerRecord] = {}
         """Workers whose free capacity has grown since `take_freed`."""
 
@@ -55,7 +55,11 @@
 
     def hold(self, incarnation: WorkerIncarnation, task: HeldTask) -> None:
         """Add a task to those assigned to an incarnation."""
-        self.held.setdefault(incarnation, set()).add(task)
+        self.held.setdefault(incarnation, {})[task] = None
+
+    def release(self, incarnation: WorkerIncarnation, task: HeldTask) -> None:
+        """Take a task out of those assigned to an incarnation."""
+        self.held.get(incarnation, {}).pop(task, None)
 
     def lease(self, incarnation: WorkerIncarnation) -> WorkerLease:
         """Return the lease of an incarnation, a new one if there is none."""
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -60,8 +60,8 @@
         self._n_pending: Final[Counter[QueueName]] = Counter()
         self._dirty: Final[dict[JobId, None]] = {}
         """Jobs with changes to store, in the order of their first change."""
-        self.placeable: Final[set[JobId]] = set()
-        """Jobs with tasks that wait for placement."""
+        self.placeable: Final[dict[JobId, None]] = {}
+        """Jobs with tasks that wait for placement, in the order in which they came."""
         self.needs_planning = False
         self._removed_at: Final[dict[JobId, Revision]] = {}
         """Jobs that are removed from the store, and at which revision at the latest."""
@@ -181,10 +181,10 @@
 
     def _update_placeable(self, job: JobProgress) -> None:
         if job.is_active and next(job.ready_steps(), None) is not None:
-            self.placeable.add(job.job_id)
+            self.placeable[job.job_id] = None
             self.needs_planning = True
         else:
-            self.placeable.discard(job.job_id)
+            self.placeable.pop(job.job_id, None)
 
     @property
     def is_dirty(self) -> bool:
--- a/tests/jobs/memory_network.py
+++ b/tests/jobs/memory_network.py
@@ -76,7 +76,7 @@
     def end(self, cause: CloseCause) -> None:
         if self.closed is None:
             self.closed = ChannelClosed(cause, "")
-            self._hub.channels.discard(self)
+            self._hub.channels.pop(self, None)
         self._arrived.set()
 
 
@@ -95,7 +95,7 @@
     def __init__(self, loop: VirtualLoop) -> None:
         self.loop = loop
         self.listeners: dict[tuple[str, int], tuple[Process, Handler]] = {}
-        self.channels: set[MemoryChannel] = set()
+        self.channels: dict[MemoryChannel, None] = {}
         self.handling: set[asyncio.Future[None]] = set()
         self.cuts: set[frozenset[str]] = set()
         loop.call_later(CHECK_S, self._check_silence, context=contextvars.Context())
@@ -117,7 +117,7 @@
                 del self.listeners[address]
         for channel in tuple(self.channels):
             if channel.owner is process:
-                self.channels.discard(channel)
+                self.channels.pop(channel, None)
                 if channel.peer is not None:
                     self.call_in(
                         channel.peer.owner,
@@ -173,7 +173,7 @@
         ours = MemoryChannel(self._hub, process)
         theirs = MemoryChannel(self._hub, owner)
         ours.peer, theirs.peer = theirs, ours
-        self._hub.channels |= {ours, theirs}
+        self._hub.channels |= {ours: None, theirs: None}
         self._hub.call_in(owner, LATENCY_S, self._accept, theirs, handler)
         return ours
 
