Restart lasting tasks under which workers crash, after a pause, instead of failing their job

Cause: CrashMonitor gave up every task that is blamed for crashes, and made no exception for tasks that last, as JobProgress does for failures.

Change: a blamed lasting task is restarted as a trial, 1 s after its last run, twice as long after each further crash, 6 s at most; on a worker with little else, which other lasting tasks avoid.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -1,4 +1,4 @@
-"""Which tasks of a crashed worker to give up, and which to try apart from each other.
+"""Which tasks to blame for the crash of a worker, and which to try apart from others.
 
 A crash ends all tasks of a worker, and at most one of them has caused it. It is proven
 to have happened under a task only if the worker is known to have started the task; a
@@ -8,20 +8,23 @@
    crash a worker do so at their start. Its next attempt is a trial, and a worker runs
    one trial at a time (see `step_placement`), until the task has run for `TRIAL_S`.
 2. If a worker crashes under a trial, the task has now twice been in doubt, and no other
-   task there has. If both crashes are proven, it is the cause and is given up. A worker
-   that had crashed shortly before proves nothing.
+   task there has. If both crashes are proven, it is blamed. A worker that had crashed
+   shortly before proves nothing.
 3. A task that crashes its workers later in its run is never alone in doubt. From the
    second crash on such tasks are kept apart where possible, and one under which
-   `MAX_CRASHES` workers have crashed is given up in any case.
+   `MAX_CRASHES` workers have crashed is blamed in any case.
 4. If a large share of all workers falls silent at the same moment, they crash from one
    cause. It can only be a job that had tasks on each of them.
 5. A crash that has such a cause, or of which another task is known to be the cause, is
    only possible for a task, unless it is in doubt or has been on `N_CRASHES_APART`
    workers that crashed. So is a crash of a worker that has not answered the start.
-   A task is given up at `MAX_POSSIBLE_CRASHES`, possible and proven ones together.
+   A task is blamed at `MAX_POSSIBLE_CRASHES`, possible and proven ones together.
 6. A task that neither resumes from checkpoints nor is held back would crash its workers
    after the same time in each attempt. A crash that it has outlived, in an earlier or a
    later attempt, is not its own and does not count.
+
+A task that is blamed is given up, with its job. One that lasts is restarted in any
+case, but after `restart_pause_s`, so that it can't take one worker after the other.
 """
 
 from collections.abc import Iterable, Sequence
@@ -35,6 +38,7 @@
 __all__ = [
     "MAX_CRASHES",
     "MAX_POSSIBLE_CRASHES",
+    "MAX_RESTART_PAUSE_S",
     "N_CRASHES_APART",
     "TRIAL_S",
     "CrashBlame",
@@ -43,11 +47,12 @@
     "blame",
     "is_in_doubt",
     "jobs_at_fault",
+    "restart_pause_s",
     "runs_alike",
 ]
 
 MAX_CRASHES: Final = 3
-"""Proven crashes after which a task is given up, whatever else ran beside it."""
+"""Proven crashes after which a task is blamed, whatever else ran beside it."""
 
 MAX_POSSIBLE_CRASHES: Final = 5
 """The same for proven and possible crashes; a task has two starts after the third."""
@@ -70,6 +75,9 @@
 TRIAL_S: Final = 0.3
 """A task that has run for this long does not crash its worker by starting."""
 
+MIN_RESTART_PAUSE_S: Final = 1.0
+MAX_RESTART_PAUSE_S: Final = 6.0
+
 
 @dataclass(frozen=True, slots=True)
 class CrashedTask:
@@ -97,8 +105,8 @@
     """Tasks for which it counts as proven."""
     possible: tuple[CrashedTask, ...]
     """Tasks for which it counts as possible only."""
-    given_up: tuple[CrashedTask, ...]
-    """Those of both to give up."""
+    blamed: tuple[CrashedTask, ...]
+    """Those of both that are taken for the cause."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +135,15 @@
     return worker.job_ids.intersection(*(peer.job_ids for peer in peers))
 
 
+def restart_pause_s(n_crashes: int) -> float:
+    """Return how long a lasting task waits after its last run for the next one.
+
+    The pause doubles with each crash, proven or possible, from the limit on.
+    """
+    n_doublings = max(0, n_crashes - MAX_CRASHES)
+    return min(MIN_RESTART_PAUSE_S * 2.0**n_doublings, MAX_RESTART_PAUSE_S)
+
+
 def runs_alike(step: StepSpec) -> bool:
     """Return whether all attempts at a task of a step begin and proceed alike."""
     return not step.saves_progress and not step.fills
@@ -149,7 +166,7 @@
     was_worker_sound: bool,
     at_fault: frozenset[JobId] | None,
 ) -> CrashBlame:
-    """Decide for which tasks of a worker its crash counts, and which to give up.
+    """Decide for which tasks of a worker its crash counts, and which to blame.
 
     Parameters
     ----------
@@ -165,12 +182,12 @@
     suspects = tuple(task for task in counted if _is_suspect(task, culprit, at_fault))
     proven = tuple(task for task in suspects if task.is_proven)
     possible = tuple(task for task in counted if task not in proven)
-    given_up = tuple(
+    blamed = tuple(
         task
         for task in counted
         if task is culprit or _is_at_limit(task, is_proven=task in proven)
     )
-    return CrashBlame(proven, possible, given_up)
+    return CrashBlame(proven, possible, blamed)
 
 
 def _is_at_limit(task: CrashedTask, *, is_proven: bool) -> bool:
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -144,6 +144,8 @@
     """Progress of the attempt in percent, as reported by the worker."""
     percent_s: float = 0.0
     """When `percent` last rose."""
+    not_before_s: float = 0.0
+    """The next attempt of a lasting task may not start before (see `crash_blame`)."""
     held_s: float = 0.0
     """Since when a best-effort task has been held back because its start would push
     serving tasks over their targets; 0 if it is not held back."""
--- a/packages/decisions/almondspan_decisions/step_placement.py
+++ b/packages/decisions/almondspan_decisions/step_placement.py
@@ -10,7 +10,8 @@
    the lowest load.
 4. A task that is in doubt of having crashed a worker is tried where no other such task
    is being tried; one with repeated proven crashes is kept apart from others like it,
-   and off workers that have just crashed.
+   off workers that have just crashed, and where little else runs. Lasting tasks avoid
+   its worker.
 5. Data on another rack, an earlier failure of the task on the worker and a rested
    worker add to the cost.
 """
@@ -39,6 +40,10 @@
 """Added for a worker that has just crashed, if workers crash under the task."""
 KEPT_APART_COST: Final = 2.0
 """Added for each task on the worker from which the task is kept apart."""
+LOADED_COST: Final = 4.0
+"""Added for a worker with its full load, if workers crash under the task."""
+SUSPECT_COST: Final = 1.0
+"""Added for each task on the worker under which workers crash."""
 OTHER_IMAGE_COST: Final = 0.1
 """Added for each serving task of another image on the worker."""
 
@@ -94,7 +99,8 @@
     n_others = sum(
         n_tasks for image, n_tasks in worker.n_serving.items() if image != step.image
     )
-    return OTHER_IMAGE_COST * n_others - load_after(step, worker)
+    cost = OTHER_IMAGE_COST * n_others + SUSPECT_COST * len(worker.kept_apart)
+    return cost - load_after(step, worker)
 
 
 @cost_function(StepKind.COUNTED)
@@ -135,6 +141,7 @@
             cost += UNSOUND_COST
         if task.n_crashes >= N_CRASHES_APART:
             cost += KEPT_APART_COST * len(worker.kept_apart)
+            cost += LOADED_COST * worker.used.dominant_share(worker.capacity)
         return cost
 
 
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -1,6 +1,7 @@
-"""Counts the crashes of workers under the tasks that ran there, and gives tasks up.
+"""Counts the crashes of workers under the tasks that ran there, and acts on the blame.
 
-`crash_blame` says which tasks are in doubt and which are given up. The count of a task
+`crash_blame` says which tasks are in doubt and which are blamed: such a task is given
+up, or restarted after a pause if it lasts. The count of a task
 is stored with its job, before the next start of the task leaves, so that it outlives
 owners and restarts. A crash is proven for a task that the worker had confirmed or
 listed, if the owner heard of the worker until it fell silent. It is unproven for one
@@ -24,6 +25,7 @@
     blame,
     is_in_doubt,
     jobs_at_fault,
+    restart_pause_s,
 )
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
@@ -54,6 +56,8 @@
     """Whether the worker is known to have run it when it fell silent."""
     is_in_doubt: bool
     was_on_trial: bool
+    ended_s: float
+    """When the attempt ended at the latest."""
     bound_s: float
     """How long the attempt ran at most."""
 
@@ -151,6 +155,7 @@
                         is_heard and task.start is StartOutcome.STARTED,
                         is_in_doubt(task),
                         was_on_trial=task.needs_trial,
+                        ended_s=last_s,
                         bound_s=(
                             math.inf if task.is_inherited else last_s - task.placed_s
                         ),
@@ -177,12 +182,16 @@
             n_possible=len(verdict.possible),
             is_alone=at_fault is None,
         )
-        bounds_s = {(task.job_id, task.key): task.bound_s for task in started}
+        attempts = {(task.job_id, task.key): task for task in started}
         for task in (*verdict.proven, *verdict.possible):
-            bound_s = bounds_s[task.job_id, task.key]
+            bound_s = attempts[task.job_id, task.key].bound_s
             self._count(task, CrashBound(bound_s, task in verdict.proven))
-        for task in verdict.given_up:
-            self._give_up(task, incarnation, n_beside=len(tasks) - 1)
+        for task in verdict.blamed:
+            if self._table[task.job_id].step_of(task.key).lasts:
+                ended_s = attempts[task.job_id, task.key].ended_s
+                self._hold_back(task, incarnation, ended_s)
+            else:
+                self._give_up(task, incarnation, n_beside=len(tasks) - 1)
 
     def _jobs_at_fault(self, incarnation: WorkerIncarnation) -> frozenset[JobId] | None:
         """Return the jobs that may have crashed a worker; None stands for every job."""
@@ -225,6 +234,26 @@
         task.needs_trial |= crashed.is_in_doubt
         self._table.mark_dirty(job)
 
+    def _hold_back(
+        self, crashed: CrashedTask, incarnation: WorkerIncarnation, ended_s: float
+    ) -> None:
+        """Let a lasting task wait for its next attempt, and make that a trial."""
+        task = self._table[crashed.job_id].task(crashed.key)
+        assert task is not None
+        n_possible = task.n_crashes + task.n_unproven_crashes
+        pause_s = restart_pause_s(n_possible)
+        task.needs_trial = True
+        task.not_before_s = ended_s + pause_s
+        self._metrics.count("tasks_held_back")
+        self._log.line(
+            "task_held_back",
+            task=format_task_name(crashed.job_id, crashed.key),
+            worker=incarnation.worker_id,
+            n_crashes=task.n_crashes,
+            n_possible=n_possible,
+            pause_s=pause_s,
+        )
+
     def _give_up(
         self, crashed: CrashedTask, incarnation: WorkerIncarnation, n_beside: int
     ) -> None:
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -51,8 +51,8 @@
     n_placed: int
     unplaced: TaskKey | None = None
     is_held: bool = False
-    """A worker may run the task, but its start would slow serving tasks, or other tasks
-    are on trial there."""
+    """A worker may run the task, but its start would slow serving tasks, other tasks
+    are on trial there, or the task is to wait after a crash."""
 
 
 class Planner:
@@ -148,6 +148,9 @@
         for key in job.waiting(occurrence, number):
             task = job.task(key)
             assert task is not None
+            if this.now_s < task.not_before_s:
+                untried = key
+                continue
             worker = placement.cheapest(task)
             if worker is None and placement.has_candidates and task.needs_trial:
                 untried = key
