Take back the crash of a worker at a point that its task has passed

Cause: a crash that a task has outlived does not count, but only for tasks whose attempts all take the same time, which is not so for these.

Change: for such tasks the point of a crash is the progress in percent, at most what the speed of the attempt, tripled, may have added since its latest listing. Why it works: a task crashes its worker at a point of its work, which it can't pass.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -19,14 +19,16 @@
    only possible for a task, unless it is in doubt or has been on `N_CRASHES_APART`
    workers that crashed. So is a crash of a worker that has not answered the start.
    A task is blamed at `MAX_POSSIBLE_CRASHES`, possible and proven ones together.
-6. A task that neither resumes from checkpoints nor is held back would crash its workers
-   after the same time in each attempt. A crash that it has outlived, in an earlier or a
-   later attempt, is not its own and does not count.
+6. A task would crash its workers at the same point of each attempt: after the same time
+   if all attempts run alike, else with the same progress, since one that resumes from
+   checkpoints or is held back takes another time to come there. A crash at a point that
+   it has passed, in an earlier or a later attempt, is not its own and does not count.
 
 A task that is blamed is given up, with its job. One that lasts is restarted in any
 case, but after `restart_pause_s`, so that it can't take one worker after the other.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -47,6 +49,8 @@
     "blame",
     "is_in_doubt",
     "jobs_at_fault",
+    "point_reached",
+    "point_reached_at_most",
     "restart_pause_s",
     "runs_alike",
 ]
@@ -75,6 +79,14 @@
 TRIAL_S: Final = 0.3
 """A task that has run for this long does not crash its worker by starting."""
 
+MIN_MEASURED_S: Final = 0.8
+"""Least time between two listings from which the speed of an attempt is measured."""
+
+MAX_ACCELERATION: Final = 3.0
+"""How much faster an attempt may become after its latest listing."""
+
+PERCENT_MARGIN: Final = 2.0
+
 MIN_RESTART_PAUSE_S: Final = 1.0
 MAX_RESTART_PAUSE_S: Final = 6.0
 
@@ -94,7 +106,7 @@
     is_in_doubt: bool
     was_on_trial: bool
     is_outlived: bool = False
-    """Whether an earlier attempt has run for longer."""
+    """Whether an earlier attempt has passed the point of the crash."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +161,39 @@
     return not step.saves_progress and not step.fills
 
 
+def point_reached(step: StepSpec, task: TaskState) -> float:
+    """Return how far the attempt had come in the latest listing.
+
+    That is its run time in seconds if all attempts run alike, else its progress in
+    percent; 0 for a lasting task whose attempts do not run alike.
+    """
+    if runs_alike(step):
+        return task.ran_s
+    return 0.0 if step.lasts else float(task.percent)
+
+
+def point_reached_at_most(step: StepSpec, task: TaskState, ended_s: float) -> float:
+    """Return how far the attempt can have come when it ended; infinity if unknown."""
+    if runs_alike(step):
+        return math.inf if task.is_inherited else ended_s - task.placed_s
+    if step.lasts or not step.estimate_ms or (task.is_inherited and not task.listed_s):
+        return math.inf
+    if task.listed_s:
+        reached, since_s = float(task.percent), task.listed_s
+    else:
+        reached = task.survived if step.saves_progress else 0.0
+        since_s = task.placed_s
+    gained = MAX_ACCELERATION * _percent_per_s(step, task) * (ended_s - since_s)
+    return reached + gained + PERCENT_MARGIN
+
+
+def _percent_per_s(step: StepSpec, task: TaskState) -> float:
+    """Return the speed of the attempt, or of the estimate if it can't be measured."""
+    if task.ran_s >= MIN_MEASURED_S:
+        return (task.percent - task.first_percent) / task.ran_s
+    return 100_000 / step.estimate_ms
+
+
 def is_in_doubt(task: TaskState) -> bool:
     """Return whether a crash now may be due to the start of the task's attempt.
 
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -89,9 +89,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashBound:
-    """A counted crash, and how long the attempt ran at most."""
+    """A counted crash, and how far the attempt had come at most."""
 
-    bound_s: float
+    bound: float
+    """A run time or a progress, as `crash_blame.point_reached` returns."""
     is_proven: bool
     """Whether it counts as proven, and not as possible only."""
 
@@ -128,8 +129,8 @@
     start: StartOutcome = StartOutcome.NOT_SENT
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
-    survived_s: float = 0.0
-    """Longest time for which an attempt is known to have run without a crash."""
+    survived: float = 0.0
+    """The farthest point that an attempt is known to have reached without a crash."""
     crash_bounds: list[CrashBound] = field(default_factory=list)
     """For each counted crash that is known to this owner."""
     placed_s: float = 0.0
@@ -140,6 +141,10 @@
     """The attempt is being revoked: proven absent, so that it can never start."""
     first_listed_ms: int | None = None
     """The worker's clock as it first listed the attempt."""
+    first_percent: int = 0
+    """Progress of the attempt as the worker first listed it."""
+    ran_s: float = 0.0
+    """Time from the first to the latest listing, by the worker's clock."""
     percent: int = 0
     """Progress of the attempt in percent, as reported by the worker."""
     percent_s: float = 0.0
@@ -157,7 +162,8 @@
         self.is_stored = self.is_stopping = self.is_revoking = False
         self.is_inherited = False
         self.first_listed_ms = None
-        self.n_sends = self.percent = 0
+        self.n_sends = self.percent = self.first_percent = 0
+        self.ran_s = 0.0
         self.start = StartOutcome.NOT_SENT
         self.sent_s = self.listed_s = self.held_s = 0.0
 
@@ -177,17 +183,21 @@
         elif self.start is StartOutcome.SENT:
             self.start = StartOutcome.UNCERTAIN
 
-    def record_run(self, clock_ms: int) -> int:
-        """Record that the worker lists the attempt at a time of its clock.
+    def record_listing(self, clock_ms: int, percent: int) -> None:
+        """Record when, by its clock, and with which progress the worker lists it."""
+        if self.first_listed_ms is None:
+            self.first_listed_ms = clock_ms
+            self.first_percent = percent
+        self.ran_s = (clock_ms - self.first_listed_ms) / 1000
+
+    def record_point(self, point: float) -> int:
+        """Record how far the attempt has come.
 
         Returns the number of counted crashes that this disproves: what crashes a worker
-        after some time does not run for longer.
+        at some point does not pass it.
         """
-        if self.first_listed_ms is None:
-            self.first_listed_ms = clock_ms
-        ran_s = (clock_ms - self.first_listed_ms) / 1000
-        self.survived_s = max(self.survived_s, ran_s)
-        disproved = [crash for crash in self.crash_bounds if crash.bound_s < ran_s]
+        self.survived = max(self.survived, point)
+        disproved = [crash for crash in self.crash_bounds if crash.bound < point]
         for crash in disproved:
             self.crash_bounds.remove(crash)
         n_proven = sum(crash.is_proven for crash in disproved)
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from almondspan_decisions.crash_blame import is_in_doubt, runs_alike
+from almondspan_decisions.crash_blame import is_in_doubt, point_reached
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import TaskKey, format_task_name
 from almondspan_decisions.job_progress import (
@@ -147,20 +147,16 @@
             self._assignments.end_trial(job, key, incarnation)
         if checkpoint:
             task.checkpoint = checkpoint
-        self._check_crashes(job, key, task, listing.clock_ms)
+        task.record_listing(listing.clock_ms, percent)
         is_held = listing.is_paced and job.step_of(key).fills
         if percent > task.percent or is_held:
             task.percent = percent
             task.percent_s = now_s
+        self._check_crashes(job, key, task)
 
-    def _check_crashes(
-        self, job: JobProgress, key: TaskKey, task: TaskState, clock_ms: int
-    ) -> None:
+    def _check_crashes(self, job: JobProgress, key: TaskKey, task: TaskState) -> None:
         """Take back the crashes that the attempt has outlived."""
-        step = job.step_of(key)
-        if not runs_alike(step):
-            return
-        n_disproved = task.record_run(clock_ms)
+        n_disproved = task.record_point(point_reached(job.step_of(key), task))
         if n_disproved:
             self._table.mark_dirty(job)
             self._log.line(
@@ -169,7 +165,7 @@
                 attempt=task.n_attempts,
                 n_disproved=n_disproved,
                 n_crashes=task.n_crashes,
-                survived_s=round(task.survived_s, 1),
+                survived=round(task.survived, 1),
             )
 
     def tick(self, now_s: float) -> None:
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -15,7 +15,6 @@
 ran, since a crash of several workers is no fault of a job that only some of them ran.
 """
 
-import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,6 +24,7 @@
     blame,
     is_in_doubt,
     jobs_at_fault,
+    point_reached_at_most,
     restart_pause_s,
 )
 from almondspan_decisions.ids import JobId
@@ -58,8 +58,8 @@
     was_on_trial: bool
     ended_s: float
     """When the attempt ended at the latest."""
-    bound_s: float
-    """How long the attempt ran at most."""
+    bound: float
+    """How far the attempt had come at most (see `point_reached`)."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +144,8 @@
         )
         found = []
         for job_id, key in self._fleet.held_by(incarnation):
-            task = self._table[job_id].task(key)
+            job = self._table[job_id]
+            task = job.task(key)
             assert task is not None
             if task.start in (StartOutcome.STARTED, StartOutcome.UNCERTAIN):
                 found.append(
@@ -156,9 +157,7 @@
                         is_in_doubt(task),
                         was_on_trial=task.needs_trial,
                         ended_s=last_s,
-                        bound_s=(
-                            math.inf if task.is_inherited else last_s - task.placed_s
-                        ),
+                        bound=point_reached_at_most(job.step_of(key), task, last_s),
                     )
                 )
         return tuple(found)
@@ -184,8 +183,8 @@
         )
         attempts = {(task.job_id, task.key): task for task in started}
         for task in (*verdict.proven, *verdict.possible):
-            bound_s = attempts[task.job_id, task.key].bound_s
-            self._count(task, CrashBound(bound_s, task in verdict.proven))
+            bound = attempts[task.job_id, task.key].bound
+            self._count(task, CrashBound(bound, task in verdict.proven))
         for task in verdict.blamed:
             if self._table[task.job_id].step_of(task.key).lasts:
                 ended_s = attempts[task.job_id, task.key].ended_s
@@ -223,7 +222,7 @@
             started.is_proven,
             started.is_in_doubt,
             started.was_on_trial,
-            is_outlived=started.bound_s < task.survived_s,
+            is_outlived=started.bound < task.survived,
         )
 
     def _count(self, crashed: CrashedTask, bound: CrashBound) -> None:
--- a/tests/decisions/test_crash_blame.py
+++ b/tests/decisions/test_crash_blame.py
@@ -1,6 +1,8 @@
 """Which tasks are in doubt after a crash, for which it counts, which are given up."""
 
+import math
 from dataclasses import dataclass
+from typing import Any
 
 import pytest
 
@@ -10,10 +12,12 @@
     blame,
     is_in_doubt,
     jobs_at_fault,
+    point_reached_at_most,
 )
 from almondspan_decisions.ids import JobId
-from almondspan_decisions.job_graph import TaskKey
+from almondspan_decisions.job_graph import StepSpec, TaskKey
 from almondspan_decisions.job_progress import TaskState
+from almondspan_decisions.shapes import Shape
 
 PLACED_S = 100.0
 
@@ -258,3 +262,43 @@
 
 def jobs(ids: str) -> frozenset[JobId]:
     return frozenset(JobId(name) for name in ids)
+
+
+ALIKE = StepSpec(1, Shape(100, 100), estimate_ms=10_000)
+RESUMED = StepSpec(1, Shape(100, 100), estimate_ms=10_000, saves_progress=True)
+HELD_BACK = StepSpec(1, Shape(100, 100), estimate_ms=10_000, fills=True)
+LASTING = StepSpec(1, Shape(100, 100), estimate_ms=10_000, fills=True, lasts=True)
+LISTED_S = PLACED_S + 5.0
+
+
+@pytest.mark.parametrize(
+    ("step", "task", "bound"),
+    [
+        pytest.param(ALIKE, {}, 6.0, id="alike"),
+        pytest.param(ALIKE, {"is_inherited": True}, math.inf, id="alike_inherited"),
+        pytest.param(
+            RESUMED,
+            {"listed_s": LISTED_S, "ran_s": 4.0, "first_percent": 10, "percent": 30},
+            30 + 3 * 5 + 2,
+            id="speed_is_measured",
+        ),
+        pytest.param(
+            RESUMED,
+            {"listed_s": LISTED_S, "ran_s": 0.5, "first_percent": 10, "percent": 10},
+            10 + 3 * 10 + 2,
+            id="speed_is_estimated",
+        ),
+        pytest.param(RESUMED, {"survived": 40.0}, 40 + 3 * 60 + 2, id="not_listed"),
+        pytest.param(
+            HELD_BACK, {"survived": 40.0}, 3 * 60 + 2, id="not_listed_begins_anew"
+        ),
+        pytest.param(RESUMED, {"is_inherited": True}, math.inf, id="inherited"),
+        pytest.param(LASTING, {"listed_s": LISTED_S}, math.inf, id="lasting"),
+    ],
+)
+def test_how_far_a_task_had_come_at_most(
+    step: StepSpec, task: dict[str, Any], bound: float
+) -> None:
+    """Guards against BUDGET: too low a bound takes back a task's own crashes."""
+    state = TaskState(placed_s=PLACED_S, **task)
+    assert point_reached_at_most(step, state, PLACED_S + 6.0) == pytest.approx(bound)
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -22,6 +22,8 @@
 from almondspan_jobs.records import Unreadable, decode_progress, encode_progress
 from almondspan_platform.task_worker import Verdict
 
+Percents = tuple[int, int, int]
+
 OTHER = WorkerId("w-2")
 SHAPE = Shape(100, 100)
 
@@ -535,16 +537,21 @@
     assert task_of(harness).n_crashes == 1
 
 
-def run_and_crash(harness: SchedulerHarness, crash: int, run_s: float) -> None:
-    """Let the task run on the next worker, list it meanwhile, and crash the worker."""
+def run_and_crash(
+    harness: SchedulerHarness, crash: int, run_s: float, percents: Percents = (5, 5, 5)
+) -> None:
+    """Let the task run on the next worker, list it meanwhile, and crash the worker.
+
+    It is listed at its start, half-way and at its end, with the given progress.
+    """
     worker, started_ms = WorkerId(f"w-{crash}"), STARTED_MS + crash
     harness.plan_and_store()
     harness.answer_starts()
-    row = (TASK, task_of(harness).n_attempts, "", 5, 0.0)
-    for _ in range(2):
+    attempt = task_of(harness).n_attempts
+    for number, percent in enumerate(percents):
+        row = (TASK, attempt, "", percent, 0.0)
         harness.list_worker(worker, started_ms, running=[row])
-        harness.now_s += run_s / 2
-    harness.list_worker(worker, started_ms, running=[row])
+        harness.now_s += run_s / 2 if number < 2 else 0.0
     harness.fail_poll(worker, started_ms)
     harness.now_s += 0.5
     harness.report_worker(WorkerId(f"w-{crash + 1}"), started_ms + 1)
@@ -589,3 +596,32 @@
     assert ("crashes_disproved" in harness.log.events) is (
         n_crashes < len(run_times_s) and run_times_s[0] < max(run_times_s)
     )
+
+
+RESUMED = StepSpec(1, SHAPE, estimate_ms=9_000, saves_progress=True)
+HELD_BACK = StepSpec(1, SHAPE, estimate_ms=9_000, fills=True)
+
+
+@pytest.mark.parametrize(
+    ("step", "runs", "n_crashes"),
+    [
+        pytest.param(RESUMED, [(0, 10, 20), (18, 30, 40)], 1, id="resumed_and_passed"),
+        pytest.param(RESUMED, [(0, 10, 20), (18, 19, 20)], 2, id="resumed_same_point"),
+        pytest.param(RESUMED, [(0, 10, 20), (18, 19, 21)], 2, id="within_the_margin"),
+        pytest.param(
+            RESUMED, [(0, 10, 20), (18, 30, 40), (38, 50, 60)], 1, id="passed_each_time"
+        ),
+        pytest.param(HELD_BACK, [(0, 30, 60), (0, 5, 10)], 1, id="earlier_farther"),
+        pytest.param(HELD_BACK, [(0, 5, 10), (0, 30, 60)], 1, id="later_farther"),
+        pytest.param(HELD_BACK, [(0, 5, 10), (0, 5, 10)], 2, id="same_point"),
+    ],
+)
+def test_crash_at_a_point_that_the_task_has_passed_does_not_count(
+    harness: SchedulerHarness, step: StepSpec, runs: list[Percents], n_crashes: int
+) -> None:
+    """Guards against LOST: a long task is given up for crashes that it has survived."""
+    harness.report_worker(WorkerId("w-0"))
+    harness.add(step)
+    for crash, percents in enumerate(runs):
+        run_and_crash(harness, crash, 2.0, percents)
+    assert task_of(harness).n_crashes == n_crashes
