Blame no task for two crashes unless both came at its start

Cause: the task under whose trial a worker crashed was blamed at its second crash, whenever the crash came before it had been seen running for 0.3 s. Another task there with two crashes was blamed with it at the third crash of the first.

Change: a failed trial makes a task the likely cause, which excuses others as before; it is blamed at two crashes only if both came within 0.1 s of a start, else at three. If it is blamed, the crash is only possible for all others.

Tried and not kept: three crashes in any case.

--- a/packages/decisions/almondspan_decisions/crash_blame.py
+++ b/packages/decisions/almondspan_decisions/crash_blame.py
@@ -8,16 +8,18 @@
    crash a worker do so at their start. Its next attempt is a trial, and a worker runs
    one trial at a time (see `step_placement`), until the task has run for `TRIAL_S`.
 2. If a worker crashes under a trial, the task has now twice been in doubt, and no other
-   task there has. If both crashes are proven, it is blamed. A worker that had crashed
-   shortly before proves nothing.
+   task there has. If both crashes are proven, it is the likely cause, and it is blamed
+   if both came within `AT_START_S` of a start. A worker that had crashed shortly before
+   shows nothing.
 3. A task that crashes its workers later in its run is never alone in doubt. From the
    second crash on such tasks are kept apart where possible, and one under which
    `MAX_CRASHES` workers have crashed is blamed in any case.
 4. If a large share of all workers falls silent at the same moment, they crash from one
    cause. It can only be a job that had tasks on each of them.
-5. A crash that has such a cause, or of which another task is known to be the cause, is
-   only possible for a task, unless it is in doubt or has been on `N_CRASHES_APART`
-   workers that crashed. So is a crash of a worker that has not answered the start.
+5. A crash that has such a cause, or of which another task is the likely cause, is only
+   possible for a task, unless it is in doubt or has been on `N_CRASHES_APART` workers
+   that crashed. It is only possible for any other task if the likely cause is blamed.
+   So is a crash of a worker that has not answered the start.
    A task is blamed at `MAX_POSSIBLE_CRASHES`, possible and proven ones together.
 6. A task would crash its workers at the same point of each attempt: after the same time
    if all attempts run alike, else with the same progress, since one that resumes from
@@ -47,6 +49,7 @@
     "CrashedTask",
     "SilentWorker",
     "blame",
+    "is_at_start",
     "is_in_doubt",
     "jobs_at_fault",
     "point_reached",
@@ -62,7 +65,7 @@
 """The same for proven and possible crashes; a task has two starts after the third."""
 
 MIN_CRASHES: Final = 2
-"""Proven crashes without which no failed trial proves anything."""
+"""Proven crashes without which no failed trial shows anything."""
 
 N_CRASHES_APART: Final = 2
 """Crashes after which a task is kept apart from others with as many."""
@@ -76,6 +79,9 @@
 COMMON_CAUSE_SHARE: Final = 0.25
 """Least share of all workers with a common cause."""
 
+AT_START_S: Final = 0.1
+"""A crash within this time of the start of a task has come at its start."""
+
 TRIAL_S: Final = 0.3
 """A task that has run for this long does not crash its worker by starting."""
 
@@ -107,6 +113,9 @@
     was_on_trial: bool
     is_outlived: bool = False
     """Whether an earlier attempt has passed the point of the crash."""
+    is_at_start: bool = False
+    n_crashes_at_start: int = 0
+    """Earlier crashes that count for the task and came at its start."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +156,11 @@
     return worker.job_ids.intersection(*(peer.job_ids for peer in peers))
 
 
+def is_at_start(task: TaskState, ended_s: float) -> bool:
+    """Return whether an attempt ended right after its worker confirmed the start."""
+    return 0.0 <= ended_s - task.started_s < AT_START_S
+
+
 def restart_pause_s(n_crashes: int) -> float:
     """Return how long a lasting task waits after its last run for the next one.
 
@@ -222,19 +236,26 @@
     at_fault : frozenset of JobId or None
         What `jobs_at_fault` returns.
     """
-    culprit = _failed_trial(tasks) if was_worker_sound else None
+    likely = _failed_trial(tasks) if was_worker_sound else None
     counted = [task for task in tasks if not (task.is_outlived and task.is_proven)]
-    suspects = tuple(task for task in counted if _is_suspect(task, culprit, at_fault))
+    suspects = tuple(task for task in counted if _is_suspect(task, likely, at_fault))
     proven = tuple(task for task in suspects if task.is_proven)
     possible = tuple(task for task in counted if task not in proven)
     blamed = tuple(
         task
         for task in counted
-        if task is culprit or _is_at_limit(task, is_proven=task in proven)
+        if _is_at_limit(task, is_proven=task in proven)
+        or (task is likely and _is_certain(task))
     )
     return CrashBlame(proven, possible, blamed)
 
 
+def _is_certain(likely: CrashedTask) -> bool:
+    """Return whether the likely cause of a crash must be its cause."""
+    has_crashed_at_starts = likely.is_at_start and likely.n_crashes_at_start > 0
+    return has_crashed_at_starts or likely.n_crashes + 1 >= MAX_CRASHES
+
+
 def _is_at_limit(task: CrashedTask, *, is_proven: bool) -> bool:
     """Return whether a task may have no further crash, this one included."""
     n_crashes = task.n_crashes + is_proven
@@ -243,7 +264,7 @@
 
 
 def _failed_trial(tasks: Sequence[CrashedTask]) -> CrashedTask | None:
-    """Return the task whose trial the crash has ended, if it must be the cause."""
+    """Return the task whose trial the crash has ended, if it is the likely cause."""
     failed = [task for task in tasks if task.was_on_trial and task.is_in_doubt]
     if len(failed) != 1 or not failed[0].is_proven:
         return None
@@ -251,9 +272,11 @@
 
 
 def _is_suspect(
-    task: CrashedTask, culprit: CrashedTask | None, at_fault: frozenset[JobId] | None
+    task: CrashedTask, likely: CrashedTask | None, at_fault: frozenset[JobId] | None
 ) -> bool:
     """Return whether a task is as likely to have crashed its worker as any other."""
+    if likely is not None and _is_certain(likely):
+        return task is likely
     if task.is_in_doubt or task.n_crashes >= N_CRASHES_APART:
         return True
-    return culprit is None and (at_fault is None or task.job_id in at_fault)
+    return likely is None and (at_fault is None or task.job_id in at_fault)
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -7,6 +7,7 @@
 due.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -95,6 +96,8 @@
     """A run time or a progress, as `crash_blame.point_reached` returns."""
     is_proven: bool
     """Whether it counts as proven, and not as possible only."""
+    is_at_start: bool = False
+    """Whether it came right after the start of the attempt."""
 
 
 @dataclass(slots=True)
@@ -129,6 +132,8 @@
     start: StartOutcome = StartOutcome.NOT_SENT
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
+    started_s: float = -math.inf
+    """When the worker's confirmation of the start arrived."""
     survived: float = 0.0
     """The farthest point that an attempt is known to have reached without a crash."""
     crash_bounds: list[CrashBound] = field(default_factory=list)
@@ -166,6 +171,7 @@
         self.ran_s = 0.0
         self.start = StartOutcome.NOT_SENT
         self.sent_s = self.listed_s = self.held_s = 0.0
+        self.started_s = -math.inf
 
     def record_send(self, now_s: float) -> None:
         """Record that a start command was sent; an earlier one is then unanswered."""
@@ -205,6 +211,11 @@
         self.n_unproven_crashes -= len(disproved) - n_proven
         return len(disproved)
 
+    @property
+    def n_crashes_at_start(self) -> int:
+        """Proven crashes, known to this owner, right after the start of an attempt."""
+        return sum(crash.is_proven and crash.is_at_start for crash in self.crash_bounds)
+
     def record_crash(self, crash: CrashBound) -> None:
         """Count a crash of a worker that had started the task, or may have."""
         self.crash_bounds.append(crash)
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -125,6 +125,7 @@
             starts.pop((reply.task, reply.attempt), None)
         if reply.verdict == Verdict.DONE.value:
             task.record_start(is_proven=reply.is_proven)
+            task.started_s = steady_s()
             self._metrics.observe_s("order", steady_s() - task.sent_s)
             return
         if reply.verdict == Verdict.NO_ANSWER.value:
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -22,6 +22,7 @@
     CrashedTask,
     SilentWorker,
     blame,
+    is_at_start,
     is_in_doubt,
     jobs_at_fault,
     point_reached_at_most,
@@ -60,6 +61,7 @@
     """When the attempt ended at the latest."""
     bound: float
     """How far the attempt had come at most (see `point_reached`)."""
+    is_at_start: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +160,7 @@
                         was_on_trial=task.needs_trial,
                         ended_s=last_s,
                         bound=point_reached_at_most(job.step_of(key), task, last_s),
+                        is_at_start=is_at_start(task, last_s),
                     )
                 )
         return tuple(found)
@@ -184,7 +187,8 @@
         attempts = {(task.job_id, task.key): task for task in started}
         for task in (*verdict.proven, *verdict.possible):
             bound = attempts[task.job_id, task.key].bound
-            self._count(task, CrashBound(bound, task in verdict.proven))
+            is_proven = task in verdict.proven
+            self._count(task, CrashBound(bound, is_proven, task.is_at_start))
         for task in verdict.blamed:
             if self._table[task.job_id].step_of(task.key).lasts:
                 ended_s = attempts[task.job_id, task.key].ended_s
@@ -223,6 +227,8 @@
             started.is_in_doubt,
             started.was_on_trial,
             is_outlived=started.bound < task.survived,
+            is_at_start=started.is_at_start,
+            n_crashes_at_start=task.n_crashes_at_start,
         )
 
     def _count(self, crashed: CrashedTask, bound: CrashBound) -> None:
