Let a group that the store refuses cost its own job only

Cause: the store's 400 was taken for an outage, and the group was sent again for ever with the lock of all commits held. A group with a key under a lease that had ended (404) was, too.

Change: such a group is refused (GroupRefused, CommitResult) and not sent again; its jobs are stored one by one, and one that is refused by itself fails with only its end stored. After an unanswered send the head tells whether the group is stored after all.

--- a/packages/jobs/almondspan_jobs/committer.py
+++ b/packages/jobs/almondspan_jobs/committer.py
@@ -4,11 +4,13 @@
 of all owners are totally ordered. An unanswered group is sent again under the same
 condition: at most one of the sends takes effect, and the nonce in the head shows
 whether one did. A head written by another process means that the ownership is lost; it
-is never regained under the same epoch.
+is never regained under the same epoch. A group that the store will never take is not
+sent again.
 """
 
 import asyncio
 import secrets
+from enum import Enum
 from typing import Final
 
 from almondspan_jobs.clocks import steady_s
@@ -18,13 +20,31 @@
 from almondspan_jobs.records import HEAD_KEY, HeadRecord, decode_record, encode_record
 from almondspan_platform.group_store import (
     GroupConflict,
+    GroupRefused,
     GroupStore,
     Write,
     WriteGroup,
 )
-from almondspan_platform.store import Found, Revision, Swapped
+from almondspan_platform.store import (
+    Found,
+    KeyValue,
+    LeaseLapsed,
+    Revision,
+    Swapped,
+)
+
+__all__ = ["CommitResult", "HeadCommitter"]
+
+
+class CommitResult(Enum):
+    """The outcome of a commit."""
 
-__all__ = ["HeadCommitter"]
+    STORED = "stored"
+    REFUSED = "refused"
+    """Nothing of it is stored, and the store will not take it: a value is too large, or
+    a lease has ended."""
+    LOST = "lost"
+    """The ownership is lost."""
 
 
 class HeadCommitter:
@@ -63,11 +83,11 @@
 
     async def commit(
         self, writes: tuple[Write, ...], removals: tuple[str, ...] = ()
-    ) -> bool:
-        """Store a group; False if the ownership is lost."""
+    ) -> CommitResult:
+        """Store a group."""
         async with self._lock:
             if self.is_lost:
-                return False
+                return CommitResult.LOST
             nonce = secrets.token_hex(8)
             head = HeadRecord(self.epoch, self._head.node, nonce)
             group = WriteGroup(
@@ -77,7 +97,7 @@
             )
             return await self._send(group, head)
 
-    async def _send(self, group: WriteGroup, head: HeadRecord) -> bool:
+    async def _send(self, group: WriteGroup, head: HeadRecord) -> CommitResult:
         n_tries = 0
         while True:
             n_tries += 1
@@ -86,32 +106,50 @@
             self._metrics.observe_s("commit", steady_s() - sent_s)
             if isinstance(outcome, Swapped):
                 self._adopt(head, outcome.revision, sent_s)
-                return True
+                return CommitResult.STORED
             if isinstance(outcome, GroupConflict):
-                return self._on_conflict(outcome, head, sent_s)
+                return self._on_other_head(outcome.item(HEAD_KEY), head, sent_s)
+            if isinstance(outcome, GroupRefused | LeaseLapsed):
+                self._log.line("commit_refused", reason=str(outcome), of=head.nonce)
+                if n_tries == 1:
+                    return CommitResult.REFUSED
+                return await self._find_out(head)
             if self.is_lost:
-                return False
+                return CommitResult.LOST
             self._log.line(
                 "commit_unanswered", reason=str(outcome), n_tries=n_tries, of=head.nonce
             )
             await asyncio.sleep(self._options.retry_s)
 
+    async def _find_out(self, head: HeadRecord) -> CommitResult:
+        """Return what became of a group that was refused after an unanswered send."""
+        while not self.is_lost:
+            sent_s = steady_s()
+            found = await self._store.get(HEAD_KEY)
+            if isinstance(found, Found):
+                item = found.item
+                if item is not None and item.revision == self._revision:
+                    return CommitResult.REFUSED
+                return self._on_other_head(item, head, sent_s)
+            self._log.line("commit_unanswered", reason=found.reason, of=head.nonce)
+            await asyncio.sleep(self._options.retry_s)
+        return CommitResult.LOST
+
     def _adopt(self, head: HeadRecord, revision: Revision, sent_s: float) -> None:
         self._head = head
         self._revision = revision
         self.confirmed_s = sent_s
 
-    def _on_conflict(
-        self, conflict: GroupConflict, head: HeadRecord, sent_s: float
-    ) -> bool:
-        """Return whether the conflict is due to an earlier send of the same group."""
-        item = conflict.item(HEAD_KEY)
+    def _on_other_head(
+        self, item: KeyValue | None, head: HeadRecord, sent_s: float
+    ) -> CommitResult:
+        """Return whether the head has changed by an earlier send of the same group."""
         found = decode_record(HeadRecord, item.value) if item is not None else None
         if item is not None and found == head:
             self._adopt(head, item.revision, sent_s)
-            return True
+            return CommitResult.STORED
         self.lose(str(found))
-        return False
+        return CommitResult.LOST
 
     async def confirm(self) -> None:
         """Confirm the ownership by reading the head."""
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -60,6 +60,10 @@
         self._n_pending: Final[Counter[QueueName]] = Counter()
         self._dirty: Final[dict[JobId, None]] = {}
         """Jobs with changes to store, in the order of their first change."""
+        self._suspects: Final[set[JobId]] = set()
+        """Jobs of a group that the store refused; each is stored by itself."""
+        self._unstorable: Final[set[JobId]] = set()
+        """Jobs that the store refused by themselves; only their end is stored."""
         self.placeable: Final[dict[JobId, None]] = {}
         """Jobs with tasks that wait for placement, in the order in which they came."""
         self.needs_planning = False
@@ -193,10 +197,36 @@
 
     def take_dirty(self, n_jobs: int) -> Iterator[tuple[JobProgress, int]]:
         """Yield dirty jobs with their versions, and mark them clean."""
-        for job_id in list(self._dirty)[:n_jobs]:
+        for job_id in self._next_dirty(n_jobs):
             del self._dirty[job_id]
             yield self.jobs[job_id], self._tracking[job_id].version
 
+    def _next_dirty(self, n_jobs: int) -> list[JobId]:
+        """Return the first dirty jobs; one alone if it may not be storable."""
+        dirty = list(self._dirty)
+        if dirty and dirty[0] in self._suspects:
+            return dirty[:1]
+        return [job_id for job_id in dirty if job_id not in self._suspects][:n_jobs]
+
+    def is_storable(self, job: JobProgress) -> bool:
+        """Return whether the progress of a job may be stored, or its end only."""
+        return job.job_id not in self._unstorable
+
+    def on_refused(self, job_ids: Sequence[JobId]) -> None:
+        """Store the jobs of a group one by one; fail one that was refused by itself."""
+        for job_id in job_ids:
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            if len(job_ids) > 1:
+                self._suspects.add(job_id)
+                self._dirty[job_id] = None
+            elif job_id not in self._unstorable:
+                self._unstorable.add(job_id)
+                job.is_failed = True
+                self._log.line("job_unstorable", job=job_id, n_placed=job.n_placed)
+                self.mark_dirty(job)
+
     def on_stored(
         self, versions: Mapping[JobId, int], states: Mapping[JobId, JobState]
     ) -> None:
@@ -204,6 +234,7 @@
         for job_id, version in versions.items():
             tracking = self._tracking.get(job_id)
             if tracking is not None:
+                self._suspects.discard(job_id)
                 tracking.stored_version = version
                 self._set_stored_state(self.jobs[job_id], states[job_id])
 
@@ -262,3 +293,4 @@
                 del self.jobs[job_id], self.stored_states[job_id]
                 del self._tracking[job_id]
                 self._dirty.pop(job_id, None)
+                self._unstorable.discard(job_id)
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -23,7 +23,7 @@
 
 from almondspan_decisions.job_graph import QueueName, QueueRules
 from almondspan_jobs.clocks import steady_s
-from almondspan_jobs.committer import HeadCommitter
+from almondspan_jobs.committer import CommitResult, HeadCommitter
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.network import Network
@@ -356,7 +356,7 @@
             return
         record = self._make_record(committer.epoch)
         write = Write(OWNER_KEY, encode_record(record), lease.lease_id)
-        if await committer.commit((write,)):
+        if await committer.commit((write,)) is CommitResult.STORED:
             self._lease = lease.lease_id
             self._set_owner(record)
 
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -17,7 +17,7 @@
 from almondspan_decisions.job_graph import QueueName, QueueRules
 from almondspan_jobs.agent_link import AgentLink
 from almondspan_jobs.clocks import steady_s
-from almondspan_jobs.committer import HeadCommitter
+from almondspan_jobs.committer import CommitResult, HeadCommitter
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
     JobCancelled,
@@ -350,10 +350,14 @@
                 self._metrics.observe_s("plan", steady_s() - began_s)
             while self.scheduler.is_dirty:
                 snapshot = self.scheduler.snapshot()
-                if not await self._committer.commit(snapshot.writes):
+                result = await self._committer.commit(snapshot.writes)
+                if result is CommitResult.LOST:
                     self.ended.set()
                     return
-                self.scheduler.on_stored(snapshot)
+                if result is CommitResult.STORED:
+                    self.scheduler.on_stored(snapshot)
+                else:
+                    self.scheduler.on_refused(snapshot)
 
     async def _tick(self) -> None:
         while True:
@@ -372,9 +376,12 @@
             if not job_ids:
                 continue
             keys = [key for job_id in job_ids for key in keys_of_job(job_id)]
-            if not await self._committer.commit((), tuple(keys)):
+            result = await self._committer.commit((), tuple(keys))
+            if result is CommitResult.LOST:
                 self.ended.set()
                 return
+            if result is CommitResult.REFUSED:
+                continue
             revision = self._committer.revision
             self.scheduler.on_removed(job_ids, revision)
             self._log.line("jobs_removed", revision=revision, jobs=job_ids)
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -52,6 +52,7 @@
     "decode_progress",
     "decode_record",
     "decode_spec",
+    "encode_end",
     "encode_progress",
     "encode_record",
     "encode_spec",
@@ -233,6 +234,15 @@
     )
 
 
+def encode_end(job: JobProgress) -> bytes:
+    """Encode a job's end without the states of its tasks."""
+    return _ENCODER.encode(
+        _StoredProgress(
+            {}, job.is_cancelled, job.is_failed, job.has_started, job.finished_ms
+        )
+    )
+
+
 def _encode_task(task: TaskState) -> _TaskRow:
     incarnation = task.incarnation
     return _TaskRow(
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -51,6 +51,7 @@
 from almondspan_jobs.preemptor import Preemptor
 from almondspan_jobs.records import (
     InterferenceRecord,
+    encode_end,
     encode_progress,
     progress_key,
 )
@@ -261,7 +262,9 @@
             writes.append(self._interference.write())
         dirty = self._table.take_dirty(self._options.max_jobs_per_commit)
         for job, version in dirty:
-            writes.append(Write(progress_key(job.job_id), encode_progress(job)))
+            is_whole = self._table.is_storable(job)
+            record = encode_progress(job) if is_whole else encode_end(job)
+            writes.append(Write(progress_key(job.job_id), record))
             result.versions[job.job_id] = version
             result.states[job.job_id] = job.state
             result.assigned += [
@@ -286,6 +289,10 @@
                 self._commands.send_due(job, key, task, now_s)
         self._attempts.acknowledge_stored()
 
+    def on_refused(self, refused: Snapshot) -> None:
+        """Handle a group that the store does not take."""
+        self._table.on_refused(tuple(refused.versions))
+
     # Removing finished jobs
 
     def removable_jobs(self) -> list[JobId]:
--- a/packages/platform/almondspan_platform/group_store.py
+++ b/packages/platform/almondspan_platform/group_store.py
@@ -24,7 +24,14 @@
     WatchLost,
 )
 
-__all__ = ["CommitOutcome", "GroupConflict", "GroupStore", "Write", "WriteGroup"]
+__all__ = [
+    "CommitOutcome",
+    "GroupConflict",
+    "GroupRefused",
+    "GroupStore",
+    "Write",
+    "WriteGroup",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +65,14 @@
         return next((item for item in self.items if item.key == key), None)
 
 
-CommitOutcome = Swapped | GroupConflict | LeaseLapsed | Unavailable
+@dataclass(frozen=True, slots=True)
+class GroupRefused:
+    """The store has not applied the group and never will, for example for its size."""
+
+    reason: str
+
+
+CommitOutcome = Swapped | GroupConflict | GroupRefused | LeaseLapsed | Unavailable
 
 
 class GroupStore(Protocol):
--- a/packages/standins/almondspan_standins/memory_group_store.py
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -15,11 +15,13 @@
 from almondspan_platform.group_store import (
     CommitOutcome,
     GroupConflict,
+    GroupRefused,
     Write,
     WriteGroup,
 )
 from almondspan_platform.store import (
     ABSENT_REVISION,
+    MAX_VALUE_BYTES,
     Found,
     GetOutcome,
     KeyValue,
@@ -81,6 +83,7 @@
         self._n_leases = 0
         self._waiters: list[asyncio.Future[None]] = []
         self.n_commits = 0
+        self.max_value_bytes = MAX_VALUE_BYTES
         self.watch_delay_s = 0.0
         """Delay until watches see a change."""
 
@@ -108,6 +111,9 @@
     def commit(self, group: WriteGroup) -> CommitOutcome:
         """Apply a group of writes at once, if its conditions hold."""
         self._expire()
+        for write in group.writes:
+            if len(write.value) > self.max_value_bytes:
+                return GroupRefused(f"the value of {write.key} is too long")
         for key, expected in group.conditions:
             item = self.items.get(key)
             if (item.revision if item is not None else ABSENT_REVISION) != expected:
--- a/tests/site/test_kv_store.py
+++ b/tests/site/test_kv_store.py
@@ -9,6 +9,7 @@
 
 from almondspan_platform.group_store import (
     GroupConflict,
+    GroupRefused,
     GroupStore,
     Write,
     WriteGroup,
@@ -167,6 +168,21 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("status", [400, 403, 413])
+def test_group_that_the_store_will_never_take_is_refused(status: int) -> None:
+    async def run() -> None:
+        fake = FakeStore()
+        await fake.start()
+        fake.status = status
+        client = KvStore(fake.address, 1_000.0)
+        await client.start()
+        assert isinstance(await client.commit(put("a")), GroupRefused)
+        await client.close()
+        await fake.close()
+
+    asyncio.run(run())
+
+
 def test_refused_connection_means_that_nothing_was_applied() -> None:
     async def run() -> None:
         fake = FakeStore()
