Believe a report of a worker only on the worker's own word

Cause: an agent took the sender of a heartbeat at its word. A complete heartbeat with a later start, of whatever service, id or address, counted as the next incarnation of the agent's worker. The owner held the true incarnation for replaced and released its tasks at once. The order of heartbeats was one for all incarnations, so the true worker's own ones were dropped as late. A departure was believed in the same way: tasks were released 0.5 s after a DELETE with the worker's id, whoever sent it.

Change: the agent asks the worker at its own address before it believes (ReportCheck). A new incarnation must list its tasks under the reported id and start time; a departure counts once nothing listens at the address. A heartbeat must be complete and name the service and the address that the settings file names, and is late within its own incarnation only.

Tests changed: stand-ins of the worker answer `list_tasks`, as the protocol demands; the owner's first message after a report is now a listing; one test reported a start time that its worker didn't have, and reports lacked fields that every worker sends.

--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -33,6 +33,8 @@
     poll_timeout_s: float = 0.6
     """Added to the time that the poll itself waits."""
     poll_retry_s: float = 0.15
+    departure_check_s: float = 5.0
+    """How long a worker that is said to have left is watched until it is gone."""
     acknowledge_wait_s: float = 0.2
     """How long the next poll is delayed for listed ends to be acknowledged."""
     max_concurrent_commands: int = 12
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -1,7 +1,7 @@
 """The agent of one worker: polls it, executes the owner's commands, paces its tasks.
 
-1. The worker reports itself to the agent; the latest report tells its current
-   incarnation.
+1. The worker reports itself to the agent. Once `ReportCheck` has confirmed it with the
+   worker, a reported incarnation is the current one.
 2. An owner connects. The agent follows the owner with the highest epoch. The fence of a
    command is the epoch of the owner that sent it, so the worker refuses commands of
    earlier owners that are still in flight; only that owner gets the answer.
@@ -48,6 +48,7 @@
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.pacing import WorkerPacing
 from almondspan_jobs.relay import Relay
+from almondspan_jobs.report_check import ReportCheck
 from almondspan_jobs.supervision import keep_running
 from almondspan_platform.task_worker import (
     PollFailed,
@@ -118,6 +119,14 @@
         self._relay: Final = Relay(network, options, log)
         self._channel: Channel | None = None
         self._pacing: Final = WorkerPacing(worker, options, log)
+        self._report_check: Final = ReportCheck(
+            worker,
+            lambda: self._epoch if self._channel is not None else None,
+            self._on_confirmed,
+            self._on_departed,
+            options,
+            log,
+        )
         self._changed: Final = asyncio.Event()
         n_slots = options.max_concurrent_commands
         self._start_slots: Final[CommandSlots[_AttemptKey]] = CommandSlots(n_slots)
@@ -137,12 +146,14 @@
                 "polls", self._poll_loop, self._options.poll_retry_s, self._log
             )
         )
+        await self._report_check.start()
 
     async def close(self) -> None:
         """Stop polling and close the channels; the worker's lease then expires."""
         if self._poll_task is not None:
             self._poll_task.cancel()
             await asyncio.gather(self._poll_task, return_exceptions=True)
+        await self._report_check.close()
         for task in tuple(self._command_tasks):
             task.cancel()
         await asyncio.gather(*self._command_tasks, return_exceptions=True)
@@ -161,41 +172,56 @@
                 known=incarnation.state.started_ms,
             )
             return
-        is_new = incarnation is None or (
-            (incarnation.state.worker_id, incarnation.state.started_ms)
-            != (state.worker_id, state.started_ms)
-        )
-        if is_new or incarnation is None:
-            self._log.line(
-                "worker_life",
-                worker=state.worker_id,
-                born=state.started_ms,
-                before=str(incarnation.state.worker_id)
-                if incarnation is not None
-                else "",
-            )
-            self._incarnation = incarnation = _Incarnation(state)
-            self._pacing.on_new_incarnation(state.capacity.cpu_millicores)
-        if state.is_leaving and (is_new or not incarnation.state.is_leaving):
+        if incarnation is None or incarnation.state.identity != state.identity:
+            self._report_check.check_incarnation(state)
+            return
+        self._update(incarnation, state)
+        self._changed.set()
+        self._send_report(has_left=False)
+
+    def _update(self, incarnation: _Incarnation, state: WorkerState) -> None:
+        """Apply what the current incarnation now says of itself."""
+        before = incarnation.state
+        if state.is_leaving and not before.is_leaving:
             self._log.line(
                 "worker_leaving", worker=state.worker_id, leaves_ms=state.leaves_ms
             )
-        if state.capacity != incarnation.state.capacity:
+        if state.capacity != before.capacity:
             self._log.line("worker_capacity", capacity=str(state.capacity))
             self._pacing.set_capacity(state.capacity.cpu_millicores)
         incarnation.state = state
-        self._changed.set()
+
+    def _on_confirmed(self, state: WorkerState, poll: WorkerPoll) -> None:
+        """Handle a new incarnation, which the worker has confirmed by listing."""
+        before = self._incarnation
+        self._log.line(
+            "worker_life",
+            worker=state.worker_id,
+            born=state.started_ms,
+            before=str(before.state.worker_id) if before is not None else "",
+            leaving=state.is_leaving,
+            leaves_ms=state.leaves_ms,
+        )
+        self._incarnation = _Incarnation(state)
+        self._pacing.on_new_incarnation(state.capacity.cpu_millicores)
         self._send_report(has_left=False)
+        self._forward_poll(self._incarnation, poll)
+        self._changed.set()
 
     def on_left(self, worker_id: WorkerId) -> None:
-        """Handle the worker's report that it is leaving now."""
+        """Handle a report that the worker is leaving now."""
         incarnation = self._incarnation
         if incarnation is None or incarnation.state.worker_id != worker_id:
             self._log.line("leave_unknown", worker=worker_id)
             return
-        self._log.line(
-            "worker_left", worker=worker_id, born=incarnation.state.started_ms
-        )
+        self._report_check.check_departure(incarnation.state)
+
+    def _on_departed(self, state: WorkerState) -> None:
+        """Handle the departure of an incarnation, which is confirmed."""
+        incarnation = self._incarnation
+        if incarnation is None or incarnation.state.identity != state.identity:
+            return
+        self._log.line("worker_left", worker=state.worker_id, born=state.started_ms)
         self._send_report(has_left=True)
 
     def _send_report(self, has_left: bool) -> None:
@@ -261,6 +287,7 @@
         if self._incarnation is not None and self._incarnation.failed_verdict:
             self._send_unreachable(self._incarnation)
         self._changed.set()
+        self._report_check.wake()
         while True:
             body = await channel.receive()
             if isinstance(body, ChannelClosed):
--- a/packages/platform/almondspan_platform/http_calls.py
+++ b/packages/platform/almondspan_platform/http_calls.py
@@ -64,7 +64,8 @@
     """A call without a successful answer.
 
     ``status`` is 0 if there was no answer. ``was_sent`` is False if the rate limit or
-    a closed client kept the call from being sent.
+    a closed client kept the call from being sent. ``was_refused`` is True if nothing
+    listens at the address.
     """
 
     reason: str
@@ -72,6 +73,7 @@
     status: int = 0
     body: bytes = b""
     was_sent: bool = True
+    was_refused: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -232,7 +234,10 @@
     def _on_error(self, pool: _Pool, error: Exception, n_bytes: int) -> CallFailed:
         """Return the failure of a call that received `n_bytes` of its answer."""
         if isinstance(error, aiohttp.ClientConnectorError):
-            return CallFailed(f"cannot connect: {error}", may_have_applied=False)
+            was_refused = isinstance(error.os_error, ConnectionRefusedError)
+            return CallFailed(
+                f"cannot connect: {error}", False, was_refused=was_refused
+            )
         if isinstance(error, aiohttp.ConnectionTimeoutError):
             return CallFailed("timed out while connecting", may_have_applied=False)
         if isinstance(error, _NotConnected):
--- a/packages/platform/almondspan_platform/task_worker.py
+++ b/packages/platform/almondspan_platform/task_worker.py
@@ -105,6 +105,8 @@
 
     verdict: Verdict
     reason: str
+    is_absent: bool = False
+    """Nothing listens at the worker's address: no process of it is running."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +166,11 @@
     leaves_ms: int
     """The time until a leaving worker stops, in milliseconds."""
 
+    @property
+    def identity(self) -> tuple[WorkerId, int]:
+        """The id and the start time, which no other incarnation has."""
+        return self.worker_id, self.started_ms
+
 
 class TaskWorker(Protocol):
     """A client of one worker."""
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -393,7 +393,7 @@
         """Return the running tasks and the ends that are not acknowledged."""
         verdict = await self._deliver(worker_id, lambda: self._begin_poll(request))
         if verdict is not Verdict.DONE:
-            return PollFailed(verdict, verdict.value)
+            return PollFailed(verdict, verdict.value, is_absent=self.is_down)
         incarnation = self._incarnation
         limit_s = self._now_s() + request.wait_ms / 1000
         while (
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -51,6 +51,7 @@
         self.fences: list[tuple[str, int]] = []
         self.started: list[str] = []
         self.release = asyncio.Event()
+        self.started_ms = STARTED_MS
 
     async def _answer(self, task: str, fence: int) -> Verdict:
         self.fences.append((task, fence))
@@ -75,7 +76,7 @@
     async def list_tasks(
         self, worker_id: WorkerId, fence: int
     ) -> WorkerPoll | PollFailed:
-        return WorkerPoll(STARTED_MS, 1, (), ())
+        return WorkerPoll(self.started_ms, 1, (), ())
 
     async def poll(
         self, worker_id: WorkerId, request: PollRequest
@@ -99,6 +100,7 @@
         self.report()
 
     def report(self, started_ms: int = STARTED_MS, is_leaving: bool = False) -> None:
+        self.worker.started_ms = started_ms
         self._agent.on_report(
             WorkerState(
                 WorkerId("w"),
@@ -227,6 +229,7 @@
         owner.post(start("b"))
         await asyncio.sleep(0.1)
         hand_over.report(**report)
+        await asyncio.sleep(0.1)
         hand_over.worker.release.set()
         await asyncio.sleep(0.1)
         assert hand_over.worker.fences == [("a", 1)]
--- a/tests/jobs/test_hostile_channel.py
+++ b/tests/jobs/test_hostile_channel.py
@@ -106,7 +106,14 @@
         place, service = PlaceName("here"), ServiceName("pool")
         agent.on_report(
             WorkerState(
-                worker.worker_id, 1, service, place, Shape(1, 1), (), False, leaves_ms=0
+                worker.worker_id,
+                worker.started_ms,
+                service,
+                place,
+                Shape(1, 1),
+                (),
+                False,
+                leaves_ms=0,
             )
         )
         await use(port)
--- a/tests/jobs/test_worker_agent.py
+++ b/tests/jobs/test_worker_agent.py
@@ -11,6 +11,7 @@
     LeaseRenewal,
     OwnerHello,
     WorkerListing,
+    WorkerReport,
     WorkerUnreachable,
 )
 from almondspan_jobs.metrics import Metrics
@@ -50,7 +51,10 @@
 
 
 class Worker:
-    """Answers polls as scripted, and the one after the last of them never."""
+    """Answers polls as scripted, and the one after the last of them never.
+
+    It confirms what is reported of it: the owner gets that listing first.
+    """
 
     def __init__(self, polls: Sequence[WorkerPoll | PollFailed]) -> None:
         self.polls = list(polls)
@@ -66,14 +70,18 @@
             await asyncio.Event().wait()
         return self.polls.pop(0)
 
+    async def list_tasks(
+        self, worker_id: WorkerId, fence: int
+    ) -> WorkerPoll | PollFailed:
+        return LISTED
+
 
 class OwnerChannel:
-    """Records what the agent posts to an owner."""
+    """Records what the agent posts to an owner, which renews the lease at a report."""
 
     def __init__(self, hello: OwnerHello) -> None:
         self.inbox: asyncio.Queue[Message] = asyncio.Queue()
         self.inbox.put_nowait(hello)
-        self.inbox.put_nowait(RENEWAL)
         self.posted: list[Message] = []
 
     async def send(self, body: Message) -> bool:
@@ -81,6 +89,8 @@
 
     def post(self, body: Message) -> bool:
         self.posted.append(body)
+        if isinstance(body, WorkerReport):
+            self.inbox.put_nowait(RENEWAL)
         return True
 
     async def receive(self) -> Message | ChannelClosed:
@@ -172,15 +182,17 @@
 def test_owner_hears_at_once_of_the_first_failed_poll(
     polls: Sequence[WorkerPoll | PollFailed], posted: list[str]
 ) -> None:
-    assert serve(polls, OWNER)[0] == [posted]
+    assert serve(polls, OWNER)[0] == [["listed", *posted]]
 
 
 def test_owner_that_links_later_hears_of_an_earlier_failed_poll() -> None:
-    assert serve([DOWN], OWNER, NEXT_OWNER)[0] == [["not_taken"], ["not_taken"]]
+    posted, _ = serve([DOWN], OWNER, NEXT_OWNER)
+    assert posted == [["listed", "not_taken"], ["not_taken"]]
 
 
 def test_owner_that_does_not_know_the_message_is_not_sent_it() -> None:
-    assert serve([LISTED, DOWN, LISTED], OLD_OWNER)[0] == [["listed", "listed"]]
+    posted, _ = serve([LISTED, DOWN, LISTED], OLD_OWNER)
+    assert posted == [["listed", "listed", "listed"]]
 
 
 def test_poll_after_a_lost_answer_does_not_wait_for_an_end() -> None:
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from fake_platform import FakeServer
 
-from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.ids import ServiceName, WorkerId
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.worker_agent import WorkerAgent
@@ -253,20 +253,31 @@
     assert call_runner(409, body, start_task) == StartAnswer(Verdict.MALFORMED)
 
 
-REPORT = (
-    '"backend": "pool", "zone": "here", "state": "ready",'
-    ' "capacity": {"cpu": 1, "memMb": 1}'
-)
-
-
-async def send_reports(*reports: tuple[str, str]) -> tuple[list[int], Log, WorkerAgent]:
-    """Send reports of id and body; return the statuses, the log and the agent."""
+RUNNER_ADDRESS = "127.0.0.1:1"
+FIELDS = {
+    "backend": "pool",
+    "address": RUNNER_ADDRESS,
+    "zone": "here",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "capacity": {"cpu": 1, "memMb": 1, "gpu": 0},
+    "labels": ["a"],
+    "born": 7,
+}
+REPORT = json.dumps(FIELDS)[1:-1]
+"""The fields of a report, to which `seq` and later values are added."""
+
+
+async def send_reports(*reports: tuple[str, str]) -> tuple[list[int], Log]:
+    """Send reports of id and body; return the statuses and the log."""
     log = Log()
-    worker = HttpTaskWorker("127.0.0.1:1", 0.1, 0.1)
+    worker = HttpTaskWorker(RUNNER_ADDRESS, 0.1, 0.1)
     agent = WorkerAgent(
         "127.0.0.1", 1, NoNetwork(), worker, JobOptions(), log, Metrics()
     )
-    reports_handler = WorkerReports(agent, log)
+    reports_handler = WorkerReports(agent, ServiceName("pool"), RUNNER_ADDRESS, log)
     server = HttpServer("127.0.0.1:0", reports_handler.handle)
     await server.start()
     port = server._runner.addresses[0][1]
@@ -277,7 +288,7 @@
             async with session.put(url, data=body) as response:
                 statuses.append(response.status)
     await server.close()
-    return statuses, log, agent
+    return statuses, log
 
 
 class NoNetwork:
@@ -330,32 +341,99 @@
         pytest.param("a%00b", f'{{{REPORT}, "seq": 1}}', id="null_character_in_the_id"),
         pytest.param("x" * 2_000, f'{{{REPORT}, "seq": 1}}', id="id_too_long"),
         pytest.param("", f'{{{REPORT}, "seq": 1}}', id="no_id"),
+        pytest.param(
+            "i-1", f'{{{REPORT}, "seq": 9, "state": "gone"}}', id="state_not_named"
+        ),
+        *(
+            pytest.param("i-1", json.dumps(fields | {"seq": 9}), id=f"without_{name}")
+            for name in FIELDS
+            if (fields := {k: v for k, v in FIELDS.items() if k != name})
+        ),
+        *(
+            pytest.param(
+                "i-1", f'{{{REPORT}, "seq": 9, "{name}": [[1]]}}', id=f"type_of_{name}"
+            )
+            for name in FIELDS
+        ),
+        pytest.param("i-1", f"{{{REPORT}}}", id="without_seq"),
     ],
 )
 def test_odd_report_is_refused_and_the_next_is_accepted(
     worker_id: str, body: str
 ) -> None:
-    good = f'{{{REPORT}, "seq": 2, "born": 7}}'
-    statuses, log, agent = asyncio.run(send_reports((worker_id, body), ("i-1", good)))
+    good = f'{{{REPORT}, "seq": 2}}'
+    statuses, log = asyncio.run(send_reports((worker_id, body), ("i-1", good)))
+    assert statuses == [400, 200]
+    assert log.lines[0][0] == "report_malformed"
+    assert log.lines[1:] == [("report_unconfirmed", {"worker": WORKER, "born": 7})]
+
+
+@pytest.mark.parametrize("worker_id", ["i-1", "i-foreign"])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        pytest.param("backend", "not-named", id="service"),
+        pytest.param("backend", "", id="no_service"),
+        pytest.param("address", "127.0.0.1:2", id="address"),
+    ],
+)
+@pytest.mark.parametrize(
+    "more",
+    [
+        pytest.param({}, id="same_start"),
+        pytest.param({"born": 1_007}, id="later_start"),
+        pytest.param({"born": 6}, id="earlier_start"),
+        pytest.param({"state": "draining"}, id="draining"),
+    ],
+)
+def test_report_of_another_worker_is_refused_and_outdates_none(
+    worker_id: str, name: str, value: str, more: dict[str, Any]
+) -> None:
+    """Guards against tasks that run twice after another writer's heartbeat (TWICE).
+
+    The agent took it for the next incarnation of its worker, or for a later report.
+    """
+    foreign = json.dumps(FIELDS | {name: value, "seq": 99} | more)
+    good = f'{{{REPORT}, "seq": 2}}'
+    statuses, log = asyncio.run(send_reports((worker_id, foreign), ("i-1", good)))
     assert statuses == [400, 200]
     assert log.lines[0][0] == "report_malformed"
-    assert agent._incarnation is not None
-    assert agent._incarnation.state.worker_id == WORKER
+    assert log.lines[1:] == [("report_unconfirmed", {"worker": WORKER, "born": 7})]
+
+
+def test_report_counts_as_late_within_its_incarnation_only() -> None:
+    """Guards against a worker that is no longer heard after another's report."""
+    statuses, log = asyncio.run(
+        send_reports(
+            ("i-1", f'{{{REPORT}, "seq": 5}}'),
+            ("i-2", f'{{{REPORT}, "seq": 1, "born": 99}}'),
+            ("i-1", f'{{{REPORT}, "seq": 5}}'),
+            ("i-1", f'{{{REPORT}, "seq": 6}}'),
+        )
+    )
+    assert statuses == [200, 200, 200, 200]
+    found = [(event, fields["worker"]) for event, fields in log.lines]
+    assert found == [
+        ("report_unconfirmed", "i-1"),
+        ("report_unconfirmed", "i-2"),
+        ("report_late", "i-1"),
+        ("report_unconfirmed", "i-1"),
+    ]
 
 
 @pytest.mark.parametrize(
     ("n_bytes", "statuses"),
     [
         pytest.param(3_000_000, [200], id="long"),
-        pytest.param(MAX_BODY_BYTES - 200, [200], id="up_to_the_limit"),
+        pytest.param(MAX_BODY_BYTES - len(REPORT) - 100, [200], id="up_to_the_limit"),
         pytest.param(MAX_BODY_BYTES, [413], id="too_long"),
     ],
 )
 def test_report_of_allowed_length_is_accepted(
     n_bytes: int, statuses: list[int]
 ) -> None:
-    body = f'{{{REPORT}, "seq": 1, "born": 7, "more": "{"x" * n_bytes}"}}'
-    found, log, _ = asyncio.run(send_reports(("i-1", body)))
+    body = f'{{{REPORT}, "seq": 1, "more": "{"x" * n_bytes}"}}'
+    found, log = asyncio.run(send_reports(("i-1", body)))
     assert found == statuses
     events = [event for event, _ in log.lines]
     assert ("report_malformed" in events) is (statuses == [413])
