Let an agent refuse an owner that means another node's agent

Could be seen by callers: tasks run twice at the same time after the address of one agent was stored for another node, by another writer or as an address is used again.

Cause: an owner took whoever answered at a stored address for that node's agent. The next incarnation beside the one agent counted as one beside the other node, so the tasks that the other node's worker was still running were released.

Change: `OwnerHello` names the node that the owner means. An agent of another node closes the channel; the owner then pauses before it dials that address again, and the tasks of the node that it can't reach wait for the end of their lease.

After: the test passes, with all of test_foreign_reports.py.

--- a/packages/jobs/almondspan_jobs/agent_link.py
+++ b/packages/jobs/almondspan_jobs/agent_link.py
@@ -62,6 +62,7 @@
             record.host,
             record.port,
             accepts_unreachable=True,
+            agent=node,
         )
         self._on_replaced: Final = on_replaced
         self._relays: Final = relays
@@ -103,7 +104,9 @@
             self._direct_channel = None
             if not isinstance(channel, DialFailed):
                 was_up = True
-                await self._serve_until_closed(channel, is_direct=True)
+                if not await self._serve_until_closed(channel, is_direct=True):
+                    # Perhaps another node's agent has the address now.
+                    await self._pause()
                 continue
             relayed = None if channel.was_refused else await self._dial_via_agent()
             if relayed is not None:
@@ -115,8 +118,11 @@
                 reason = channel.reason
                 self._log.line("agent_unreachable", agent=self._node, why=reason)
             was_up = False
-            jitter = self._rng.uniform(0.5, 1.5)
-            await asyncio.sleep(self._options.dial_retry_s * jitter)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        jitter = self._rng.uniform(0.5, 1.5)
+        await asyncio.sleep(self._options.dial_retry_s * jitter)
 
     async def _dial_via_agent(self) -> RelayedChannel | None:
         relays = self._relays()
@@ -130,11 +136,14 @@
             self.address.host, self.address.port, self._options.dial_timeout_s
         )
 
-    async def _serve_until_closed(self, channel: Channel, is_direct: bool) -> None:
-        """Serve a channel until it closes."""
+    async def _serve_until_closed(self, channel: Channel, is_direct: bool) -> bool:
+        """Serve a channel until it closes; return whether the agent has sent anything.
+
+        An agent of another node closes the channel without an answer.
+        """
         try:
             self.is_direct = is_direct
-            await self._serve(channel)
+            return await self._serve(channel)
         finally:
             self._channel = None
             self.is_direct = False
@@ -161,12 +170,13 @@
                 self._direct_channel = channel
                 return
 
-    async def _serve(self, channel: Channel) -> None:
+    async def _serve(self, channel: Channel) -> bool:
         self._log.line("agent_linked", agent=self._node, epoch=self._hello.epoch)
         await channel.send(self._hello)
         self._channel = channel
         # A restarted agent does not know its worker's tasks; they are sent again.
         self._incarnation = None
+        has_answered = False
         while True:
             body = await channel.receive()
             if isinstance(body, ChannelClosed):
@@ -176,7 +186,8 @@
                     cause=body.cause.value,
                     reason=body.reason,
                 )
-                return
+                return has_answered
+            has_answered = True
             self._on_message(body)
             if self._scheduler.needs_planning or self._scheduler.is_dirty:
                 self._wake()
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -60,6 +60,8 @@
     port: Port
     accepts_unreachable: bool = False
     """Whether the owner knows `WorkerUnreachable`; unknown messages end its channel."""
+    agent: str = ""
+    """The node of the agent that the owner means; empty from an earlier release."""
 
 
 @message
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -96,6 +96,7 @@
 
     def __init__(
         self,
+        node: str,
         host: str,
         port: int,
         network: Network,
@@ -108,6 +109,7 @@
         self._options: Final = options
         self._log: Final = log
         self._metrics: Final = metrics
+        self._node: Final = node
         self._host: Final = host
         self._port: Final = port
         self._network: Final = network
@@ -271,6 +273,10 @@
             self._log.line("link_malformed", got=got, reason=reason)
 
     async def _serve_owner(self, channel: Channel, hello: OwnerHello) -> None:
+        if hello.agent not in ("", self._node):
+            # The owner has an old address of that agent, or one of another writer.
+            self._log.line("owner_misled", owner=hello.owner, agent=hello.agent)
+            return
         if hello.epoch < self._epoch:
             self._log.line("owner_outdated", epoch=hello.epoch, known=self._epoch)
             return
--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -154,6 +154,7 @@
 
     async def _run(self) -> None:
         worker_agent = WorkerAgent(
+            self.name,
             self.name,
             1,
             MemoryNetwork(self.simulation.hub),
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -92,7 +92,7 @@
         self.worker = HeldWorker()
         self._network = MemoryNetwork(hub)
         self._agent = WorkerAgent(
-            HOST, PORT, self._network, self.worker, OPTIONS, Log(), Metrics()
+            HOST, HOST, PORT, self._network, self.worker, OPTIONS, Log(), Metrics()
         )
 
     async def start(self) -> None:
--- a/tests/jobs/test_foreign_reports.py
+++ b/tests/jobs/test_foreign_reports.py
@@ -9,6 +9,8 @@
 from almondspan_decisions.ids import PlaceName, WorkerId
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.shapes import Shape
+from almondspan_jobs.records import AGENT_PREFIX, AgentRecord, encode_record
+from almondspan_platform.group_store import Write, WriteGroup
 from almondspan_platform.task_worker import EndReason, WorkerState
 
 N_TASKS = 12
@@ -149,3 +151,26 @@
     for task in lost:
         again = [run for run in simulation.runs() if run.task == task][1]
         assert again.begun_s < left_s + MAX_RESTART_S
+
+
+def test_agent_does_not_speak_for_another_node(simulation: JobSimulation) -> None:
+    """Guards against TWICE: an agent's address that is stored for another node.
+
+    The owner took a new incarnation beside that agent for one of the other node, and
+    released the tasks that the other node's worker was running.
+    """
+    simulation.submit(simulation.make_job(LONG), simulation.entries[0])
+    simulation.run(2.0)
+    first, second, _ = simulation.agents
+    assert second.worker.runs
+    record = encode_record(AgentRecord(first.name, 1))
+    write = Write(AGENT_PREFIX + second.name, record)
+    simulation.run_in_loop(
+        lambda _: simulation.store.commit(WriteGroup(writes=(write,)))
+    )
+    simulation.run(1.0)
+    simulation.run_in_loop(lambda _: first.crash_worker(0.2, keeps_id=False))
+    simulation.run(40.0)
+    assert simulation.violations() == []
+    done = [run.task for run in simulation.runs() if run.how is EndReason.DONE]
+    assert len(done) == len(set(done)) == N_TASKS
--- a/tests/jobs/test_hostile_channel.py
+++ b/tests/jobs/test_hostile_channel.py
@@ -100,7 +100,7 @@
             random.Random(1),
         )
         agent = WorkerAgent(
-            HOST, port, TcpNetwork(), worker, JobOptions(), log, Metrics()
+            "machine", HOST, port, TcpNetwork(), worker, JobOptions(), log, Metrics()
         )
         await agent.start()
         place, service = PlaceName("here"), ServiceName("pool")
--- a/tests/jobs/test_worker_agent.py
+++ b/tests/jobs/test_worker_agent.py
@@ -126,7 +126,7 @@
 ) -> list[list[WorkerListing | WorkerUnreachable]]:
     network = Network()
     options = JobOptions(poll_retry_s=0.0)
-    agent = WorkerAgent("agent", 1, network, worker, options, Log(), Metrics())
+    agent = WorkerAgent("agent", "agent", 1, network, worker, options, Log(), Metrics())
     await agent.start()
     agent.on_report(STATE)
     channels = [OwnerChannel(hello) for hello in hellos]
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -275,7 +275,7 @@
     log = Log()
     worker = HttpTaskWorker(RUNNER_ADDRESS, 0.1, 0.1)
     agent = WorkerAgent(
-        "127.0.0.1", 1, NoNetwork(), worker, JobOptions(), log, Metrics()
+        "machine", "127.0.0.1", 1, NoNetwork(), worker, JobOptions(), log, Metrics()
     )
     reports_handler = WorkerReports(agent, ServiceName("pool"), RUNNER_ADDRESS, log)
     server = HttpServer("127.0.0.1:0", reports_handler.handle)
