Let only its own worker revoke an attempt

Cause: the owner released an attempt on any agent's word that it doesn't run there, whichever worker the agent was beside. An attempt is absent from every worker but its own.

Change: the revocation counts from the worker that the attempt is assigned to, in that incarnation or a later one; others are logged as `revocation_ignored`.

Evidence: three rows of `test_only_its_worker_can_revoke_an_attempt` describe answers that released the attempt before: `on_attempt_revoked` didn't know who had answered.

After: test_scheduler.py passes.

--- a/packages/jobs/almondspan_jobs/agent_link.py
+++ b/packages/jobs/almondspan_jobs/agent_link.py
@@ -211,7 +211,7 @@
         elif isinstance(body, StartReply):
             self._scheduler.on_start_reply(self._incarnation.worker_id, body)
         elif isinstance(body, AttemptRevoked):
-            self._scheduler.on_attempt_revoked(body)
+            self._scheduler.on_attempt_revoked(self._incarnation.worker_id, body)
 
     def _on_report(self, report: WorkerReport) -> None:
         incarnation = WorkerIncarnation(report.worker_id, report.started_ms)
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -148,8 +148,12 @@
         elif reply.verdict != Verdict.FENCED.value and not task.listed_s:
             task.is_revoking = True
 
-    def on_attempt_revoked(self, reply: AttemptRevoked) -> None:
-        """Release a revoked attempt."""
+    def on_attempt_revoked(self, worker_id: WorkerId, reply: AttemptRevoked) -> None:
+        """Release an attempt that its worker has revoked.
+
+        That its absence was found by a later incarnation of the worker is as good; what
+        another worker or an earlier incarnation does not run may still run.
+        """
         found = self._table.find_task(reply.task)
         if found is None:
             return
@@ -157,8 +161,21 @@
         task = job.task(key)
         if task is None or task.n_attempts != reply.attempt or not task.is_revoking:
             return
-        if task.phase is TaskPhase.PLACED:
-            self._assignments.release(job, key, "absent")
+        incarnation = task.incarnation
+        if task.phase is not TaskPhase.PLACED or incarnation is None:
+            return
+        is_its_worker = incarnation.worker_id == worker_id
+        if not is_its_worker or reply.started_ms < incarnation.started_ms:
+            self._log.line(
+                "revocation_ignored",
+                task=reply.task,
+                attempt=reply.attempt,
+                worker=worker_id,
+                born=reply.started_ms,
+                assigned=str(incarnation),
+            )
+            return
+        self._assignments.release(job, key, "absent")
 
     def send_due(
         self, job: JobProgress, key: TaskKey, task: TaskState, now_s: float
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -220,9 +220,9 @@
         """Handle the answer to a start command."""
         self._commands.on_start_reply(worker_id, reply)
 
-    def on_attempt_revoked(self, reply: AttemptRevoked) -> None:
-        """Release a revoked attempt."""
-        self._commands.on_attempt_revoked(reply)
+    def on_attempt_revoked(self, worker_id: WorkerId, reply: AttemptRevoked) -> None:
+        """Release an attempt that its worker has revoked."""
+        self._commands.on_attempt_revoked(worker_id, reply)
 
     def traits_update_for(self, worker_id: WorkerId) -> TaskTraitsUpdate:
         """Return the traits of the tasks assigned to a worker."""
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -140,10 +140,35 @@
     harness.scheduler.tick()
     assert [body.is_revocation for body in harness.take_sent(StopCommand)] == [True]
     assert n_placed(harness) == 1
-    harness.scheduler.on_attempt_revoked(AttemptRevoked(STARTED_MS, TASK, 1))
+    harness.scheduler.on_attempt_revoked(WORKER, AttemptRevoked(STARTED_MS, TASK, 1))
     assert n_placed(harness) == 0
 
 
+@pytest.mark.parametrize(
+    ("worker_id", "started_ms", "is_released"),
+    [
+        pytest.param(WORKER, STARTED_MS, True, id="assigned"),
+        pytest.param(WORKER, STARTED_MS + 1, True, id="later_incarnation"),
+        pytest.param(WORKER, STARTED_MS - 1, False, id="earlier_incarnation"),
+        pytest.param(WorkerId("w-2"), STARTED_MS, False, id="other_worker"),
+        pytest.param(WorkerId("w-2"), STARTED_MS + 1, False, id="other_and_later"),
+    ],
+)
+def test_only_its_worker_can_revoke_an_attempt(
+    harness: SchedulerHarness, worker_id: WorkerId, started_ms: int, is_released: bool
+) -> None:
+    """Guards against TWICE: an attempt that is absent where it never was."""
+    harness.report_worker()
+    harness.add()
+    harness.scheduler.on_start_reply(WORKER, StartReply(STARTED_MS, TASK, 1, "done"))
+    harness.now_s += 1.8
+    harness.list_worker()
+    harness.scheduler.tick()
+    revoked = AttemptRevoked(started_ms, TASK, 1)
+    harness.scheduler.on_attempt_revoked(worker_id, revoked)
+    assert n_placed(harness) == (0 if is_released else 1)
+
+
 def test_silent_worker_keeps_its_tasks_until_its_lease_expires(
     harness: SchedulerHarness,
 ) -> None:
