Count a task's time without progress from its first listing

Cause: the time without progress began with the assignment, which may wait for the store.

Change: it begins anew when the worker first lists the attempt.

Evidence: `test_task_is_not_stalled_by_the_time_until_its_assignment_is_stored` failed before (a stop 1.3 s after the first listing), and passes now.

--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -141,6 +141,7 @@
         assert task is not None
         if not task.listed_s:
             self._metrics.observe_s("start", now_s - task.placed_s)
+            task.percent_s = now_s
         task.listed_s = now_s
         task.record_start(is_proven=True)
         if task.needs_trial and not is_in_doubt(task):
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -52,6 +52,25 @@
     assert [command.attempt for command in harness.take_sent(StartCommand)] == [1]
 
 
+def test_task_is_not_stalled_by_the_time_until_its_assignment_is_stored(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against work that is thrown away after an outage of the store."""
+    harness.report_worker()
+    harness.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    harness.scheduler.plan()
+    snapshot = harness.scheduler.snapshot()
+    harness.now_s += 4.0
+    harness.scheduler.on_stored(snapshot)
+    harness.now_s += 0.1
+    harness.list_worker(running=[(TASK, 1, "", 0, 0.0)])
+    harness.advance(harness.options.stall_s - 0.2)
+    assert harness.take_sent(StopCommand) == []
+    harness.list_worker(running=[(TASK, 1, "", 0, 0.0)])
+    harness.advance(0.4)
+    assert len(harness.take_sent(StopCommand)) == 1
+
+
 def test_end_is_acknowledged_after_its_effect_is_stored(
     harness: SchedulerHarness,
 ) -> None:
