Take no attempt for absent whose end a full list may hide

Cause: a runner lists 500 ends at a time, the next ones once those are acknowledged, which waits for the store. An attempt that was neither running nor among these ends was revoked (its worker "does not list" it), and the agent confirmed that it was absent. It was released; its end `done`, listed later, belonged to no assigned attempt any more.

Change: a poll tells whether it lists all ends. Only such a poll confirms that an attempt is absent, whoever asks; the owner begins no revocation upon a full list either. The start that never took effect is found absent as soon as the ends are acknowledged.

--- a/packages/decisions/almondspan_decisions/worker_lease.py
+++ b/packages/decisions/almondspan_decisions/worker_lease.py
@@ -62,6 +62,8 @@
     unreachable_s: float = 0.0
     """When the first failed poll since the latest listing was reported; 0 if none was.
     Stays with the lease of an incarnation that was replaced."""
+    lists_all_ends: bool = True
+    """Whether the latest listing had all ends that are not acknowledged."""
     n_seen: int = 0
     """Number of the last end that was handled."""
     n_acknowledged: int = 0
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -2,7 +2,8 @@
 
 A listing renews the worker's lease, ends attempts and shows their progress. Ends are
 acknowledged once the decision that results from them is stored. An attempt that its
-worker does not list is revoked; one without progress is stopped and tried elsewhere.
+worker does not list is revoked, unless a full list may hide its end; one without
+progress is stopped and tried elsewhere.
 """
 
 from collections.abc import Callable, Mapping
@@ -75,6 +76,7 @@
         """Handle a worker's listing, and renew its lease."""
         lease = self._fleet.lease(incarnation)
         lease.listed_s = now_s
+        lease.lists_all_ends = listing.lists_all_ends
         for end in listing.ended:
             self._on_end(incarnation, lease, end)
         for row in listing.running:
@@ -173,6 +175,7 @@
         """Check every attempt, and send the commands that are due."""
         for incarnation, held in tuple(self._fleet.held.items()):
             is_fresh = self._fleet.has_recent_listing(incarnation, now_s)
+            lists_all_ends = self._fleet.lease(incarnation).lists_all_ends
             for job_id, key in tuple(held):
                 job = self._table[job_id]
                 task = job.task(key)
@@ -180,16 +183,21 @@
                 if not task.is_stored:
                     continue
                 if is_fresh:
-                    self._check(job, key, task, now_s)
+                    if lists_all_ends:
+                        self._check_presence(task, now_s)
+                    self._check_progress(job, key, task, now_s)
                 self._commands.send_due(job, key, task, now_s)
 
-    def _check(
-        self, job: JobProgress, key: TaskKey, task: TaskState, now_s: float
-    ) -> None:
-        """Revoke an attempt that its worker does not list; stop one that is stalled."""
+    def _check_presence(self, task: TaskState, now_s: float) -> None:
+        """Revoke an attempt that its worker does not list."""
         seen_s = max(task.listed_s, task.placed_s)
         if task.n_sends and not task.is_revoking:
             task.is_revoking = now_s - seen_s > self._options.listing_timeout_s
+
+    def _check_progress(
+        self, job: JobProgress, key: TaskKey, task: TaskState, now_s: float
+    ) -> None:
+        """Stop an attempt that is stalled."""
         step = job.step_of(key)
         if step.lasts or task.is_stopping or not task.listed_s:
             return
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -170,7 +170,8 @@
     """The attempt does not run on the polled incarnation and can't start there later.
 
     Sent when a poll that began after the worker's answer to the stop does not list the
-    attempt as running.
+    attempt as running, and has listed all ends: the owner has then heard of its end, if
+    it had one.
     """
 
     started_ms: int
@@ -209,6 +210,8 @@
     ended: list[tuple[Count, str, Count, str, str]]
     is_paced: bool = False
     """Whether best-effort tasks run below their full pace."""
+    lists_all_ends: bool = True
+    """Whether an attempt that is not listed has no end that is still to be listed."""
 
 
 @message
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -11,7 +11,7 @@
 4. Commands run concurrently with the polls; `CommandSlots` limits how many. A start
    that waits is sent only if it still may be, and a stop of its attempt withdraws it. A
    revocation is answered only when a poll that began after the worker's answer to the
-   stop does not list the attempt.
+   stop lists all ends, and the attempt as running no longer.
 5. `WorkerPacing` paces the best-effort tasks based on the listed tail latencies.
 6. `Relay` joins channels of processes that can't reach each other directly.
 
@@ -491,7 +491,11 @@
     async def _confirm_revocation(
         self, incarnation: _Incarnation, command: StopCommand, epoch: int
     ) -> None:
-        """Answer a revocation if a new poll does not list the attempt as running."""
+        """Answer a revocation if a new poll shows that the attempt is absent.
+
+        An attempt that is in neither list may have ended if some ends are not listed.
+        The owner asks again.
+        """
         poll = await self._worker.list_tasks(incarnation.state.worker_id, epoch)
         if (
             not isinstance(poll, WorkerPoll)
@@ -499,10 +503,11 @@
         ):
             return
         self._forward_poll(incarnation, poll)
-        if all(
-            (task.task, task.attempt) != (command.task, command.attempt)
+        is_running = any(
+            (task.task, task.attempt) == (command.task, command.attempt)
             for task in poll.running
-        ):
+        )
+        if poll.lists_all_ends and not is_running:
             self._reply(
                 epoch, AttemptRevoked(poll.started_ms, command.task, command.attempt)
             )
@@ -589,6 +594,7 @@
                     for end in poll.ended
                 ],
                 self._pacing.is_paced,
+                poll.lists_all_ends,
             )
         )
         for end in poll.ended:
--- a/packages/platform/almondspan_platform/task_worker.py
+++ b/packages/platform/almondspan_platform/task_worker.py
@@ -90,13 +90,16 @@
 class WorkerPoll:
     """A worker's answer to a poll, made at ``clock_ms`` of its own clock.
 
-    ``started_ms`` identifies the incarnation of the worker.
+    ``started_ms`` identifies the incarnation of the worker. All running attempts are
+    listed, but only a limited number of ends, those with the lowest numbers: an attempt
+    that is in neither list may have ended unless ``lists_all_ends``.
     """
 
     started_ms: int
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    lists_all_ends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -34,6 +34,7 @@
 POLL_TIMEOUT_S: Final = 0.6
 """Added to the time that the poll itself waits."""
 STOP_S: Final = 0.2
+MAX_LISTED_ENDS: Final = 500
 MAX_LEASE_S: Final = 6.0
 
 
@@ -127,6 +128,8 @@
         """Share of commands that are executed 2 to 8 s later, without a response."""
         self.start_s = 0.0
         """Time from the arrival of a start to its execution."""
+        self.max_listed_ends = MAX_LISTED_ENDS
+        """A poll lists this many ends at most, those with the lowest numbers."""
         self._hung_until_s = 0.0
         self.is_down = False
         self.closes_on_crash = False
@@ -414,11 +417,13 @@
             return PollFailed(Verdict.NO_ANSWER, "the worker hangs")
         if self.is_down or incarnation is not self._incarnation:
             return PollFailed(Verdict.NO_ANSWER, "the worker has crashed or restarted")
+        listed = incarnation.ended[: self.max_listed_ends]
         return WorkerPoll(
             incarnation.started_ms,
             self.clock_ms(),
             tuple(self._running_rows()),
-            tuple(row for row, _ in incarnation.ended),
+            tuple(row for row, _ in listed),
+            lists_all_ends=len(listed) < self.max_listed_ends,
         )
 
     def _begin_poll(self, request: PollRequest) -> Verdict:
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -22,7 +22,13 @@
     Unavailable,
     WatchEvent,
 )
-from almondspan_platform.task_worker import PollFailed, StartAnswer, StartTask, Verdict
+from almondspan_platform.task_worker import (
+    PollFailed,
+    StartAnswer,
+    StartTask,
+    Verdict,
+    WorkerPoll,
+)
 from almondspan_site.http_server import MAX_BODY_BYTES, HttpServer
 from almondspan_site.http_task_worker import HttpTaskWorker
 from almondspan_site.kv_store import KvStore
@@ -248,6 +254,19 @@
     assert len(outcome.reason) <= MAX_LOGGED_CHARS
 
 
+@pytest.mark.parametrize(
+    ("n_ends", "lists_all_ends"),
+    [pytest.param(499, True, id="some"), pytest.param(500, False, id="full")],
+)
+def test_full_list_of_ends_may_hide_others(n_ends: int, lists_all_ends: bool) -> None:
+    """Guards against TWICE: an end that is listed later, taken for no end."""
+    ends = ", ".join(f'[{n}, "{TASK}", {n}, "done", ""]' for n in range(1, n_ends + 1))
+    poll = call_runner(200, listing("", ends), list_tasks)
+    assert isinstance(poll, WorkerPoll)
+    assert len(poll.ended) == n_ends
+    assert poll.lists_all_ends is lists_all_ends
+
+
 def test_deeply_nested_refusal_of_the_runner() -> None:
     body = f'{{"reason": "fence", "more": {DEEP}}}'
     assert call_runner(409, body, start_task) == StartAnswer(Verdict.MALFORMED)
