--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -180,6 +180,13 @@
     ]
 
 
+def test_page_without_items_that_is_not_the_last_is_no_whole_range() -> None:
+    """Guards against keys that are taken for deleted: agents, the owner, progress."""
+    body = '{"items": [], "hasMore": true, "atRev": 2}'
+    outcome = call_store(200, body, lambda store: store.get_range("p/"))
+    assert isinstance(outcome, Unavailable)
+
+
 def call_runner(
     status: int, body: str, call: Callable[[HttpTaskWorker], Awaitable[object]]
 ) -> object:
