Store the progress of a large job in parts, and only its unfinished occurrences

Cause: the progress of a job was one value of the store, with a row for each task of each occurrence that had ever been due. Beyond some 100,000 tasks the store refuses the value, and the owner fails the job. Long checkpoints got there with a few tasks: 20 of 64,000 characters do.

Change: the tasks of a job with more than 256 in all are stored in parts of 128, long checkpoints by themselves. A part that isn't stored says that none of its tasks has been started, so parts need no order among each other. The changes of a job up to a moment are a batch, stored by one group or several, each bounded in records and bytes; starts, acknowledgements and the states that callers are told wait for the whole batch. Other jobs are stored as before. Nothing is refused that was accepted before.

Parts of the greatest rows and checkpoints that an agent takes fit into a value.

--- a/packages/decisions/almondspan_decisions/job_graph.py
+++ b/packages/decisions/almondspan_decisions/job_graph.py
@@ -27,6 +27,9 @@
 MAX_TASKS: Final = 200_000
 """Limit of a job's tasks over all of its occurrences."""
 
+LARGE_JOB_TASKS: Final = 256
+"""A job with more tasks over all of its occurrences is large."""
+
 MAX_DIGITS: Final = 15
 """Limit of the digits of a number in a task's name."""
 
@@ -102,6 +105,16 @@
     """The rules of the queue as it was accepted; None in records of earlier releases.
     They apply while no queue of this name is configured."""
 
+    @property
+    def n_tasks(self) -> int:
+        """Number of tasks of one occurrence."""
+        return sum(step.n_tasks for step in self.steps)
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the tasks are too many to keep the state of each in one record."""
+        return self.n_tasks * self.n_total_occurrences > LARGE_JOB_TASKS
+
     @property
     def n_total_occurrences(self) -> int:
         """Number of times that the steps run; 1 for a job that is not repeated."""
@@ -147,7 +160,7 @@
         names.append(spec.accepted_rules.service)
     if any(len(name) > MAX_NAME_CHARS for name in names):
         return f"a name is longer than {MAX_NAME_CHARS} characters"
-    n_tasks = sum(step.n_tasks for step in spec.steps) * spec.n_total_occurrences
+    n_tasks = spec.n_tasks * spec.n_total_occurrences
     if n_tasks > MAX_TASKS:
         return f"the job has {n_tasks} tasks in all, the limit is {MAX_TASKS}"
     return ""
--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -5,12 +5,17 @@
 only to the attempt that is assigned, so duplicate and late reports have no effect.
 `JobProgress` reads no clock: the caller passes the time up to which occurrences are
 due.
+
+The size of a large job depends on its unfinished work only: an occurrence is added when
+it is due, but not beyond `MAX_OPEN_TASKS`, and dropped when it is done.
 """
 
 import math
+from bisect import bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import accumulate
 from typing import Final
 
 from almondspan_decisions.ids import JobId, WorkerId
@@ -29,6 +34,9 @@
     "WorkerIncarnation",
 ]
 
+MAX_OPEN_TASKS: Final = 10_000
+"""The tasks of a job's open occurrences, unless a single occurrence has more."""
+
 MAX_AVOIDED: Final = 3
 """Length of a task's list of avoided workers; the oldest entry is dropped first."""
 
@@ -260,7 +268,10 @@
     job_id: JobId
     spec: JobSpec
     occurrences: dict[int, list[StepState]] = field(default_factory=dict)
-    """Steps by occurrence; an occurrence is added when it is due."""
+    """Steps by occurrence; one is added when it is due, and dropped from a large job
+    when it is done."""
+    n_opened: int = 0
+    """Number of occurrences that have been added: the first ones."""
     is_cancelled: bool = False
     is_failed: bool = False
     n_placed: int = 0
@@ -270,27 +281,82 @@
     has_started: bool = False
     finished_ms: int = 0
     """Unix time in milliseconds at which the job reached a final state; 0 before."""
+    _changed: dict[TaskKey, None] = field(default_factory=dict)
+    """Tasks whose stored fields have changed since `take_changed`."""
+    _first_indexes: list[int] = field(init=False)
+    """The index of the first task of each step, within an occurrence."""
+
+    def __post_init__(self) -> None:
+        counts = (step.n_tasks for step in self.spec.steps)
+        self._first_indexes = list(accumulate(counts, initial=0))
 
     def add_due_occurrences(self, now_ms: int) -> bool:
         """Add the occurrences due by `now_ms`; return whether any was added."""
-        opened = False
-        while len(self.occurrences) < self.spec.n_total_occurrences:
-            occurrence = len(self.occurrences)
-            if self.spec.due_ms(occurrence) > now_ms:
+        before = self.n_opened
+        while self.n_opened < self.spec.n_total_occurrences and self._has_room:
+            if self.spec.due_ms(self.n_opened) > now_ms:
                 break
-            self.occurrences[occurrence] = [
-                StepState([TaskState() for _ in range(step.n_tasks)], step.n_tasks)
-                for step in self.spec.steps
-            ]
-            opened = True
-        return opened
+            self.open_occurrence()
+        return self.n_opened > before
+
+    @property
+    def _has_room(self) -> bool:
+        """Return whether another occurrence may be open beside those that are."""
+        n_open = len(self.occurrences)
+        return not n_open or (n_open + 1) * self.spec.n_tasks <= MAX_OPEN_TASKS
+
+    def open_occurrence(self) -> None:
+        """Add the next occurrence."""
+        self.occurrences[self.n_opened] = [
+            StepState([TaskState() for _ in range(step.n_tasks)], step.n_tasks)
+            for step in self.spec.steps
+        ]
+        self.n_opened += 1
+
+    def skip_occurrences(self, n_occurrences: int) -> None:
+        """Count the next occurrences as added and dropped."""
+        self.n_opened += n_occurrences
+
+    @property
+    def n_dropped(self) -> int:
+        """Number of occurrences that are done and no longer kept."""
+        return self.n_opened - len(self.occurrences)
+
+    # All tasks of all occurrences have an index, in the order of `TaskKey`
+
+    def index_of(self, key: TaskKey) -> int:
+        """Return the index of a task among those of all occurrences."""
+        first = key.occurrence * self._first_indexes[-1] + self._first_indexes[key.step]
+        return first + key.position
+
+    def key_at(self, index: int) -> TaskKey:
+        """Return the task with an index."""
+        occurrence, rest = divmod(index, self._first_indexes[-1])
+        step = bisect_right(self._first_indexes, rest) - 1
+        return TaskKey(occurrence, step, rest - self._first_indexes[step])
+
+    @property
+    def n_opened_tasks(self) -> int:
+        """Number of the tasks of the occurrences that have been added."""
+        return self.n_opened * self._first_indexes[-1]
+
+    def mark_changed(self, key: TaskKey) -> None:
+        """Record that stored fields of a task have changed."""
+        self._changed[key] = None
+
+    def take_changed(self) -> tuple[TaskKey, ...]:
+        """Return the tasks that have changed since the last call."""
+        changed = tuple(self._changed)
+        self._changed.clear()
+        return changed
 
     def recount(self) -> None:
         """Recompute every count after task states were loaded from the store."""
         steps = [step for steps in self.occurrences.values() for step in steps]
         for step in steps:
             step.recount()
-        self.n_steps_done = sum(step.is_done for step in steps)
+        self.n_steps_done = self.n_dropped * len(self.spec.steps)
+        self.n_steps_done += sum(step.is_done for step in steps)
         self.n_placed = sum(
             len(step.tasks) - step.n_waiting - step.n_done for step in steps
         )
@@ -401,6 +467,7 @@
         step.n_waiting -= 1
         self.n_placed += 1
         self.has_started = True
+        self.mark_changed(key)
         return task
 
     def is_assigned(
@@ -434,6 +501,7 @@
         task.incarnation = incarnation
         task.first_listed_ms = None
         task.crashed_attempt = 0
+        self.mark_changed(key)
         return True
 
     def end(self, key: TaskKey, kind: EndKind, checkpoint: str) -> None:
@@ -442,6 +510,7 @@
         assert task is not None and task.incarnation is not None and state is not None
         worker_id = task.incarnation.worker_id
         step = self.step_of(key)
+        self.mark_changed(key)
         self.n_placed -= 1
         task.incarnation = None
         task.reset_attempt()
@@ -450,7 +519,9 @@
         if kind is EndKind.DONE and not step.lasts:
             task.phase = TaskPhase.DONE
             state.n_done += 1
-            self.n_steps_done += state.is_done
+            if state.is_done:
+                self.n_steps_done += 1
+                self._drop_if_done(key.occurrence)
             return
         task.phase = TaskPhase.WAITING
         state.n_waiting += 1
@@ -460,6 +531,11 @@
             if not step.lasts:
                 self.n_most_failures = max(self.n_most_failures, task.n_failed)
 
+    def _drop_if_done(self, occurrence: int) -> None:
+        steps = self.occurrences[occurrence]
+        if self.spec.is_large and all(step.is_done for step in steps):
+            del self.occurrences[occurrence]
+
     def apply_failure_limit(self, max_failures: int) -> bool:
         """Fail the job if a task has failed as often; return whether it failed now."""
         if not self.is_active or self.n_most_failures < max_failures:
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -161,6 +161,7 @@
         """Take back the crashes that the attempt has outlived."""
         n_disproved = task.record_point(point_reached(job.step_of(key), task))
         if n_disproved:
+            job.mark_changed(key)
             self._table.mark_dirty(job)
             self._log.line(
                 "crashes_disproved",
--- a/packages/jobs/almondspan_jobs/crash_monitor.py
+++ b/packages/jobs/almondspan_jobs/crash_monitor.py
@@ -217,6 +217,7 @@
         if task is None or started.attempt == task.crashed_attempt:
             return None
         task.crashed_attempt = max(task.crashed_attempt, started.attempt)
+        job.mark_changed(started.key)
         self._table.mark_dirty(job)
         return CrashedTask(
             started.job_id,
@@ -237,6 +238,7 @@
         assert task is not None
         task.record_crash(bound)
         task.needs_trial |= crashed.is_in_doubt
+        job.mark_changed(crashed.key)
         self._table.mark_dirty(job)
 
     def _hold_back(
--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -35,14 +35,13 @@
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.owner_link import NoAnswer, OwnerLink
+from almondspan_jobs.progress_records import HEAD, decode_state, part_key
 from almondspan_jobs.records import (
     Unreadable,
     cancel_key,
-    decode_progress,
     decode_spec,
     encode_spec,
     job_key,
-    progress_key,
 )
 from almondspan_platform.group_store import GroupConflict, GroupStore, Write, WriteGroup
 from almondspan_platform.store import (
@@ -324,17 +323,17 @@
         if found.item is None:
             return StateAnswer(None, True)
         spec = decode_spec(found.item.value)
-        run = await self._store.get(progress_key(job_id))
+        run = await self._store.get(part_key(job_id, HEAD))
         if not isinstance(run, Found):
             return StateAnswer(None, False, run.reason)
         if run.item is None:
             return StateAnswer(JobState.PENDING, True)
         if isinstance(spec, Unreadable):
             return StateAnswer(None, False, spec.reason)
-        job = decode_progress(job_id, spec, run.item.value)
-        if isinstance(job, Unreadable):
-            return StateAnswer(None, False, job.reason)
-        return StateAnswer(job.state, True)
+        state = decode_state(job_id, spec, run.item.value)
+        if isinstance(state, Unreadable):
+            return StateAnswer(None, False, state.reason)
+        return StateAnswer(state, True)
 
     async def n_pending(self, queue: QueueName) -> int | None:
         """Return the number of pending jobs of a queue; None if no owner answers."""
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -1,8 +1,9 @@
 """The owner's jobs: their progress, what of it is stored, and which wait for placement.
 
-Every change of a job raises its version and makes it dirty; `take_dirty` returns dirty
-jobs to store, and `on_stored` records which version the store has. Callers are told
-only stored states.
+Every change of a job raises its version and makes parts of its progress dirty. These
+are stored as one batch, which may take several groups of writes: `next_batches` returns
+the batches that wait, and `on_stored` records the version that the store has once it
+has the whole batch. Callers are told only stored states.
 
 A finished job past its retention is first removed from the store. It stays in the table
 until everything that the store reports is later than the removal, so that the job is
@@ -11,7 +12,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -23,17 +24,35 @@
     TaskKey,
     parse_task_name,
 )
-from almondspan_decisions.job_progress import FINAL_STATES, JobProgress, JobState
+from almondspan_decisions.job_progress import (
+    FINAL_STATES,
+    JobProgress,
+    JobState,
+    TaskPhase,
+)
 from almondspan_jobs.clocks import steady_s, wall_ms
 from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.progress_records import HEAD, Part, part_key, parts_of_task
 from almondspan_platform.store import Revision
 
-__all__ = ["JobTable"]
+__all__ = ["Batch", "JobTable"]
 
 LAST_PRIORITY: Final = 99
 """Priority of jobs without rules."""
 
 
+@dataclass(slots=True)
+class Batch:
+    """Changes of a job that are stored together, and what is then stored."""
+
+    version: int
+    state: JobState
+    parts: list[Part]
+    """Parts of the progress that are still to be taken, the head first."""
+    assigned: list[tuple[TaskKey, int]]
+    """Attempts whose assignment the batch stores."""
+
+
 @dataclass(slots=True)
 class _JobTracking:
     """What the owner tracks of a job besides its progress."""
@@ -41,6 +60,14 @@
     version: int = 0
     """Rises with every change of the job."""
     stored_version: int = 0
+    dirty_parts: dict[Part, None] = field(default_factory=dict)
+    """Parts with changes that are in no batch yet."""
+    unstored: dict[TaskKey, None] = field(default_factory=dict)
+    """Tasks that have changed since they were known to be stored."""
+    batch: Batch | None = None
+    """The batch that is being stored."""
+    extra_parts: set[Part] = field(default_factory=set)
+    """Parts, besides the head, that the store may have."""
     seen_s: float = field(default_factory=steady_s)
     """When the owner first saw the job."""
     ended_s: float = math.inf
@@ -81,9 +108,10 @@
             return None
         return job, parsed[1]
 
-    def load(self, job: JobProgress) -> None:
-        """Add a job with its stored progress."""
+    def load(self, job: JobProgress, parts: Iterable[Part] = ()) -> None:
+        """Add a job with its stored progress, of which there are these parts."""
         self._add(job, job.state)
+        self._tracking[job.job_id].extra_parts.update(parts)
         if self.apply_failure_limit(job):
             self.mark_dirty(job)
 
@@ -99,7 +127,7 @@
             job=job_id,
             queue=spec.queue,
             n_steps=len(spec.steps),
-            n_tasks=sum(step.n_tasks for step in spec.steps),
+            n_tasks=spec.n_tasks,
             after_ms=wall_ms() - spec.accepted_ms,
         )
 
@@ -179,7 +207,12 @@
         if not job.is_active and not job.finished_ms:
             job.finished_ms = wall_ms()
             self._log.line("job_ended", job=job.job_id, state=job.state.value)
-        self._tracking[job.job_id].version += 1
+        tracking = self._tracking[job.job_id]
+        tracking.version += 1
+        tracking.dirty_parts[HEAD] = None
+        for key in job.take_changed():
+            tracking.unstored[key] = None
+            tracking.dirty_parts.update(dict.fromkeys(parts_of_task(job, key)))
         self._dirty[job.job_id] = None
         self._update_placeable(job)
 
@@ -195,11 +228,38 @@
         """Return whether there are changes to store."""
         return bool(self._dirty)
 
-    def take_dirty(self, n_jobs: int) -> Iterator[tuple[JobProgress, int]]:
-        """Yield dirty jobs with their versions, and mark them clean."""
+    def next_batches(self, n_jobs: int) -> Iterator[tuple[JobProgress, Batch]]:
+        """Yield the batches of the first dirty jobs; one may be partly stored."""
         for job_id in self._next_dirty(n_jobs):
-            del self._dirty[job_id]
-            yield self.jobs[job_id], self._tracking[job_id].version
+            job, tracking = self.jobs[job_id], self._tracking[job_id]
+            if tracking.batch is None:
+                tracking.batch = self._make_batch(job, tracking)
+            yield job, tracking.batch
+
+    def _make_batch(self, job: JobProgress, tracking: _JobTracking) -> Batch:
+        parts = [HEAD, *(part for part in tracking.dirty_parts if part != HEAD)]
+        if job.job_id in self._unstorable:
+            parts = [HEAD]
+        tracking.dirty_parts.clear()
+        tracking.extra_parts.update(parts[1:])
+        assigned = []
+        for key in tuple(tracking.unstored):
+            task = job.task(key)
+            if task is None or task.phase is not TaskPhase.PLACED or task.is_stored:
+                del tracking.unstored[key]
+            else:
+                assigned.append((key, task.n_attempts))
+        return Batch(tracking.version, job.state, parts, assigned)
+
+    def on_taken(self, job: JobProgress) -> None:
+        """Mark a job clean if its batch is taken whole, and nothing has changed since.
+
+        Otherwise it waits behind the other dirty jobs.
+        """
+        tracking = self._tracking[job.job_id]
+        del self._dirty[job.job_id]
+        if tracking.dirty_parts or tracking.batch is None or tracking.batch.parts:
+            self._dirty[job.job_id] = None
 
     def _next_dirty(self, n_jobs: int) -> list[JobId]:
         """Return the first dirty jobs; one alone if it may not be storable."""
@@ -212,31 +272,43 @@
         """Return whether the progress of a job may be stored, or its end only."""
         return job.job_id not in self._unstorable
 
-    def on_refused(self, job_ids: Sequence[JobId]) -> None:
-        """Store the jobs of a group one by one; fail one that was refused by itself."""
-        for job_id in job_ids:
-            job = self.jobs.get(job_id)
-            if job is None:
+    def on_refused(self, taken: Mapping[JobId, Sequence[Part]]) -> None:
+        """Store the jobs of a group one by one; fail one that was refused by itself.
+
+        Parameters
+        ----------
+        taken : mapping of job to parts
+            The parts of each job that the group had.
+        """
+        for job_id, parts in taken.items():
+            job, tracking = self.jobs.get(job_id), self._tracking.get(job_id)
+            if job is None or tracking is None or tracking.batch is None:
                 continue
-            if len(job_ids) > 1:
+            if len(taken) > 1:
+                tracking.batch.parts[:0] = parts
                 self._suspects.add(job_id)
                 self._dirty[job_id] = None
             elif job_id not in self._unstorable:
+                tracking.batch = None
                 self._unstorable.add(job_id)
                 job.is_failed = True
                 self._log.line("job_unstorable", job=job_id, n_placed=job.n_placed)
                 self.mark_dirty(job)
 
-    def on_stored(
-        self, versions: Mapping[JobId, int], states: Mapping[JobId, JobState]
-    ) -> None:
-        """Record the versions and states that the store now has."""
-        for job_id, version in versions.items():
+    def on_stored(self, job_ids: Iterable[JobId]) -> Iterator[tuple[JobId, Batch]]:
+        """Record that the last writes of some jobs' batches are stored.
+
+        Yields the jobs and their batches.
+        """
+        for job_id in job_ids:
             tracking = self._tracking.get(job_id)
-            if tracking is not None:
-                self._suspects.discard(job_id)
-                tracking.stored_version = version
-                self._set_stored_state(self.jobs[job_id], states[job_id])
+            if tracking is None or tracking.batch is None:
+                continue
+            batch, tracking.batch = tracking.batch, None
+            self._suspects.discard(job_id)
+            tracking.stored_version = batch.version
+            self._set_stored_state(self.jobs[job_id], batch.state)
+            yield job_id, batch
 
     def _set_stored_state(self, job: JobProgress, state: JobState) -> None:
         before = self.stored_states.get(job.job_id)
@@ -264,7 +336,7 @@
         """Add the occurrences of repeated jobs that are due."""
         now_ms = wall_ms()
         for job in self.jobs.values():
-            if len(job.occurrences) < job.spec.n_total_occurrences and job.is_active:
+            if job.n_opened < job.spec.n_total_occurrences and job.is_active:
                 if job.add_due_occurrences(now_ms):
                     self.mark_dirty(job)
 
@@ -278,9 +350,16 @@
             for job_id, tracking in self._tracking.items()
             if tracking.ended_s < limit_s
             and not self.jobs[job_id].n_placed
+            and not tracking.dirty_parts
+            and tracking.batch is None
             and job_id not in self._removed_at
         ][:n_jobs]
 
+    def extra_keys(self, job_id: JobId) -> list[str]:
+        """Return the keys of a job's progress besides the head."""
+        parts = self._tracking[job_id].extra_parts
+        return [part_key(job_id, part) for part in parts]
+
     def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
         """Record that jobs are removed from the store."""
         self._removed_at.update((job_id, revision) for job_id in job_ids)
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -60,6 +60,10 @@
     """Events within this time share one planning round."""
     tick_s: float = 0.2
     max_jobs_per_commit: int = 14
+    max_writes_per_commit: int = 28
+    """How many records a group has at most, besides the head."""
+    max_bytes_per_commit: int = 256_000
+    """Length of a group's records; a longer record goes alone."""
     command_resend_s: float = 0.6
     """A command without a visible effect is sent again after this."""
     late_command_s: float = 16.0
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -30,6 +30,13 @@
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.network import Network
 from almondspan_jobs.options import JobOptions
+from almondspan_jobs.progress_records import (
+    HEAD,
+    Part,
+    decode_progress,
+    keys_of_job,
+    parse_part_key,
+)
 from almondspan_jobs.records import (
     HOME_AGENTS_KEY,
     INTERFERENCE_KEY,
@@ -40,10 +47,8 @@
     InterferenceRecord,
     OwnerRecord,
     Unreadable,
-    decode_progress,
     decode_record,
     decode_spec,
-    keys_of_job,
 )
 from almondspan_jobs.scheduler import Scheduler
 from almondspan_platform.group_store import GroupStore
@@ -214,7 +219,7 @@
         jobs = await self._read_range(JOBS_PREFIX)
         runs = await self._read_range(PROGRESS_PREFIX)
         await self._load_learned_state()
-        progress = {item.key.removeprefix(PROGRESS_PREFIX): item for item in runs.items}
+        progress = _parts_by_job(runs.items)
         for item in jobs.items:
             self._load_job(item, progress)
         self._handle_items(jobs.items)
@@ -244,20 +249,23 @@
             else:
                 self.scheduler.load_interference(interference)
 
-    def _load_job(self, item: KeyValue, progress: Mapping[str, KeyValue]) -> None:
+    def _load_job(
+        self, item: KeyValue, progress: Mapping[JobId, Mapping[Part, bytes]]
+    ) -> None:
         name, _, kind = item.key.removeprefix(JOBS_PREFIX).partition("/")
-        run = progress.get(name)
-        if kind != "job" or run is None:
+        parts = dict(progress.get(JobId(name), {}))
+        head = parts.pop(HEAD, None)
+        if kind != "job" or head is None:
             return
         spec = decode_spec(item.value)
         if isinstance(spec, Unreadable):
             self._log.line("record_unreadable", key=item.key, reason=spec.reason)
             return
-        job = decode_progress(JobId(name), spec, run.value)
+        job = decode_progress(JobId(name), spec, head, parts)
         if isinstance(job, Unreadable):
-            self._log.line("record_unreadable", key=run.key, reason=job.reason)
+            self._log.line("progress_unreadable", job=name, reason=job.reason)
             return
-        self.scheduler.load(job)
+        self.scheduler.load(job, parts)
 
     # Jobs
 
@@ -373,19 +381,34 @@
         while True:
             await asyncio.sleep(REMOVAL_INTERVAL_S)
             job_ids = self.scheduler.removable_jobs()
-            if not job_ids:
-                continue
             keys = [key for job_id in job_ids for key in keys_of_job(job_id)]
-            result = await self._committer.commit((), tuple(keys))
-            if result is CommitResult.LOST:
-                self.ended.set()
-                return
-            if result is CommitResult.REFUSED:
+            if not job_ids or not await self._remove_extra(job_ids):
+                continue
+            if not await self._remove(keys):
                 continue
             revision = self._committer.revision
             self.scheduler.on_removed(job_ids, revision)
             self._log.line("jobs_removed", revision=revision, jobs=job_ids)
 
+    async def _remove_extra(self, job_ids: Sequence[JobId]) -> bool:
+        """Remove parts of finished jobs' progress, before the heads that tell the end.
+
+        Returns whether all are removed.
+        """
+        keys = [key for name in job_ids for key in self.scheduler.extra_keys(name)]
+        n_keys = self._options.max_writes_per_commit
+        for first in range(0, len(keys), n_keys):
+            if not await self._remove(keys[first : first + n_keys]):
+                return False
+        return True
+
+    async def _remove(self, keys: Sequence[str]) -> bool:
+        """Remove keys from the store; return whether they are removed."""
+        result = await self._committer.commit((), tuple(keys))
+        if result is CommitResult.LOST:
+            self.ended.set()
+        return result is CommitResult.STORED
+
     async def _confirm(self) -> None:
         """Confirm the ownership by a read when no write has done so."""
         while True:
@@ -396,3 +419,14 @@
             if self._committer.is_lost:
                 self.ended.set()
                 return
+
+
+def _parts_by_job(items: Sequence[KeyValue]) -> dict[JobId, dict[Part, bytes]]:
+    """Return the stored parts of each job's progress."""
+    progress: dict[JobId, dict[Part, bytes]] = {}
+    for item in items:
+        parsed = parse_part_key(item.key)
+        if parsed is not None:
+            job_id, part = parsed
+            progress.setdefault(job_id, {})[part] = item.value
+    return progress
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -3,7 +3,7 @@
 1. Events change the state: stored and cancelled jobs, workers' reports and listings,
    failed polls, answers to commands, and time. A changed job is `dirty`.
 2. `plan` assigns waiting tasks, most urgent queue first, oldest job first.
-3. `snapshot` returns the records of dirty jobs; once they are stored, `on_stored`
+3. `snapshot` returns a group of records of dirty jobs; once it is stored, `on_stored`
    sends the commands that the stored assignments permit.
 4. `tick` repeats commands without a visible effect, revokes attempts that their worker
    does not list, moves tasks off leaving workers, and releases the tasks of a silent
@@ -12,12 +12,12 @@
 `Scheduler` holds the parts and passes each event to those that it concerns.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from almondspan_decisions.ids import JobId, WorkerId
-from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules, TaskKey
+from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules
 from almondspan_decisions.job_progress import (
     JobProgress,
     JobState,
@@ -35,7 +35,7 @@
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
-from almondspan_jobs.job_table import JobTable
+from almondspan_jobs.job_table import Batch, JobTable
 from almondspan_jobs.messages import (
     AttemptRevoked,
     InterferenceUpdate,
@@ -49,12 +49,8 @@
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.planner import Planner
 from almondspan_jobs.preemptor import Preemptor
-from almondspan_jobs.records import (
-    InterferenceRecord,
-    encode_end,
-    encode_progress,
-    progress_key,
-)
+from almondspan_jobs.progress_records import Part, encode_end, encode_part, part_key
+from almondspan_jobs.records import InterferenceRecord
 from almondspan_jobs.worker_lifecycle import WorkerLifecycle
 from almondspan_platform.group_store import Write
 from almondspan_platform.store import Revision
@@ -65,13 +61,13 @@
 
 @dataclass(slots=True)
 class Snapshot:
-    """A group of records to store, with the job versions and states in them."""
+    """A group of records to store."""
 
     writes: tuple[Write, ...]
-    versions: dict[JobId, int]
-    states: dict[JobId, JobState]
-    assigned: list[tuple[JobId, TaskKey, int]]
-    """Attempts whose assignments the group stores: job, task and attempt."""
+    taken: dict[JobId, list[Part]]
+    """The parts of jobs that are among the records."""
+    completed: list[JobId]
+    """Jobs whose batch of changes the group completes."""
 
 
 class Scheduler:
@@ -171,9 +167,9 @@
 
     # Loading after a takeover
 
-    def load(self, job: JobProgress) -> None:
-        """Load a job with its stored progress."""
-        self._table.load(job)
+    def load(self, job: JobProgress, parts: Iterable[Part] = ()) -> None:
+        """Load a job with its stored progress, of which there are these parts."""
+        self._table.load(job, parts)
         self._assignments.load(job)
         self._commands.load(job)
 
@@ -253,45 +249,63 @@
     # Storing
 
     def snapshot(self) -> Snapshot:
-        """Return the records of a limited number of dirty jobs, and mark them clean."""
-        result = Snapshot((), {}, {}, [])
-        writes = []
+        """Return a group of records of dirty jobs, which are then no longer dirty."""
+        result = Snapshot((), {}, [])
+        writes: list[Write] = []
         if self._fleet.are_home_agents_dirty:
             writes.append(self._fleet.home_agents_write())
         if self._interference.is_write_due:
             writes.append(self._interference.write())
-        dirty = self._table.take_dirty(self._options.max_jobs_per_commit)
-        for job, version in dirty:
-            is_whole = self._table.is_storable(job)
-            record = encode_progress(job) if is_whole else encode_end(job)
-            writes.append(Write(progress_key(job.job_id), record))
-            result.versions[job.job_id] = version
-            result.states[job.job_id] = job.state
-            result.assigned += [
-                (job.job_id, key, task.n_attempts)
-                for key, task in job.placed()
-                if not task.is_stored
-            ]
+        for job, batch in self._table.next_batches(self._options.max_jobs_per_commit):
+            self._take_parts(job, batch, writes, result)
         result.writes = tuple(writes)
         return result
 
+    def _take_parts(
+        self, job: JobProgress, batch: Batch, writes: list[Write], result: Snapshot
+    ) -> None:
+        """Add the parts of a batch to a group as far as there is room."""
+        taken: list[Part] = []
+        while batch.parts:
+            write = self._part_write(job, batch.parts[0])
+            if not self._has_room(writes, write, is_first=not (taken or result.taken)):
+                break
+            writes.append(write)
+            taken.append(batch.parts.pop(0))
+        if taken:
+            result.taken[job.job_id] = taken
+            self._table.on_taken(job)
+            if not batch.parts:
+                result.completed.append(job.job_id)
+
+    def _part_write(self, job: JobProgress, part: Part) -> Write:
+        is_storable = self._table.is_storable(job)
+        record = encode_part(job, part) if is_storable else encode_end(job)
+        return Write(part_key(job.job_id, part), record)
+
+    def _has_room(self, writes: list[Write], write: Write, *, is_first: bool) -> bool:
+        """Return whether a group can take another write; a long one goes alone."""
+        n_bytes = sum(len(other.value) for other in writes) + len(write.value)
+        fits = is_first or n_bytes <= self._options.max_bytes_per_commit
+        return fits and len(writes) < self._options.max_writes_per_commit
+
     def on_stored(self, stored: Snapshot) -> None:
         """Send the commands that a stored group permits."""
-        self._table.on_stored(stored.versions, stored.states)
         now_s = steady_s()
-        for job_id, key, attempt in stored.assigned:
-            job = self._table.jobs.get(job_id)
-            task = job.task(key) if job is not None else None
-            if job is None or task is None or task.phase is not TaskPhase.PLACED:
-                continue
-            if task.n_attempts == attempt:
-                task.is_stored = True
-                self._commands.send_due(job, key, task, now_s)
+        for job_id, batch in tuple(self._table.on_stored(stored.completed)):
+            job = self._table[job_id]
+            for key, attempt in batch.assigned:
+                task = job.task(key)
+                if task is None or task.phase is not TaskPhase.PLACED:
+                    continue
+                if task.n_attempts == attempt:
+                    task.is_stored = True
+                    self._commands.send_due(job, key, task, now_s)
         self._attempts.acknowledge_stored()
 
     def on_refused(self, refused: Snapshot) -> None:
         """Handle a group that the store does not take."""
-        self._table.on_refused(tuple(refused.versions))
+        self._table.on_refused(refused.taken)
 
     # Removing finished jobs
 
@@ -301,6 +315,10 @@
             self._options.finished_retention_s, self._options.max_jobs_per_commit // 2
         )
 
+    def extra_keys(self, job_id: JobId) -> list[str]:
+        """Return the keys of a job's progress besides the head."""
+        return self._table.extra_keys(job_id)
+
     def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
         """Record that the records of jobs are removed from the store."""
         self._table.on_removed(job_ids, revision)
--- a/tests/jobs/test_crash_monitor.py
+++ b/tests/jobs/test_crash_monitor.py
@@ -19,7 +19,8 @@
 from almondspan_decisions.job_graph import JobSpec, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, JobState, TaskState
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs.records import Unreadable, decode_progress, encode_progress
+from almondspan_jobs.progress_records import decode_progress, encode_progress
+from almondspan_jobs.records import Unreadable
 from almondspan_platform.task_worker import Verdict
 
 Percents = tuple[int, int, int]
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -10,6 +10,7 @@
 from almondspan_decisions.job_graph import JobSpec, QueueName, StepSpec
 from almondspan_decisions.job_progress import JobProgress
 from almondspan_decisions.shapes import Shape
+from almondspan_jobs.progress_records import decode_progress, encode_progress
 from almondspan_jobs.records import (
     AgentRecord,
     HeadRecord,
@@ -17,10 +18,8 @@
     InterferenceRecord,
     OwnerRecord,
     Unreadable,
-    decode_progress,
     decode_record,
     decode_spec,
-    encode_progress,
     encode_spec,
 )
 
--- a/tests/jobs/test_queue_rules.py
+++ b/tests/jobs/test_queue_rules.py
@@ -18,7 +18,7 @@
 from almondspan_decisions.job_graph import JobSpec, QueueRules, StepSpec
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs.records import decode_progress, encode_progress
+from almondspan_jobs.progress_records import decode_progress, encode_progress
 from almondspan_platform.task_worker import EndReason
 from almondspan_standins.memory_task_worker import TaskScript
 
--- a/tests/jobs/test_refused_groups.py
+++ b/tests/jobs/test_refused_groups.py
@@ -8,7 +8,7 @@
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
-from almondspan_jobs.records import encode_progress
+from almondspan_jobs.progress_records import encode_progress
 
 N_SMALL = 12
 MAX_VALUE_BYTES = 800
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -30,14 +30,13 @@
     StartReply,
     StopCommand,
 )
+from almondspan_jobs.progress_records import decode_progress, encode_progress
 from almondspan_jobs.records import (
     HOME_AGENTS_KEY,
     INTERFERENCE_KEY,
     HomeAgentsRecord,
     InterferenceRecord,
-    decode_progress,
     decode_record,
-    encode_progress,
 )
 
 
