Forward polls with long checkpoints, and leave out a checkpoint that is too long

Cause: a poll whose answer was longer than 1.5 MB, or that had one checkpoint of more than 64,000 characters, counted as malformed, and so its worker as silent: 24 tasks with the longest checkpoint were enough. Their leases would lapse on each worker that they run on.

Change: the limit of a frame is kept by the message, not by the answer. If checkpoints need more, running attempts have theirs forwarded in turn, and later ends wait until the earlier ones are acknowledged; such a list doesn't prove that an attempt is absent. A checkpoint that is too long is left out by itself, and its task keeps the one before.

Evidence: `test_checkpoints_do_not_make_a_listing_too_long` (40 tasks) and `test_checkpoint_that_is_too_long_is_left_out` describe answers that were refused before. The two rows of `test_odd_listing_of_the_runner` that demanded the refusal are replaced by the latter: the protocol sets no limit to a checkpoint, so such an answer is not odd.

After: test_listings.py, test_agent_hand_over.py and test_odd_answers.py pass.

--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -28,6 +28,7 @@
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.command_slots import CommandSlots
 from almondspan_jobs.event_log import EventLog
+from almondspan_jobs.listings import make_listing
 from almondspan_jobs.messages import (
     AttemptRevoked,
     InterferenceUpdate,
@@ -116,6 +117,7 @@
         self._listener: Listener | None = None
         self._incarnation: _Incarnation | None = None
         self._epoch = 0
+        self._n_listings = 0
         self._owner: OwnerHello | None = None
         """The owner with the highest epoch, connected or not."""
         self._relay: Final = Relay(network, options, log)
@@ -502,12 +504,12 @@
             or poll.started_ms != incarnation.state.started_ms
         ):
             return
-        self._forward_poll(incarnation, poll)
+        listing = self._forward_poll(incarnation, poll)
         is_running = any(
             (task.task, task.attempt) == (command.task, command.attempt)
             for task in poll.running
         )
-        if poll.lists_all_ends and not is_running:
+        if listing.lists_all_ends and not is_running:
             self._reply(
                 epoch, AttemptRevoked(poll.started_ms, command.task, command.attempt)
             )
@@ -545,11 +547,11 @@
                 self._on_poll_failed(incarnation, Verdict.OTHER_INCARNATION)
                 await asyncio.sleep(self._options.poll_retry_s)
                 continue
-            self._forward_poll(incarnation, poll)
+            listing = self._forward_poll(incarnation, poll)
             await self._pacing.pace_after_poll(
                 incarnation.state.worker_id, poll, self._epoch
             )
-            await self._wait_for_acknowledgement(incarnation, poll)
+            await self._wait_for_acknowledgement(incarnation, listing)
 
     async def _poll(self, incarnation: _Incarnation) -> WorkerPoll | PollFailed:
         wait_ms = (
@@ -572,44 +574,29 @@
             incarnation.failed_verdict = verdict.value
             self._send_unreachable(incarnation)
 
-    def _forward_poll(self, incarnation: _Incarnation, poll: WorkerPoll) -> None:
+    def _forward_poll(
+        self, incarnation: _Incarnation, poll: WorkerPoll
+    ) -> WorkerListing:
+        """Send a poll to the owner; return what is sent of it."""
         incarnation.clock = ClockReading(poll.clock_ms, steady_s())
         incarnation.failed_verdict = ""
-        self._post(
-            WorkerListing(
-                poll.started_ms,
-                poll.clock_ms,
-                [
-                    (
-                        task.task,
-                        task.attempt,
-                        task.checkpoint,
-                        task.percent,
-                        task.measurement,
-                    )
-                    for task in poll.running
-                ],
-                [
-                    (end.number, end.task, end.attempt, end.how.value, end.checkpoint)
-                    for end in poll.ended
-                ],
-                self._pacing.is_paced,
-                poll.lists_all_ends,
-            )
-        )
+        self._n_listings += 1
+        listing = make_listing(poll, self._n_listings, is_paced=self._pacing.is_paced)
+        self._post(listing)
         for end in poll.ended:
             if end.number > incarnation.n_listed:
                 incarnation.n_listed = end.number
                 self._pacing.forget_task(end.task)
                 self._metrics.count(f"ended_{end.how.value}")
+        return listing
 
     async def _wait_for_acknowledgement(
-        self, incarnation: _Incarnation, poll: WorkerPoll
+        self, incarnation: _Incarnation, listing: WorkerListing
     ) -> None:
         """Wait until listed ends are acknowledged, so that the next poll can wait."""
-        if not poll.ended:
+        if not listing.ended:
             return
-        last = poll.ended[-1].number
+        last = listing.ended[-1][0]
         until_s = steady_s() + self._options.acknowledge_wait_s
         while incarnation is self._incarnation and incarnation.n_acknowledged < last:
             left_s = until_s - steady_s()
