Store specs without default values, and reject at once a job that no value can hold

Seen by callers in a test: a job of 5,000 steps of one task, well within the limits of tasks and of a request, was answered 503 with a Retry-After each time.

Cause: the record of a job named each field of each step, 1.1 MB for such a job, which the store refuses. The entry tried again for 0.3 s and told the caller to come back.

Evidence: `test_job_is_stored_if_its_record_fits_into_a_value` failed on (not_done).

Change: fields with their default value are left out: 0.3 MB for 5,000 steps of one task. A record that is longer than the settings' `maxValueBytes` is answered 413 at once.

After: test_job_api.py passes; records of earlier releases are read as before.

--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -63,6 +63,8 @@
     """The write has not taken effect and can't do so later."""
     UNKNOWN = "unknown"
     NO_JOB = "no_job"
+    TOO_LARGE = "too_large"
+    """The job does not fit into the store, and would not later either."""
 
 
 # An owner of a later release may answer with other values.
@@ -116,10 +118,13 @@
         """Store a job; the caller waits for `budget_s` seconds."""
         began_s = steady_s()
         fault = self._rejection_reason(spec)
+        record = encode_spec(spec)
         if fault:
             answer = JobAnswer(StoreResult.NOT_DONE, fault)
+        elif len(record) > self._options.max_value_bytes:
+            reason = f"a record of {len(record)} bytes"
+            answer = JobAnswer(StoreResult.TOO_LARGE, reason)
         else:
-            record = encode_spec(spec)
             answer = await self._store_job(job_id, record, began_s + budget_s)
             self._notify_of_job(job_id, answer)
         self._record_outcome("job_submitted", "submit", job_id, answer, began_s)
@@ -132,10 +137,9 @@
             self._owner.notify(JobStored(job_id, stored.value, stored.revision))
 
     def _rejection_reason(self, spec: JobSpec) -> str:
-        n_tasks = sum(step.n_tasks for step in spec.steps)
-        if n_tasks > self._options.max_tasks_per_job:
+        if spec.n_tasks > self._options.max_tasks_per_job:
             return (
-                f"the job has {n_tasks} tasks, the limit is"
+                f"the job has {spec.n_tasks} tasks, the limit is"
                 f" {self._options.max_tasks_per_job}"
             )
         if any(step.is_gang for step in spec.steps):
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -105,5 +105,7 @@
     """How long before the caller's deadline an answer is sent."""
     ask_timeout_s: float = 0.5
     max_payload_bytes: int = 4_000
+    max_value_bytes: int = 1_000_000
+    """The longest value that the store takes."""
     max_tasks_per_job: int = 5_000
     retry_after_ms: int = 500
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -16,14 +16,14 @@
 Decoding a malformed value returns `Unreadable`, never an empty record.
 """
 
-from dataclasses import dataclass
-from typing import Final, TypeVar
+from dataclasses import dataclass, fields
+from typing import Any, Final, TypeVar
 
 import msgspec
 
 from almondspan_decisions.decoding import DECODE_ERRORS, decode_reason
 from almondspan_decisions.ids import JobId
-from almondspan_decisions.job_graph import JobSpec, spec_fault
+from almondspan_decisions.job_graph import JobSpec, StepSpec, spec_fault
 from almondspan_wire.fields import Count, Host, Measure, Port
 
 __all__ = [
@@ -153,8 +153,18 @@
 
 
 def encode_spec(spec: JobSpec) -> bytes:
-    """Encode a job's specification."""
-    return _ENCODER.encode(spec)
+    """Encode a job's specification, without the fields that have their default."""
+    steps = [_set_fields(step) for step in spec.steps]
+    return _ENCODER.encode(_set_fields(spec) | {"steps": steps})
+
+
+def _set_fields(value: JobSpec | StepSpec) -> dict[str, Any]:
+    """Return the fields of a dataclass that don't have their default."""
+    return {
+        field.name: found
+        for field in fields(value)
+        if (found := getattr(value, field.name)) != field.default
+    }
 
 
 def decode_spec(data: bytes) -> JobSpec | Unreadable:
--- a/tests/jobs/test_job_api.py
+++ b/tests/jobs/test_job_api.py
@@ -15,11 +15,12 @@
 from almondspan_jobs.messages import JobStored, StateReply, StoreReply
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
-from almondspan_jobs.records import encode_spec
+from almondspan_jobs.records import decode_spec, encode_spec
 from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
 from almondspan_wire.codec import Message
 
 JOB = JobId("0123456789abcdef")
+OPTIONS = JobOptions()
 SPEC = JobSpec(QueueName("q"), "payload", (StepSpec(1, Shape(100, 100)),))
 
 
@@ -44,10 +45,12 @@
         self.notified.append(body)
 
 
-def make_api(reply: Message, faults: StoreFaults) -> JobApi:
+def make_api(
+    reply: Message, faults: StoreFaults, options: JobOptions = OPTIONS
+) -> JobApi:
     store = MemoryGroupStore(random.Random(1)).client(faults)
     owner: Any = Owner(reply)
-    return JobApi(store, owner, JobOptions(), Log(), Metrics())
+    return JobApi(store, owner, options, Log(), Metrics())
 
 
 @pytest.mark.parametrize(
@@ -102,3 +105,36 @@
 
     revision = 2
     assert asyncio.run(main()) == [JobStored(JOB, encode_spec(SPEC), revision)] * 2
+
+
+MOST_STEPS = tuple(
+    StepSpec(1, Shape(4_000, 16_000), estimate_ms=90_000, after=(0,) if n else ())
+    for n in range(5_000)
+)
+
+
+@pytest.mark.parametrize(
+    ("max_value_bytes", "expected"),
+    [
+        pytest.param(1_000_000, StoreResult.STORED, id="fits"),
+        pytest.param(100_000, StoreResult.TOO_LARGE, id="too_large"),
+    ],
+)
+def test_job_is_stored_if_its_record_fits_into_a_value(
+    max_value_bytes: int, expected: StoreResult
+) -> None:
+    """Guards against jobs that callers are told to submit again, and never can."""
+    spec = replace(SPEC, steps=MOST_STEPS)
+
+    async def main() -> StoreResult:
+        options = JobOptions(max_value_bytes=max_value_bytes)
+        api = make_api(StoreReply(1, "not_done"), StoreFaults(), options)
+        return (await api.submit(JOB, spec, 0.1)).result
+
+    assert asyncio.run(main()) is expected
+
+
+def test_record_of_a_spec_has_all_that_is_set() -> None:
+    steps = (StepSpec(1, Shape(0, 0)), replace(MOST_STEPS[1], image="i", fills=True))
+    spec = replace(SPEC, steps=steps, n_occurrences=3, first_due_ms=5, interval_ms=1)
+    assert decode_spec(encode_spec(spec)) == spec
--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -185,6 +185,7 @@
     assert isinstance(found, NodeSettings)
     assert (found.node, found.place, found.peer_port) == ("edge-1", "suva", 7720)
     assert (found.max_lease_ms, found.grace_s, found.retention_s) == (6000, 6, 120)
+    assert found.max_value_bytes == 1_048_576
 
 
 @pytest.mark.parametrize(
