Bound the stored interference weights, and blame no job for them

Cause: the learned weights of all pairs of images that were ever seen are one value of the store, written every 3 s with a group of jobs. Once too long, the store refuses the whole group; a job that was alone in it was failed as unstorable.

Change: the 400 pairs that were observed last are stored. When a group with other records than those of jobs is refused, no job is failed, and jobs are stored by themselves for 30 s.

After: test_refused_groups.py passes.

--- a/packages/decisions/almondspan_decisions/tail_latency_model.py
+++ b/packages/decisions/almondspan_decisions/tail_latency_model.py
@@ -256,6 +256,17 @@
             for best_effort in fit.widened_s
         ]
 
+    def latest_rows(self, n_rows: int) -> list[InterferenceRow]:
+        """Return the rows of the pairs that were observed last."""
+        rows = self.rows()
+        if len(rows) <= n_rows:
+            return rows
+        rows.sort(key=self._observed_s, reverse=True)
+        return rows[:n_rows]
+
+    def _observed_s(self, row: InterferenceRow) -> float:
+        return self._fits[row.serving].widened_s[row.best_effort_image]
+
     def weights(self) -> InterferenceWeights:
         """Return the weights and mean levels for scheduling decisions."""
         rows = self.rows()
--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -1,8 +1,8 @@
 """Feeds listed tail latencies to the interference model and distributes its weights.
 
-Each agent is sent the weights of its worker's serving tasks whenever they change. All
-weights are stored periodically with a group of decisions, so that the next owner starts
-with them.
+Each agent is sent the weights of its worker's serving tasks whenever they change. The
+latest weights are stored periodically with a group of decisions, so that the next owner
+starts with them.
 """
 
 import math
@@ -33,6 +33,9 @@
 __all__ = ["InterferenceMonitor"]
 
 FULL_PERCENT: Final = 100
+MAX_STORED_PAIRS: Final = 400
+"""Limit of the stored weights, which must fit into a value of the store."""
+
 MIN_TAIL_LATENCY_MS: Final = 0.5
 """Lower bound, since workers list tail latencies in whole milliseconds."""
 
@@ -159,9 +162,11 @@
         self._stored_s = steady_s()
         rows = [
             (str(row.serving), str(row.best_effort_image), row.weight, row.variance)
-            for row in self._model.rows()
+            for row in self._model.latest_rows(MAX_STORED_PAIRS)
         ]
         means = {str(image): mean for image, mean in self.weights.means.items()}
+        if len(means) > MAX_STORED_PAIRS:
+            means = {row[0]: means[row[0]] for row in rows if row[0] in means}
         return Write(INTERFERENCE_KEY, encode_record(InterferenceRecord(rows, means)))
 
     def _update_of(self, worker: WorkerRecord) -> InterferenceUpdate:
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -272,21 +272,26 @@
         """Return whether the progress of a job may be stored, or its end only."""
         return job.job_id not in self._unstorable
 
-    def on_refused(self, taken: Mapping[JobId, Sequence[Part]]) -> None:
+    def on_refused(
+        self, taken: Mapping[JobId, Sequence[Part]], *, is_blamed: bool = True
+    ) -> None:
         """Store the jobs of a group one by one; fail one that was refused by itself.
 
         Parameters
         ----------
         taken : mapping of job to parts
             The parts of each job that the group had.
+        is_blamed : bool
+            Whether the group had no other records.
         """
         for job_id, parts in taken.items():
             job, tracking = self.jobs.get(job_id), self._tracking.get(job_id)
             if job is None or tracking is None or tracking.batch is None:
                 continue
-            if len(taken) > 1:
+            if len(taken) > 1 or not is_blamed:
                 tracking.batch.parts[:0] = parts
-                self._suspects.add(job_id)
+                if len(taken) > 1:
+                    self._suspects.add(job_id)
                 self._dirty[job_id] = None
             elif job_id not in self._unstorable:
                 tracking.batch = None
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -12,6 +12,7 @@
 `Scheduler` holds the parts and passes each event to those that it concerns.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -58,6 +59,9 @@
 
 __all__ = ["Scheduler", "Snapshot"]
 
+LEARNED_PAUSE_S: Final = 30.0
+"""After a refused group, jobs are stored by themselves for this long."""
+
 
 @dataclass(slots=True)
 class Snapshot:
@@ -68,6 +72,8 @@
     """The parts of jobs that are among the records."""
     completed: list[JobId]
     """Jobs whose batch of changes the group completes."""
+    n_learned: int = 0
+    """How many records are not of jobs: what the owner has learned of the workers."""
 
 
 class Scheduler:
@@ -82,6 +88,9 @@
         confirmed_s: Callable[[], float],
     ) -> None:
         self._options: Final = options
+        self._log: Final = log
+        self._learned_from_s = -math.inf
+        """From when on what is learned of the workers is stored with the decisions."""
         self._table: Final = JobTable(log)
         self._fleet: Final = Fleet(options)
         table, fleet = self._table, self._fleet
@@ -252,10 +261,12 @@
         """Return a group of records of dirty jobs, which are then no longer dirty."""
         result = Snapshot((), {}, [])
         writes: list[Write] = []
-        if self._fleet.are_home_agents_dirty:
-            writes.append(self._fleet.home_agents_write())
-        if self._interference.is_write_due:
-            writes.append(self._interference.write())
+        if steady_s() >= self._learned_from_s:
+            if self._fleet.are_home_agents_dirty:
+                writes.append(self._fleet.home_agents_write())
+            if self._interference.is_write_due:
+                writes.append(self._interference.write())
+        result.n_learned = len(writes)
         for job, batch in self._table.next_batches(self._options.max_jobs_per_commit):
             self._take_parts(job, batch, writes, result)
         result.writes = tuple(writes)
@@ -304,8 +315,15 @@
         self._attempts.acknowledge_stored()
 
     def on_refused(self, refused: Snapshot) -> None:
-        """Handle a group that the store does not take."""
-        self._table.on_refused(refused.taken)
+        """Handle a group that the store does not take.
+
+        No job is to blame as long as other records may be: those are left out for a
+        while.
+        """
+        if refused.n_learned:
+            self._learned_from_s = steady_s() + LEARNED_PAUSE_S
+            self._log.line("learned_unstorable", n_jobs=len(refused.taken))
+        self._table.on_refused(refused.taken, is_blamed=not refused.n_learned)
 
     # Removing finished jobs
 
