Stop trying a step in further occurrences once it finds no worker in 16

Cause: each plan tried the step of each of up to 10,000 open occurrences, although none of them could be placed where the first ones found no worker.

Change: a job's step that found no worker in 16 occurrences is not tried in later ones in that round, unless its limit of tasks on a worker counts for each occurrence by itself.

`test_backlog_of_occurrences_does_not_ slow_each_plan` counts the steps that are tried.

--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -5,6 +5,7 @@
 no worker, `Preemptor` frees capacity.
 """
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -27,6 +28,10 @@
 
 RECHECK_S: Final = 0.2
 
+MAX_UNPLACED: Final = 16
+"""A step is not tried in further occurrences after it found no worker in so many: its
+tasks need the same in each of them."""
+
 StepKey = tuple[JobId, int, int]
 """Identifies a step of one occurrence: job, occurrence and number of the step."""
 
@@ -102,7 +107,11 @@
     def _plan_job(self, job: JobProgress, rules: QueueRules, this: _Round) -> bool:
         """Place the tasks of one job; return whether any was placed."""
         n_placed = 0
-        for occurrence, number in tuple(job.ready_steps()):
+        n_unplaced: Counter[int] = Counter()
+        n_full = 0
+        for occurrence, number in job.ready_steps():
+            if n_unplaced[number] >= MAX_UNPLACED:
+                continue
             step_key = (job.job_id, occurrence, number)
             last_s = this.checked_s.get(step_key)
             is_full_check = last_s is None or this.now_s - last_s >= RECHECK_S
@@ -111,6 +120,9 @@
             n_placed += outcome.n_placed
             if outcome.unplaced is None:
                 continue
+            if not outcome.is_held and not job.spec.steps[number].max_per_worker:
+                n_unplaced[number] += 1
+                n_full += n_unplaced[number] == MAX_UNPLACED
             if last_s is None or is_full_check:
                 self._checked_s[step_key] = this.now_s
                 if not outcome.is_held:
@@ -119,6 +131,8 @@
                     )
             else:
                 self._checked_s[step_key] = last_s
+            if n_full == len(job.spec.steps):
+                break
         return n_placed > 0
 
     def _workers(
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import replace
+from typing import Any
 
 import pytest
 from job_simulation import (
@@ -18,6 +19,8 @@
 from almondspan_decisions.job_graph import JobSpec, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, JobState
 from almondspan_decisions.shapes import Shape
+from almondspan_decisions.step_placement import StepPlacement
+from almondspan_jobs import planner
 from almondspan_jobs.messages import LeaseRenewal, StartCommand
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.progress_records import HEAD, decode_progress, parse_part_key
@@ -209,3 +212,46 @@
     stored = decode_progress(JOB, job.spec, parts[HEAD], parts)
     assert isinstance(stored, JobProgress)
     assert {stored.task(TaskKey(0, 0, n)).checkpoint for n in range(20)} == {checkpoint}
+
+
+# Planning
+
+
+class CountedPlacement(StepPlacement):
+    """Counts the steps of occurrences that are tried."""
+
+    n_tried = 0
+
+    def __init__(self, *args: Any) -> None:
+        CountedPlacement.n_tried += 1
+        super().__init__(*args)
+
+
+@pytest.mark.parametrize(
+    ("max_per_worker", "n_placed"),
+    [
+        pytest.param(0, 8, id="no_capacity"),
+        pytest.param(1, 200, id="limited_on_each_worker"),
+    ],
+)
+def test_backlog_of_occurrences_does_not_slow_each_plan(
+    harness: SchedulerHarness,
+    monkeypatch: pytest.MonkeyPatch,
+    max_per_worker: int,
+    n_placed: int,
+) -> None:
+    """Guards against an owner that is busy with occurrences which can't start."""
+    monkeypatch.setattr(planner, "StepPlacement", CountedPlacement)
+    harness.report_worker()
+    size = Shape(500, 10) if not max_per_worker else Shape(1, 1)
+    step = StepSpec(2, size, estimate_ms=60_000, max_per_worker=max_per_worker)
+    spec = JobSpec(QUEUE, "payload", (step,), n_occurrences=200)
+    harness.scheduler.add_job(JOB, spec)
+    harness.plan_and_store()
+    assert harness.scheduler.jobs[JOB].n_placed == n_placed
+    CountedPlacement.n_tried = 0
+    harness.now_s += 1.0
+    harness.list_worker()
+    harness.scheduler.plan()
+    limit = planner.MAX_UNPLACED if not max_per_worker else 200
+    assert CountedPlacement.n_tried == limit
