Split the agent into its polls, its commands, and its reports and owners

WorkerPolls and WorkerCommands now hold theirs, and AgentState what the parts share. No behaviour changes; the mutants name the new places.

--- a/misc/job_mutant_table.py
+++ b/misc/job_mutant_table.py
@@ -51,7 +51,7 @@
         "accept earlier owners",
         "jobs",
         "worker_agent.py",
-        "        if hello.epoch < self._epoch:\n            self._log.line(",
+        "        if hello.epoch < self._state.epoch:\n            self._log.line(",
         "        if False:\n            self._log.line(",
     ),
     mutant(
@@ -59,13 +59,13 @@
         "jobs",
         "worker_agent.py",
         "            self._on_message(body, hello.epoch)\n",
-        "            self._on_message(body, self._epoch)\n",
+        "            self._on_message(body, self._state.epoch)\n",
     ),
     mutant(
         "answer a later owner",
         "jobs",
-        "worker_agent.py",
-        "        if epoch == self._epoch:\n",
+        "worker_commands.py",
+        "        if epoch == self._state.epoch:\n",
         "        if True:\n",
     ),
     mutant(
@@ -122,7 +122,7 @@
     mutant(
         "answer a revocation without a poll",
         "jobs",
-        "worker_agent.py",
+        "worker_commands.py",
         "        if listing.lists_all_ends and not is_running:",
         "        if listing.lists_all_ends:",
     ),
@@ -188,7 +188,7 @@
     mutant(
         "take an attempt for absent whose end a full list may hide",
         "jobs",
-        "worker_agent.py",
+        "worker_commands.py",
         "        if listing.lists_all_ends and not is_running:",
         "        if not is_running:",
     ),
