Load large jobs that earlier releases have stored, and lose no checkpoint that grows

Causes: (1) the progress of a job with more than 256 tasks, stored by an earlier release as one value, counted as unreadable; the job would have run anew after an update of the entries. (2) The head of a batch was stored first, so it could tell an end that its parts don't show yet. (3) A checkpoint that passes 256 bytes while its task runs left the row of its job with the next change of another task, and was stored nowhere.

Change: such a head is loaded with all its tasks, parts that are later go before it, and the next batch stores all parts, the head last. Checkpoints that the rows of a part leave out are stored with that part, if they never were.

Evidence: `test_progress_of_an_earlier_release_is_loaded_and_stored_anew`, `test_update_of_the_entries_may_end_between_two_groups` and `test_checkpoint_that_grows_while_its_task_runs_is_not_lost` failed before.

After: they pass.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -344,6 +344,14 @@
         """Record that stored fields of a task have changed."""
         self._changed[key] = None
 
+    def mark_all_changed(self) -> None:
+        """Record that all tasks that were ever started have changed."""
+        for occurrence, steps in self.occurrences.items():
+            for number, step in enumerate(steps):
+                for position, task in enumerate(step.tasks):
+                    if task.n_attempts:
+                        self.mark_changed(TaskKey(occurrence, number, position))
+
     def take_changed(self) -> tuple[TaskKey, ...]:
         """Return the tasks that have changed since the last call."""
         changed = tuple(self._changed)
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -32,7 +32,13 @@
 )
 from almondspan_jobs.clocks import steady_s, wall_ms
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.progress_records import HEAD, Part, part_key, parts_of_task
+from almondspan_jobs.progress_records import (
+    HEAD,
+    Part,
+    long_checkpoints,
+    part_key,
+    parts_of_task,
+)
 from almondspan_platform.store import Revision
 
 __all__ = ["Batch", "JobTable"]
@@ -48,7 +54,7 @@
     version: int
     state: JobState
     parts: list[Part]
-    """Parts of the progress that are still to be taken, the head first."""
+    """Parts of the progress that are still to be taken, the head last."""
     assigned: list[tuple[TaskKey, int]]
     """Attempts whose assignment the batch stores."""
 
@@ -237,11 +243,16 @@
             yield job, tracking.batch
 
     def _make_batch(self, job: JobProgress, tracking: _JobTracking) -> Batch:
-        parts = [HEAD, *(part for part in tracking.dirty_parts if part != HEAD)]
+        for part in tuple(tracking.dirty_parts):
+            # No row may lose its checkpoint, although that has grown in a listing only.
+            new = set(long_checkpoints(job, part)) - tracking.extra_parts
+            tracking.dirty_parts.update(dict.fromkeys(new))
+        # The head is last: what it tells of the job is then true of all parts.
+        parts = [*(part for part in tracking.dirty_parts if part != HEAD), HEAD]
         if job.job_id in self._unstorable:
             parts = [HEAD]
         tracking.dirty_parts.clear()
-        tracking.extra_parts.update(parts[1:])
+        tracking.extra_parts.update(parts[:-1])
         assigned = []
         for key in tuple(tracking.unstored):
             task = job.task(key)
--- a/packages/jobs/almondspan_jobs/progress_records.py
+++ b/packages/jobs/almondspan_jobs/progress_records.py
@@ -19,9 +19,9 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from enum import Enum
-from itertools import groupby
+from itertools import chain, groupby
 from typing import Final, NamedTuple
 
 import msgspec
@@ -55,6 +55,7 @@
     "encode_part",
     "encode_progress",
     "keys_of_job",
+    "long_checkpoints",
     "parse_part_key",
     "part_key",
     "parts_of_task",
@@ -66,6 +67,9 @@
 MAX_INLINE_CHECKPOINT_BYTES: Final = 256
 """A longer checkpoint is a part by itself."""
 
+MAX_CHAR_BYTES: Final = 4
+"""The longest character, encoded."""
+
 MAX_NUMBER_DIGITS: Final = 9
 """Limit of the digits of a part's number."""
 
@@ -112,7 +116,7 @@
 
 class _Head(msgspec.Struct, frozen=True, array_like=True):
     occurrences: dict[int, list[list[_TaskRow]]]
-    """Empty for a large job."""
+    """Empty for a large job, unless an earlier release has stored it."""
     is_cancelled: bool
     is_failed: bool
     has_started: bool
@@ -159,17 +163,36 @@
 
 def parts_of_task(job: JobProgress, key: TaskKey) -> tuple[Part, ...]:
     """Return the parts that hold the state of a task."""
-    index = job.index_of(key)
     parts = [HEAD]
     if job.spec.is_large:
-        parts.append(Part(PartKind.TASKS, index // PART_TASKS))
+        parts.append(Part(PartKind.TASKS, job.index_of(key) // PART_TASKS))
     task = job.task(key)
     if task is not None and _is_long(task.checkpoint):
-        parts.append(Part(PartKind.CHECKPOINT, index))
+        parts.append(Part(PartKind.CHECKPOINT, job.index_of(key)))
     return tuple(parts)
 
 
+def long_checkpoints(job: JobProgress, part: Part) -> Iterator[Part]:
+    """Yield the checkpoints that are left out of the rows of a part."""
+    for index, task in _tasks_of(job, part):
+        if task is not None and _is_long(task.checkpoint):
+            yield Part(PartKind.CHECKPOINT, index)
+
+
+def _tasks_of(job: JobProgress, part: Part) -> Iterator[tuple[int, TaskState | None]]:
+    """Yield the tasks of a part with their indexes; None for one that is dropped."""
+    if part.kind is PartKind.TASKS:
+        first = part.number * PART_TASKS
+        for index in range(first, min(first + PART_TASKS, job.n_opened_tasks)):
+            yield index, job.task(job.key_at(index))
+    elif part == HEAD and not job.spec.is_large:
+        steps = chain.from_iterable(job.occurrences.values())
+        yield from enumerate(chain.from_iterable(step.tasks for step in steps))
+
+
 def _is_long(checkpoint: str) -> bool:
+    if len(checkpoint) * MAX_CHAR_BYTES <= MAX_INLINE_CHECKPOINT_BYTES:
+        return False
     return len(checkpoint.encode()) > MAX_INLINE_CHECKPOINT_BYTES
 
 
@@ -182,7 +205,7 @@
         task = job.task(job.key_at(part.number))
         return task.checkpoint.encode() if task is not None else b""
     if part.kind is PartKind.TASKS:
-        return _encode_tasks(job, part.number * PART_TASKS)
+        return _encode_tasks(job, part)
     return encode_end(job) if job.spec.is_large else encode_progress(job)
 
 
@@ -212,10 +235,9 @@
     )
 
 
-def _encode_tasks(job: JobProgress, first: int) -> bytes:
-    """Encode the tasks of a large job from an index on."""
-    last = min(first + PART_TASKS, job.n_opened_tasks)
-    tasks = (job.task(job.key_at(index)) for index in range(first, last))
+def _encode_tasks(job: JobProgress, part: Part) -> bytes:
+    """Encode a part with tasks of a large job."""
+    tasks = (task for _, task in _tasks_of(job, part))
     items: list[_TaskRow | int | list[int | str]] = []
     for sign, group in groupby(tasks, _sign):
         if sign:
@@ -275,10 +297,9 @@
         if not _fits_job(head, spec):
             return Unreadable("the occurrences, steps or tasks are not the job's")
         job = JobProgress(job_id, spec)
+        _load_occurrences(job, head)
         if spec.is_large:
             _load_parts(job, head, parts or {})
-        else:
-            _load_occurrences(job, head)
     except (*DECODE_ERRORS, KeyError) as error:
         return Unreadable(decode_reason(error))
     _load_checkpoints(job, parts or {})
@@ -296,26 +317,24 @@
 
 def decode_state(job_id: JobId, spec: JobSpec, data: bytes) -> JobState | Unreadable:
     """Return the state of a job that its head tells."""
-    if not spec.is_large:
-        job = decode_progress(job_id, spec, data)
-        return job if isinstance(job, Unreadable) else job.state
+    job = JobProgress(job_id, spec)
     try:
         head = _HEAD_DECODER.decode(data)
-    except DECODE_ERRORS as error:
+        if not _fits_job(head, spec):
+            return Unreadable("the occurrences, steps or tasks are not the job's")
+        _load_occurrences(job, head)
+    except (*DECODE_ERRORS, KeyError) as error:
         return Unreadable(decode_reason(error))
-    if not _fits_job(head, spec):
-        return Unreadable("the occurrences, steps or tasks are not the job's")
-    job = JobProgress(job_id, spec)
-    job.skip_occurrences(head.n_done)
+    if not head.occurrences:
+        job.skip_occurrences(head.n_done)
     _load_flags(job, head)
     return job.state
 
 
 def _fits_job(head: _Head, spec: JobSpec) -> bool:
     """Return whether a head has the occurrences, steps and tasks that it must have."""
-    if spec.is_large:
-        is_in_order = head.n_done <= head.n_opened <= spec.n_total_occurrences
-        return is_in_order and not head.occurrences
+    if spec.is_large and not head.occurrences:
+        return head.n_done <= head.n_opened <= spec.n_total_occurrences
     n_tasks = [step.n_tasks for step in spec.steps]
     n_occurrences = len(head.occurrences)
     return (
@@ -340,7 +359,7 @@
     """Load the tasks of a large job.
 
     The parts of a completed job are not needed, and may have been removed. A part may
-    be later than the head.
+    be later than the head, also than one with all tasks, of an earlier release.
     """
     if head.n_done == job.spec.n_total_occurrences:
         job.skip_occurrences(head.n_done)
@@ -356,13 +375,16 @@
     n_opened = max(head.n_opened, -(-last // job.spec.n_tasks))
     if n_opened > job.spec.n_total_occurrences:
         raise ValueError("a part has more tasks than its job")
-    _open_occurrences(job, n_opened, found, is_ended)
+    if not head.occurrences:
+        _open_occurrences(job, n_opened, found, is_ended)
     for run in found:
         for index in run.indexes:
             key = job.key_at(index)
             step = job.step_state(key)
             if step is not None and run.task is not None:
                 step.tasks[key.position] = run.task
+    if head.occurrences:
+        job.mark_all_changed()
 
 
 class _TaskRun(NamedTuple):
--- a/tests/jobs/test_progress_records.py
+++ b/tests/jobs/test_progress_records.py
@@ -30,7 +30,6 @@
     encode_part,
     parse_part_key,
     part_key,
-    parts_of_task,
 )
 from almondspan_jobs.records import Unreadable
 from almondspan_platform.store import MAX_VALUE_BYTES
@@ -51,6 +50,11 @@
 LONGEST_CHECKPOINT = "\U0001f330" * 64_000
 
 
+class Log:
+    def line(self, event: str, **fields: object) -> None:
+        pass
+
+
 def make_job(spec: JobSpec) -> JobProgress:
     job = JobProgress(JOB, spec)
     job.add_due_occurrences(10**6)
@@ -75,11 +79,11 @@
 
 def stored_parts(job: JobProgress) -> dict[Part, bytes]:
     """Return the parts of everything that has changed, and the head."""
-    parts = {HEAD: encode_part(job, HEAD)}
-    for key in job.take_changed():
-        for part in parts_of_task(job, key):
-            parts[part] = encode_part(job, part)
-    return parts
+    table = JobTable(Log())
+    table.load(job)
+    table.mark_dirty(job)
+    ((_, batch),) = table.next_batches(1)
+    return {part: encode_part(job, part) for part in batch.parts}
 
 
 def load(spec: JobSpec, parts: dict[Part, bytes]) -> JobProgress:
@@ -179,6 +183,81 @@
     assert loaded.n_opened >= 16
 
 
+PHASE_CODES = {TaskPhase.WAITING: 0, TaskPhase.PLACED: 1, TaskPhase.DONE: 2}
+
+
+@pytest.mark.parametrize("spec", SPECS)
+def test_checkpoint_that_grows_while_its_task_runs_is_not_lost(spec: JobSpec) -> None:
+    """Guards against work that is done again since the row has lost its checkpoint."""
+    job = make_job(spec)
+    key, other = TaskKey(0, 0, 0), TaskKey(0, 0, 1)
+    job.place(key, WORKER, 0.0).checkpoint = "c" * 200
+    job.place(other, WORKER, 0.0)
+    table = JobTable(Log())
+    table.load(job)
+    parts: dict[Part, bytes] = {}
+    for n_chars in (200, 300, 400):
+        job.task(key).checkpoint = "c" * n_chars
+        job.mark_changed(other)
+        table.mark_dirty(job)
+        ((_, batch),) = table.next_batches(1)
+        parts |= {part: encode_part(job, part) for part in batch.parts}
+        assert tuple(table.on_stored([JOB]))
+    assert len(load(spec, parts).task(key).checkpoint) >= 300
+
+
+def head_of_earlier_release(job: JobProgress) -> bytes:
+    """Return what earlier releases have stored: one value with all tasks."""
+    done = [[[2, 1, 0]] * step.n_tasks for step in job.spec.steps]
+    occurrences = {number: done for number in range(job.n_opened)}
+    for number, steps in job.occurrences.items():
+        occurrences[number] = [[_row(task) for task in step.tasks] for step in steps]
+    flags = (job.is_cancelled, job.is_failed, job.has_started, job.finished_ms)
+    return msgspec.msgpack.encode([occurrences, *flags])
+
+
+def _row(task: TaskState) -> list[object]:
+    incarnation = task.incarnation
+    worker = (incarnation.worker_id, incarnation.started_ms) if incarnation else ("", 0)
+    numbers = (PHASE_CODES[task.phase], task.n_attempts, task.n_failed)
+    return [*numbers, *worker, task.checkpoint, task.n_crashes, 0, 0]
+
+
+@pytest.mark.parametrize("spec", SPECS)
+@pytest.mark.parametrize("n_events", [0, 60, 300])
+def test_progress_of_an_earlier_release_is_loaded_and_stored_anew(
+    spec: JobSpec, n_events: int
+) -> None:
+    """Guards against TWICE: a job that runs anew after an update of the entries."""
+    job = make_job(spec)
+    work_on(job, n_events, seed=2)
+    head = head_of_earlier_release(job)
+    loaded = load(spec, {HEAD: head})
+    assert tasks_of(loaded) == tasks_of(job)
+    assert decode_state(JOB, spec, head) is job.state is loaded.state
+    again = load(spec, stored_parts(loaded))
+    assert tasks_of(again) == tasks_of(job)
+    assert again.n_steps_done == job.n_steps_done
+
+
+def test_update_of_the_entries_may_end_between_two_groups() -> None:
+    """Guards against TWICE: the head with all tasks is older than stored parts."""
+    job = make_job(ONCE)
+    work_on(job, 200, seed=3)
+    head = head_of_earlier_release(job)
+    loaded = load(ONCE, {HEAD: head})
+    work_on(loaded, 200, seed=4)
+    parts = stored_parts(loaded)
+    tasks = [part for part in parts if part.kind is PartKind.TASKS]
+    checkpoints = {p: d for p, d in parts.items() if p.kind is PartKind.CHECKPOINT}
+    kept = checkpoints | {tasks[0]: parts[tasks[0]]}
+    again = load(ONCE, kept | {HEAD: head})
+    first = tasks[0].number * PART_TASKS
+    keys = [loaded.key_at(first + n) for n in range(PART_TASKS)]
+    found, expected = tasks_of(again), tasks_of(loaded)
+    assert [found.get(key) for key in keys] == [expected.get(key) for key in keys]
+
+
 @pytest.mark.parametrize(
     "items",
     [
@@ -220,11 +299,6 @@
     assert parse_part_key(f"{part_key(JOB, HEAD)}/{word}") is None
 
 
-class Log:
-    def line(self, event: str, **fields: object) -> None:
-        pass
-
-
 @pytest.mark.parametrize(
     "spec",
     [
