--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -445,6 +445,16 @@
     assert log.lines[1:] == [("report_unconfirmed", {"worker": WORKER, "born": 7})]
 
 
+@pytest.mark.parametrize("cold_left_ms", [0, 1_500, 1_500.5])
+def test_report_of_a_worker_that_is_still_slow_is_accepted(
+    cold_left_ms: float,
+) -> None:
+    report = json.dumps(FIELDS | {"seq": 1, "coldLeftMs": cold_left_ms})
+    statuses, log = asyncio.run(send_reports(("i-1", report)))
+    assert statuses == [200]
+    assert log.lines == [("report_unconfirmed", {"worker": WORKER, "born": 7})]
+
+
 def test_report_counts_as_late_within_its_incarnation_only() -> None:
     """Guards against a worker that is no longer heard after another's report."""
     statuses, log = asyncio.run(
