Place nothing on a worker that took no start until its next listing

Change: the lease notes when the worker last took no start; a worker is placeable once it has listed its tasks after that.

--- a/packages/decisions/almondspan_decisions/worker_lease.py
+++ b/packages/decisions/almondspan_decisions/worker_lease.py
@@ -62,6 +62,8 @@
     unreachable_s: float = 0.0
     """When the first failed poll since the latest listing was reported; 0 if none was.
     Stays with the lease of an incarnation that was replaced."""
+    refused_s: float = 0.0
+    """When the worker last did not take a start; 0 if never."""
     lists_all_ends: bool = True
     """Whether the latest listing had all ends that are not acknowledged."""
     n_seen: int = 0
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -139,6 +139,8 @@
             n_sends=task.n_sends,
         )
         self._metrics.count(f"start_{reply.verdict}")
+        if reply.verdict == Verdict.NOT_TAKEN.value:
+            self._fleet.lease(incarnation).refused_s = steady_s()
         if reply.verdict in _NOT_STARTED and task.n_sends == 1:
             task.avoid(worker_id)
             self._assignments.release(job, key, reply.verdict)
--- a/packages/jobs/almondspan_jobs/fleet.py
+++ b/packages/jobs/almondspan_jobs/fleet.py
@@ -78,6 +78,16 @@
         is_recent = now_s - lease.listed_s < self._listing_timeout_s
         return is_recent and not lease.unreachable_s
 
+    def is_placeable(self, incarnation: WorkerIncarnation, now_s: float) -> bool:
+        """Return whether tasks may be placed on a worker.
+
+        A worker that did not take a start has most likely crashed: nothing is placed
+        on it until its next listing.
+        """
+        lease = self.lease(incarnation)
+        is_taking = lease.listed_s > lease.refused_s
+        return is_taking and self.has_recent_listing(incarnation, now_s)
+
     def is_unreachable(self, incarnation: WorkerIncarnation) -> bool:
         """Return whether a poll of a worker has failed since its latest listing."""
         lease = self.leases.get(incarnation)
@@ -97,8 +107,9 @@
         """Record a listing; return since when the worker was unreachable, or 0."""
         lease = self.lease(incarnation)
         unreachable_s, lease.unreachable_s = lease.unreachable_s, 0.0
+        was_placeable = not unreachable_s and lease.listed_s > lease.refused_s
         record = self.record_of(incarnation)
-        if unreachable_s and record is not None:
+        if not was_placeable and record is not None:
             self.mark_freed(record)
         return unreachable_s
 
@@ -116,7 +127,7 @@
             worker
             for worker in workers
             if worker.service == service
-            and self.has_recent_listing(worker.incarnation, now_s)
+            and self.is_placeable(worker.incarnation, now_s)
         ]
 
     def add(self, record: WorkerRecord) -> None:
--- a/tests/jobs/test_unreachable_workers.py
+++ b/tests/jobs/test_unreachable_workers.py
@@ -18,6 +18,7 @@
 from almondspan_decisions.job_progress import JobState, WorkerIncarnation
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs.messages import StartCommand, StartReply, StopCommand
+from almondspan_platform.task_worker import Verdict
 
 N_AGENTS = 8
 JOB_INTERVAL_S = 0.1
@@ -156,6 +157,20 @@
     assert [command.attempt for command in harness.take_sent(StartCommand)] == [1]
 
 
+def test_worker_that_took_no_start_gets_no_other_before_its_next_listing(
+    harness: SchedulerHarness,
+) -> None:
+    harness.report_worker()
+    harness.add()
+    harness.answer_starts(Verdict.NOT_TAKEN)
+    harness.plan_and_store()
+    assert harness.take_sent(StartCommand) == []
+    harness.advance(0.1)
+    harness.list_worker()
+    harness.plan_and_store()
+    assert [command.attempt for command in harness.take_sent(StartCommand)] == [2]
+
+
 def test_start_of_the_failed_polls_is_kept_with_a_replaced_incarnation(
     harness: SchedulerHarness,
 ) -> None:
