Give an attempt that was stored late time to start

Cause: an attempt counted as absent a listing timeout after it was placed, not after its start was sent. Change: the time counts from the first start command. The new test failed before.

--- a/packages/decisions/almondspan_decisions/job_progress.py
+++ b/packages/decisions/almondspan_decisions/job_progress.py
@@ -138,6 +138,8 @@
     n_sends: int = 0
     """Number of start commands sent for the attempt."""
     start: StartOutcome = StartOutcome.NOT_SENT
+    first_sent_s: float = 0.0
+    """When the first start command for the attempt was sent; 0 if none was."""
     sent_s: float = 0.0
     """When the latest command for the attempt was sent."""
     started_s: float = -math.inf
@@ -178,12 +180,13 @@
         self.n_sends = self.percent = self.first_percent = 0
         self.ran_s = 0.0
         self.start = StartOutcome.NOT_SENT
-        self.sent_s = self.listed_s = self.held_s = 0.0
+        self.first_sent_s = self.sent_s = self.listed_s = self.held_s = 0.0
         self.started_s = -math.inf
 
     def record_send(self, now_s: float) -> None:
         """Record that a start command was sent; an earlier one is then unanswered."""
         self.n_sends += 1
+        self.first_sent_s = self.first_sent_s or now_s
         self.sent_s = now_s
         if self.start is StartOutcome.NOT_SENT:
             self.start = StartOutcome.SENT
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -191,7 +191,8 @@
 
     def _check_presence(self, task: TaskState, now_s: float) -> None:
         """Revoke an attempt that its worker does not list."""
-        seen_s = max(task.listed_s, task.placed_s)
+        # Storing the assignment may take long, and only then is the start sent.
+        seen_s = max(task.listed_s, task.placed_s, task.first_sent_s)
         if task.n_sends and not task.is_revoking:
             task.is_revoking = now_s - seen_s > self._options.listing_timeout_s
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -146,6 +146,27 @@
     assert n_placed(harness) == (0 if is_released else 1)
 
 
+def test_attempt_that_was_stored_late_has_time_to_start(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against a revocation right after the start, when storing took long."""
+    harness.report_worker()
+    harness.scheduler.add_job(JOB, JobSpec(QUEUE, "payload", (STEP,)))
+    harness.scheduler.plan()
+    snapshot = harness.scheduler.snapshot()
+    stored_s = harness.options.listing_timeout_s + 1.0
+    harness.now_s += stored_s
+    harness.list_worker()
+    harness.scheduler.on_stored(snapshot)
+    assert len(harness.take_sent(StartCommand)) == 1
+    harness.advance(harness.options.command_resend_s + 0.1)
+    assert harness.take_sent(StopCommand) == []
+    harness.now_s += harness.options.listing_timeout_s
+    harness.list_worker()
+    harness.advance(harness.options.command_resend_s + 0.1)
+    assert [stop.is_revocation for stop in harness.take_sent(StopCommand)] == [True]
+
+
 def test_unlisted_attempt_is_revoked_then_released(
     harness: SchedulerHarness,
 ) -> None:
