Let entries with enough processor and link take over first

Change: the settings' limits (cpuShare, cpuCores, linkMbps) give an entry's capacity; one that is too small for the number of registered agents waits 0.5 s before it takes over, so that others do so first. Without limits nothing changes.

--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from almondspan_decisions.owner_capacity import InstanceCapacity
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.job_api import JobApi
 from almondspan_jobs.leadership import Leadership
@@ -39,6 +40,7 @@
         log: EventLog,
         metrics: Metrics,
         rng: random.Random,
+        capacity: InstanceCapacity | None = None,
     ) -> None:
         self._log: Final = log
         self._link: Final = OwnerLink(
@@ -55,6 +57,7 @@
             metrics,
             rng,
             self._link.set_owner,
+            capacity,
         )
         self.job_api: Final = JobApi(store, self._link, options, log, metrics)
         self._host: Final = host
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -3,7 +3,8 @@
 Every entry watches the members' keys: the owner's key, which is bound to the owner's
 lease, and one key for each agent. An entry that sees no owner's key takes over with one
 conditional group of writes: the owner's key must be absent and the head unchanged, and
-the group writes the head with the next epoch. The owner renews its lease; if its key is
+the group writes the head with the next epoch. An entry that is too small for the fleet
+lets the others take over first. The owner renews its lease; if its key is
 lost while the head is still its own, it writes the key again. It steps down when
 another entry has changed the head. It then reads the members again, since the watch may
 have told of a later owner, or of none, before the step-down. An unreadable owner's key
@@ -22,6 +23,7 @@
 from transitions import Machine
 
 from almondspan_decisions.job_graph import QueueName, QueueRules
+from almondspan_decisions.owner_capacity import InstanceCapacity, can_own
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.committer import CommitResult, HeadCommitter
 from almondspan_jobs.event_log import EventLog
@@ -79,6 +81,7 @@
         metrics: Metrics,
         rng: random.Random,
         on_owner: Callable[[OwnerRecord | None], None],
+        capacity: InstanceCapacity | None = None,
     ) -> None:
         self._node: Final = node
         self._host: Final = host
@@ -90,6 +93,8 @@
         self._metrics: Final = metrics
         self._rng: Final = rng
         self._on_owner: Final = on_owner
+        self._capacity: Final = capacity
+        """What this process may use; None if that is not limited."""
         self._machine = Machine(model=self, states=STATES, initial="following")
         self._machine.add_transition("begin", "following", "taking")
         self._machine.add_transition("give_up", "taking", "following")
@@ -248,11 +253,7 @@
             self.trigger_event("step_down")
         while True:
             await self._is_vacant.wait()
-            jitter_s = self._rng.uniform(0, self._options.takeover_jitter_s)
-            if self._vacant_at != ABSENT_REVISION:
-                # The owner, if there is one, writes its key again first.
-                jitter_s += self._options.owner_ttl_s
-            await asyncio.sleep(jitter_s)
+            await asyncio.sleep(self._takeover_delay_s())
             if not self._is_vacant.is_set():
                 continue
             self.trigger_event("begin")
@@ -265,6 +266,18 @@
             await self._run_owner(committer)
             self.trigger_event("step_down")
 
+    def _takeover_delay_s(self) -> float:
+        """Return how long to wait for another entry to take over first."""
+        delay_s = self._rng.uniform(0, self._options.takeover_jitter_s)
+        if self._vacant_at != ABSENT_REVISION:
+            # The owner, if there is one, writes its key again first.
+            delay_s += self._options.owner_ttl_s
+        if self._capacity is not None and not can_own(
+            self._capacity, len(self._agents)
+        ):
+            delay_s += self._options.small_takeover_delay_s
+        return delay_s
+
     async def _take_over(self) -> HeadCommitter | None:
         lease = await self._store.grant_lease(self._options.owner_ttl_s)
         found = await self._store.get(HEAD_KEY)
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -49,6 +49,8 @@
     owner_renewal_interval_s: float = 0.4
     confirm_interval_s: float = 1.0
     takeover_jitter_s: float = 0.1
+    small_takeover_delay_s: float = 0.5
+    """How long an entry that is too small for the fleet lets others take over first."""
     watch_wait_s: float = 4.0
     config_wait_s: float = 1.0
     retry_s: float = 0.1
--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -26,6 +26,7 @@
     parse_task_name,
 )
 from almondspan_decisions.job_progress import JobState
+from almondspan_decisions.owner_capacity import InstanceCapacity
 from almondspan_decisions.shapes import EMPTY_SHAPE, Shape
 from almondspan_decisions.worker_record import counted_shape
 from almondspan_jobs import clocks
@@ -100,6 +101,7 @@
         self.simulation = simulation
         self.name = name
         self.faults = StoreFaults()
+        self.capacity: InstanceCapacity | None = None
         self.boot()
 
     def boot(self) -> None:
@@ -119,6 +121,7 @@
             TraceLog(simulation, self.name),
             Metrics(),
             random.Random(simulation.rng.random()),
+            self.capacity,
         )
         await entry.start()
         entry.leadership.set_rules(simulation.rules)
