Store groups with new assignments before those that only record ends

Change: jobs with assignments to store come first; a quarter of each group stays with the jobs that have waited longest, so ends are still acknowledged.

--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -43,6 +43,10 @@
 
 __all__ = ["Batch", "JobTable"]
 
+OLDEST_SHARE: Final = 0.25
+"""The share of a group that is kept for the jobs that have waited longest; the rest goes
+first to jobs whose tasks can't start before they are stored."""
+
 LAST_PRIORITY: Final = 99
 """Priority of jobs without rules."""
 
@@ -93,6 +97,8 @@
         self._n_pending: Final[Counter[QueueName]] = Counter()
         self._dirty: Final[dict[JobId, None]] = {}
         """Jobs with changes to store, in the order of their first change."""
+        self._starting: Final[dict[JobId, None]] = {}
+        """Dirty jobs with assignments to store, whose tasks can't start before."""
         self._suspects: Final[set[JobId]] = set()
         """Jobs of a group that the store refused; each is stored by itself."""
         self._unstorable: Final[set[JobId]] = set()
@@ -219,6 +225,9 @@
         for key in job.take_changed():
             tracking.unstored[key] = None
             tracking.dirty_parts.update(dict.fromkeys(parts_of_task(job, key)))
+            task = job.task(key)
+            if task is not None and task.phase is TaskPhase.PLACED:
+                self._starting[job.job_id] = None
         self._dirty[job.job_id] = None
         self._update_placeable(job)
 
@@ -268,16 +277,23 @@
         Otherwise it waits behind the other dirty jobs.
         """
         tracking = self._tracking[job.job_id]
+        batch = tracking.batch
         del self._dirty[job.job_id]
-        if tracking.dirty_parts or tracking.batch is None or tracking.batch.parts:
+        was_starting = job.job_id in self._starting
+        self._starting.pop(job.job_id, None)
+        if tracking.dirty_parts or batch is None or batch.parts:
             self._dirty[job.job_id] = None
+        if was_starting and batch is not None and batch.parts:
+            self._starting[job.job_id] = None
 
     def _next_dirty(self, n_jobs: int) -> list[JobId]:
         """Return the first dirty jobs; one alone if it may not be storable."""
         dirty = list(self._dirty)
         if dirty and dirty[0] in self._suspects:
             return dirty[:1]
-        return [job_id for job_id in dirty if job_id not in self._suspects][:n_jobs]
+        n_oldest = math.ceil(n_jobs * OLDEST_SHARE)
+        ordered = dict.fromkeys((*dirty[:n_oldest], *self._starting, *dirty))
+        return [job_id for job_id in ordered if job_id not in self._suspects][:n_jobs]
 
     def is_storable(self, job: JobProgress) -> bool:
         """Return whether the progress of a job may be stored, or its end only."""
@@ -388,4 +404,5 @@
                 del self.jobs[job_id], self.stored_states[job_id]
                 del self._tracking[job_id]
                 self._dirty.pop(job_id, None)
+                self._starting.pop(job_id, None)
                 self._unstorable.discard(job_id)
