--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -44,8 +44,9 @@
 __all__ = ["Batch", "JobTable"]
 
 OLDEST_SHARE: Final = 0.25
-"""The share of a group that is kept for the jobs that have waited longest; the rest goes
-first to jobs whose tasks can't start before they are stored."""
+"""The share of a group that is kept for the jobs that have waited longest.
+
+The rest goes first to jobs whose tasks can't start before they are stored."""
 
 LAST_PRIORITY: Final = 99
 """Priority of jobs without rules."""
