Start nothing in evacuated places, and move what runs there

The owner had no notion of an evacuated data centre. Now it is given the requests with the time of the read (EvacuationRequests). While they are not known, or are older than the terms allow, it places and sends nothing. In an evacuated place it places and sends nothing, releases what was not sent, and leaves what was sent to the existing revocation. Start commands expire on the worker's clock soon after they are sent. Agents are told with the hello and by EvacuatedPlaces, which goes only to agents that accept it, and refuse starts. Evacuator stops the tasks that the decision names, once the request has stood for 1.5 s, and reports what stays: a log line each 5 s and three gauges.

Without evacuation_limit_s nothing changes but two fields that are appended to OwnerHello and WorkerReport.

--- a/packages/decisions/almondspan_decisions/worker_lease.py
+++ b/packages/decisions/almondspan_decisions/worker_lease.py
@@ -59,6 +59,8 @@
     """The latest expiry granted, on the worker's clock."""
     listed_s: float = 0.0
     """When the latest listing arrived; 0 if none has."""
+    clock_ms: int = 0
+    """The worker's clock in the latest listing."""
     unreachable_s: float = 0.0
     """When the first failed poll since the latest listing was reported; 0 if none was.
     Stays with the lease of an incarnation that was replaced."""
--- a/packages/jobs/almondspan_jobs/agent_link.py
+++ b/packages/jobs/almondspan_jobs/agent_link.py
@@ -9,11 +9,14 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
+import msgspec
+
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_progress import WorkerIncarnation
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
     AttemptRevoked,
+    EvacuatedPlaces,
     OwnerHello,
     OwnerReplaced,
     StartReply,
@@ -79,6 +82,9 @@
         self.is_direct = False
         """Whether a channel is open that does not lead through another agent."""
         self._incarnation: WorkerIncarnation | None = None
+        self._told_evacuations: list[str] = []
+        """The evacuated places that the agent was told on this channel."""
+        self._accepts_evacuations = False
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -172,7 +178,9 @@
 
     async def _serve(self, channel: Channel) -> bool:
         self._log.line("agent_linked", agent=self._node, epoch=self._hello.epoch)
-        await channel.send(self._hello)
+        evacuated = self._scheduler.told_evacuations
+        await channel.send(msgspec.structs.replace(self._hello, evacuated=evacuated))
+        self._told_evacuations, self._accepts_evacuations = evacuated, False
         self._channel = channel
         # A restarted agent does not know its worker's tasks; they are sent again.
         self._incarnation = None
@@ -189,9 +197,21 @@
                 return has_answered
             has_answered = True
             self._on_message(body)
+            self.tell_evacuations()
             if self._scheduler.needs_planning or self._scheduler.is_dirty:
                 self._wake()
 
+    def tell_evacuations(self) -> None:
+        """Tell the agent which places are evacuated, if that has changed.
+
+        A message that does not go out is sent with the agent's next one.
+        """
+        evacuated = self._scheduler.told_evacuations
+        if not self._accepts_evacuations or evacuated == self._told_evacuations:
+            return
+        if self.post(EvacuatedPlaces(evacuated)):
+            self._told_evacuations = evacuated
+
     def _on_message(self, body: Message) -> None:
         if isinstance(body, WorkerReport):
             self._on_report(body)
@@ -219,6 +239,7 @@
         if old is not None and old.started_ms > incarnation.started_ms:
             return
         self._incarnation = incarnation
+        self._accepts_evacuations = report.accepts_evacuations
         self._links[incarnation.worker_id] = self
         self._scheduler.on_report(self._node, report)
         if old != incarnation:
--- a/packages/jobs/almondspan_jobs/agent_state.py
+++ b/packages/jobs/almondspan_jobs/agent_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from almondspan_decisions.clock_reading import ClockReading
+from almondspan_decisions.ids import PlaceName
 from almondspan_jobs.messages import OwnerHello
 from almondspan_platform.task_worker import WorkerState
 from almondspan_wire.channel import Channel
@@ -39,6 +40,8 @@
     owner: OwnerHello | None = None
     """The owner with the highest epoch, connected or not."""
     channel: Channel | None = None
+    evacuated: frozenset[PlaceName] = frozenset()
+    """The evacuated places, as the connected owner told them."""
 
     @property
     def fence(self) -> int | None:
--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -76,6 +76,7 @@
         """Handle a worker's listing, and renew its lease."""
         lease = self._fleet.lease(incarnation)
         lease.listed_s = now_s
+        lease.clock_ms = listing.clock_ms
         lease.lists_all_ends = listing.lists_all_ends
         for end in listing.ended:
             self._on_end(incarnation, lease, end)
--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -2,8 +2,9 @@
 
 A command is sent only for a stored assignment, and repeated until it has an effect.
 After several unanswered starts, or when the worker does not list the attempt, the
-attempt is revoked instead. No start is sent to a worker whose polls fail; an attempt
-without any sent start is released.
+attempt is revoked instead. No start is sent to a worker whose polls fail, or whose
+place is evacuated; an attempt without any sent start is released. No start is sent
+while the requests to evacuate places are not known.
 """
 
 from collections.abc import Callable
@@ -236,10 +237,17 @@
             if task.n_sends == 0:
                 self._assignments.release(job, key, "worker_unreachable")
             return
-        until_ms = self._fleet.lease(incarnation).until_ms
-        if not until_ms:
+        if not self._fleet.evacuations.may_start(record.place, now_s):
+            # An attempt that was sent before is revoked if its worker does not list it.
+            is_evacuated = self._fleet.evacuations.is_evacuated(record.place)
+            if is_evacuated and task.n_sends == 0:
+                self._assignments.release(job, key, "evacuated")
+            return
+        lease = self._fleet.lease(incarnation)
+        if not lease.until_ms:
             # The worker's next listing gets its lease from this owner.
             return
+        until_ms = self._fleet.evacuations.start_until_ms(lease, now_s)
         command = StartCommand(
             incarnation.started_ms,
             task.n_attempts,
--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -9,10 +9,11 @@
 from collections.abc import Sequence
 from typing import Final
 
+from almondspan_jobs.evacuation_status import evacuation_status
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.job_api import JobApi
 from almondspan_jobs.leadership import Leadership
-from almondspan_jobs.messages import StoreJob
+from almondspan_jobs.messages import EvacuationsRequest, StoreJob
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
@@ -41,6 +42,7 @@
         rng: random.Random,
     ) -> None:
         self._log: Final = log
+        self._options: Final = options
         self._link: Final = OwnerLink(
             node, network, self._answer, self._agents, options, log, rng
         )
@@ -107,4 +109,6 @@
         if isinstance(body, StoreJob):
             return await self.job_api.relay(body)
         owner = self.leadership.owner
+        if isinstance(body, EvacuationsRequest):
+            return evacuation_status(body, self.leadership, self._options)
         return owner.answer(body) if owner is not None else None
--- a/packages/jobs/almondspan_jobs/fleet.py
+++ b/packages/jobs/almondspan_jobs/fleet.py
@@ -9,6 +9,7 @@
 from almondspan_decisions.worker_lease import LeaseTerms, WorkerLease
 from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.clocks import steady_s
+from almondspan_jobs.evacuations import Evacuations
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import HOME_AGENTS_KEY, HomeAgentsRecord, encode_record
 from almondspan_platform.group_store import Write
@@ -32,6 +33,7 @@
             options.unconfirmed_s,
         )
         self._started_s: Final = steady_s()
+        self.evacuations: Final = Evacuations(options)
         self.workers: Final[dict[WorkerId, WorkerRecord]] = {}
         self.leases: Final[dict[WorkerIncarnation, WorkerLease]] = {}
         self.home_agents: Final[dict[WorkerIncarnation, str]] = {}
@@ -105,18 +107,23 @@
     def placeable_workers(
         self, service: ServiceName, now_s: float
     ) -> list[WorkerRecord]:
-        """Return the workers of a service with a recent listing."""
+        """Return the workers of a service on which tasks may be placed."""
         return self.placeable_among(self.workers.values(), service, now_s)
 
     def placeable_among(
         self, workers: Iterable[WorkerRecord], service: ServiceName, now_s: float
     ) -> list[WorkerRecord]:
-        """Return those of the workers that belong to a service and list their tasks."""
+        """Return those of the workers that belong to a service and list their tasks.
+
+        Workers in evacuated places are left out; all are while the requests to
+        evacuate places are not known.
+        """
         return [
             worker
             for worker in workers
             if worker.service == service
             and self.has_recent_listing(worker.incarnation, now_s)
+            and self.evacuations.may_start(worker.place, now_s)
         ]
 
     def add(self, record: WorkerRecord) -> None:
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -24,6 +24,7 @@
 from almondspan_decisions.job_graph import QueueName, QueueRules
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.committer import CommitResult, HeadCommitter
+from almondspan_jobs.evacuations import EvacuationRequests
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.network import Network
@@ -98,6 +99,8 @@
         self._machine.add_transition("end", "*", "closed")
         self._agents: dict[str, AgentRecord] = {}
         self._rules: Mapping[QueueName, QueueRules] = {}
+        self.evacuations = EvacuationRequests()
+        """The requests to evacuate places, as this entry last read them."""
         self.owner_record: OwnerRecord | None = None
         self.owner: Owner | None = None
         self._lease: LeaseId | None = None
@@ -157,6 +160,12 @@
             self.owner.scheduler.rules = rules
             self.owner.wake()
 
+    def set_evacuations(self, requests: EvacuationRequests) -> None:
+        """Set the requests to evacuate places, after each call that read them."""
+        self.evacuations = requests
+        if self.owner is not None:
+            self.owner.set_evacuations(requests)
+
     # Members
 
     async def _watch_members(self) -> None:
@@ -320,6 +329,7 @@
         )
         self.owner = owner
         try:
+            owner.set_evacuations(self.evacuations)
             await owner.start(self._rules)
             await owner.set_agents(self._agents)
             await self._renew_until_end(owner, committer)
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -34,8 +34,12 @@
     "OwnerHello",
     "OwnerReplaced",
     "PendingCountReply",
+    "EvacuatedPlaces",
+    "EvacuationsReply",
+    "EvacuationsRequest",
     "RelayReady",
     "RelayRequest",
+    "RemainingTaskRow",
     "StartCommand",
     "StartReply",
     "StateReply",
@@ -62,6 +66,8 @@
     """Whether the owner knows `WorkerUnreachable`; unknown messages end its channel."""
     agent: str = ""
     """The node of the agent that the owner means; empty from an earlier release."""
+    evacuated: list[str] = []
+    """The evacuated places; the agent starts no task of a worker there."""
 
 
 @message
@@ -194,6 +200,8 @@
     is_leaving: bool
     leaves_ms: Number
     has_left: bool = False
+    accepts_evacuations: bool = False
+    """Whether the agent knows `EvacuatedPlaces`; unknown messages end its channel."""
 
 
 @message
@@ -225,6 +233,57 @@
     verdict: str
 
 
+@message
+class EvacuatedPlaces(Message, frozen=True, tag="j-evacuated"):
+    """The places that are evacuated from now on, in place of those told before.
+
+    Sent only to an agent whose `WorkerReport` accepts it.
+    """
+
+    places: list[str]
+
+
+@message
+class EvacuationsRequest(Message, frozen=True, tag="j-evacuations?"):
+    """Asks an entry which places are evacuated, and what runs there; see the reply."""
+
+    number: int
+
+
+class RemainingTaskRow(Message, frozen=True):
+    """A task that is assigned to a worker in an evacuated place."""
+
+    task: str
+    worker: str
+    place: str
+    outlook: str
+    """An `Outlook`'s value: whether it finishes, moves, or can't move."""
+
+
+@message
+class EvacuationsReply(Message, frozen=True, tag="j-evacuations"):
+    """What an entry knows of the evacuations; only the owner knows the tasks.
+
+    `places` has rows of place and time since the entry first read the request, in
+    milliseconds. `counts` has rows of place, outlook and number of tasks.
+    """
+
+    number: int
+    is_used: bool
+    """Whether the deployment has evacuations."""
+    is_owner: bool
+    owner: str
+    """The node of the owner; empty if the entry knows none."""
+    host: OptionalHost
+    port: OptionalPort
+    age_ms: Number
+    """Time since the requests were last read from the store; -1 if they never were."""
+    places: list[tuple[str, Number]]
+    counts: list[tuple[str, str, Count]]
+    tasks: list[RemainingTaskRow]
+    """The first tasks; `counts` has them all."""
+
+
 @message
 class StateRequest(Message, frozen=True, tag="j-state?"):
     """Asks the owner for a job's state."""
--- a/packages/jobs/almondspan_jobs/metrics.py
+++ b/packages/jobs/almondspan_jobs/metrics.py
@@ -1,7 +1,7 @@
-"""Counters and latency histograms of a process, as Prometheus text.
+"""Counters, gauges and latency histograms of a process, as Prometheus text.
 
 OpenTelemetry's SDK needs more memory than an agent may use on a worker, so this module
-implements the two kinds of instrument that are needed.
+implements the three kinds of instrument that are needed.
 """
 
 from bisect import bisect_left
@@ -31,12 +31,17 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
+        self._gauges: dict[str, int] = {}
         self._histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, n: int = 1) -> None:
         """Increase a counter."""
         self._counts[name] = self._counts.get(name, 0) + n
 
+    def set(self, name: str, value: int) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
     def observe_s(self, name: str, duration_s: float) -> None:
         """Record a duration in a histogram."""
         histogram = self._histograms.get(name)
@@ -47,6 +52,7 @@
     def text(self) -> str:
         """Return all instruments in the Prometheus text format."""
         lines = [f"almondspan_{name}_total {n}" for name, n in self._counts.items()]
+        lines += [f"almondspan_{name} {n}" for name, n in self._gauges.items()]
         for name, histogram in self._histograms.items():
             lines += _histogram_lines(f"almondspan_{name}_ms", histogram)
         return "\n".join(lines) + "\n"
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -86,6 +86,13 @@
     best_effort_stall_s: float = 6.0
     best_effort_wait_s: float = 2.5
     """How long a best-effort task waits for a start that slows no serving task."""
+    evacuation_limit_s: float = 0.0
+    """Longest time from the request to evacuate a place to the last start there; 0 if
+    there are no such requests."""
+    evacuation_settle_s: float = 1.5
+    """A request that stands for less than this moves no task."""
+    evacuation_interval_s: float = 0.5
+    """How often running tasks in evacuated places are judged."""
     finished_retention_s: float = 150.0
     """How long a finished job is kept in memory and in the store."""
 
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -18,6 +18,7 @@
 from almondspan_jobs.agent_link import AgentLink
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.committer import CommitResult, HeadCommitter
+from almondspan_jobs.evacuations import EvacuationRequests
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
     JobCancelled,
@@ -140,6 +141,17 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for link in tuple(self._links.values()):
             await link.close()
+        self.scheduler.evacuator.close()
+
+    def set_evacuations(self, requests: EvacuationRequests) -> None:
+        """Apply the requests to evacuate places, and tell the agents of changes."""
+        before = self.scheduler.told_evacuations
+        self.scheduler.set_evacuations(requests)
+        if self.scheduler.told_evacuations != before:
+            for link in self._links.values():
+                link.tell_evacuations()
+        if self.scheduler.needs_planning:
+            self.wake()
 
     async def set_agents(self, agents: Mapping[str, AgentRecord]) -> None:
         """Connect to the registered agents, from the end of the load to `ended`.
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -33,6 +33,8 @@
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.command_dispatcher import CommandDispatcher
 from almondspan_jobs.crash_monitor import CrashMonitor
+from almondspan_jobs.evacuations import EvacuationRequests
+from almondspan_jobs.evacuator import Evacuator
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
@@ -128,6 +130,7 @@
             table, fleet, assignments, self._interference, preemptor, options, metrics
         )
         self._mover: Final = BestEffortMover(table, fleet, self._interference, log)
+        self.evacuator: Final = Evacuator(table, fleet, options, log, metrics)
 
     # State
 
@@ -237,11 +240,24 @@
         """Return the weights that apply to a worker's serving tasks."""
         return self._interference.update_for(worker_id)
 
+    def set_evacuations(self, requests: EvacuationRequests) -> None:
+        """Apply the requests to evacuate places, as read from the store."""
+        self.evacuator.set_requests(requests)
+
+    @property
+    def told_evacuations(self) -> list[str]:
+        """The evacuated places that agents are told."""
+        return self._fleet.evacuations.told_places
+
     # Decisions
 
     def plan(self) -> None:
-        """Assign waiting tasks to workers with enough free capacity."""
-        self._planner.plan()
+        """Assign waiting tasks to workers with enough free capacity.
+
+        Nothing is placed while the requests to evacuate places are not known.
+        """
+        if self._fleet.evacuations.are_known(steady_s()):
+            self._planner.plan()
 
     def tick(self) -> None:
         """Perform the actions that are due."""
@@ -251,6 +267,7 @@
         self._table.add_due_occurrences()
         self._interference.tick(now_s)
         self._mover.tick(now_s)
+        self.evacuator.tick(now_s)
         self._commands.tick(now_s)
         if self._table.placeable:
             self._table.needs_planning = True
--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -13,10 +13,11 @@
 
 from typing import Final
 
-from almondspan_decisions.ids import WorkerId
+from almondspan_decisions.ids import PlaceName, WorkerId
 from almondspan_jobs.agent_state import AgentState, KnownIncarnation
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
+    EvacuatedPlaces,
     InterferenceUpdate,
     LeaseRenewal,
     OwnerHello,
@@ -178,6 +179,7 @@
                 state.is_leaving,
                 state.leaves_ms,
                 has_left,
+                accepts_evacuations=True,
             )
         )
 
@@ -211,6 +213,7 @@
                 OwnerReplaced(hello.epoch, hello.owner, hello.host, hello.port)
             )
         self._state.channel = channel
+        self._set_evacuated(hello.evacuated)
         self._send_report(has_left=False)
         incarnation = self._state.incarnation
         if incarnation is not None and incarnation.failed_verdict:
@@ -244,6 +247,14 @@
             self._pacing.set_weights(body)
         elif isinstance(body, TaskTraitsUpdate):
             self._pacing.replace_traits(body.tasks)
+        elif isinstance(body, EvacuatedPlaces):
+            self._set_evacuated(body.places)
+
+    def _set_evacuated(self, places: list[str]) -> None:
+        evacuated = frozenset(map(PlaceName, places))
+        if evacuated != self._state.evacuated:
+            self._log.line("evacuations_told", n_places=len(places), places=places[:8])
+        self._state.evacuated = evacuated
 
     def _on_renewal(self, renewal: LeaseRenewal) -> None:
         incarnation = self._state.incarnation
--- a/packages/jobs/almondspan_jobs/worker_commands.py
+++ b/packages/jobs/almondspan_jobs/worker_commands.py
@@ -171,6 +171,8 @@
         is_silent = bool(incarnation.failed_verdict)
         if incarnation.state.is_leaving or is_silent or self._state.channel is None:
             return Verdict.NOT_TAKEN
+        if incarnation.state.place in self._state.evacuated:
+            return Verdict.NOT_TAKEN
         return None
 
     def _is_proven(
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -101,6 +101,7 @@
         cpu_millicores: int = 4_000,
         memory_mb: int = 8_000,
         is_listed: bool = True,
+        place: str = "here",
     ) -> None:
         self.scheduler.on_report(
             node,
@@ -108,7 +109,7 @@
                 worker,
                 started_ms,
                 SERVICE,
-                PlaceName("here"),
+                PlaceName(place),
                 cpu_millicores,
                 memory_mb,
                 0,
