Count a lasting task that is being stopped as away

The move of a lasting task to make room counted the tasks of its step that are not at work by their progress, and a task that is being stopped is listed at full progress until it has ended. With moves out of evacuated places two tasks of a step could be stopped at the same time where one may be away.

--- a/packages/jobs/almondspan_jobs/preemptor.py
+++ b/packages/jobs/almondspan_jobs/preemptor.py
@@ -198,7 +198,8 @@
             return False
         others = job.occurrences[key.occurrence][key.step].tasks
         n_away = sum(
-            other is not task and other.percent < READY_PERCENT for other in others
+            other is not task and (other.is_stopping or other.percent < READY_PERCENT)
+            for other in others
         )
         return not step.n_may_be_away or n_away < step.n_may_be_away
 
--- a/tests/jobs/test_preemptor.py
+++ b/tests/jobs/test_preemptor.py
@@ -4,7 +4,13 @@
 from scheduler_harness import QUEUE, SERVICE, STARTED_MS, WORKER, SchedulerHarness
 
 from almondspan_decisions.ids import JobId, WorkerId
-from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules, StepSpec
+from almondspan_decisions.job_graph import (
+    JobSpec,
+    QueueName,
+    QueueRules,
+    StepSpec,
+    TaskKey,
+)
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs.messages import StopCommand
 
@@ -108,6 +114,25 @@
     assert bool(run_listings(harness, 8.0, percent)) is is_moved
 
 
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_task_that_is_being_stopped_counts_as_away(
+    harness: SchedulerHarness, is_stopping: bool
+) -> None:
+    """Its worker still lists it at work, until it has ended."""
+    harness.report_worker()
+    add(harness, OLD, lasting(3, n_may_be_away=1))
+    harness.report_worker(OTHER, node="node-2", cpu_millicores=6_000)
+    add(harness, NEW, lasting(2, max_per_worker=1))
+    assert placed(harness, OLD) == {0: WORKER, 1: WORKER, 2: OTHER}
+    assert placed(harness, NEW) == {0: OTHER}
+    run_listings(harness, 0.4)
+    task = harness.scheduler.jobs[OLD].task(TaskKey(0, 0, 2))
+    assert task is not None
+    task.is_stopping = is_stopping
+    stopped = {name for name in run_listings(harness, 8.0) if name[-1] != "2"}
+    assert len(stopped) == (0 if is_stopping else 1)
+
+
 def test_recently_placed_task_stays(harness: SchedulerHarness) -> None:
     place_tasks(harness, lasting(2))
     assert run_listings(harness, 4.0) == []
