Follow the requests to evacuate data centres

Operators request an evacuation by a key beside the configuration's. The owner alone reads the requests by themselves when its watch is overdue (2.2 s). Agents refuse starts while their owner tells them that their data centre is evacuated.

--- a/packages/standins/almondspan_standins/memory_group_store.py
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -2,8 +2,8 @@
 
 `MemoryGroupStore` holds the state; `MemoryGroupStore.client` returns the client of
 one process. A client's faults are: no responses, refusals, slow responses, and writes
-that are applied without a response or seconds later. Dropping the history of changes
-makes watches of older revisions end.
+that are applied without a response or seconds later. Watches may have faults of their
+own. Dropping the history of changes makes watches of older revisions end.
 """
 
 import asyncio
@@ -54,6 +54,10 @@
     """Share of writes that are applied without a response."""
     late_share: float = 0.0
     """Share of writes that are applied 1 to 6 s later, without a response."""
+    is_watch_silent: bool = False
+    """Watches get no response, other calls do."""
+    watch_late_s: float = 0.0
+    """Delay of a watch's response after the state that it tells."""
 
 
 @dataclass(slots=True)
@@ -320,8 +324,14 @@
         limit_s = asyncio.get_running_loop().time() + wait_s
         while True:
             event = self._store.changes(prefix, after)
+            is_over = asyncio.get_running_loop().time() >= limit_s
             if isinstance(event, WatchLost) or event.changed or event.deleted:
-                return event
-            if asyncio.get_running_loop().time() >= limit_s:
+                is_over = True
+            if is_over and self.faults.is_watch_silent:
+                left_s = limit_s + CALL_TIMEOUT_S - asyncio.get_running_loop().time()
+                await asyncio.sleep(left_s)
+                return Unavailable("no response within the timeout")
+            if is_over:
+                await asyncio.sleep(self.faults.watch_late_s)
                 return event
             await self._store.wait_for_change(limit_s)
--- a/packages/standins/almondspan_standins/memory_task_worker.py
+++ b/packages/standins/almondspan_standins/memory_task_worker.py
@@ -52,6 +52,9 @@
     load: Callable[[float], float] | None = None
     """For a serving task, the share of its processors in use, by time."""
     tail_target_ms: float = 0.0
+    ready_s: float | None = None
+    """Time from its start after which a lasting task lists 100 percent; None if never.
+    """
     crash_after_s: float | None = None
     """Time from its start after which a run crashes the worker; None if never."""
 
@@ -455,5 +458,8 @@
         for name, item in self._incarnation.running.items():
             done_share = (now_s - item.run.begun_s) / item.script.duration_s
             percent = min(99, int(done_share * 100))
+            ready_s = item.script.ready_s
+            if ready_s is not None and now_s - item.run.begun_s >= ready_s:
+                percent = 100
             rows.append(RunningTask(name, item.run.attempt, "", percent))
         return rows
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 sys.path.insert(0, str(Path(__file__).parent.parent / "tasks"))
+sys.path.insert(0, str(Path(__file__).parent.parent.parent / "platform"))
 
 from scheduler_harness import SchedulerHarness
 
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -14,6 +14,7 @@
 from almondspan_jobs import clocks
 from almondspan_jobs.messages import (
     AttemptRevoked,
+    EvacuatedPlaces,
     OwnerHello,
     StartCommand,
     StartReply,
@@ -118,10 +119,12 @@
             )
         )
 
-    async def connect_owner(self, epoch: int) -> MemoryChannel:
+    async def connect_owner(self, epoch: int, *evacuated: str) -> MemoryChannel:
         channel = await self._network.dial(HOST, PORT, 1.0)
         assert isinstance(channel, MemoryChannel)
-        await channel.send(OwnerHello(epoch, f"entry{epoch}", f"entry{epoch}", 1))
+        name = f"entry{epoch}"
+        hello = OwnerHello(epoch, name, name, 1, evacuated=list(evacuated))
+        await channel.send(hello)
         await asyncio.sleep(0.1)
         return channel
 
@@ -246,6 +249,35 @@
     run_test(body)
 
 
+def test_starts_are_refused_in_an_evacuated_place(run_test: RunTest) -> None:
+    """Also one that has waited, and the first after the hello; others are sent."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        owner.post(start("a"))
+        owner.post(start("b"))
+        await asyncio.sleep(0.1)
+        owner.post(EvacuatedPlaces(["elsewhere", "here"]))
+        await asyncio.sleep(0.1)
+        hand_over.worker.release.set()
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a"]
+        owner.post(EvacuatedPlaces(["elsewhere"]))
+        owner.post(start("c"))
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a", "c"]
+        second = await hand_over.connect_owner(2, "here")
+        second.post(start("d"))
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a", "c"]
+        third = await hand_over.connect_owner(3)
+        third.post(start("e"))
+        await asyncio.sleep(0.1)
+        assert hand_over.worker.started == ["a", "c", "e"]
+
+    run_test(body)
+
+
 def ends(n_ends: int, n_chars: int) -> tuple[EndedTask, ...]:
     """Return ends of other tasks, with checkpoints."""
     return tuple(
--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -186,6 +186,16 @@
     assert (found.node, found.place, found.peer_port) == ("edge-1", "suva", 7720)
     assert (found.max_lease_ms, found.grace_s, found.retention_s) == (6000, 6, 120)
     assert found.max_value_bytes == 1_048_576
+    assert found.evacuation_limit_s == 0.0
+
+
+def test_settings_of_a_deployment_with_evacuations(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    bounds = {**SETTINGS["bounds"], "evacuateMs": 5_000}
+    found = read(tmp_path, monkeypatch, {**SETTINGS, "bounds": bounds})
+    assert isinstance(found, NodeSettings)
+    assert found.evacuation_limit_s == 5.0
 
 
 @pytest.mark.parametrize(
@@ -197,6 +207,7 @@
         pytest.param({**SETTINGS, "portRange": [65_536, 65_540]}, id="port"),
         pytest.param({**SETTINGS, "portRange": [0, 1]}, id="port_zero"),
         pytest.param({**SETTINGS, "bounds": {"maxHoldMs": 2**64}}, id="bound"),
+        pytest.param({**SETTINGS, "bounds": {"evacuateMs": -1}}, id="evacuation"),
         pytest.param('{"more": ' + DEEP.decode() + "}", id="nested_too_deeply"),
         pytest.param(
             {**SETTINGS, "platform": {"address": "a", "form": "log"}}, id="other_store"
--- a/tests/site/test_names.py
+++ b/tests/site/test_names.py
@@ -25,6 +25,8 @@
     "kv-watch",
     "run-start",
     "op/config",
+    "op/evacuate",
+    "evacuateMs",
     "ALMONDSPAN_NODE_FILE",
 )
 SOURCES = sorted([*ROOT.glob("packages/**/*.py"), *ROOT.glob("misc/*.py")])
