Draw evacuations in the random schedules, and check what begins there

Half of the schedules of the soak test now have operators that evacuate places, mostly close to another fault or to one of the watches. The check EVAC reports runs that begin in a place from 5 s after the request until its removal. The draws come from a generator of their own, so that the other half and the regression seeds are what they were.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -17,6 +17,7 @@
 ROOT: Final = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests" / "tasks"))
 sys.path.insert(0, str(ROOT / "tests" / "jobs"))
+sys.path.insert(0, str(ROOT / "platform"))
 
 import job_schedule  # noqa: E402
 import sim_schedule  # noqa: E402
--- a/packages/standins/almondspan_standins/memory_group_store.py
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -56,6 +56,8 @@
     """Share of writes that are applied 1 to 6 s later, without a response."""
     is_watch_silent: bool = False
     """Watches get no response, other calls do."""
+    unread_prefix: str = ""
+    """Reads and watches of keys with this prefix get no response; empty for none."""
     watch_late_s: float = 0.0
     """Delay of a watch's response after the state that it tells."""
 
@@ -280,8 +282,15 @@
         await asyncio.sleep(self.faults.answer_s / 2)
         return found
 
+    def _is_unread(self, prefix: str) -> bool:
+        unread = self.faults.unread_prefix
+        return bool(unread) and prefix.startswith(unread)
+
     async def get_range(self, prefix: str) -> RangeFound | Unavailable:
         """Read all keys with a prefix."""
+        if self._is_unread(prefix):
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return Unavailable("no response within the timeout")
         failed = await self._send_request()
         if failed is not None:
             return failed
@@ -327,7 +336,8 @@
             is_over = asyncio.get_running_loop().time() >= limit_s
             if isinstance(event, WatchLost) or event.changed or event.deleted:
                 is_over = True
-            if is_over and self.faults.is_watch_silent:
+            is_silent = self.faults.is_watch_silent or self._is_unread(prefix)
+            if is_over and is_silent:
                 left_s = limit_s + CALL_TIMEOUT_S - asyncio.get_running_loop().time()
                 await asyncio.sleep(left_s)
                 return Unavailable("no response within the timeout")
--- a/tests/jobs/job_schedule.py
+++ b/tests/jobs/job_schedule.py
@@ -1,14 +1,18 @@
 """One random schedule of the jobs simulation.
 
 Callers submit jobs while faults are injected; after a quiet period the guarantees are
-checked.
+checked. In half of the schedules operators evacuate places as well, mostly while
+another fault is in effect. What concerns evacuations is drawn by a generator of its
+own, so that the other schedules stay as they were.
 """
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from job_simulation import (
     CAPACITY,
+    N_PLACES,
     JobSimulation,
     SimulatedAgent,
     SimulatedEntry,
@@ -17,12 +21,15 @@
 
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import EMPTY_SHAPE
+from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import OWNER_KEY
 
 WARM_UP_S = 6.0
 FAULT_PERIOD_S = 30.0
 QUIET_PERIOD_S = 45.0
 STEP_S = 0.5
+EVACUATION_LIMIT_S = 5.0
+EVACUATING = JobOptions(evacuation_limit_s=EVACUATION_LIMIT_S)
 
 
 @dataclass
@@ -177,29 +184,102 @@
     )
 
 
-def run_schedule(seed: int, faults: tuple[str, ...] | None = None) -> Result:
-    """Run one schedule, with the given faults or a few random ones."""
-    simulation = JobSimulation(seed)
+Moment = tuple[float, str, Fault]
+"""An action of a schedule: its time from the end of the warm-up, and its name."""
+
+
+def _evacuation(rng: random.Random) -> Fault:
+    """Return a random request to evacuate one place, all, or one that is not known."""
+    places = [f"dc{number}" for number in range(N_PLACES)]
+    chosen = rng.choice([[rng.choice(places)]] * 6 + [places, ["dc1/%2f \n"]])
+    stands_s = rng.choice(
+        [rng.uniform(0.05, 1.0), rng.uniform(2, 7), rng.uniform(7, 20)]
+    )
+
+    def evacuate(simulation: JobSimulation) -> None:
+        for place in chosen:
+            request = simulation.evacuate(place)
+            if request is not None:
+                simulation.schedule(stands_s, simulation.withdraw, request)
+
+    return evacuate
+
+
+def _watch_fault(rng: random.Random) -> tuple[str, Fault]:
+    """Return a fault of the watches of all entries; other calls work."""
+    for_s = rng.uniform(1.0, 9.0)
+    late_s = rng.uniform(0.2, 1.5)
+    is_silent = rng.random() < 0.5
+
+    def disturb(simulation: JobSimulation) -> None:
+        for machine in simulation.entries:
+            faults = machine.faults
+            if is_silent:
+                faults.is_watch_silent = True
+                simulation.schedule(for_s, setattr, faults, "is_watch_silent", False)
+            else:
+                faults.watch_late_s = late_s
+                simulation.schedule(for_s, setattr, faults, "watch_late_s", 0.0)
+
+    return ("watch_silent" if is_silent else "watch_late"), disturb
+
+
+def _draw_evacuations(rng: random.Random) -> list[Moment]:
+    """Return random requests, most of them close to another fault."""
+    moments: list[Moment] = []
+    for _ in range(rng.randint(1, 4)):
+        at_s = rng.uniform(2.0, FAULT_PERIOD_S - 2.0)
+        moments.append((at_s, "evacuate", _evacuation(rng)))
+        if rng.random() < 0.4:
+            moments.append((at_s - rng.uniform(0, 2.0), *_watch_fault(rng)))
+        if rng.random() < 0.7:
+            name = rng.choice(sorted(FAULTS))
+            moments.append((at_s + rng.uniform(-2.0, 2.0), name, FAULTS[name]))
+    return moments
+
+
+def run_schedule(
+    seed: int, faults: tuple[str, ...] | None = None, evacuates: bool | None = None
+) -> Result:
+    """Run one schedule, with the given faults or a few random ones.
+
+    Parameters
+    ----------
+    evacuates : bool or None
+        Whether operators evacuate places; None to draw this.
+    """
+    rng = random.Random(f"evacuations {seed}")
+    is_drawn = rng.random() < 0.5
+    evacuates = is_drawn if evacuates is None else evacuates
+    simulation = JobSimulation(seed, options=EVACUATING if evacuates else None)
+    extra = _draw_evacuations(rng) if evacuates else []
     try:
-        return _run_schedule(simulation, seed, faults)
+        return _run_schedule(simulation, seed, faults, extra)
     finally:
         simulation.close()
 
 
 def _run_schedule(
-    simulation: JobSimulation, seed: int, faults: tuple[str, ...] | None
+    simulation: JobSimulation,
+    seed: int,
+    faults: tuple[str, ...] | None,
+    extra: list[Moment],
 ) -> Result:
     rng = simulation.rng
     if faults is None:
         faults = tuple(rng.choice(sorted(FAULTS)) for _ in range(rng.randint(1, 5)))
-    moments = sorted((rng.uniform(0, FAULT_PERIOD_S), name) for name in faults)
+    moments: list[Moment] = [
+        (rng.uniform(0, FAULT_PERIOD_S), name, FAULTS[name]) for name in faults
+    ]
+    moments = sorted(moments + extra, key=lambda moment: moment[:2])
+    faults = tuple(name for _, name, _ in moments)
     simulation.run(WARM_UP_S)
     begun_s = simulation.loop.now_s
     while simulation.loop.now_s < begun_s + FAULT_PERIOD_S:
         while moments and simulation.loop.now_s >= begun_s + moments[0][0]:
-            name = moments.pop(0)[1]
+            _, name, body = moments.pop(0)
             simulation.trace.append(f"{simulation.loop.now_s:9.3f} fault {name}")
-            simulation.run_in_loop(FAULTS[name])
+            simulation.run_in_loop(body)
         _act_as_callers(simulation)
         simulation.run(STEP_S)
     _end_faults(simulation)
@@ -231,6 +311,14 @@
         machine.faults.is_silent = machine.faults.is_refusing = False
         machine.faults.lost_share = machine.faults.late_share = 0.0
         machine.faults.answer_s = 0.004
+        machine.faults.is_watch_silent = False
+        machine.faults.watch_late_s = 0.0
+    simulation.run_in_loop(_withdraw_all)
+
+
+def _withdraw_all(simulation: JobSimulation) -> None:
+    for request in simulation.evacuations:
+        simulation.withdraw(request)
 
 
 def _finish(simulation: JobSimulation) -> None:
--- a/tests/jobs/job_simulation.py
+++ b/tests/jobs/job_simulation.py
@@ -11,7 +11,7 @@
 import random
 import sys
 from collections.abc import Callable, Coroutine, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from memory_network import Hub, MemoryNetwork
@@ -37,6 +37,8 @@
 from almondspan_jobs.worker_agent import WorkerAgent
 from almondspan_platform.group_store import Write, WriteGroup
 from almondspan_platform.task_worker import EndReason, WorkerState
+from almondspan_site.configuration import ConfigFollower
+from almondspan_site.evacuation_keys import EVACUATION_PREFIX, EvacuationKeys
 from almondspan_standins.memory_group_store import MemoryGroupStore, StoreFaults
 from almondspan_standins.memory_task_worker import (
     MemoryTaskWorker,
@@ -57,6 +59,9 @@
 RESTART_S = 0.8
 START_S = 4.0
 EPOCH_S = 1_700_000_000
+N_PLACES = 2
+READY_S = 1.0
+"""Time from the start of a lasting task until it is at work."""
 RULES = {QUEUE: QueueRules(SERVICE, 0, MAX_FAILURES, 2.0, 500)}
 
 
@@ -73,6 +78,15 @@
         self._simulation.trace.append(f"{now_s:9.3f} {self._process} {event} {text}")
 
 
+@dataclass
+class Evacuation:
+    """A request to evacuate a place, from its acknowledgement to its removal."""
+
+    place: str
+    stored_s: float
+    removed_s: float = float("inf")
+
+
 @dataclass
 class SubmittedJob:
     """A job with the answers that its caller got."""
@@ -123,6 +137,24 @@
         await entry.start()
         entry.leadership.set_rules(simulation.rules)
         self.entry = entry
+        if simulation.options.evacuation_limit_s:
+            await self._follow_evacuations(entry)
+
+    async def _follow_evacuations(self, entry: JobEntry) -> None:
+        simulation, log = self.simulation, TraceLog(self.simulation, self.name)
+        client = simulation.store.client(self.faults)
+        keys = EvacuationKeys(
+            client,
+            simulation.options,
+            log,
+            entry.leadership.set_evacuations,
+            lambda: entry.leadership.owner is not None,
+        )
+        follower = ConfigFollower(
+            client, simulation.options, log, lambda found: None, keys
+        )
+        await follower.start()
+        await keys.start()
 
     def kill(self) -> None:
         self.simulation.kill(self.process)
@@ -138,6 +170,8 @@
         self.name = name
         self.n_incarnations = 1
         self.is_leaving = False
+        number = len(simulation.agents)
+        self.place = PlaceName(f"dc{number % N_PLACES}")
         self.worker = simulation.make_worker(name)
         self.worker.on_task_crash = self._on_task_crash
         record = encode_record(AgentRecord(name, 1))
@@ -174,7 +208,7 @@
                 self.worker.worker_id,
                 self.worker.started_ms,
                 SERVICE,
-                PlaceName("here"),
+                self.place,
                 self.worker.capacity,
                 ("r1",),
                 self.is_leaving,
@@ -233,13 +267,16 @@
         self.crash_down_s = 3.0
         self.crash_keeps_id = False
         self.on_task_crash: Callable[[], None] = lambda: None
+        self.evacuations: list[Evacuation] = []
         self._tasks: list[asyncio.Task[Any]] = []
         self.loop.run_until_complete(self._build(n_entries, n_agents))
 
     async def _build(self, n_entries: int, n_agents: int) -> None:
         self.hub = Hub(self.loop)
         self.store = MemoryGroupStore(self.rng)
-        self.agents = [SimulatedAgent(self, f"agent{n}") for n in range(n_agents)]
+        self.agents: list[SimulatedAgent] = []
+        for n in range(n_agents):
+            self.agents.append(SimulatedAgent(self, f"agent{n}"))
         self.entries = [SimulatedEntry(self, f"entry{n}") for n in range(n_entries)]
 
     def make_worker(self, name: str) -> MemoryTaskWorker:
@@ -291,6 +328,31 @@
             if machine.entry is not None:
                 machine.entry.leadership.set_rules(rules)
 
+    # Operators
+
+    def evacuate(self, place: str) -> Evacuation | None:
+        """Store a request to evacuate a place, unless one stands."""
+        if any(
+            found.place == place and found.removed_s == float("inf")
+            for found in self.evacuations
+        ):
+            return None
+        write = Write(EVACUATION_PREFIX + place, b"{}")
+        self.store.commit(WriteGroup(writes=(write,)))
+        request = Evacuation(place, self.loop.now_s)
+        self.evacuations.append(request)
+        self.trace.append(f"{self.loop.now_s:9.3f} operator evacuates {place}")
+        return request
+
+    def withdraw(self, request: Evacuation) -> None:
+        """Remove a request."""
+        if request.removed_s < float("inf"):
+            return
+        request.removed_s = self.loop.now_s
+        removals = (EVACUATION_PREFIX + request.place,)
+        self.store.commit(WriteGroup(removals=removals))
+        self.trace.append(f"{self.loop.now_s:9.3f} operator withdraws {request.place}")
+
     # Callers
 
     def script(self, task: str, attempt: int) -> TaskScript:
@@ -304,12 +366,17 @@
         how = EndReason.FAILED if is_failing else EndReason.DONE
         duration_s *= rng.uniform(0.7, 1.3)
         crash_after_s = self.crashing.get(task)
-        return TaskScript(step.shape, duration_s, how, crash_after_s=crash_after_s)
+        ready_s = READY_S if step.lasts and self.options.evacuation_limit_s else None
+        return TaskScript(
+            step.shape, duration_s, how, ready_s=ready_s, crash_after_s=crash_after_s
+        )
 
     def make_job(self, steps: tuple[StepSpec, ...] | None = None) -> SubmittedJob:
         job_id = JobId(f"{self.rng.getrandbits(64):016x}")
         if steps is None:
             steps = self._random_steps()
+            if self.options.evacuation_limit_s:
+                steps = _movable(steps, random.Random(job_id))
         accepted_ms = int(self.loop.now_s * 1000)
         spec = JobSpec(
             QUEUE, "payload", steps, accepted_ms, accepted_rules=RULES[QUEUE]
@@ -427,6 +494,23 @@
             found += self._check_job(job, by_task)
             found += _check_failure(job, by_task)
         found += self._check_capacity()
+        found += self._check_evacuations()
+        return found
+
+    def _check_evacuations(self) -> list[str]:
+        """Check that nothing begins in an evacuated place once the limit has passed."""
+        found = []
+        limit_s = self.options.evacuation_limit_s
+        for request in self.evacuations:
+            for machine in self.agents:
+                if machine.place != request.place:
+                    continue
+                found += [
+                    f"EVAC {run.task} began on {run.worker_id} at {run.begun_s:.3f},"
+                    f" {run.begun_s - request.stored_s:.3f} s after the request"
+                    for run in machine.worker.runs
+                    if request.stored_s + limit_s < run.begun_s < request.removed_s
+                ]
         return found
 
     def _check_start(
@@ -565,6 +649,20 @@
     sys.unraisablehook = before
 
 
+def _movable(steps: tuple[StepSpec, ...], rng: random.Random) -> tuple[StepSpec, ...]:
+    """Return steps of which some may be moved, and of which some take longer."""
+    is_long = rng.random() < 0.3
+    return tuple(
+        replace(
+            step,
+            n_may_be_away=rng.choice([0, 1, 2]) if step.lasts else 0,
+            saves_progress=not step.lasts and rng.random() < 0.5,
+            estimate_ms=step.estimate_ms * (4 if is_long else 1),
+        )
+        for step in steps
+    )
+
+
 async def _settle_worker(worker: MemoryTaskWorker) -> None:
     worker.advance_runs()
 
--- a/tests/jobs/test_schedules.py
+++ b/tests/jobs/test_schedules.py
@@ -17,7 +17,7 @@
 
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_seeds_that_violated_a_guarantee_before(seed: int) -> None:
-    assert run_schedule(seed).violations == []
+    assert run_schedule(seed, evacuates=False).violations == []
 
 
 @pytest.mark.parametrize("seed", range(1_000, 1_000 + N_RANDOM_SEEDS))
@@ -29,6 +29,13 @@
 
 @pytest.mark.parametrize("name", sorted(FAULTS))
 def test_each_fault_twice(name: str) -> None:
-    result = run_schedule(len(name), (name, name))
+    result = run_schedule(len(name), (name, name), evacuates=False)
     assert result.violations == []
     assert result.counts["runs"] > 0
+
+
+@pytest.mark.parametrize("name", sorted(FAULTS))
+def test_each_fault_with_evacuations(name: str) -> None:
+    result = run_schedule(len(name), (name, name), evacuates=True)
+    assert result.violations == []
+    assert result.counts["fault evacuate"] > 0
