--- a/packages/standins/almondspan_standins/memory_group_store.py
+++ b/packages/standins/almondspan_standins/memory_group_store.py
@@ -2,8 +2,8 @@
 
 `MemoryGroupStore` holds the state; `MemoryGroupStore.client` returns the client of
 one process. A client's faults are: no responses, refusals, slow responses, and writes
-that are applied without a response or seconds later. Dropping the history of changes
-makes watches of older revisions end.
+that are applied without a response or seconds later. Watches may have faults of their
+own. Dropping the history of changes makes watches of older revisions end.
 """
 
 import asyncio
@@ -54,6 +54,12 @@
     """Share of writes that are applied without a response."""
     late_share: float = 0.0
     """Share of writes that are applied 1 to 6 s later, without a response."""
+    is_watch_silent: bool = False
+    """Watches get no response, other calls do."""
+    unread_prefix: str = ""
+    """Reads and watches of keys with this prefix get no response; empty for none."""
+    watch_late_s: float = 0.0
+    """Delay of a watch's response after the state that it tells."""
 
 
 @dataclass(slots=True)
@@ -276,8 +282,15 @@
         await asyncio.sleep(self.faults.answer_s / 2)
         return found
 
+    def _is_unread(self, prefix: str) -> bool:
+        unread = self.faults.unread_prefix
+        return bool(unread) and prefix.startswith(unread)
+
     async def get_range(self, prefix: str) -> RangeFound | Unavailable:
         """Read all keys with a prefix."""
+        if self._is_unread(prefix):
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return Unavailable("no response within the timeout")
         failed = await self._send_request()
         if failed is not None:
             return failed
@@ -320,8 +333,15 @@
         limit_s = asyncio.get_running_loop().time() + wait_s
         while True:
             event = self._store.changes(prefix, after)
+            is_over = asyncio.get_running_loop().time() >= limit_s
             if isinstance(event, WatchLost) or event.changed or event.deleted:
-                return event
-            if asyncio.get_running_loop().time() >= limit_s:
+                is_over = True
+            is_silent = self.faults.is_watch_silent or self._is_unread(prefix)
+            if is_over and is_silent:
+                left_s = limit_s + CALL_TIMEOUT_S - asyncio.get_running_loop().time()
+                await asyncio.sleep(left_s)
+                return Unavailable("no response within the timeout")
+            if is_over:
+                await asyncio.sleep(self.faults.watch_late_s)
                 return event
             await self._store.wait_for_change(limit_s)
