Replay a load whose images interfere by groups

The weights of LoadPattern were drawn for each pair, so no pair could be predicted from others. Images now belong to hidden resources, and GROUPED is the load of part 5 of the plan: 64 workers, 21 serving jobs, 18 best-effort images. FleetReplay tells the times of best-effort tasks and steps, and the share of the wanted task-seconds that serving jobs got; the worker records the longest time of a task over its target beside best-effort tasks.

--- a/packages/standins/almondspan_standins/colocated_task_worker.py
+++ b/packages/standins/almondspan_standins/colocated_task_worker.py
@@ -72,6 +72,8 @@
     served_s: float = 0.0
     interfered_s: float = 0.0
     """Over the target, and within it without the best-effort tasks."""
+    longest_interfered_s: float = 0.0
+    """Longest time of a task over its target while best-effort tasks ran beside it."""
     lost_core_s: float = 0.0
     """Work of runs that ended early, beyond their last checkpoint."""
     n_pace_calls: int = 0
@@ -88,6 +90,8 @@
     """A pace that takes effect at a time: (time, pace)."""
     measurement: float = 0.0
     worked_s: float = field(default=0.0)
+    interfered_s: float = 0.0
+    """Time over the target beside best-effort tasks, without interruption."""
 
 
 class ColocatedTaskWorker(MemoryTaskWorker):
@@ -212,6 +216,11 @@
         calm_ms = self._interference.tail_ms(load, 0.0)
         if calm_ms <= script.tail_target_ms < tail_ms:
             self._counts.interfered_s += step_s
+        is_over = bool(shares) and tail_ms > script.tail_target_ms
+        state.interfered_s = state.interfered_s + step_s if is_over else 0.0
+        self._counts.longest_interfered_s = max(
+            self._counts.longest_interfered_s, state.interfered_s
+        )
 
     def _finish(self, name: str, how: EndReason, at_s: float) -> None:
         item = self._incarnation.running[name]
--- a/tests/jobs/fleet_replay.py
+++ b/tests/jobs/fleet_replay.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from job_simulation import SERVICE, JobSimulation, SubmittedJob
 
@@ -74,15 +74,70 @@
     best_effort_width: int = 20
     best_effort_cores: float = 1.8
     best_effort_s: float = 3.0
+    best_effort_mb: int = 1_000
+    best_effort_spread: float = 0.4
+    """Deviation of the logarithm of the run times of tasks."""
+    best_effort_step_spread: float = 0.0
+    """The same for a factor that the tasks of one step share."""
     n_best_effort_images: int = 9
     heavy_share: float = 0.6
+    """Share of the pairs of images that interfere, if there are no groups."""
     heavy: tuple[float, float] = (1.0, 2.0)
     """Range of the weights of pairs that interfere."""
+    serving_groups: tuple[int, ...] = ()
+    """Number of serving images that depend on each of the hidden resources."""
+    best_effort_groups: tuple[int, ...] = ()
+    """Number of best-effort images that use each of them; the others use none."""
     traffic_s: float = 30.0
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     """Begin, end and factor of a burst of best-effort jobs, from the first traffic."""
 
 
+GROUPED = LoadPattern(
+    n_workers=64,
+    cores=64,
+    n_serving_jobs=21,
+    serving_width=14,
+    serving_cores=14.0,
+    n_serving_images=9,
+    load=0.42,
+    short_per_s=3.8,
+    short_width=10,
+    short_cores=2.6,
+    short_s=1.4,
+    best_effort_per_s=1.1,
+    best_effort_width=18,
+    best_effort_cores=7.0,
+    best_effort_s=4.0,
+    best_effort_mb=20_000,
+    best_effort_spread=0.12,
+    best_effort_step_spread=0.2,
+    n_best_effort_images=18,
+    serving_groups=(5, 3, 1),
+    best_effort_groups=(3, 6, 3),
+    traffic_s=40.0,
+    burst=(15.0, 20.0, 2.5),
+)
+"""The load of docs/design/README.md, part 5."""
+
+SMALL_GROUPED = replace(
+    GROUPED,
+    n_workers=8,
+    n_serving_jobs=6,
+    serving_width=6,
+    serving_groups=(3, 2, 1),
+    n_serving_images=6,
+    short_per_s=0.5,
+    best_effort_per_s=0.22,
+    best_effort_width=12,
+    n_best_effort_images=9,
+    best_effort_groups=(2, 3, 1),
+    traffic_s=20.0,
+    burst=(8.0, 11.0, 2.5),
+)
+"""A fleet of an eighth of that size."""
+
+
 @dataclass
 class QueueOutcome:
     """How the jobs of one queue were served."""
@@ -99,6 +154,18 @@
         return self.stretches[int(quantile * (len(self.stretches) - 1))]
 
 
+@dataclass(frozen=True)
+class BestEffortTimes:
+    """Times of best-effort work in seconds: median and slowest tenth."""
+
+    run_s: tuple[float, float]
+    """From the first start of a task to its end, with interruptions."""
+    wait_s: tuple[float, float]
+    """From the time at which a task could start to its first start."""
+    step_s: tuple[float, float]
+    """From the time at which a step could start to the end of its last task."""
+
+
 @dataclass
 class _Planned:
     """A generated job, when it is submitted, and its longest chain of work."""
@@ -125,14 +192,30 @@
 
     def _make_interference(self) -> Interference:
         pattern, rng = self.pattern, self._plan_rng
+        serving_groups = self._groups(pattern.n_serving_images, pattern.serving_groups)
+        best_effort_groups = self._groups(
+            pattern.n_best_effort_images, pattern.best_effort_groups
+        )
         weights = {}
         for serving in range(pattern.n_serving_images):
             for best_effort in range(pattern.n_best_effort_images):
-                is_heavy = rng.random() < pattern.heavy_share
+                if pattern.serving_groups:
+                    group = serving_groups[serving]
+                    is_heavy = group == best_effort_groups[best_effort]
+                else:
+                    is_heavy = rng.random() < pattern.heavy_share
                 weight = rng.uniform(*(pattern.heavy if is_heavy else HARMLESS))
                 weights[(f"serving{serving}", f"best-effort{best_effort}")] = weight
         return Interference(weights, pattern.calm_ms)
 
+    def _groups(self, n_images: int, sizes: tuple[int, ...]) -> list[int]:
+        """Return the group of each image; -1 for those beyond the sizes."""
+        groups = [group for group, size in enumerate(sizes) for _ in range(size)]
+        groups += [-1] * (n_images - len(groups))
+        if sizes:
+            self._plan_rng.shuffle(groups)
+        return groups
+
     def make_worker(self, name: str) -> MemoryTaskWorker:
         pattern = self.pattern
         number = int(name.removeprefix("agent"))
@@ -176,7 +259,7 @@
                 self._width_of(pattern.best_effort_width, 0.5)
                 for _ in range(rng.choice([1, 2, 2, 3]))
             ]
-            shape = Shape(int(pattern.best_effort_cores * 1000), 1_000)
+            shape = Shape(int(pattern.best_effort_cores * 1000), pattern.best_effort_mb)
             image = f"best-effort{rng.randrange(pattern.n_best_effort_images)}"
             self._plan_chain(
                 at_s, BEST_EFFORT, steps, shape, pattern.best_effort_s, image
@@ -247,7 +330,7 @@
         specs, chain_s = [], 0.0
         scripts: list[list[TaskScript]] = []
         for number, width in enumerate(widths):
-            durations = [rng.lognormvariate(-0.1, 0.4) * work_s for _ in range(width)]
+            durations = self._durations(work_s, width, is_best_effort)
             chain_s += max(durations)
             specs.append(
                 StepSpec(
@@ -279,6 +362,16 @@
                 self.task_scripts[f"{job.job_id}.0.{number}.{position}"] = script
         self.planned.append(_Planned(at_s, job, chain_s))
 
+    def _durations(
+        self, work_s: float, width: int, is_best_effort: bool
+    ) -> list[float]:
+        """Return the run times of the tasks of a step at full speed."""
+        pattern, rng = self.pattern, self._plan_rng
+        spread = pattern.best_effort_spread if is_best_effort else 0.4
+        if is_best_effort and pattern.best_effort_step_spread:
+            work_s *= rng.lognormvariate(0.0, pattern.best_effort_step_spread)
+        return [rng.lognormvariate(-0.1, spread) * work_s for _ in range(width)]
+
     def _add_job(self, queue: QueueName, steps: tuple[StepSpec, ...]) -> SubmittedJob:
         job_id = JobId(f"{self._plan_rng.getrandbits(64):016x}")
         job = SubmittedJob(job_id, JobSpec(queue, "payload", steps))
@@ -370,6 +463,52 @@
         result.first_starts_s.sort()
         return result
 
+    def best_effort_times(self) -> BestEffortTimes:
+        """Return how long the best-effort tasks waited and ran."""
+        first_s: dict[str, float] = {}
+        for run in self.runs():
+            first_s.setdefault(run.task, run.begun_s)
+        done_s = self._done_s
+        runs_s, waits_s, steps_s = [], [], []
+        for planned in self.planned:
+            if planned.job.spec.queue != BEST_EFFORT:
+                continue
+            ready_s = planned.at_s
+            for number, step in enumerate(planned.job.spec.steps):
+                names = [
+                    f"{planned.job.job_id}.0.{number}.{position}"
+                    for position in range(step.n_tasks)
+                ]
+                waits_s += [
+                    first_s[name] - ready_s for name in names if name in first_s
+                ]
+                runs_s += [
+                    done_s[name] - first_s[name] for name in names if name in done_s
+                ]
+                if not all(name in done_s for name in names):
+                    break
+                ended_s = max(done_s[name] for name in names)
+                steps_s.append(ended_s - ready_s)
+                ready_s = ended_s
+        return BestEffortTimes(
+            _median_and_tenth(runs_s),
+            _median_and_tenth(waits_s),
+            _median_and_tenth(steps_s),
+        )
+
+    def serving_share(self) -> float:
+        """Return the share of the wanted task-seconds of serving jobs that were served.
+
+        They count from the submission, and not while a task is over its target because
+        of best-effort tasks.
+        """
+        wanted_s = sum(
+            planned.job.spec.steps[0].n_tasks * (self.loop.now_s - planned.at_s)
+            for planned in self.planned
+            if planned.job.spec.queue == SERVING
+        )
+        return (self.counts.served_s - self.counts.interfered_s) / max(wanted_s, 1e-9)
+
     def _first_starts_s(self) -> dict[JobId, float]:
         first: dict[JobId, float] = {}
         for run in self.runs():
@@ -394,3 +533,11 @@
     def states(self) -> dict[JobId, JobState | None]:
         """The latest state that each job's caller was told."""
         return {job_id: self.state_of(job) for job_id, job in self.jobs.items()}
+
+
+def _median_and_tenth(times_s: list[float]) -> tuple[float, float]:
+    """Return the median and the 0.9 quantile."""
+    if not times_s:
+        return math.nan, math.nan
+    times_s = sorted(times_s)
+    return times_s[len(times_s) // 2], times_s[int(0.9 * (len(times_s) - 1))]
--- a/tests/jobs/test_fleet_replay.py
+++ b/tests/jobs/test_fleet_replay.py
@@ -1,9 +1,19 @@
 """Load patterns that are replayed on a simulated fleet of colocated workers."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 import pytest
-from fleet_replay import BEST_EFFORT, SHORT, FleetReplay, LoadPattern
+from fleet_replay import (
+    BEST_EFFORT,
+    SHORT,
+    SMALL_GROUPED,
+    FleetReplay,
+    LoadPattern,
+)
+
+MAX_INTERFERED_S = 4.0
+"""A task may not stay over its target for so long while best-effort tasks run."""
 
 Replay = Callable[[LoadPattern, int], FleetReplay]
 
@@ -35,3 +45,23 @@
         outcome = fleet.outcome(queue)
         assert outcome.n_jobs == len(outcome.stretches) > 0
         assert outcome.earned == 1.0
+
+
+def test_images_of_one_group_interfere() -> None:
+    fleet = FleetReplay(SMALL_GROUPED, 1)
+    fleet.close()
+    n_heavy: Counter[str] = Counter()
+    for (serving, _), weight in fleet.interference.weights.items():
+        n_heavy[serving] += weight >= SMALL_GROUPED.heavy[0]
+    assert sorted(n_heavy.values()) == [1, 2, 2, 2, 3, 3]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_grouped_load_is_served(replay: Replay, seed: int) -> None:
+    """Guards both classes on a small fleet whose images interfere by groups."""
+    fleet = replay(SMALL_GROUPED, seed)
+    assert fleet.violations() == []
+    assert fleet.serving_share() > 0.9
+    assert fleet.counts.longest_interfered_s < MAX_INTERFERED_S
+    outcome = fleet.outcome(BEST_EFFORT)
+    assert outcome.n_jobs == len(outcome.stretches) > 0
