Predict interference weights of unseen pairs from images that behaved alike

An unseen pair had a fixed prior of 2.5 with a variance of 11, although the weights form groups. Serving images that lost headroom to the same best-effort images now tell the weights of the other pairs, with their uncertainty.

--- a/packages/decisions/almondspan_decisions/tail_latency_model.py
+++ b/packages/decisions/almondspan_decisions/tail_latency_model.py
@@ -9,19 +9,28 @@
 where the share is that of the worker's processors. The level varies with the job's own
 load, equally on all workers, and is modelled as a random walk. The interference weight
 belongs to a pair of images and hardly changes. One Kalman filter for each serving image
-estimates levels and weights.
+estimates levels and weights. `weight_prediction` adds pairs that never ran together.
 """
 
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Final, NewType
+from typing import Final
 
 from almondspan_decisions.ids import JobId
+from almondspan_decisions.interference_rows import (
+    MIN_WEIGHT,
+    PRIOR_WEIGHT,
+    PRIOR_WEIGHT_VARIANCE,
+    Image,
+    InterferenceRow,
+)
 from almondspan_decisions.linear_filter import LinearFilter
+from almondspan_decisions.weight_prediction import complete_rows
 
 __all__ = [
     "CAUTIOUS_LEVEL",
+    "MIN_WEIGHT",
     "InterferenceRow",
     "InterferenceWeights",
     "Image",
@@ -29,25 +38,17 @@
     "TailLatencySample",
 ]
 
-Image = NewType("Image", str)
-"""The program that a task runs; tasks of one image are expected to behave alike."""
-
 PRIOR_LEVEL: Final = 2.4
 PRIOR_LEVEL_VARIANCE: Final = 0.8
 CAUTIOUS_LEVEL: Final = 1.6
 """Level assumed for a serving task that has just started."""
 LEVEL_VARIANCE_PER_S: Final = 0.2
 """Variance that a level gains each second."""
-PRIOR_WEIGHT: Final = 2.5
-"""Mean weight of a pair of images without samples."""
-PRIOR_WEIGHT_VARIANCE: Final = 11.0
 WEIGHT_VARIANCE_PER_S: Final = 0.002
 CAUTION_DEVIATIONS: Final = 0.5
 """`InterferenceWeights.weight` is this many standard deviations above the mean."""
 START_CAUTION_DEVIATIONS: Final = 1.5
 """The same for `InterferenceWeights.upper`, which judges starts at full pace."""
-MIN_WEIGHT: Final = 0.7
-"""Lower bound of every weight."""
 UNKNOWN_WEIGHT: Final = PRIOR_WEIGHT + CAUTION_DEVIATIONS * math.sqrt(
     PRIOR_WEIGHT_VARIANCE
 )
@@ -71,25 +72,6 @@
 """A smaller share of a worker's processors counts as none."""
 
 
-@dataclass(frozen=True, slots=True)
-class InterferenceRow:
-    """Estimated weight of one pair of images.
-
-    The weight is the headroom that serving tasks lose when best-effort tasks of
-    `best_effort_image` use a whole worker.
-    """
-
-    serving: Image
-    best_effort_image: Image
-    weight: float
-    variance: float
-
-    def above(self, n_deviations: float) -> float:
-        """Return the weight plus this many standard deviations."""
-        deviation = math.sqrt(max(self.variance, 0.0))
-        return max(MIN_WEIGHT, self.weight + n_deviations * deviation)
-
-
 @dataclass(frozen=True, slots=True)
 class InterferenceWeights:
     """Headroom lost for each whole worker used, by serving and best-effort image."""
@@ -268,8 +250,11 @@
         return self._fits[row.serving].widened_s[row.best_effort_image]
 
     def weights(self) -> InterferenceWeights:
-        """Return the weights and mean levels for scheduling decisions."""
-        rows = self.rows()
+        """Return the weights and mean levels for scheduling decisions.
+
+        Pairs that were not observed are predicted from images that behaved alike.
+        """
+        rows = complete_rows(self.rows())
         weights = {
             (row.serving, row.best_effort_image): row.above(CAUTION_DEVIATIONS)
             for row in rows
--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -117,12 +117,17 @@
             return
         self._solved_s = now_s
         self.scores = BestEffortScores(self._model.weights())
+        observed = {
+            (row.serving, row.best_effort_image): row.weight
+            for row in self._model.rows()
+        }
         for worker in self._fleet.workers.values():
             self.push(worker)
         self._log.line(
             "tail_model",
             n_observed=self._model.n_observed,
-            weights=_rounded(self.weights.weights),
+            weights=_rounded(observed),
+            n_predicted=len(self.weights.weights) - len(observed),
             means={image: round(mean, 2) for image, mean in self.weights.means.items()},
         )
 
