--- a/tests/jobs/fleet_replay.py
+++ b/tests/jobs/fleet_replay.py
@@ -59,6 +59,8 @@
     serving_width: int = 10
     serving_cores: float = 3.2
     n_serving_images: int = 5
+    max_serving_share: float = math.inf
+    """Share of the fleet's processors at which the widths of serving jobs are cut."""
     apart_share: float = 0.5
     """Share of serving jobs that allow one task on each worker."""
     load: float = 0.43
@@ -100,6 +102,7 @@
     serving_width=14,
     serving_cores=14.0,
     n_serving_images=9,
+    max_serving_share=0.92,
     load=0.42,
     short_per_s=3.8,
     short_width=10,
@@ -216,6 +219,10 @@
             self._plan_rng.shuffle(groups)
         return groups
 
+    @property
+    def _fleet_millicores(self) -> int:
+        return sum(machine.worker.capacity.cpu_millicores for machine in self.agents)
+
     def make_worker(self, name: str) -> MemoryTaskWorker:
         pattern = self.pattern
         number = int(name.removeprefix("agent"))
@@ -288,6 +295,12 @@
         is_apart = rng.random() < pattern.apart_share
         image = f"serving{number % pattern.n_serving_images}"
         width = self._width_of(pattern.serving_width, 0.3)
+        left = pattern.max_serving_share * self._fleet_millicores - sum(
+            planned.job.spec.steps[0].n_tasks
+            * planned.job.spec.steps[0].shape.cpu_millicores
+            for planned in self.planned
+        )
+        width = max(1, int(min(width, left / shape.cpu_millicores)))
         step = StepSpec(
             min(width, pattern.n_workers),
             shape,
