Let best-effort tasks wait where they would run slowly

A best-effort task was started wherever memory allowed, so up to ten of them ran side by side at a fraction of their speed, and a step ended with the last of them. Now a task starts only where it is expected to run at 0.7 of its speed, or 0.3 on a worker without other best-effort tasks; the limit falls to 0 while its step has waited for 8 s. Metrics: best_effort_steps_held, and the histogram best_effort_hold of the waits.

Evidence: tests/jobs/test_best_effort_admission.py; before, all six tasks were placed at once.

--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from almondspan_decisions.best_effort_admission import useful_speed
 from almondspan_decisions.ids import JobId, ServiceName
 from almondspan_decisions.job_graph import QueueRules, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, TaskState
@@ -44,6 +45,8 @@
     costs: PlacementCosts
     checked_s: Mapping[StepKey, float]
     """When each waiting step was last checked against all workers."""
+    held_s: Mapping[StepKey, float]
+    """Since when each step has waited for workers where it would run fast enough."""
     freed: Sequence[WorkerRecord]
     """Workers whose free capacity has grown since the last round."""
     workers: dict[ServiceName, list[WorkerRecord]] = field(default_factory=dict)
@@ -82,14 +85,18 @@
         self._metrics: Final = metrics
         self._checked_s: dict[StepKey, float] = {}
         """When each step that could not be placed was checked against all workers."""
+        self._held_s: dict[StepKey, float] = {}
+        """Since when each step has waited to run fast enough."""
 
     def plan(self) -> None:
         """Assign waiting tasks to workers with enough free capacity."""
         self._table.needs_planning = False
         now_s = steady_s()
         costs = PlacementCosts(self._interference.scores, now_s)
-        this_round = _Round(now_s, costs, self._checked_s, self._fleet.take_freed())
-        self._checked_s = {}
+        this_round = _Round(
+            now_s, costs, self._checked_s, self._held_s, self._fleet.take_freed()
+        )
+        self._checked_s, self._held_s = {}, {}
         n_jobs_placed = 0
         for job_id in sorted(self._table.placeable, key=self._plan_order):
             job = self._table[job_id]
@@ -156,6 +163,8 @@
     ) -> _StepOutcome:
         """Place the waiting tasks of a step until one can't be placed."""
         scores = self._interference.scores
+        step_key = (job.job_id, occurrence, number)
+        held_s = this.held_s.get(step_key, this.now_s)
         placement = StepPlacement(job, occurrence, number, workers, this.costs)
         n_placed = 0
         untried: TaskKey | None = None
@@ -170,21 +179,38 @@
                 untried = key
                 continue
             if worker is None:
+                if step_key in this.held_s:
+                    self._held_s[step_key] = held_s
                 return _StepOutcome(n_placed, key)
-            if self._should_wait(task, job.step_of(key), worker, this.now_s):
+            if self._should_wait(task, job.step_of(key), worker, held_s, this.now_s):
+                if step_key not in this.held_s:
+                    self._metrics.count("best_effort_steps_held")
+                self._held_s[step_key] = held_s
                 return _StepOutcome(n_placed, key, is_held=True)
+            if step_key in this.held_s:
+                self._metrics.observe_s("best_effort_hold", this.now_s - held_s)
             self._assignments.place(job, key, worker, scores, this.now_s)
             placement.on_placed(worker)
             n_placed += 1
         return _StepOutcome(n_placed, untried, is_held=untried is not None)
 
     def _should_wait(
-        self, task: TaskState, step: StepSpec, worker: WorkerRecord, now_s: float
+        self,
+        task: TaskState,
+        step: StepSpec,
+        worker: WorkerRecord,
+        held_s: float,
+        now_s: float,
     ) -> bool:
-        """Return whether a best-effort task waits to avoid slowing serving tasks."""
+        """Return whether a best-effort task waits for a better start."""
         if not step.fills:
             return False
-        if not self._interference.scores.n_affected_by_start(step, worker):
+        scores = self._interference.scores
+        speed = scores.speed(step, worker, n_added=1)
+        is_alone = worker.best_effort_millicores <= 0
+        if speed < useful_speed(now_s - held_s, is_alone=is_alone):
+            return True
+        if not scores.n_affected_by_start(step, worker):
             return False
         task.held_s = task.held_s or now_s
         return now_s - task.held_s < self._options.best_effort_wait_s
--- /dev/null
+++ b/tests/jobs/test_best_effort_admission.py
@@ -0,0 +1,96 @@
+"""Best-effort tasks wait, for a bounded time, where they would run slowly."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from scheduler_harness import JOB, QUEUE, SchedulerHarness, n_placed
+
+from almondspan_decisions.best_effort_admission import PATIENCE_S, useful_speed
+from almondspan_decisions.ids import JobId, WorkerId
+from almondspan_decisions.job_graph import JobSpec, StepSpec
+from almondspan_decisions.shapes import Shape
+from almondspan_jobs.records import InterferenceRecord
+
+TASK = f"{JOB}.0.0.0"
+SERVING_JOB = JobId("00000000000000aa")
+OTHER = WorkerId("w-2")
+WIDTH = 6
+
+
+def best_effort(image: str = "batch", millicores: int = 2_000) -> StepSpec:
+    return StepSpec(WIDTH, Shape(millicores, 500), 4_000, fills=True, image=image)
+
+
+def advance_listed(harness: SchedulerHarness, for_s: float) -> None:
+    """Let time pass, in which the worker lists the first task and plans are made."""
+    for _ in range(int(for_s / 0.5)):
+        harness.list_worker(running=[(TASK, 1, "", 5, 2_000.0)])
+        harness.advance(0.5)
+        harness.plan_and_store()
+
+
+def test_few_tasks_run_at_full_speed(harness: SchedulerHarness) -> None:
+    """Guards against starting all tasks at a third of their speed."""
+    harness.report_worker()
+    harness.add(best_effort())
+    assert n_placed(harness) == 2
+
+
+def test_waiting_task_starts_once_another_has_ended(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add(best_effort())
+    harness.list_worker(ended=[(1, TASK, 1, "done", "")])
+    harness.plan_and_store()
+    assert harness.scheduler.jobs[JOB].occurrences[0][0].tasks[2].incarnation
+
+
+def test_wait_is_bounded(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add(best_effort())
+    advance_listed(harness, PATIENCE_S + 1.0)
+    assert n_placed(harness) == WIDTH
+
+
+def test_worker_added_later_is_used_at_once(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add(best_effort())
+    harness.report_worker(OTHER, node="node-2")
+    harness.plan_and_store()
+    assert n_placed(harness) == 4
+
+
+def test_lone_task_starts_at_a_low_speed(harness: SchedulerHarness) -> None:
+    """A task that slows no other gains nothing by waiting."""
+    interference = InterferenceRecord([("live", "heavy", 7.0, 0.01)], {"live": 2.4})
+    harness.scheduler.load_interference(interference)
+    harness.report_worker()
+    serving = StepSpec(
+        1, Shape(1_000, 1_000), lasts=True, image="live", tail_target_ms=10
+    )
+    harness.scheduler.add_job(SERVING_JOB, JobSpec(QUEUE, "payload", (serving,)))
+    harness.add(best_effort("heavy"))
+    assert n_placed(harness) == 1
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "is_alone", "least"),
+    [
+        pytest.param(0.0, False, 0.7, id="at_first"),
+        pytest.param(0.0, True, 0.3, id="at_first_alone"),
+        pytest.param(PATIENCE_S / 2, False, 0.35, id="halfway"),
+        pytest.param(PATIENCE_S, False, 0.0, id="at_the_end"),
+    ],
+)
+def test_useful_speed(waited_s: float, is_alone: bool, least: float) -> None:
+    assert useful_speed(waited_s, is_alone=is_alone) == pytest.approx(least)
+
+
+@given(st.floats(0.0, 1e6), st.floats(0.0, 1e6), st.booleans())
+def test_useful_speed_falls_with_the_wait(
+    one_s: float, other_s: float, is_alone: bool
+) -> None:
+    """A task never waits longer than its patience."""
+    first = useful_speed(min(one_s, other_s), is_alone=is_alone)
+    later = useful_speed(max(one_s, other_s), is_alone=is_alone)
+    assert 0.0 <= later <= first <= 1.0
+    assert useful_speed(PATIENCE_S + one_s, is_alone=is_alone) == 0.0
