Place serving images that behave alike on the same workers

Lasting tasks were packed onto full workers, with 0.1 for each task of another image, so a worker held 3.4 serving images on average and nearly every best-effort image harmed one of them. Tasks of other images now cost 0.5, less for images that belong to the same group by the interference weights.

Evidence: test_lasting_tasks_of_alike_images_share_workers; before, the workers were equal.

--- a/packages/decisions/almondspan_decisions/best_effort_placement.py
+++ b/packages/decisions/almondspan_decisions/best_effort_placement.py
@@ -101,6 +101,15 @@
         self._lost[worker.incarnation] = (worker.n_changes, lost)
         return lost
 
+    def n_unlike(self, image: Image, worker: WorkerRecord) -> float:
+        """Return the serving tasks on a worker that are sensitive to other images."""
+        alike = self.interference.alike
+        return sum(
+            n_tasks * (1.0 - alike.get((image, other), 0.0))
+            for other, n_tasks in worker.n_serving.items()
+            if other != image and n_tasks
+        )
+
     def n_affected_by_start(self, step: StepSpec, worker: WorkerRecord) -> int:
         """Return how many serving tasks a start might push over their target."""
         return sum(
--- a/packages/decisions/almondspan_decisions/step_placement.py
+++ b/packages/decisions/almondspan_decisions/step_placement.py
@@ -28,6 +28,7 @@
 from almondspan_decisions.ids import WorkerId
 from almondspan_decisions.job_graph import StepSpec
 from almondspan_decisions.job_progress import JobProgress, TaskState
+from almondspan_decisions.tail_latency_model import Image
 from almondspan_decisions.worker_record import WorkerRecord, counted_shape
 
 __all__ = ["PlacementCosts", "StepPlacement"]
@@ -44,8 +45,8 @@
 """Added for a worker with its full load, if workers crash under the task."""
 SUSPECT_COST: Final = 1.0
 """Added for each task on the worker under which workers crash."""
-OTHER_IMAGE_COST: Final = 0.1
-"""Added for each serving task of another image on the worker."""
+OTHER_IMAGE_COST: Final = 0.5
+"""Added for each serving task of an unlike image on the worker."""
 
 
 class StepKind(Enum):
@@ -91,14 +92,13 @@
 def lasting_cost(
     step: StepSpec, worker: WorkerRecord, scores: BestEffortScores
 ) -> float:
-    """Return the cost of a lasting task: full workers first, images kept together.
+    """Return the cost of a lasting task: like images together, full workers first.
 
-    This leaves workers without lasting tasks to best-effort tasks, and keeps an image
-    that is sensitive to some best-effort image from running on every worker.
+    Images that are sensitive to the same best-effort images share workers, so that
+    these images find workers where they harm none. Full workers first leaves workers
+    without lasting tasks to best-effort tasks.
     """
-    n_others = sum(
-        n_tasks for image, n_tasks in worker.n_serving.items() if image != step.image
-    )
+    n_others = scores.n_unlike(Image(step.image), worker)
     cost = OTHER_IMAGE_COST * n_others + SUSPECT_COST * len(worker.kept_apart)
     return cost - load_after(step, worker)
 
--- a/packages/decisions/almondspan_decisions/tail_latency_model.py
+++ b/packages/decisions/almondspan_decisions/tail_latency_model.py
@@ -26,7 +26,7 @@
     InterferenceRow,
 )
 from almondspan_decisions.linear_filter import LinearFilter
-from almondspan_decisions.weight_prediction import complete_rows
+from almondspan_decisions.weight_prediction import predict_weights
 
 __all__ = [
     "CAUTIOUS_LEVEL",
@@ -81,6 +81,8 @@
     """Upper bounds of the weights."""
     means: Mapping[Image, float] = field(default_factory=dict)
     """Mean headroom of a serving image without best-effort tasks, over some seconds."""
+    alike: Mapping[tuple[Image, Image], float] = field(default_factory=dict)
+    """How likely two serving images are sensitive to the same best-effort images."""
 
     def weight(self, serving: Image, best_effort: Image) -> float:
         """Return the weight of a pair, or the expected weight of an unknown pair."""
@@ -254,7 +256,8 @@
 
         Pairs that were not observed are predicted from images that behaved alike.
         """
-        rows = complete_rows(self.rows())
+        prediction = predict_weights(self.rows())
+        rows = prediction.rows
         weights = {
             (row.serving, row.best_effort_image): row.above(CAUTION_DEVIATIONS)
             for row in rows
@@ -264,7 +267,7 @@
             for row in rows
         }
         means = {image: fit.mean for image, fit in self._fits.items()}
-        return InterferenceWeights(weights, uppers, means)
+        return InterferenceWeights(weights, uppers, means, prediction.alike)
 
 
 def _level_name(job_id: JobId) -> str:
--- a/packages/decisions/almondspan_decisions/weight_prediction.py
+++ b/packages/decisions/almondspan_decisions/weight_prediction.py
@@ -2,7 +2,7 @@
 
 Serving images depend on shared resources of a worker, and each best-effort image uses
 few of them, so the weights form groups: a pair is either heavy or light, and serving
-images of one group lose headroom to the same best-effort images. `complete_rows`
+images of one group lose headroom to the same best-effort images. `predict_weights`
 combines the estimates of a linear filter with this:
 
 1. Each observed pair gets a probability of being heavy. It follows from the estimate
@@ -16,10 +16,11 @@
    pair keeps the prior of the filter.
 """
 
+import itertools
 import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from almondspan_decisions.interference_rows import (
@@ -29,7 +30,7 @@
     InterferenceRow,
 )
 
-__all__ = ["complete_rows"]
+__all__ = ["WeightPrediction", "predict_weights"]
 
 HEAVY_MEAN: Final = 6.5
 HEAVY_VARIANCE: Final = 4.0
@@ -75,7 +76,17 @@
         return self.mean + kept * (mean - self.mean), kept * variance
 
 
-def complete_rows(rows: Sequence[InterferenceRow]) -> list[InterferenceRow]:
+@dataclass(frozen=True, slots=True)
+class WeightPrediction:
+    """Weights of all pairs of known images, and which serving images are alike."""
+
+    rows: Sequence[InterferenceRow]
+    alike: Mapping[tuple[Image, Image], float] = field(default_factory=dict)
+    """Probability that two serving images, in either order, belong to one group, less
+    what is expected of any two images; from 0 to 1."""
+
+
+def predict_weights(rows: Sequence[InterferenceRow]) -> WeightPrediction:
     """Return a row for every pair of the images of some rows."""
     kept = _within_bounds(rows)
     evidence = {
@@ -84,7 +95,7 @@
         if (found := _evidence_of(row)) is not None
     }
     if not evidence:
-        return list(rows)
+        return WeightPrediction(rows)
     heavy_share = _heavy_share(evidence.values())
     odds = _GroupOdds(heavy_share)
     ratios = {
@@ -93,12 +104,10 @@
     }
     serving = list(dict.fromkeys(row.serving for row in kept))
     best_effort = list(dict.fromkeys(row.best_effort_image for row in kept))
-    same = {
-        (one, other): odds.same_group(one, other, best_effort, ratios)
-        for one in serving
-        for other in serving
-        if one < other
-    }
+    same: dict[tuple[Image, Image], float] = {}
+    for one, other in itertools.combinations(serving, 2):
+        probability = odds.same_group(one, other, best_effort, ratios)
+        same[(one, other)] = same[(other, one)] = probability
     completed = {(row.serving, row.best_effort_image): row for row in rows}
     for pair in ((one, image) for one in serving for image in best_effort):
         heavy = odds.heavy_probability(pair, serving, same, ratios)
@@ -106,7 +115,11 @@
         if own is None and heavy is None:
             continue
         completed[pair] = _mixture(pair, heavy_share if heavy is None else heavy, own)
-    return list(completed.values())
+    alike = {
+        pair: max(0.0, probability - SAME_GROUP_SHARE) / (1.0 - SAME_GROUP_SHARE)
+        for pair, probability in same.items()
+    }
+    return WeightPrediction(tuple(completed.values()), alike)
 
 
 class _GroupOdds:
@@ -169,7 +182,7 @@
             if found is None or other == image:
                 continue
             n_found += 1
-            group = same[(image, other) if image < other else (other, image)]
+            group = same[(image, other)]
             apart = 1.0 - group
             as_heavy = group + apart * both / share
             if_heavy = as_heavy * found[0] + apart * one_only / share * found[1]
--- a/tests/decisions/test_step_placement.py
+++ b/tests/decisions/test_step_placement.py
@@ -290,6 +290,16 @@
     assert choose(step, [empty, other, same]) is same
 
 
+def test_lasting_tasks_of_alike_images_share_workers() -> None:
+    """Guards against spreading images over workers without regard to their groups."""
+    alike, unlike = worker("a"), worker("b")
+    unlike.allocate(StepSpec(1, SMALL, lasts=True, image="y", tail_target_ms=10))
+    alike.allocate(StepSpec(1, SMALL, lasts=True, image="z", tail_target_ms=10))
+    step = StepSpec(1, SMALL, lasts=True, image="x", tail_target_ms=10)
+    interference = InterferenceWeights({}, alike={(Image("x"), Image("z")): 0.9})
+    assert choose(step, [unlike, alike], interference) is alike
+
+
 def candidate(name: str, cpu: int, loss_s: float) -> Candidate:
     return Candidate(JobId(name), KEY, Shape(cpu, 0, 0), loss_s)
 
--- a/tests/decisions/test_weight_prediction.py
+++ b/tests/decisions/test_weight_prediction.py
@@ -11,7 +11,7 @@
     UNKNOWN_WEIGHT,
     TailLatencyModel,
 )
-from almondspan_decisions.weight_prediction import complete_rows
+from almondspan_decisions.weight_prediction import predict_weights
 
 HEAVY, LIGHT = 7.0, 0.8
 KNOWN_VARIANCE = 0.2
@@ -125,8 +125,10 @@
         InterferenceRow(Image(f"s{serving}"), image_of(number), *estimate)
         for (serving, number), estimate in known.items()
     ]
-    completed = complete_rows(rows)
-    assert completed == complete_rows(rows)
+    prediction = predict_weights(rows)
+    completed = prediction.rows
+    assert prediction == predict_weights(rows)
+    assert all(0.0 <= share <= 1.0 for share in prediction.alike.values())
     weights = [found.weight for found in completed]
     lowest = min([0.0, *(found.weight for found in rows)])
     highest = max([10.0, *(found.weight for found in rows)])
