Keep the filter's estimate of a pair that no other image tells about

A pair that was observed beside one serving image only was drawn to the mean of heavy or light weights, without evidence from another image.

--- a/packages/decisions/almondspan_decisions/weight_prediction.py
+++ b/packages/decisions/almondspan_decisions/weight_prediction.py
@@ -12,8 +12,8 @@
    a heavy pair, and disagreement against it.
 3. The other serving images, by these probabilities, tell how likely each pair is heavy.
 4. The weight of a pair is the mean of the mixture of heavy and light weights, given its
-   own estimate. The variance of the mixture is the uncertainty. Without evidence the
-   pair keeps the prior of the filter.
+   own estimate. The variance of the mixture is the uncertainty. Without evidence from
+   other serving images a pair keeps the estimate of the filter, or its prior.
 """
 
 import itertools
@@ -111,10 +111,8 @@
     completed = {(row.serving, row.best_effort_image): row for row in rows}
     for pair in ((one, image) for one in serving for image in best_effort):
         heavy = odds.heavy_probability(pair, serving, same, ratios)
-        own = evidence.get(pair)
-        if own is None and heavy is None:
-            continue
-        completed[pair] = _mixture(pair, heavy_share if heavy is None else heavy, own)
+        if heavy is not None:
+            completed[pair] = _mixture(pair, heavy, evidence.get(pair))
     alike = {
         pair: max(0.0, probability - SAME_GROUP_SHARE) / (1.0 - SAME_GROUP_SHARE)
         for pair, probability in same.items()
