Expect the pace of best-effort tasks by what a worker's own polls show

The expected pace used the mean level of a serving image over the fleet. Jobs have different phases, so the lowest level of several tasks on one worker is well below that, and tasks were started where they ran at half of the expected pace. The owner now averages for each worker the headroom above the pacer's target: by serving image, and for the lowest of all.

--- a/packages/decisions/almondspan_decisions/best_effort_placement.py
+++ b/packages/decisions/almondspan_decisions/best_effort_placement.py
@@ -67,18 +67,24 @@
         """Return the pace, 0 to 1, that keeps serving tasks in target on average."""
         image = Image(step.image)
         added = n_added * _share(step.shape.cpu_millicores, worker)
+        sensitive = {
+            served: placed_loss + weight * added
+            for served, placed_loss in self._placed_losses(worker).items()
+            if (weight := self.interference.weight(served, image)) > HARMLESS_WEIGHT
+        }
+        of_all = worker.budget.of_all() if len(sensitive) > 1 else None
         pace = 1.0
-        for served, placed_loss in self._placed_losses(worker).items():
-            weight = self.interference.weight(served, image)
-            if weight <= HARMLESS_WEIGHT:
-                continue
-            lost = placed_loss + weight * added
+        for served, lost in sensitive.items():
             if lost > 0:
-                pace = min(pace, self._budget(served) / lost)
+                budget = self._budget(served, worker) if of_all is None else of_all
+                pace = min(pace, budget / lost)
         return pace
 
-    def _budget(self, served: Image) -> float:
+    def _budget(self, served: Image, worker: WorkerRecord) -> float:
         """Return the headroom of an image that best-effort tasks may use."""
+        observed = worker.budget.of(served)
+        if observed is not None:
+            return observed
         budget = self._budgets.get(served)
         if budget is None:
             budget = max(self.interference.mean(served) - TARGET_HEADROOM, 0.0)
--- a/packages/decisions/almondspan_decisions/worker_record.py
+++ b/packages/decisions/almondspan_decisions/worker_record.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from almondspan_decisions.headroom_budget import HeadroomBudget
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName
 from almondspan_decisions.job_graph import StepSpec, TaskKey
 from almondspan_decisions.job_progress import WorkerIncarnation
@@ -64,6 +65,8 @@
     headrooms: dict[Image, float] = field(default_factory=dict)
     """Lowest headroom by serving image in the last poll (see `tail_latency_model`),
     less the expected interference of the best-effort tasks placed since then."""
+    budget: HeadroomBudget = field(default_factory=HeadroomBudget)
+    """What the serving tasks leave to best-effort tasks, on average."""
     serving_images: frozenset[Image] = frozenset()
     """Images of the tasks with a tail latency target."""
     n_changes: int = 0
--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -110,6 +110,21 @@
         for (_, image, _), headrooms in headrooms_by_group.items():
             lowest = min(min(headrooms), record.headrooms.get(image, math.inf))
             record.headrooms[image] = lowest
+        self._observe_budget(record, best_effort_shares, now_s)
+
+    def _observe_budget(
+        self, record: WorkerRecord, shares: Mapping[Image, float], now_s: float
+    ) -> None:
+        """Track what the serving tasks of a worker leave to best-effort tasks."""
+        levels = {
+            served: headroom
+            + sum(
+                self.weights.weight(served, image) * share
+                for image, share in shares.items()
+            )
+            for served, headroom in record.headrooms.items()
+        }
+        record.budget.observe(levels, now_s)
 
     def tick(self, now_s: float) -> None:
         """Periodically solve the model and send changed weights to the agents."""
--- a/tests/decisions/test_step_placement.py
+++ b/tests/decisions/test_step_placement.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from almondspan_decisions.best_effort_pacing import TARGET_HEADROOM
 from almondspan_decisions.best_effort_placement import BestEffortScores
 from almondspan_decisions.eligibility import Candidate, victims_on
 from almondspan_decisions.ids import JobId, PlaceName, ServiceName, WorkerId
@@ -300,6 +301,19 @@
     assert choose(step, [unlike, alike], interference) is alike
 
 
+def test_observed_budget_sets_the_expected_speed() -> None:
+    """Guards against the mean level where tasks of other phases share a worker."""
+    beside = worker("a", 16_000)
+    beside.allocate(SERVING_STEP)
+    weights = {(LIVE, HEAVY): 7.0}
+    scores = BestEffortScores(InterferenceWeights(weights, weights, {LIVE: 3.0}))
+    step = StepSpec(1, Shape(2_000, 1_000, 0), fills=True, image="heavy")
+    assert scores.speed(step, beside, n_added=1) == 1.0
+    for number in range(20):
+        beside.budget.observe({LIVE: TARGET_HEADROOM + 0.3}, 0.4 * number)
+    assert scores.speed(step, beside, n_added=1) == pytest.approx(0.3 / (7.0 / 8))
+
+
 def candidate(name: str, cpu: int, loss_s: float) -> Candidate:
     return Candidate(JobId(name), KEY, Shape(cpu, 0, 0), loss_s)
 
