Forecast the swing of the serving load in the pacer

The pacer extrapolated the level of a serving task by its slope, and only downwards. At the crest and on the rise the load was off by 0.3 headroom, so paces were too high before the crest and too low after it. The level is now fitted as a mean and a sine of one of six periods, and its lowest value until the next paces take effect sets the budget.

The tests of paces by headroom pass unchanged, but that a started task no longer has a time.

--- a/packages/decisions/almondspan_decisions/best_effort_pacing.py
+++ b/packages/decisions/almondspan_decisions/best_effort_pacing.py
@@ -5,8 +5,8 @@
 
 1. For every serving task it estimates the level: the headroom that the task would have
    without best-effort tasks, by the learned interference weights. The level follows
-   the load, so it is tracked with its slope and extrapolated to the time at which a
-   new pace takes effect.
+   the load, which swings, so the lowest level while a new pace is in force is forecast
+   (see `swinging_level`).
 2. The level above the target headroom is the budget for interference. Images with a
    low weight are served first; the others are paced so that together they stay within
    the rest. While a tail latency is far over its target, images with a high weight
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from almondspan_decisions.swinging_level import SwingingLevel
 from almondspan_decisions.tail_latency_model import (
     CAUTIOUS_LEVEL,
     Image,
@@ -43,14 +44,8 @@
 """Images with a lower weight are paced only once the others have stopped."""
 SEVERE_HEADROOM: Final = 0.6
 """Below this, harmful images stop so that the queue of the serving task drains."""
-FORECAST_S: Final = 0.5
-"""Time until the paces after the next poll take effect."""
-LEVEL_GAIN: Final = 0.6
-"""Weight of the newest poll in the level."""
-SLOPE_GAIN: Final = 0.25
-"""Weight of the newest poll in the level's slope."""
-MAX_GAP_S: Final = 2.0
-"""After a longer gap between polls the level starts from the observed value."""
+EFFECT_S: Final = (0.0, 0.7)
+"""The paces of a poll are in force within this time after it."""
 EXCESS_S: Final = 0.6
 """A tail latency over its target for this long is not explained by the weights."""
 LONG_EXCESS_S: Final = 1.4
@@ -87,38 +82,11 @@
     """Share that would be in use at full pace."""
 
 
-@dataclass(slots=True)
-class _Level:
-    """Tracks a level and its slope."""
-
-    value: float
-    slope_per_s: float
-    at_s: float
-
-    def update(self, observed: float, now_s: float) -> None:
-        """Update the estimate with an observed value."""
-        gap_s = now_s - self.at_s
-        if gap_s <= 0:
-            return
-        if gap_s > MAX_GAP_S:
-            self.value, self.slope_per_s, self.at_s = observed, 0.0, now_s
-            return
-        expected = self.value + self.slope_per_s * gap_s
-        error = observed - expected
-        self.value = expected + LEVEL_GAIN * error
-        self.slope_per_s += SLOPE_GAIN * error / gap_s
-        self.at_s = now_s
-
-    def forecast(self) -> float:
-        """Return the lowest value expected until a new pace takes effect."""
-        return self.value + min(self.slope_per_s, 0.0) * FORECAST_S
-
-
 @dataclass(slots=True)
 class BestEffortPacer:
     """Paces of the best-effort tasks on one worker, in percent by image."""
 
-    levels: dict[str, _Level] = field(default_factory=dict)
+    levels: dict[str, SwingingLevel] = field(default_factory=dict)
     over_since_s: dict[str, float] = field(default_factory=dict)
     cut: float = 1.0
     """Factor on the pace of all images, below 1 after an unexplained excess."""
@@ -144,9 +112,9 @@
             load.image: self.ceilings.get(load.image, 1.0) + rise for load in loads
         }
 
-    def add_serving_task(self, task: str, image: Image, now_s: float) -> ServingTask:
+    def add_serving_task(self, task: str, image: Image) -> ServingTask:
         """Return a serving task that has just started, with a cautious level."""
-        self.levels[task] = _Level(CAUTIOUS_LEVEL, 0.0, now_s)
+        self.levels.pop(task, None)
         return ServingTask(task, image, CAUTIOUS_LEVEL)
 
     def paces(
@@ -181,7 +149,7 @@
             observed = task.headroom + lost
             level = before.get(task.task)
             if level is None:
-                level = _Level(observed, 0.0, now_s)
+                level = SwingingLevel(observed, now_s)
             else:
                 level.update(observed, now_s)
             self.levels[task.task] = level
@@ -217,7 +185,8 @@
         interference: InterferenceWeights,
         paces: dict[Image, float],
     ) -> None:
-        level = self.levels[task.task]
+        level = self.levels.get(task.task)
+        lowest = level.lowest(*EFFECT_S) if level is not None else CAUTIOUS_LEVEL
         harmful: dict[Image, float] = {}
         harmless: dict[Image, float] = {}
         for load in loads:
@@ -225,7 +194,7 @@
             group = harmful if weight > HARMLESS_WEIGHT else harmless
             group[load.image] = weight * load.full_share
         is_severe = task.headroom < SEVERE_HEADROOM
-        budget = max(level.forecast() - TARGET_HEADROOM, 0.0)
+        budget = max(lowest - TARGET_HEADROOM, 0.0)
         left = max(budget - sum(harmless.values()), 0.0)
         _limit_paces(paces, harmful, 0.0 if is_severe else left)
         _limit_paces(paces, harmless, budget)
--- a/packages/jobs/almondspan_jobs/pacing.py
+++ b/packages/jobs/almondspan_jobs/pacing.py
@@ -125,9 +125,7 @@
             load = _BestEffortTask(image, 0.0, traits.cpu_millicores)
             self._best_effort.setdefault((traits.task, attempt), load)
         elif traits.tail_target_ms:
-            self._serving.append(
-                self._pacer.add_serving_task(traits.task, image, now_s)
-            )
+            self._serving.append(self._pacer.add_serving_task(traits.task, image))
         if self._best_effort and self._serving:
             await self._send_paces(worker_id, fence, now_s)
 
--- a/tests/decisions/test_tail_latency_model.py
+++ b/tests/decisions/test_tail_latency_model.py
@@ -186,7 +186,7 @@
     loads = [BestEffortLoad(HEAVY, 0.2, 0.2)]
     pacer.observe([], loads, TABLE, 10.0)
     assert pacer.paces([], loads, TABLE) == {HEAVY: 100}
-    started = pacer.add_serving_task("t", LIVE, 10.2)
+    started = pacer.add_serving_task("t", LIVE)
     assert started.headroom == CAUTIOUS_LEVEL
     left = (CAUTIOUS_LEVEL - TARGET_HEADROOM) / (7.0 * 0.2)
     assert pacer.paces([started], loads, TABLE)[HEAVY] <= 100 * left
