--- a/packages/jobs/almondspan_jobs/interference_monitor.py
+++ b/packages/jobs/almondspan_jobs/interference_monitor.py
@@ -110,6 +110,21 @@
         for (_, image, _), headrooms in headrooms_by_group.items():
             lowest = min(min(headrooms), record.headrooms.get(image, math.inf))
             record.headrooms[image] = lowest
+        self._observe_budget(record, best_effort_shares, now_s)
+
+    def _observe_budget(
+        self, record: WorkerRecord, shares: Mapping[Image, float], now_s: float
+    ) -> None:
+        """Track what the serving tasks of a worker leave to best-effort tasks."""
+        levels = {
+            served: headroom
+            + sum(
+                self.weights.weight(served, image) * share
+                for image, share in shares.items()
+            )
+            for served, headroom in record.headrooms.items()
+        }
+        record.budget.observe(levels, now_s)
 
     def tick(self, now_s: float) -> None:
         """Periodically solve the model and send changed weights to the agents."""
@@ -117,12 +132,17 @@
             return
         self._solved_s = now_s
         self.scores = BestEffortScores(self._model.weights())
+        observed = {
+            (row.serving, row.best_effort_image): row.weight
+            for row in self._model.rows()
+        }
         for worker in self._fleet.workers.values():
             self.push(worker)
         self._log.line(
             "tail_model",
             n_observed=self._model.n_observed,
-            weights=_rounded(self.weights.weights),
+            weights=_rounded(observed),
+            n_predicted=len(self.weights.weights) - len(observed),
             means={image: round(mean, 2) for image, mean in self.weights.means.items()},
         )
 
