Estimate the rest of tasks that continue from a checkpoint

The progress of an attempt that continues from a checkpoint begins above 0, so percent over time made it look fast. `remaining` takes the progress at the begin of the time. Test: a task from 50 to 90% in 2 s has 0.5 s left, not 0.2 s.

--- a/packages/decisions/almondspan_decisions/task_times.py
+++ b/packages/decisions/almondspan_decisions/task_times.py
@@ -216,7 +216,7 @@
         ran_s: float,
         percent: float,
     ) -> None:
-        """Record the progress that a running task has made in a time."""
+        """Record the progress in percent that a running task has made in `ran_s`."""
         if percent < MIN_PERCENT or ran_s <= 0.0:
             return
         whole_s = ran_s * 100.0 / percent
@@ -234,26 +234,32 @@
         return _estimate(_declared_s(step), ratio)
 
     def remaining(
-        self, queue: QueueName, step: TimedStep, ran_s: float, percent: float
+        self,
+        queue: QueueName,
+        step: TimedStep,
+        ran_s: float,
+        percent: float,
+        from_percent: float = 0.0,
     ) -> TimeEstimate:
-        """Return the expected remaining time of a task.
+        """Return the expected remaining time of a running task.
 
         Parameters
         ----------
         ran_s : float
-            How long the attempt has run.
-        percent : float
-            The progress that it has made in this time.
+            The time in which the progress rose from `from_percent` to `percent`.
+        from_percent : float
+            Above 0 if the task was continued from a checkpoint, or first listed late.
         """
         ratio = self._ratio(queue, step)
-        if percent < MIN_PERCENT or ran_s <= 0.0:
-            return _less(_estimate(_declared_s(step), ratio), max(ran_s, 0.0))
-        share = min(percent, 100.0) / 100.0
-        own_ratio = _ratio_of(ran_s / share, _declared_s(step))
-        own = _Ratio(math.log(own_ratio), _progress_variance(percent))
-        whole = _estimate(_declared_s(step), _combine(ratio, own))
-        left = 1.0 - share
-        return TimeEstimate(left * whole.mean_s, left * whole.upper_s)
+        made = min(percent, 100.0) - from_percent
+        if made < MIN_PERCENT or ran_s <= 0.0:
+            begin = 1.0 - max(0.0, min(from_percent, 100.0)) / 100.0
+            whole = _estimate(begin * _declared_s(step), ratio)
+            return _less(whole, max(ran_s, 0.0))
+        own_ratio = _ratio_of(100.0 * ran_s / made, _declared_s(step))
+        own = _Ratio(math.log(own_ratio), _progress_variance(made))
+        left = 1.0 - min(percent, 100.0) / 100.0
+        return _estimate(left * _declared_s(step), _combine(ratio, own))
 
     def work_s(self, queue: QueueName, step: TimedStep) -> float:
         """Return how long a task is expected to take without slowdown by others."""
--- a/tests/decisions/test_task_times.py
+++ b/tests/decisions/test_task_times.py
@@ -85,6 +85,14 @@
     assert remaining.upper_s >= remaining.mean_s
 
 
+def test_progress_before_the_time_that_ran_is_left_out() -> None:
+    """Guards against a task continued from a checkpoint that seems to be fast."""
+    remaining = TaskTimes().remaining(QUEUE, STEP, 2.0, 90, from_percent=50)
+    assert remaining.mean_s == pytest.approx(0.5, rel=0.2)
+    restarted = TaskTimes().remaining(QUEUE, STEP, 0.0, 50, from_percent=50)
+    assert restarted.mean_s == pytest.approx(2.0, rel=0.2)
+
+
 def test_task_without_progress_that_outlives_its_time_is_expected_to_go_on() -> None:
     remaining = [TaskTimes().remaining(QUEUE, STEP, ran_s, 0) for ran_s in (10, 20)]
     assert 0 < remaining[0].mean_s < remaining[1].mean_s
@@ -161,9 +169,13 @@
     ),
     st.floats(0, 1e6),
     st.integers(0, 120),
+    st.integers(0, 100),
 )
 def test_estimates_are_positive_and_bounded(
-    seen: list[tuple[int, float, int, bool]], ran_s: float, percent: int
+    seen: list[tuple[int, float, int, bool]],
+    ran_s: float,
+    percent: int,
+    from_percent: int,
 ) -> None:
     times = TaskTimes()
     for position, run_s, progress, has_ended in seen:
@@ -176,7 +188,7 @@
         step = TimedStep(JobId("job1"), 0, declared_s)
         for estimate in (
             times.expected(QUEUE, step),
-            times.remaining(QUEUE, step, ran_s, percent),
+            times.remaining(QUEUE, step, ran_s, percent, from_percent),
         ):
             assert 0.0 <= estimate.mean_s <= estimate.upper_s < math.inf
         assert 0.0 < times.work_s(QUEUE, step) < math.inf
