Serve the jobs first that can still be in time

In bursts beyond the capacity the order by age served each job when it was already late. Within a priority, jobs that can meet their objective now come before those that are late, and those before the ones beyond three times it; within a class the one that takes the least room, weighted by its slack, comes first. Hopeless jobs are owed a tenth of the room, so their wait is bounded. Lasting jobs, jobs without an objective and jobs that may have crashed workers keep their place by age. Run times are learned from ended tasks and from progress.

--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -27,6 +27,7 @@
 from almondspan_jobs.messages import LeaseRenewal, WorkerListing
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
+from almondspan_jobs.run_time_monitor import RunTimeMonitor
 from almondspan_platform.task_worker import EndReason
 from almondspan_wire.codec import Message
 
@@ -54,6 +55,7 @@
         fleet: Fleet,
         assignments: Assignments,
         commands: CommandDispatcher,
+        run_times: RunTimeMonitor,
         post: Callable[[WorkerId, Message], bool],
         confirmed_s: Callable[[], float],
         options: JobOptions,
@@ -64,6 +66,7 @@
         self._fleet: Final = fleet
         self._assignments: Final = assignments
         self._commands: Final = commands
+        self._run_times: Final = run_times
         self._post: Final = post
         self._confirmed_s: Final = confirmed_s
         self._options: Final = options
@@ -123,6 +126,8 @@
         job, key = found
         # An agent of a later release may know other ends; the attempt is over.
         kind = _END_KINDS.get(how, EndKind.INTERRUPTED)
+        if kind is EndKind.DONE:
+            self._run_times.on_done(job, key, lease.listed_s)
         self._assignments.end(job, key, kind, checkpoint, how)
         lease.unacknowledged.append((number, job.job_id, self._table.version(job)))
 
@@ -155,6 +160,7 @@
         if percent > task.percent or is_held:
             task.percent = percent
             task.percent_s = now_s
+            self._run_times.on_progress(job, key)
         self._check_crashes(job, key, task)
 
     def _check_crashes(self, job: JobProgress, key: TaskKey, task: TaskState) -> None:
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -12,7 +12,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -46,6 +46,10 @@
 LAST_PRIORITY: Final = 99
 """Priority of jobs without rules."""
 
+MAX_AGE_S: Final = 3_600.0
+"""A job that seems to be older as the owner first sees it counts as new: an entry's
+clock, or the owner's, has jumped."""
+
 
 @dataclass(slots=True)
 class Batch:
@@ -76,6 +80,9 @@
     """Parts, besides the head, that the store may have."""
     seen_s: float = field(default_factory=steady_s)
     """When the owner first saw the job."""
+    since_s: float = 0.0
+    """When an entry accepted the job, on the owner's steady clock. The wall clocks are
+    compared once, so that a later jump of one has no effect."""
     ended_s: float = math.inf
     """When the store had the job's final state."""
 
@@ -100,6 +107,8 @@
         self.placeable: Final[dict[JobId, None]] = {}
         """Jobs with tasks that wait for placement, in the order in which they came."""
         self.needs_planning = False
+        self.on_ended: Callable[[JobProgress], None] = lambda job: None
+        """Called once for each job that reaches a final state."""
         self._removed_at: Final[dict[JobId, Revision]] = {}
         """Jobs that are removed from the store, and at which revision at the latest."""
 
@@ -139,7 +148,8 @@
 
     def _add(self, job: JobProgress, stored: JobState) -> None:
         self.jobs[job.job_id] = job
-        self._tracking[job.job_id] = _JobTracking()
+        tracking = self._tracking[job.job_id] = _JobTracking()
+        tracking.since_s = tracking.seen_s - _age_s(job.spec.accepted_ms)
         self._set_stored_state(job, stored)
         if job.finished_ms:
             age_s = max(0, wall_ms() - job.finished_ms) / 1000
@@ -202,6 +212,12 @@
         """Return when the owner first saw a job."""
         return self._tracking[job.job_id].seen_s
 
+    def since_s(self, job: JobProgress) -> float:
+        """Return when a job was accepted, or the oldest of its occurrences was due."""
+        if job.spec.n_occurrences and job.occurrences:
+            return steady_s() - _age_s(job.spec.due_ms(next(iter(job.occurrences))))
+        return self._tracking[job.job_id].since_s
+
     def n_pending(self, queue: QueueName) -> int:
         """Return the number of pending jobs of a queue."""
         return self._n_pending[queue]
@@ -213,6 +229,7 @@
         if not job.is_active and not job.finished_ms:
             job.finished_ms = wall_ms()
             self._log.line("job_ended", job=job.job_id, state=job.state.value)
+            self.on_ended(job)
         tracking = self._tracking[job.job_id]
         tracking.version += 1
         tracking.dirty_parts[HEAD] = None
@@ -389,3 +406,9 @@
                 del self._tracking[job_id]
                 self._dirty.pop(job_id, None)
                 self._unstorable.discard(job_id)
+
+
+def _age_s(from_ms: int) -> float:
+    """Return the time since an entry's wall clock had a value; 0 if it is unlikely."""
+    age_s = (wall_ms() - from_ms) / 1000
+    return age_s if 0.0 < age_s <= MAX_AGE_S else 0.0
--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -1,4 +1,4 @@
-"""Assigns waiting tasks to workers: most urgent queue first, oldest job first.
+"""Assigns waiting tasks to workers, in the order of `JobRanking`.
 
 A step that can't be placed is checked against all workers again after `RECHECK_S`, and
 before that only against workers whose free capacity has grown. For a task that fits on
@@ -19,6 +19,7 @@
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
+from almondspan_jobs.job_ranking import JobRanking
 from almondspan_jobs.job_table import JobTable
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
@@ -66,6 +67,7 @@
     def __init__(
         self,
         table: JobTable,
+        ranking: JobRanking,
         fleet: Fleet,
         assignments: Assignments,
         interference: InterferenceMonitor,
@@ -74,6 +76,7 @@
         metrics: Metrics,
     ) -> None:
         self._table: Final = table
+        self._ranking: Final = ranking
         self._fleet: Final = fleet
         self._assignments: Final = assignments
         self._interference: Final = interference
@@ -91,19 +94,16 @@
         this_round = _Round(now_s, costs, self._checked_s, self._fleet.take_freed())
         self._checked_s = {}
         n_jobs_placed = 0
-        for job_id in sorted(self._table.placeable, key=self._plan_order):
-            job = self._table[job_id]
+        for job in self._ranking.ranked(now_s):
             rules = self._table.rules_of(job)
+            n_before = job.n_placed
             if rules is not None and self._plan_job(job, rules, this_round):
                 n_jobs_placed += 1
+                self._ranking.on_placed(job, job.n_placed - n_before, now_s)
                 self._table.mark_dirty(job)
         if n_jobs_placed:
             self._metrics.count("jobs_planned", n_jobs_placed)
 
-    def _plan_order(self, job_id: JobId) -> tuple[int, int]:
-        job = self._table[job_id]
-        return self._table.priority(job), job.spec.accepted_ms
-
     def _plan_job(self, job: JobProgress, rules: QueueRules, this: _Round) -> bool:
         """Place the tasks of one job; return whether any was placed."""
         n_placed = 0
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -2,7 +2,7 @@
 
 1. Events change the state: stored and cancelled jobs, workers' reports and listings,
    failed polls, answers to commands, and time. A changed job is `dirty`.
-2. `plan` assigns waiting tasks, most urgent queue first, oldest job first.
+2. `plan` assigns waiting tasks, most urgent queue first (see `job_order`).
 3. `snapshot` returns a group of records of dirty jobs; once it is stored, `on_stored`
    sends the commands that the stored assignments permit.
 4. `tick` repeats commands without a visible effect, revokes attempts that their worker
@@ -19,6 +19,7 @@
 
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules
+from almondspan_decisions.job_order import WaitingJob
 from almondspan_decisions.job_progress import (
     JobProgress,
     JobState,
@@ -26,6 +27,7 @@
     WorkerIncarnation,
 )
 from almondspan_decisions.tail_latency_model import InterferenceWeights
+from almondspan_decisions.task_times import TaskTimes
 from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.assignments import Assignments
 from almondspan_jobs.attempt_monitor import AttemptMonitor
@@ -36,6 +38,7 @@
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.fleet import Fleet
 from almondspan_jobs.interference_monitor import InterferenceMonitor
+from almondspan_jobs.job_ranking import JobRanking
 from almondspan_jobs.job_table import Batch, JobTable
 from almondspan_jobs.messages import (
     AttemptRevoked,
@@ -52,6 +55,7 @@
 from almondspan_jobs.preemptor import Preemptor
 from almondspan_jobs.progress_records import Part, encode_end, encode_part, part_key
 from almondspan_jobs.records import InterferenceRecord
+from almondspan_jobs.run_time_monitor import RunTimeMonitor
 from almondspan_jobs.worker_lifecycle import WorkerLifecycle
 from almondspan_platform.group_store import Write
 from almondspan_platform.store import Revision
@@ -99,6 +103,7 @@
         self._interference: Final = InterferenceMonitor(
             table, fleet, post, options, log
         )
+        self.task_times: Final = TaskTimes()
         self._commands: Final = CommandDispatcher(
             table, fleet, assignments, self._interference, post, options, log, metrics
         )
@@ -107,6 +112,7 @@
             fleet,
             assignments,
             self._commands,
+            RunTimeMonitor(table, self.task_times),
             post,
             confirmed_s,
             options,
@@ -124,8 +130,17 @@
             log,
         )
         preemptor = Preemptor(table, fleet, log)
+        self._ranking: Final = JobRanking(table, fleet, self.task_times, metrics)
+        table.on_ended = self._ranking.on_ended
         self._planner: Final = Planner(
-            table, fleet, assignments, self._interference, preemptor, options, metrics
+            table,
+            self._ranking,
+            fleet,
+            assignments,
+            self._interference,
+            preemptor,
+            options,
+            metrics,
         )
         self._mover: Final = BestEffortMover(table, fleet, self._interference, log)
 
@@ -170,6 +185,17 @@
         """Return whether there are changes to store."""
         return self._table.is_dirty
 
+    @property
+    def reported_agents(self) -> set[str]:
+        """The agents whose current workers have reported."""
+        homes = self._fleet.home_agents
+        workers = self._fleet.workers.values()
+        return {homes.get(worker.incarnation, "") for worker in workers}
+
+    def waiting_jobs(self) -> Iterable[tuple[QueueName, WaitingJob]]:
+        """Return the jobs with waiting tasks, as last ranked, with their queues."""
+        return self._ranking.waiting_jobs()
+
     def n_pending(self, queue: QueueName) -> int:
         """Return the number of pending jobs of a queue."""
         return self._table.n_pending(queue)
@@ -251,6 +277,7 @@
         self._table.add_due_occurrences()
         self._interference.tick(now_s)
         self._mover.tick(now_s)
+        self._ranking.tick(now_s)
         self._commands.tick(now_s)
         if self._table.placeable:
             self._table.needs_planning = True
--- a/tests/jobs/fleet_replay.py
+++ b/tests/jobs/fleet_replay.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from job_simulation import SERVICE, JobSimulation, SubmittedJob
+from job_simulation import EPOCH_S, SERVICE, JobSimulation, SubmittedJob
 
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import (
@@ -74,6 +74,7 @@
     best_effort_width: int = 20
     best_effort_cores: float = 1.8
     best_effort_s: float = 3.0
+    best_effort_memory_mb: int = 1_000
     n_best_effort_images: int = 9
     heavy_share: float = 0.6
     heavy: tuple[float, float] = (1.0, 2.0)
@@ -81,6 +82,11 @@
     traffic_s: float = 30.0
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     """Begin, end and factor of a burst of best-effort jobs, from the first traffic."""
+    short_bursts: tuple[tuple[float, float, float], ...] = ()
+    """The same, of short jobs."""
+    declared_error: float = 0.0
+    """Above 0, the tasks of a step are alike, and their declared time is wrong by up to
+    this factor either way."""
 
 
 @dataclass
@@ -157,7 +163,11 @@
         for number in range(pattern.n_serving_jobs):
             self._plan_serving(serving_s, number)
         end_s = traffic_s + pattern.traffic_s
-        for at_s in self._arrivals(traffic_s, end_s, pattern.short_per_s):
+        short_arrivals_s = list(self._arrivals(traffic_s, end_s, pattern.short_per_s))
+        for begin, end, factor in pattern.short_bursts:
+            rate = pattern.short_per_s * (factor - 1.0)
+            short_arrivals_s += self._arrivals(traffic_s + begin, traffic_s + end, rate)
+        for at_s in short_arrivals_s:
             n_steps = rng.choice([1, 1, 2, 3])
             steps = [self._width_of(pattern.short_width, 0.6) for _ in range(n_steps)]
             shape = Shape(int(pattern.short_cores * 1000), 500)
@@ -176,7 +186,9 @@
                 self._width_of(pattern.best_effort_width, 0.5)
                 for _ in range(rng.choice([1, 2, 2, 3]))
             ]
-            shape = Shape(int(pattern.best_effort_cores * 1000), 1_000)
+            shape = Shape(
+                int(pattern.best_effort_cores * 1000), pattern.best_effort_memory_mb
+            )
             image = f"best-effort{rng.randrange(pattern.n_best_effort_images)}"
             self._plan_chain(
                 at_s, BEST_EFFORT, steps, shape, pattern.best_effort_s, image
@@ -242,18 +254,17 @@
         image: str,
     ) -> None:
         """Plan a job whose steps run one after another."""
-        rng = self._plan_rng
         is_best_effort = bool(image)
         specs, chain_s = [], 0.0
         scripts: list[list[TaskScript]] = []
         for number, width in enumerate(widths):
-            durations = [rng.lognormvariate(-0.1, 0.4) * work_s for _ in range(width)]
+            durations, declared_s = self._durations(width, work_s)
             chain_s += max(durations)
             specs.append(
                 StepSpec(
                     width,
                     shape,
-                    int(work_s * 1000 * rng.uniform(0.8, 1.2)),
+                    int(declared_s * 1000),
                     after=(number - 1,) if number else (),
                     image=image,
                     fills=is_best_effort,
@@ -279,6 +290,16 @@
                 self.task_scripts[f"{job.job_id}.0.{number}.{position}"] = script
         self.planned.append(_Planned(at_s, job, chain_s))
 
+    def _durations(self, width: int, work_s: float) -> tuple[list[float], float]:
+        """Return the run times of a step's tasks, and the declared one."""
+        rng, error = self._plan_rng, self.pattern.declared_error
+        if not error:
+            durations = [rng.lognormvariate(-0.1, 0.4) * work_s for _ in range(width)]
+            return durations, work_s * rng.uniform(0.8, 1.2)
+        mean_s = work_s * rng.uniform(0.6, 1.4)
+        durations = [mean_s * rng.uniform(0.8, 1.25) for _ in range(width)]
+        return durations, mean_s * error ** rng.uniform(-1.0, 1.0)
+
     def _add_job(self, queue: QueueName, steps: tuple[StepSpec, ...]) -> SubmittedJob:
         job_id = JobId(f"{self._plan_rng.getrandbits(64):016x}")
         job = SubmittedJob(job_id, JobSpec(queue, "payload", steps))
@@ -298,7 +319,7 @@
     def _submit_planned(self, planned: _Planned) -> None:
         job = planned.job
         spec = job.spec
-        now_ms = int(self.loop.now_s * 1000)
+        now_ms = int((EPOCH_S + self.loop.now_s) * 1000)
         job.spec = JobSpec(spec.queue, spec.payload, spec.steps, now_ms)
         self.submit(job, self.rng.choice(self.entries))
 
--- a/tests/jobs/scheduler_harness.py
+++ b/tests/jobs/scheduler_harness.py
@@ -47,7 +47,11 @@
 
     def __init__(self) -> None:
         self.now_s = 100.0
-        clocks.use_clocks(lambda: self.now_s, lambda: 1_700_000_000 + self.now_s)
+        self.jump_s = 0.0
+        """By how much the wall clock has been set forward."""
+        clocks.use_clocks(
+            lambda: self.now_s, lambda: 1_700_000_000 + self.now_s + self.jump_s
+        )
         self.options = JobOptions()
         self.sent: list[tuple[WorkerId, Message]] = []
         self.is_linked = True
@@ -58,8 +62,9 @@
 
     def restart_owner(self) -> None:
         """Replace the scheduler by that of a new owner without state."""
+        self.metrics = Metrics()
         self.scheduler = Scheduler(
-            self.options, self.log, Metrics(), self._post, lambda: self.confirmed_s()
+            self.options, self.log, self.metrics, self._post, lambda: self.confirmed_s()
         )
         self.scheduler.rules = {QUEUE: QueueRules(SERVICE, 0, 2, 2.0, 500)}
 
--- a/tests/jobs/test_fleet_replay.py
+++ b/tests/jobs/test_fleet_replay.py
@@ -35,3 +35,29 @@
         outcome = fleet.outcome(queue)
         assert outcome.n_jobs == len(outcome.stretches) > 0
         assert outcome.earned == 1.0
+
+
+BURSTS = LoadPattern(
+    n_workers=8,
+    n_serving_jobs=3,
+    serving_width=6,
+    short_per_s=2.5,
+    short_width=10,
+    short_cores=1.3,
+    short_s=1.0,
+    best_effort_per_s=0.15,
+    best_effort_width=10,
+    traffic_s=25.0,
+    declared_error=1.9,
+    short_bursts=((4.0, 9.0, 2.6), (14.0, 20.0, 2.0)),
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_most_short_jobs_end_in_time_in_bursts(replay: Replay, seed: int) -> None:
+    """Guards against an order by age: three of four short jobs were late."""
+    fleet = replay(BURSTS, seed)
+    assert fleet.violations() == []
+    outcome = fleet.outcome(SHORT)
+    assert len(outcome.stretches) == outcome.n_jobs
+    assert outcome.earned > 0.5
