--- a/packages/jobs/almondspan_jobs/evacuator.py
+++ b/packages/jobs/almondspan_jobs/evacuator.py
@@ -81,7 +81,7 @@
         self._table.needs_planning = True
         self._reported_s = 0.0
         if evacuations.terms.is_used:
-            self._metrics.set("evacuated_places", len(requests.since_s))
+            self._metrics.set_gauge("evacuated_places", len(requests.since_s))
 
     def tick(self, now_s: float) -> None:
         """Judge the tasks in evacuated places when that is due, and stop some."""
@@ -179,8 +179,8 @@
         if not self._fleet.evacuations.terms.is_used:
             return
         n_stuck = sum(task.outlook in STUCK for task in remaining)
-        self._metrics.set("evacuation_tasks", len(remaining))
-        self._metrics.set("evacuation_tasks_stuck", n_stuck)
+        self._metrics.set_gauge("evacuation_tasks", len(remaining))
+        self._metrics.set_gauge("evacuation_tasks_stuck", n_stuck)
 
     def _report(self, remaining: Sequence[RemainingTask], now_s: float) -> None:
         """Log what remains, and some of the tasks that can't move."""
@@ -201,7 +201,7 @@
     def close(self) -> None:
         """Report nothing further: another entry owns the jobs, or none does."""
         if self._fleet.evacuations.terms.is_used:
-            self._metrics.set("evacuated_places", 0)
+            self._metrics.set_gauge("evacuated_places", 0)
             self._set_gauges([])
 
 
