Leave what a worker runs until it has reported to a new owner

Cause: an inherited attempt was revoked as soon as a start command was due and no worker of its incarnation had reported, although the worker may run it. Change: such an attempt is left alone; the worker's report and listing, its next incarnation or the end of its lease settle it. The new test failed before.

--- a/packages/jobs/almondspan_jobs/command_dispatcher.py
+++ b/packages/jobs/almondspan_jobs/command_dispatcher.py
@@ -229,6 +229,10 @@
         now_s: float,
     ) -> None:
         record = self._fleet.record_of(incarnation)
+        if record is None and task.is_inherited:
+            # The worker has not reported to this owner yet, and may run the attempt.
+            # Its report, its next incarnation or the end of its lease will tell.
+            return
         if record is None or record.is_leaving:
             if task.n_sends == 0:
                 self._assignments.release(job, key, "worker_unfit")
--- a/tests/jobs/test_unreachable_workers.py
+++ b/tests/jobs/test_unreachable_workers.py
@@ -186,6 +186,24 @@
     assert leases[WorkerIncarnation(WORKER, STARTED_MS + 1)].unreachable_s == 0.0
 
 
+def test_new_owner_leaves_the_tasks_of_a_worker_that_reports_late(
+    harness: SchedulerHarness,
+) -> None:
+    """Guards against stopping what runs on workers that a takeover reaches late."""
+    harness.report_worker()
+    harness.add()
+    stored = harness.scheduler.jobs[JOB]
+    harness.restart_owner()
+    harness.scheduler.load(stored)
+    for _ in range(5):
+        harness.advance(harness.options.tick_s)
+    harness.report_worker(is_listed=False)
+    harness.list_worker(running=[(TASK, 1, "", 10, 0.0)])
+    harness.advance(harness.options.command_resend_s)
+    assert harness.take_sent(StopCommand) == []
+    assert n_placed(harness) == 1
+
+
 def run_and_submit(simulation: JobSimulation, for_s: float) -> None:
     """Run for a while, in which a job comes in every `JOB_INTERVAL_S`."""
     for _ in range(round(for_s / JOB_INTERVAL_S)):
