Reject at submission what surely can't be served

A job that fits on no worker waited for ever, and a job behind a backlog of more urgent work was accepted although it could only end when it was of no worth. The owner gives the entries figures twice a second: the largest workers of each label, and how long the work before a new job of each queue lasts at least. An entry rejects a job that fits on no worker of a stable fleet, or whose queue's backlog has been longer than three times the job's objective for as long. Retry-After sends callers back one after another.

A rejection is truthful: it waits for figures requested 1 s later, which no longer settle anything if an entry has fallen silent or has a write of unknown outcome, and reads that the store does not have the job. Without figures of the last 2 s, or from an owner of an earlier release, entries accept.

--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from almondspan_jobs.admission_gate import AdmissionGate
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.job_api import JobApi
 from almondspan_jobs.leadership import Leadership
@@ -56,7 +57,10 @@
             rng,
             self._link.set_owner,
         )
-        self.job_api: Final = JobApi(store, self._link, options, log, metrics)
+        self._gate: Final = AdmissionGate(node, self._link, options, log, metrics)
+        self.job_api: Final = JobApi(
+            store, self._link, options, log, metrics, self._gate
+        )
         self._host: Final = host
         self._port: Final = port
         self._network: Final = network
@@ -68,9 +72,11 @@
             self._host, self._port, self._serve_entry
         )
         await self.leadership.start()
+        await self._gate.start()
 
     async def close(self) -> None:
         """Resign from the ownership and close the links."""
+        await self._gate.close()
         await self.leadership.close()
         await self._link.close()
         if self._listener is not None:
--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -6,6 +6,9 @@
   of another one at this entry. An unanswered write is repeated, here and through the
   owner; if the outcome stays uncertain, it is reported as unknown and the caller may
   submit again.
+- A job that surely can't be served is rejected before anything is written (see
+  `admission`), but only if the store does not have it, and no write of it may take
+  effect later: a repeated submission of a stored job is answered as accepted.
 - States come from the owner's stored decisions. Without an owner they are read from
   the store; only the store can tell that a job does not exist.
 """
@@ -20,6 +23,7 @@
 from almondspan_decisions.ids import JobId
 from almondspan_decisions.job_graph import JobSpec, QueueName, spec_fault
 from almondspan_decisions.job_progress import JobState
+from almondspan_jobs.admission_gate import AdmissionGate
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
@@ -80,6 +84,8 @@
     reason: str = ""
     stored: KeyValue | None = None
     """What the store has, if it told this entry."""
+    retry_after_s: float = 0.0
+    """When the caller may try again; 0 if nothing is known of it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +107,11 @@
         options: JobOptions,
         log: EventLog,
         metrics: Metrics,
+        gate: AdmissionGate | None = None,
     ) -> None:
+        self._gate: Final = gate
+        if gate is not None:
+            gate.is_settled = self.is_settled
         self._store: Final = store
         self._owner: Final = owner
         self._options: Final = options
@@ -111,6 +121,12 @@
         """Jobs with a write of uncertain outcome, and when it was given up."""
         self._n_requests: Final[Counter[JobId]] = Counter()
         """Number of requests that are writing a job now."""
+        self._write_begun_s: Final[dict[int, float]] = {}
+        """When each write that is not answered yet has begun, the oldest first."""
+        self._last_write = 0
+        self._n_doubted: Final[Counter[JobId]] = Counter()
+        """Number of requests that may be about to reject a job."""
+        self._written_when_doubted: Final[set[JobId]] = set()
         self._probe_failed_s = -math.inf
         """When a probe of the store last got no answer."""
 
@@ -124,12 +140,60 @@
         elif len(record) > self._options.max_value_bytes:
             reason = f"a record of {len(record)} bytes"
             answer = JobAnswer(StoreResult.TOO_LARGE, reason)
+        elif (rejected := await self._rejected(job_id, spec, budget_s)) is not None:
+            answer = rejected
         else:
             answer = await self._store_job(job_id, record, began_s + budget_s)
             self._notify_of_job(job_id, answer)
         self._record_outcome("job_submitted", "submit", job_id, answer, began_s)
         return answer
 
+    # Admission
+
+    @property
+    def _has_slow_write(self) -> bool:
+        oldest_s = next(iter(self._write_begun_s.values()), math.inf)
+        return steady_s() - oldest_s > self._options.slow_write_s
+
+    def is_settled(self) -> bool:
+        """Return whether no write is unanswered for long, or of uncertain outcome."""
+        self._forget_late_writes(steady_s())
+        return not self._uncertain_since_s and not self._has_slow_write
+
+    async def _rejected(
+        self, job_id: JobId, spec: JobSpec, budget_s: float
+    ) -> JobAnswer | None:
+        """Return the rejection of a job that surely can't be served, if it is one."""
+        if self._gate is None or self._gate.find_cause(spec) is None:
+            return None
+        self._n_doubted[job_id] += 1
+        try:
+            if not await self._gate.confirmed(spec, budget_s / 2):
+                return None
+            if await self._may_be_stored(job_id):
+                return None
+            rejection = self._gate.reject(spec)
+        finally:
+            self._n_doubted[job_id] -= 1
+            if not self._n_doubted[job_id]:
+                del self._n_doubted[job_id]
+                self._written_when_doubted.discard(job_id)
+        if rejection is None:
+            return None
+        reason = rejection.reason
+        retry_after_s = rejection.retry_after_s
+        return JobAnswer(
+            StoreResult.NOT_DONE, reason, None, retry_after_s=retry_after_s
+        )
+
+    async def _may_be_stored(self, job_id: JobId) -> bool:
+        """Return whether the store may have a job, or a write of it take effect."""
+        found = await self._store.get(job_key(job_id))
+        if not isinstance(found, Found) or found.item is not None:
+            return True
+        is_written = self._n_requests[job_id] or job_id in self._written_when_doubted
+        return bool(is_written) or self._has_uncertain_write(job_id, steady_s())
+
     def _notify_of_job(self, job_id: JobId, answer: JobAnswer) -> None:
         """Tell the owner of a job what the store has, which may be another's record."""
         stored = answer.stored
@@ -172,9 +236,18 @@
     ) -> JobAnswer:
         """Write directly or through the owner until stored or out of time."""
         self._n_requests[job_id] += 1
+        if job_id in self._n_doubted:
+            self._written_when_doubted.add(job_id)
+        self._last_write += 1
+        number = self._last_write
+        self._write_begun_s[number] = steady_s()
         try:
             return await self._write_until_answered(job_id, record, group, until_s)
+        except asyncio.CancelledError:
+            self._uncertain_since_s[job_id] = steady_s()
+            raise
         finally:
+            del self._write_begun_s[number]
             self._n_requests[job_id] -= 1
             if not self._n_requests[job_id]:
                 del self._n_requests[job_id]
@@ -212,13 +285,17 @@
 
     def _has_uncertain_write(self, job_id: JobId, now_s: float) -> bool:
         """Return whether an earlier write of the job may still take effect."""
+        self._forget_late_writes(now_s)
+        return job_id in self._uncertain_since_s
+
+    def _forget_late_writes(self, now_s: float) -> None:
+        """Forget the writes that can no longer take effect."""
         limit_s = now_s - self._options.late_write_s
         self._uncertain_since_s = {
             name: since_s
             for name, since_s in self._uncertain_since_s.items()
             if since_s > limit_s
         }
-        return job_id in self._uncertain_since_s
 
     async def _write_by_owner(
         self, job_id: JobId, record: bytes, reason: str
--- a/packages/jobs/almondspan_jobs/leadership.py
+++ b/packages/jobs/almondspan_jobs/leadership.py
@@ -305,7 +305,9 @@
         )
 
     def _make_record(self, epoch: int) -> OwnerRecord:
-        return OwnerRecord(epoch, self._node, self._host, self._port)
+        return OwnerRecord(
+            epoch, self._node, self._host, self._port, answers_admission=True
+        )
 
     async def _run_owner(self, committer: HeadCommitter) -> None:
         owner = Owner(
--- a/packages/jobs/almondspan_jobs/messages.py
+++ b/packages/jobs/almondspan_jobs/messages.py
@@ -43,6 +43,8 @@
     "AttemptRevoked",
     "StoreJob",
     "StoreReply",
+    "AdmissionRequest",
+    "AdmissionUpdate",
     "TaskTraits",
     "WorkerListing",
     "WorkerReport",
@@ -257,6 +259,41 @@
     n_jobs: int
 
 
+@message
+class AdmissionRequest(Message, frozen=True, tag="j-admission?"):
+    """An entry asks for the figures by which it may reject jobs.
+
+    Sent only to an owner whose `OwnerRecord` answers it.
+    """
+
+    number: int
+    entry: str
+    is_settled: bool
+    """Whether no write of the entry is unanswered for long, or of uncertain outcome."""
+    sizes_epoch: Count
+    sizes_version: Count
+    """Which sizes of workers the entry has."""
+
+
+@message
+class AdmissionUpdate(Message, frozen=True, tag="j-admission"):
+    """The figures by which entries may reject jobs (see `almondspan_decisions`).
+
+    `sizes` has rows of service, label, processors in thousandths, memory in megabytes
+    and accelerators; it is empty if the entry has them already. `backlogs` has rows of
+    queue, seconds to drain, seconds for one more job, and waiting jobs.
+    """
+
+    number: int
+    is_settled: bool
+    n_entries: Count
+    are_sizes_known: bool
+    sizes_epoch: Count
+    sizes_version: Count
+    sizes: list[tuple[str, str, Count, Count, Count]]
+    backlogs: list[tuple[str, Measure, Measure, Count]]
+
+
 @message
 class JobStored(Message, frozen=True, tag="j-stored"):
     """Notifies the owner of a stored job ahead of its store watch."""
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -104,6 +104,10 @@
     answer_margin_s: float = 0.4
     """How long before the caller's deadline an answer is sent."""
     ask_timeout_s: float = 0.5
+    admission_interval_s: float = 0.5
+    """How often an entry asks the owner for the figures of the admission."""
+    slow_write_s: float = 0.25
+    """An entry with a write that is unanswered for longer is not settled."""
     max_payload_bytes: int = 4_000
     max_value_bytes: int = 1_000_000
     """The longest value that the store takes."""
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -15,11 +15,13 @@
 
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import QueueName, QueueRules
+from almondspan_jobs.admission_desk import AdmissionDesk
 from almondspan_jobs.agent_link import AgentLink
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.committer import CommitResult, HeadCommitter
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.messages import (
+    AdmissionRequest,
     JobCancelled,
     JobStored,
     PendingCountReply,
@@ -103,6 +105,9 @@
         self._reported: Revision | None = None
         """The revision up to which the watch has reported all changes of jobs."""
         self._agents: Mapping[str, AgentRecord] = {}
+        self._admission: Final = AdmissionDesk(
+            self.scheduler, lambda: self._agents, committer.epoch, options, log
+        )
         self.ended: Final = asyncio.Event()
 
     @property
@@ -331,6 +336,8 @@
         if isinstance(body, PendingCountRequest):
             n_jobs = self.scheduler.n_pending(body.queue) if self.is_serving else -1
             return PendingCountReply(body.number, n_jobs)
+        if isinstance(body, AdmissionRequest):
+            return self._admission.answer(body) if self.is_serving else None
         if isinstance(body, JobStored):
             self._on_job_stored(body)
         elif isinstance(body, JobCancelled) and self._loaded_at is not None:
--- a/packages/jobs/almondspan_jobs/owner_link.py
+++ b/packages/jobs/almondspan_jobs/owner_link.py
@@ -14,7 +14,12 @@
 from typing import Final
 
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.messages import PendingCountReply, StateReply, StoreReply
+from almondspan_jobs.messages import (
+    AdmissionUpdate,
+    PendingCountReply,
+    StateReply,
+    StoreReply,
+)
 from almondspan_jobs.network import DialFailed, Network
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import AgentRecord, OwnerRecord
@@ -60,6 +65,8 @@
         self._rng: Final = rng
         self._record: OwnerRecord | None = None
         self._channel: Channel | None = None
+        self._is_relayed = False
+        """Whether the channel leads through an agent, perhaps to a later owner."""
         self._task: asyncio.Task[None] | None = None
         self._pending: Final[dict[int, asyncio.Future[Message]]] = {}
         self._background: Final[set[asyncio.Task[Message | None]]] = set()
@@ -108,6 +115,13 @@
         """Return whether the owner is local or a channel to it is open."""
         return self.is_local or self._channel is not None
 
+    @property
+    def answers_admission(self) -> bool:
+        """Return whether the owner can be asked for the figures of the admission."""
+        if self._record is None or not self._record.answers_admission:
+            return False
+        return self.is_local or (self._channel is not None and not self._is_relayed)
+
     async def request(
         self, make_request: Callable[[int], Message], timeout_s: float
     ) -> Message | NoAnswer:
@@ -147,6 +161,7 @@
         """Open a channel to the owner, directly or through an agent."""
         timeout_s = self._options.dial_timeout_s
         channel = await self._network.dial(record.host, record.port, timeout_s)
+        self._is_relayed = isinstance(channel, DialFailed)
         if not isinstance(channel, DialFailed):
             self._log.line("owner_linked", owner=record.node, epoch=record.epoch)
             return channel
@@ -184,7 +199,9 @@
                     reason=body.reason,
                 )
                 return
-            if isinstance(body, StateReply | PendingCountReply | StoreReply):
+            if isinstance(
+                body, StateReply | PendingCountReply | StoreReply | AdmissionUpdate
+            ):
                 future = self._pending.get(body.number)
                 if future is not None and not future.done():
                     future.set_result(body)
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -66,6 +66,8 @@
     node: str
     host: Host
     port: Port
+    answers_admission: bool = False
+    """Whether the owner knows `AdmissionRequest`; unknown messages end a channel."""
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
--- a/tests/jobs/fleet_replay.py
+++ b/tests/jobs/fleet_replay.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from job_simulation import EPOCH_S, SERVICE, JobSimulation, SubmittedJob
 
@@ -320,7 +320,8 @@
         job = planned.job
         spec = job.spec
         now_ms = int((EPOCH_S + self.loop.now_s) * 1000)
-        job.spec = JobSpec(spec.queue, spec.payload, spec.steps, now_ms)
+        rules = self.rules[spec.queue]
+        job.spec = replace(spec, accepted_ms=now_ms, accepted_rules=rules)
         self.submit(job, self.rng.choice(self.entries))
 
     def finish(self, limit_s: float = 30.0) -> None:
