Observe progress by tenths, and clear the gauges of a former owner

An owner passed every risen percent of every task to TaskTimes; a tenth of progress tells as much. The gauges of waiting jobs kept their last value in a process that no longer owns the jobs. Test: test_metrics_tell_the_waiting_jobs_of_each_queue_by_class.

--- a/packages/jobs/almondspan_jobs/attempt_monitor.py
+++ b/packages/jobs/almondspan_jobs/attempt_monitor.py
@@ -158,9 +158,9 @@
         task.record_listing(listing.clock_ms, percent)
         is_held = listing.is_paced and job.step_of(key).fills
         if percent > task.percent or is_held:
-            task.percent = percent
+            before, task.percent = task.percent, percent
             task.percent_s = now_s
-            self._run_times.on_progress(job, key)
+            self._run_times.on_progress(job, key, before)
         self._check_crashes(job, key, task)
 
     def _check_crashes(self, job: JobProgress, key: TaskKey, task: TaskState) -> None:
--- a/packages/jobs/almondspan_jobs/job_ranking.py
+++ b/packages/jobs/almondspan_jobs/job_ranking.py
@@ -137,6 +137,10 @@
         labels = {"queue": job.spec.queue, "class": kind.name.lower()}
         self._metrics.count("jobs_completed", 1, labels)
 
+    def close(self) -> None:
+        """Report no waiting jobs: another process may own them from now on."""
+        self._report(Counter())
+
     def tick(self, now_s: float) -> None:
         """Report the waiting jobs of each queue, by their class."""
         if now_s - self._reported_s < REPORT_S:
@@ -149,6 +153,9 @@
                 continue
             kind = time_class(waiting.demand, now_s - waiting.since_s)
             counts[(self._table[waiting.job_id].spec.queue, kind)] += 1
+        self._report(counts)
+
+    def _report(self, counts: Counter[tuple[QueueName, TimeClass]]) -> None:
         queues = {queue for queue, _ in counts}
         for queue in queues | self._reported_queues:
             for kind in TimeClass:
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -140,6 +140,7 @@
     async def close(self) -> None:
         """Cancel every task and close every channel."""
         self.ended.set()
+        self.scheduler.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/jobs/almondspan_jobs/run_time_monitor.py
+++ b/packages/jobs/almondspan_jobs/run_time_monitor.py
@@ -16,6 +16,7 @@
 __all__ = ["RunTimeMonitor"]
 
 FULL_PERCENT: Final = 100
+STEP_PERCENT: Final = 10
 MAX_FIRST_PERCENT: Final = 70
 """An attempt that was first listed later tells too little about its run time."""
 
@@ -43,11 +44,12 @@
             job.spec.queue, step, run_s, share * step.declared_s, key.position
         )
 
-    def on_progress(self, job: JobProgress, key: TaskKey) -> None:
-        """Record the progress of a listed attempt."""
+    def on_progress(self, job: JobProgress, key: TaskKey, before: int) -> None:
+        """Record the progress of a listed attempt after each `STEP_PERCENT` of it."""
         task = job.task(key)
         assert task is not None
-        if self._is_observed(job, key):
+        has_grown = task.percent // STEP_PERCENT != before // STEP_PERCENT
+        if has_grown and self._is_observed(job, key):
             self._times.observe_progress(
                 job.spec.queue,
                 timed_step(job.job_id, job.spec, key.step),
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -282,6 +282,10 @@
         if self._table.placeable:
             self._table.needs_planning = True
 
+    def close(self) -> None:
+        """Report nothing of the jobs any more."""
+        self._ranking.close()
+
     # Storing
 
     def snapshot(self) -> Snapshot:
--- a/tests/jobs/test_job_ranking.py
+++ b/tests/jobs/test_job_ranking.py
@@ -133,6 +133,10 @@
     text = harness.metrics.text()
     assert 'almondspan_jobs_waiting{queue="q",class="in_time"} 1' in text
     assert 'almondspan_jobs_waiting{queue="q",class="beyond"} 2' in text
+    harness.scheduler.close()
+    text = harness.metrics.text()
+    assert 'almondspan_jobs_waiting{queue="q",class="beyond"} 0' in text
+    harness.advance(1.0)
     for name in ("a", "b", "c"):
         harness.scheduler.cancel_job(JobId(name))
     harness.advance(1.0)
