--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from almondspan_decisions.owner_capacity import InstanceCapacity
+from almondspan_jobs.admission_gate import AdmissionGate
 from almondspan_jobs.evacuation_status import evacuation_status
 from almondspan_jobs.event_log import EventLog
 from almondspan_jobs.job_api import JobApi
@@ -61,7 +62,10 @@
             self._link.set_owner,
             capacity,
         )
-        self.job_api: Final = JobApi(store, self._link, options, log, metrics)
+        self._gate: Final = AdmissionGate(node, self._link, options, log, metrics)
+        self.job_api: Final = JobApi(
+            store, self._link, options, log, metrics, self._gate
+        )
         self._host: Final = host
         self._port: Final = port
         self._network: Final = network
@@ -73,9 +77,11 @@
             self._host, self._port, self._serve_entry
         )
         await self.leadership.start()
+        await self._gate.start()
 
     async def close(self) -> None:
         """Resign from the ownership and close the links."""
+        await self._gate.close()
         await self.leadership.close()
         await self._link.close()
         if self._listener is not None:
--- a/tests/jobs/fleet_replay.py
+++ b/tests/jobs/fleet_replay.py
@@ -419,7 +419,8 @@
         job = planned.job
         spec = job.spec
         now_ms = int((EPOCH_S + self.loop.now_s) * 1000)
-        job.spec = JobSpec(spec.queue, spec.payload, spec.steps, now_ms)
+        rules = self.rules[spec.queue]
+        job.spec = replace(spec, accepted_ms=now_ms, accepted_rules=rules)
         self.submit(job, self.rng.choice(self.entries))
 
     def finish(self, limit_s: float = 30.0) -> None:
