--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -168,7 +168,8 @@
             return None
         self._n_doubted[job_id] += 1
         try:
-            if not await self._gate.confirmed(spec, budget_s / 2):
+            wait_s = max(0.0, budget_s - self._options.admission_reserve_s)
+            if not await self._gate.confirmed(spec, wait_s):
                 return None
             if await self._may_be_stored(job_id):
                 return None
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -106,6 +106,8 @@
     ask_timeout_s: float = 0.5
     admission_interval_s: float = 0.5
     """How often an entry asks the owner for the figures of the admission."""
+    admission_reserve_s: float = 0.8
+    """Time that is left to write a job after waiting for the reason to reject it."""
     slow_write_s: float = 0.25
     """An entry with a write that is unanswered for longer is not settled."""
     max_payload_bytes: int = 4_000
