Check best-effort steps that wait alike once in a planning round

A step that waits because its tasks would run slowly was checked against all workers every 0.2 s, so planning took longer the more such steps waited. What one step found applies to later steps of the same image, label and rack with tasks of at least the same size and a wait that is not longer.

--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -14,6 +14,7 @@
 from almondspan_decisions.ids import JobId, ServiceName
 from almondspan_decisions.job_graph import QueueRules, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, TaskState
+from almondspan_decisions.shapes import Shape
 from almondspan_decisions.step_placement import PlacementCosts, StepPlacement
 from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.assignments import Assignments
@@ -33,10 +34,26 @@
 """A step is not tried in further occurrences after it found no worker in so many: its
 tasks need the same in each of them."""
 
+StartKind = tuple[ServiceName, str, str, str]
+"""What decides which workers suit a best-effort task, besides its shape: service,
+image, label and rack of its data."""
+
 StepKey = tuple[JobId, int, int]
 """Identifies a step of one occurrence: job, occurrence and number of the step."""
 
 
+@dataclass(frozen=True, slots=True)
+class _SlowStart:
+    """A best-effort task that would run slowly on all workers."""
+
+    shape: Shape
+    waited_s: float
+
+    def covers(self, shape: Shape, waited_s: float) -> bool:
+        """Return whether a task of the same image would run slowly as well."""
+        return self.shape.fits_in(shape) and waited_s <= self.waited_s
+
+
 @dataclass(slots=True)
 class _Round:
     """One planning round: its time and the workers to consider, by service."""
@@ -50,6 +67,13 @@
     freed: Sequence[WorkerRecord]
     """Workers whose free capacity has grown since the last round."""
     workers: dict[ServiceName, list[WorkerRecord]] = field(default_factory=dict)
+    slow_starts: dict[StartKind, _SlowStart] = field(default_factory=dict)
+    """Best-effort tasks that were checked against all workers in vain."""
+
+    def is_slow(self, service: ServiceName, step: StepSpec, waited_s: float) -> bool:
+        """Return whether a task of a step is known to run slowly on all workers."""
+        found = self.slow_starts.get(_start_kind(service, step))
+        return found is not None and found.covers(step.shape, waited_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +85,8 @@
     is_held: bool = False
     """A worker may run the task, but its start would slow serving tasks, other tasks
     are on trial there, or the task is to wait after a crash."""
+    is_slow: bool = False
+    """It is held since it would run slowly."""
 
 
 class Planner:
@@ -121,13 +147,22 @@
                 continue
             step_key = (job.job_id, occurrence, number)
             last_s = this.checked_s.get(step_key)
+            step = job.spec.steps[number]
+            waited_s = this.now_s - this.held_s.get(step_key, this.now_s)
+            if step.fills and this.is_slow(rules.service, step, waited_s):
+                self._held_s[step_key] = this.now_s - waited_s
+                self._checked_s[step_key] = this.now_s if last_s is None else last_s
+                continue
             is_full_check = last_s is None or this.now_s - last_s >= RECHECK_S
             workers = self._workers(rules.service, this, is_full_check)
             outcome = self._place_tasks(job, occurrence, number, workers, this)
             n_placed += outcome.n_placed
             if outcome.unplaced is None:
                 continue
-            if not outcome.is_held and not job.spec.steps[number].max_per_worker:
+            if outcome.is_slow and is_full_check and not step.max_per_worker:
+                kind = _start_kind(rules.service, step)
+                this.slow_starts[kind] = _SlowStart(step.shape, waited_s)
+            if not outcome.is_held and not step.max_per_worker:
                 n_unplaced[number] += 1
                 n_full += n_unplaced[number] == MAX_UNPLACED
             if last_s is None or is_full_check:
@@ -182,11 +217,13 @@
                 if step_key in this.held_s:
                     self._held_s[step_key] = held_s
                 return _StepOutcome(n_placed, key)
-            if self._should_wait(task, job.step_of(key), worker, held_s, this.now_s):
+            step = job.step_of(key)
+            is_slow = self._is_slow(step, worker, this.now_s - held_s)
+            if is_slow or self._would_slow_serving(task, step, worker, this.now_s):
                 if step_key not in this.held_s:
                     self._metrics.count("best_effort_steps_held")
                 self._held_s[step_key] = held_s
-                return _StepOutcome(n_placed, key, is_held=True)
+                return _StepOutcome(n_placed, key, is_held=True, is_slow=is_slow)
             if step_key in this.held_s:
                 self._metrics.observe_s("best_effort_hold", this.now_s - held_s)
             self._assignments.place(job, key, worker, scores, this.now_s)
@@ -194,23 +231,25 @@
             n_placed += 1
         return _StepOutcome(n_placed, untried, is_held=untried is not None)
 
-    def _should_wait(
-        self,
-        task: TaskState,
-        step: StepSpec,
-        worker: WorkerRecord,
-        held_s: float,
-        now_s: float,
-    ) -> bool:
-        """Return whether a best-effort task waits for a better start."""
+    def _is_slow(self, step: StepSpec, worker: WorkerRecord, waited_s: float) -> bool:
+        """Return whether a best-effort task waits for a worker where it runs faster."""
         if not step.fills:
             return False
-        scores = self._interference.scores
-        speed = scores.speed(step, worker, n_added=1)
+        speed = self._interference.scores.speed(step, worker, n_added=1)
         is_alone = worker.best_effort_millicores <= 0
-        if speed < useful_speed(now_s - held_s, is_alone=is_alone):
-            return True
-        if not scores.n_affected_by_start(step, worker):
+        return speed < useful_speed(waited_s, is_alone=is_alone)
+
+    def _would_slow_serving(
+        self, task: TaskState, step: StepSpec, worker: WorkerRecord, now_s: float
+    ) -> bool:
+        """Return whether a best-effort task waits to avoid slowing serving tasks."""
+        if not step.fills:
+            return False
+        if not self._interference.scores.n_affected_by_start(step, worker):
             return False
         task.held_s = task.held_s or now_s
         return now_s - task.held_s < self._options.best_effort_wait_s
+
+
+def _start_kind(service: ServiceName, step: StepSpec) -> StartKind:
+    return service, step.image, step.label, step.data_rack
--- a/tests/jobs/test_best_effort_admission.py
+++ b/tests/jobs/test_best_effort_admission.py
@@ -6,14 +6,18 @@
 from scheduler_harness import JOB, QUEUE, SchedulerHarness, n_placed
 
 from almondspan_decisions.best_effort_admission import PATIENCE_S, useful_speed
+from almondspan_decisions.best_effort_placement import BestEffortScores
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import JobSpec, StepSpec
 from almondspan_decisions.shapes import Shape
+from almondspan_decisions.worker_record import WorkerRecord
 from almondspan_jobs.records import InterferenceRecord
 
 TASK = f"{JOB}.0.0.0"
 SERVING_JOB = JobId("00000000000000aa")
+OTHER_JOB = JobId("00000000000000bb")
 OTHER = WorkerId("w-2")
+N_WAITING = 30
 WIDTH = 6
 
 
@@ -72,6 +76,42 @@
     assert n_placed(harness) == 1
 
 
+def test_smaller_task_of_the_same_image_is_placed(harness: SchedulerHarness) -> None:
+    harness.report_worker()
+    harness.add(best_effort())
+    small = JobSpec(QUEUE, "payload", (best_effort(millicores=500),))
+    harness.scheduler.add_job(OTHER_JOB, small)
+    harness.plan_and_store()
+    assert harness.scheduler.jobs[OTHER_JOB].n_placed > 0
+
+
+def test_steps_that_wait_alike_are_checked_once(
+    harness: SchedulerHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards planning with many waiting steps, each checked against all workers."""
+    harness.report_worker()
+    harness.add(best_effort())
+    for number in range(N_WAITING):
+        spec = JobSpec(QUEUE, "payload", (best_effort(),), accepted_ms=1 + number)
+        harness.scheduler.add_job(JobId(f"{number:016x}"), spec)
+    harness.plan_and_store()
+    n_scored = 0
+    cost = BestEffortScores.cost
+
+    def counted(
+        scores: BestEffortScores, step: StepSpec, worker: WorkerRecord
+    ) -> float:
+        nonlocal n_scored
+        n_scored += 1
+        return cost(scores, step, worker)
+
+    monkeypatch.setattr(BestEffortScores, "cost", counted)
+    harness.list_worker(running=[(TASK, 1, "", 5, 2_000.0)])
+    harness.advance(0.5)
+    harness.plan_and_store()
+    assert 1 <= n_scored < N_WAITING
+
+
 @pytest.mark.parametrize(
     ("waited_s", "is_alone", "least"),
     [
