--- a/tests/jobs/test_fleet_replay.py
+++ b/tests/jobs/test_fleet_replay.py
@@ -15,6 +15,9 @@
 MAX_INTERFERED_S = 4.0
 """A task may not stay over its target for so long while best-effort tasks run."""
 
+MAX_RUN_S = 10.0
+"""A job of two steps is to end within 22 s, so its tasks may not run for longer."""
+
 Replay = Callable[[LoadPattern, int], FleetReplay]
 
 
@@ -65,3 +68,12 @@
     assert fleet.counts.longest_interfered_s < MAX_INTERFERED_S
     outcome = fleet.outcome(BEST_EFFORT)
     assert outcome.n_jobs == len(outcome.stretches) > 0
+
+
+def test_crowded_best_effort_tasks_run_at_a_useful_speed(replay: Replay) -> None:
+    """Guards against many tasks that each run at a fraction of their speed.
+
+    With these seeds more best-effort tasks arrive than the small fleet can run.
+    """
+    times = [replay(SMALL_GROUPED, seed).best_effort_times() for seed in (4, 6, 8)]
+    assert sum(time.run_s[1] for time in times) / len(times) < MAX_RUN_S
