Let short best-effort tasks wait for two run times at most

A step waited for up to 8 s for workers where its tasks run faster, whatever they take. Waiting for longer than two run times costs more than a slow run.

Evidence: test_short_tasks_wait_for_a_short_time; before, tasks of 0.5 s were still waiting after 1.5 s.

--- a/packages/jobs/almondspan_jobs/planner.py
+++ b/packages/jobs/almondspan_jobs/planner.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from almondspan_decisions.best_effort_admission import useful_speed
+from almondspan_decisions.best_effort_admission import patience_left, useful_speed
 from almondspan_decisions.ids import JobId, ServiceName
 from almondspan_decisions.job_graph import QueueRules, StepSpec, TaskKey
 from almondspan_decisions.job_progress import JobProgress, TaskState
@@ -47,11 +47,11 @@
     """A best-effort task that would run slowly on all workers."""
 
     shape: Shape
-    waited_s: float
+    patience: float
 
-    def covers(self, shape: Shape, waited_s: float) -> bool:
-        """Return whether a task of the same image would run slowly as well."""
-        return self.shape.fits_in(shape) and waited_s <= self.waited_s
+    def covers(self, shape: Shape, patience: float) -> bool:
+        """Return whether a task of the same image would run too slowly as well."""
+        return self.shape.fits_in(shape) and patience >= self.patience
 
 
 @dataclass(slots=True)
@@ -70,10 +70,15 @@
     slow_starts: dict[StartKind, _SlowStart] = field(default_factory=dict)
     """Best-effort tasks that were checked against all workers in vain."""
 
-    def is_slow(self, service: ServiceName, step: StepSpec, waited_s: float) -> bool:
-        """Return whether a task of a step is known to run slowly on all workers."""
+    def is_slow(self, service: ServiceName, step: StepSpec, patience: float) -> bool:
+        """Return whether a task of a step is known to run too slowly on all workers."""
         found = self.slow_starts.get(_start_kind(service, step))
-        return found is not None and found.covers(step.shape, waited_s)
+        return found is not None and found.covers(step.shape, patience)
+
+    def patience_of(self, step_key: StepKey, step: StepSpec) -> float:
+        """Return the share of its patience that a best-effort step has left."""
+        waited_s = self.now_s - self.held_s.get(step_key, self.now_s)
+        return patience_left(waited_s, step.estimate_ms / 1000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,9 +153,9 @@
             step_key = (job.job_id, occurrence, number)
             last_s = this.checked_s.get(step_key)
             step = job.spec.steps[number]
-            waited_s = this.now_s - this.held_s.get(step_key, this.now_s)
-            if step.fills and this.is_slow(rules.service, step, waited_s):
-                self._held_s[step_key] = this.now_s - waited_s
+            patience = this.patience_of(step_key, step)
+            if step.fills and this.is_slow(rules.service, step, patience):
+                self._held_s[step_key] = this.held_s.get(step_key, this.now_s)
                 self._checked_s[step_key] = this.now_s if last_s is None else last_s
                 continue
             is_full_check = last_s is None or this.now_s - last_s >= RECHECK_S
@@ -161,7 +166,7 @@
                 continue
             if outcome.is_slow and is_full_check and not step.max_per_worker:
                 kind = _start_kind(rules.service, step)
-                this.slow_starts[kind] = _SlowStart(step.shape, waited_s)
+                this.slow_starts[kind] = _SlowStart(step.shape, patience)
             if not outcome.is_held and not step.max_per_worker:
                 n_unplaced[number] += 1
                 n_full += n_unplaced[number] == MAX_UNPLACED
@@ -218,7 +223,7 @@
                     self._held_s[step_key] = held_s
                 return _StepOutcome(n_placed, key)
             step = job.step_of(key)
-            is_slow = self._is_slow(step, worker, this.now_s - held_s)
+            is_slow = self._is_slow(step, worker, this.patience_of(step_key, step))
             if is_slow or self._would_slow_serving(task, step, worker, this.now_s):
                 if step_key not in this.held_s:
                     self._metrics.count("best_effort_steps_held")
@@ -231,13 +236,13 @@
             n_placed += 1
         return _StepOutcome(n_placed, untried, is_held=untried is not None)
 
-    def _is_slow(self, step: StepSpec, worker: WorkerRecord, waited_s: float) -> bool:
+    def _is_slow(self, step: StepSpec, worker: WorkerRecord, patience: float) -> bool:
         """Return whether a best-effort task waits for a worker where it runs faster."""
         if not step.fills:
             return False
         speed = self._interference.scores.speed(step, worker, n_added=1)
         is_alone = worker.best_effort_millicores <= 0
-        return speed < useful_speed(waited_s, is_alone=is_alone)
+        return speed < useful_speed(patience, is_alone=is_alone)
 
     def _would_slow_serving(
         self, task: TaskState, step: StepSpec, worker: WorkerRecord, now_s: float
--- a/tests/jobs/test_best_effort_admission.py
+++ b/tests/jobs/test_best_effort_admission.py
@@ -1,11 +1,17 @@
 """Best-effort tasks wait, for a bounded time, where they would run slowly."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from scheduler_harness import JOB, QUEUE, SchedulerHarness, n_placed
 
-from almondspan_decisions.best_effort_admission import PATIENCE_S, useful_speed
+from almondspan_decisions.best_effort_admission import (
+    PATIENCE_S,
+    patience_left,
+    useful_speed,
+)
 from almondspan_decisions.best_effort_placement import BestEffortScores
 from almondspan_decisions.ids import JobId, WorkerId
 from almondspan_decisions.job_graph import JobSpec, StepSpec
@@ -112,25 +118,41 @@
     assert 1 <= n_scored < N_WAITING
 
 
+def test_short_tasks_wait_for_a_short_time(harness: SchedulerHarness) -> None:
+    """Guards against waiting for longer than a slow run would take."""
+    harness.report_worker()
+    harness.add(replace(best_effort(), estimate_ms=500))
+    assert n_placed(harness) == 2
+    advance_listed(harness, 1.5)
+    assert n_placed(harness) == WIDTH
+
+
 @pytest.mark.parametrize(
-    ("waited_s", "is_alone", "least"),
+    ("waited_s", "run_s", "is_alone", "least"),
     [
-        pytest.param(0.0, False, 0.7, id="at_first"),
-        pytest.param(0.0, True, 0.3, id="at_first_alone"),
-        pytest.param(PATIENCE_S / 2, False, 0.35, id="halfway"),
-        pytest.param(PATIENCE_S, False, 0.0, id="at_the_end"),
+        pytest.param(0.0, 4.0, False, 0.7, id="at_first"),
+        pytest.param(0.0, 4.0, True, 0.3, id="at_first_alone"),
+        pytest.param(PATIENCE_S / 2, 4.0, False, 0.35, id="halfway"),
+        pytest.param(PATIENCE_S, 60.0, False, 0.0, id="long_task_at_the_end"),
+        pytest.param(PATIENCE_S / 2, 60.0, False, 0.35, id="long_task_halfway"),
+        pytest.param(PATIENCE_S / 2, 0.0, False, 0.35, id="unknown_run_time"),
+        pytest.param(0.5, 0.5, False, 0.35, id="short_task_halfway"),
+        pytest.param(1.0, 0.5, False, 0.0, id="short_task_at_the_end"),
     ],
 )
-def test_useful_speed(waited_s: float, is_alone: bool, least: float) -> None:
-    assert useful_speed(waited_s, is_alone=is_alone) == pytest.approx(least)
+def test_useful_speed(
+    waited_s: float, run_s: float, is_alone: bool, least: float
+) -> None:
+    patience = patience_left(waited_s, run_s)
+    assert useful_speed(patience, is_alone=is_alone) == pytest.approx(least)
 
 
-@given(st.floats(0.0, 1e6), st.floats(0.0, 1e6), st.booleans())
+@given(st.floats(0.0, 1e6), st.floats(0.0, 1e6), st.floats(0.001, 1e6), st.booleans())
 def test_useful_speed_falls_with_the_wait(
-    one_s: float, other_s: float, is_alone: bool
+    one_s: float, other_s: float, run_s: float, is_alone: bool
 ) -> None:
     """A task never waits longer than its patience."""
-    first = useful_speed(min(one_s, other_s), is_alone=is_alone)
-    later = useful_speed(max(one_s, other_s), is_alone=is_alone)
+    first = useful_speed(patience_left(min(one_s, other_s), run_s), is_alone=is_alone)
+    later = useful_speed(patience_left(max(one_s, other_s), run_s), is_alone=is_alone)
     assert 0.0 <= later <= first <= 1.0
-    assert useful_speed(PATIENCE_S + one_s, is_alone=is_alone) == 0.0
+    assert patience_left(PATIENCE_S + one_s, run_s) == 0.0
