Bound the channels and unfinished frames of other processes

A channel held its partial frame until cycles were collected, and one full of short frames kept the event loop.

A channel releases its bytes when it closes, and lets others run after 64 frames. An entry stores at most 4 MB of other entries' jobs at the same time and refuses others; there was no bound.

--- a/packages/jobs/almondspan_jobs/entry.py
+++ b/packages/jobs/almondspan_jobs/entry.py
@@ -10,9 +10,9 @@
 from typing import Final
 
 from almondspan_jobs.event_log import EventLog
-from almondspan_jobs.job_api import JobApi
+from almondspan_jobs.job_api import JobApi, StoreResult
 from almondspan_jobs.leadership import Leadership
-from almondspan_jobs.messages import StoreJob
+from almondspan_jobs.messages import StoreJob, StoreReply
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.network import Listener, Network
 from almondspan_jobs.options import JobOptions
@@ -24,6 +24,12 @@
 
 __all__ = ["JobEntry"]
 
+MAX_RELAYED_BYTES: Final = 4_000_000
+"""Records of other entries that are being stored at the same time."""
+
+RELAYED_BYTES: Final = 4_000
+"""What such a record holds besides its bytes."""
+
 
 class JobEntry:
     """The jobs subsystem of one entry."""
@@ -41,6 +47,7 @@
         rng: random.Random,
     ) -> None:
         self._log: Final = log
+        self._metrics: Final = metrics
         self._link: Final = OwnerLink(
             node, network, self._answer, self._agents, options, log, rng
         )
@@ -61,6 +68,7 @@
         self._port: Final = port
         self._network: Final = network
         self._listener: Listener | None = None
+        self._n_relayed_bytes = 0
 
     async def start(self) -> None:
         """Listen for other entries and join the leader election."""
@@ -94,14 +102,30 @@
                     self._log.line("entry_lost", cause=cause, reason=body.reason)
                     return
                 if isinstance(body, StoreJob):
+                    if not self._may_relay(body):
+                        refusal = StoreResult.NOT_DONE.value
+                        await channel.send(StoreReply(body.number, refusal))
+                        continue
                     group.create_task(self._reply(channel, body))
                     continue
                 answer = await self._answer(body)
                 if answer is not None:
                     await channel.send(answer)
 
+    def _may_relay(self, body: StoreJob) -> bool:
+        """Return whether a record fits beside those that are being stored."""
+        n_bytes = self._n_relayed_bytes + len(body.record) + RELAYED_BYTES
+        if self._n_relayed_bytes and n_bytes > MAX_RELAYED_BYTES:
+            self._metrics.count("relayed_jobs_refused")
+            return False
+        self._n_relayed_bytes = n_bytes
+        return True
+
     async def _reply(self, channel: Channel, body: StoreJob) -> None:
-        await channel.send(await self.job_api.relay(body))
+        try:
+            await channel.send(await self.job_api.relay(body))
+        finally:
+            self._n_relayed_bytes -= len(body.record) + RELAYED_BYTES
 
     async def _answer(self, body: Message) -> Message | None:
         if isinstance(body, StoreJob):
--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -210,6 +210,11 @@
         """Return whether another request's write of the job may still take effect."""
         return self._n_requests[job_id] > 1 or self._has_uncertain_write(job_id, now_s)
 
+    def may_be_stored(self, job_id: JobId) -> bool:
+        """Return whether a write of the job at this entry may still take effect."""
+        n_requests = self._n_requests.get(job_id, 0)
+        return n_requests > 0 or self._has_uncertain_write(job_id, steady_s())
+
     def _has_uncertain_write(self, job_id: JobId, now_s: float) -> bool:
         """Return whether an earlier write of the job may still take effect."""
         limit_s = now_s - self._options.late_write_s
--- a/packages/wire/almondspan_wire/channel.py
+++ b/packages/wire/almondspan_wire/channel.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final, Protocol
@@ -40,6 +41,9 @@
 READ_BYTES: Final = 64 * 1024
 """The maximum number of bytes of one read."""
 
+FRAMES_PER_TURN: Final = 64
+"""After this many frames that were already read, other tasks get their turn."""
+
 BUFFER_LIMIT_BYTES: Final = 256 * 1024
 """`send` waits while more than this many bytes are buffered."""
 
@@ -103,7 +107,20 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         options: ChannelOptions,
+        on_unfinished: Callable[[int, bool], None] | None = None,
     ) -> None:
+        """Set the stream.
+
+        Parameters
+        ----------
+        on_unfinished : callable, optional
+            Called before each read with the number of bytes of a frame that is not
+            complete, and whether it is another frame than at the last call.
+        """
+        self._on_unfinished = on_unfinished
+        self._n_frames = 0
+        """The number of frames received since the last turn of other tasks."""
+        self._is_new_frame = True
         self._reader = reader
         self._writer = writer
         self._options = options
@@ -180,10 +197,18 @@
         while self._closed is None:
             frame = self._next_frame()
             if frame is not None:
+                await self._take_turns()
                 return frame
             await self._receive_more()
         return None
 
+    async def _take_turns(self) -> None:
+        """Let other tasks run after some frames that needed no wait."""
+        self._n_frames += 1
+        if self._n_frames >= FRAMES_PER_TURN:
+            self._n_frames = 0
+            await asyncio.sleep(0)
+
     def _next_frame(self) -> bytes | None:
         """Return the next complete frame that was received; None if there is none."""
         begin = self._n_consumed + _LENGTH.size
@@ -198,12 +223,16 @@
         if len(self._received) < begin + n_bytes:
             return None
         self._n_consumed = begin + n_bytes
-        return bytes(self._received[begin : self._n_consumed])
+        self._is_new_frame = True
+        return bytes(memoryview(self._received)[begin : self._n_consumed])
 
     async def _receive_more(self) -> None:
         """Read all available bytes at once, since frames are small."""
         del self._received[: self._n_consumed]
         self._n_consumed = 0
+        if self._on_unfinished is not None:
+            self._on_unfinished(len(self._received), self._is_new_frame)
+        self._is_new_frame = not self._received
         try:
             data = await self._read_within_silence()
         except OSError as error:
@@ -218,6 +247,7 @@
             self._close_with(
                 CloseCause.CLOSED_BY_PEER, "the peer closed the connection"
             )
+            return
         self._received += data
         self.n_bytes_received += len(data)
 
@@ -252,6 +282,8 @@
     def _close_with(self, cause: CloseCause, reason: str) -> None:
         if self._closed is None:
             self._closed = ChannelClosed(cause, reason)
+        self._received.clear()
+        self._n_consumed = 0
         self._writer.close()
 
     async def _send_heartbeats(self) -> None:
