Bound what clients make an entry or an agent hold

Cause: aiohttp bounds lines and fields of heads, and the body of one request. Nothing bounded whole heads, the time of heads and bodies, connections, or the sum of all of these; a chunked body was read up to 4 MiB whatever the configuration says; very small chunks held the event loop; a request that its client broke off stayed in a cycle with its error's traceback; and each malformed or broken request wrote a traceback to standard error and waited for its reader.

Change: LimitedProtocol extends aiohttp's protocol on all listeners of both roles, and reports to the process's budget (docs/design/client-limits.md). A body has the limit of the configuration, chunked or not, and the time that its caller waits. A request that is dropped or does not fit gets 503 with Retry-After, or 504 if an earlier write of the job at this entry may still take effect. A compressed body gets 415. Reads with many lines are parsed in turns. A body with more than 24,000 objects is malformed: 87,000 empty steps took 50 MB to decode. Records of libraries become bounded lines of the process's log. The limits are checked settings (`limits`, `clients`) with a section in docs/SETTINGS.md that is generated.

tests/site/test_odd_answers.py and test_caller_handler.py only follow the constructors; the limit of a report is the same.

--- a/misc/reference_pages.py
+++ b/misc/reference_pages.py
@@ -5,15 +5,18 @@
 """
 
 import dataclasses
+import inspect
 from pathlib import Path
 from typing import Any, Final
 
+import msgspec
 from pydantic import BaseModel
 
 from almondspan_daemon.settings import AgentSettings, EntrySettings
 from almondspan_decisions.fleet import FleetConfig
 from almondspan_decisions.fleet_rules import DEADLINE_KEY, FIELD_RULES
 from almondspan_decisions.policy_names import known_policies
+from almondspan_site.node_settings import SITE_SECTIONS
 
 DOCS: Final = Path(__file__).resolve().parent.parent / "docs"
 
@@ -26,6 +29,15 @@
 written by `misc/reference_pages.py`.
 """
 
+SITE_HEAD: Final = """\
+# Settings of a role on the users' platform
+
+`python -m almondspan_site entry` and `agent` read the JSON file that the platform
+writes. The sections that bound clients are listed here; docs/design/client-limits.md
+explains them. A value that is not allowed ends the process with 2 before anything
+starts.
+"""
+
 CONFIGURATION_HEAD: Final = """\
 # Configuration of the fleet
 
@@ -87,9 +99,27 @@
             if model is not None and name not in seen:
                 seen.add(name)
                 rows += settings_rows(f"`[{name}]`", model)
+    rows += [SITE_HEAD]
+    for name, section in SITE_SECTIONS.items():
+        rows += site_rows(name, section)
     return "\n".join(rows).rstrip("\n") + "\n"
 
 
+def site_rows(name: str, section: type[msgspec.Struct]) -> list[str]:
+    """Return a section of the platform's settings file."""
+    rows = [f"## `{name}`", "", " ".join(inspect.getdoc(section).split()), ""]
+    rows += ["| Key | Default | Meaning | Allowed |", "| --- | --- | --- | --- |"]
+    kinds = {
+        field.name: field.type for field in msgspec.inspect.type_info(section).fields
+    }
+    for field in msgspec.structs.fields(section):
+        meta = kinds[field.name]
+        meaning = (meta.extra_json_schema or {}).get("description", "")
+        allowed = f"{meta.type.ge:,} to {meta.type.le:,}"
+        rows.append(f"| `{field.name}` | `{field.default:g}` | {meaning} | {allowed} |")
+    return [*rows, ""]
+
+
 def configuration_page() -> str:
     rows = [CONFIGURATION_HEAD]
     classes = {
--- a/tests/site/test_caller_handler.py
+++ b/tests/site/test_caller_handler.py
@@ -26,6 +26,6 @@
 def test_odd_deadline_is_the_default(text: str, budget_s: float) -> None:
     api: Any = None
     log: Any = None
-    handler = CallerHandler(api, lambda: None, JobOptions(), log)
+    handler = CallerHandler(api, lambda: None, JobOptions(), 30.0, log)
     request = make_mocked_request("GET", "/", headers={DEADLINE_HEADER: text})
     assert handler._budget_s(request) == pytest.approx(budget_s)
--- a/tests/site/test_decoding.py
+++ b/tests/site/test_decoding.py
@@ -9,6 +9,7 @@
 from almondspan_decisions.ids import ServiceName
 from almondspan_decisions.job_graph import JobSpec, QueueName, QueueRules, StepSpec
 from almondspan_decisions.shapes import Shape
+from almondspan_jobs.client_gate import ClientLimits
 from almondspan_site.configuration import Configuration, decode_configuration
 from almondspan_site.job_decoding import JobFault, decode_job
 from almondspan_site.node_settings import (
@@ -101,6 +102,20 @@
     assert isinstance(decode_job(data, QUEUE, RULES, 7, 4_000), JobFault)
 
 
+@pytest.mark.parametrize(
+    ("n_steps", "is_decoded"),
+    [
+        pytest.param(5_000, True, id="most_tasks_of_a_job"),
+        pytest.param(80_000, False, id="as_many_as_a_body_holds"),
+    ],
+)
+def test_number_of_steps(n_steps: int, is_decoded: bool) -> None:
+    """A body of the largest legal size with empty steps took 50 MB to decode."""
+    data = b'{"steps":[' + b",".join([b"{}"] * n_steps) + b"]}"
+    found = decode_job(data, QUEUE, RULES, 7, 4_000)
+    assert isinstance(found, JobSpec) is is_decoded
+
+
 def route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
     return {
         "name": name,
@@ -186,6 +201,19 @@
     assert (found.node, found.place, found.peer_port) == ("edge-1", "suva", 7720)
     assert (found.max_lease_ms, found.grace_s, found.retention_s) == (6000, 6, 120)
     assert found.max_value_bytes == 1_048_576
+    assert found.clients == ClientLimits()
+
+
+def test_limits_for_clients(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    body = {
+        **SETTINGS,
+        "limits": {"memoryMb": 552, "maxFds": 8192, "cpuShare": 0.5},
+        "clients": {"headS": 2, "maxHeadBytes": 65_536},
+    }
+    found = read(tmp_path, monkeypatch, body).clients
+    assert (found.memory_mb, found.max_fds) == (552, 8192)
+    assert (found.head_s, found.max_head_bytes) == (2, 65_536)
+    assert found.idle_s == ClientLimits().idle_s
 
 
 @pytest.mark.parametrize(
@@ -198,6 +226,10 @@
         pytest.param({**SETTINGS, "portRange": [0, 1]}, id="port_zero"),
         pytest.param({**SETTINGS, "bounds": {"maxHoldMs": 2**64}}, id="bound"),
         pytest.param('{"more": ' + DEEP.decode() + "}", id="nested_too_deeply"),
+        pytest.param({**SETTINGS, "limits": {"memoryMb": -1}}, id="memory"),
+        pytest.param({**SETTINGS, "limits": {"maxFds": "many"}}, id="descriptors"),
+        pytest.param({**SETTINGS, "clients": {"memoryShare": 0.9}}, id="share"),
+        pytest.param({**SETTINGS, "clients": {"headS": 0}}, id="no_time"),
         pytest.param(
             {**SETTINGS, "platform": {"address": "a", "form": "log"}}, id="other_store"
         ),
--- a/tests/site/test_odd_answers.py
+++ b/tests/site/test_odd_answers.py
@@ -11,6 +11,7 @@
 from fake_platform import FakeServer
 
 from almondspan_decisions.ids import ServiceName, WorkerId
+from almondspan_jobs.client_gate import ClientGate, ClientLimits
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.worker_agent import WorkerAgent
@@ -29,16 +30,17 @@
     Verdict,
     WorkerPoll,
 )
-from almondspan_site.http_server import MAX_BODY_BYTES, HttpServer
+from almondspan_site.http_server import HttpServer
 from almondspan_site.http_task_worker import HttpTaskWorker
 from almondspan_site.kv_store import KvStore
-from almondspan_site.worker_reports import WorkerReports
+from almondspan_site.worker_reports import MAX_REPORT_BYTES, WorkerReports
 
 DEEP = "[" * 5_000 + "]" * 5_000
 HUGE = "9" * 400
 """A number that no float can hold."""
 
 MAX_LOGGED_CHARS = 1_000
+LIMIT_S = 15.0
 WORKER = WorkerId("i-1")
 TASK = "00000000000000aa.0.0.0"
 
@@ -321,10 +323,13 @@
     agent = WorkerAgent(
         "machine", "127.0.0.1", 1, NoNetwork(), worker, JobOptions(), log, Metrics()
     )
-    reports_handler = WorkerReports(agent, ServiceName("pool"), RUNNER_ADDRESS, log)
-    server = HttpServer("127.0.0.1:0", reports_handler.handle)
+    gate = ClientGate(ClientLimits(), 0, {"control": 1}, log, Metrics())
+    reports_handler = WorkerReports(
+        agent, ServiceName("pool"), RUNNER_ADDRESS, LIMIT_S, log
+    )
+    server = HttpServer("127.0.0.1:0", reports_handler.handle, gate.listener("control"))
     await server.start()
-    port = server._runner.addresses[0][1]
+    port = server.port
     statuses = []
     async with aiohttp.ClientSession() as session:
         for worker_id, body in reports:
@@ -479,8 +484,8 @@
     ("n_bytes", "statuses"),
     [
         pytest.param(3_000_000, [200], id="long"),
-        pytest.param(MAX_BODY_BYTES - len(REPORT) - 100, [200], id="up_to_the_limit"),
-        pytest.param(MAX_BODY_BYTES, [413], id="too_long"),
+        pytest.param(MAX_REPORT_BYTES - len(REPORT) - 100, [200], id="up_to_the_limit"),
+        pytest.param(MAX_REPORT_BYTES, [413], id="too_long"),
     ],
 )
 def test_report_of_allowed_length_is_accepted(
