Resume reading only after a pause

aiohttp resumes its protocol after each read of a body, which runs the parser without bytes. LimitedProtocol does so only after a pause.

--- a/tests/site/test_client_limits.py
+++ b/tests/site/test_client_limits.py
@@ -384,6 +384,7 @@
         "_request_count",
         "_request_in_progress",
         "_resume_transport_reading",
+        "resume_reading",
     ],
 )
 def test_aiohttp_has_what_the_protocol_extends(name: str) -> None:
