Store a cancellation also where the store does not have the job

Cause: `JobApi.cancel` took a read of the store for the whole truth: it found no record of the job and answered 410 without writing anything, while a write of the job that another entry had sent was still to be executed.

Change: a cancellation is stored before it is acknowledged, whether the job is there or not, and the write of a job requires the key of its cancellation to be absent. So a job is never stored after its cancellation, however late its write is executed and whoever sent it, and a submission that comes again is refused (503, `CANCELLED`). The owner removes such a cancellation after a retention (`EarlyCancellations`), and forgets what it has removed as soon as the watch is past it. GET answers 503 and not 410 while this entry itself has an uncertain write of the job.

Weighed: to remember uncertain writes at the entry (it may be another entry, or die), and to let the owner alone apply an early cancellation (its watch may lag behind a notification of the job); the store's condition needs neither. The owner still honours one, for entries of an earlier release.

--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -1,7 +1,10 @@
 """An entry's API for callers: submits, cancels, looks up and counts jobs.
 
-- A job is stored by a write that requires its key to be absent, so the same job
-  submitted at several entries is stored once. It is accepted once it is stored.
+- A job is stored by a write that requires its key and the key of its cancellation to be
+  absent, so the same job submitted at several entries is stored once, and never after
+  its cancellation. It is accepted once it is stored.
+- A cancellation is stored before it is acknowledged, also that of a job that the store
+  does not have: a write of the job may still take effect, or the job come again.
 - A job is refused only when no write of it can take effect any more, of this request or
   of another one at this entry. An unanswered write is repeated, here and through the
   owner; if the outcome stays uncertain, it is reported as unknown and the caller may
@@ -10,13 +13,14 @@
   `admission`), but only if the store does not have it, and no write of it may take
   effect later: a repeated submission of a stored job is answered as accepted.
 - States come from the owner's stored decisions. Without an owner they are read from
-  the store; only the store can tell that a job does not exist.
+  the store; only the store can tell that a job does not exist, and only while no write
+  of it at this entry may take effect later.
 """
 
 import asyncio
 import math
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Final
 
@@ -67,10 +71,15 @@
     """The write has not taken effect and can't do so later."""
     UNKNOWN = "unknown"
     NO_JOB = "no_job"
+    CANCELLED = "cancelled"
+    """The job was cancelled before it was stored, and is not stored any more."""
     TOO_LARGE = "too_large"
     """The job does not fit into the store, and would not later either."""
 
 
+_DECIDED: Final = frozenset({StoreResult.STORED, StoreResult.CANCELLED})
+"""Results that no other write of the job changes."""
+
 # An owner of a later release may answer with other values.
 _STORE_RESULTS: Final = {result.value: result for result in StoreResult}
 _JOB_STATES: Final = {state.value: state for state in JobState}
@@ -228,9 +237,11 @@
     async def _store_job(
         self, job_id: JobId, record: bytes, until_s: float
     ) -> JobAnswer:
-        key = job_key(job_id)
-        group = WriteGroup(((key, ABSENT_REVISION),), (Write(key, record),))
-        return await self._write(job_id, record, group, until_s)
+        answer = await self._write(job_id, record, _submission(job_id, record), until_s)
+        if answer.result is StoreResult.CANCELLED:
+            retry_after_s = self._options.cancellation_retention_s
+            return replace(answer, retry_after_s=retry_after_s)
+        return answer
 
     async def _write(
         self, job_id: JobId, record: bytes, group: WriteGroup, until_s: float
@@ -264,10 +275,10 @@
         is_uncertain = False
         while True:
             outcome = await self.write_once(group)
-            if outcome.result is not StoreResult.STORED and not self._owner.is_local:
+            if outcome.result not in _DECIDED and not self._owner.is_local:
                 is_uncertain |= outcome.result is StoreResult.UNKNOWN
                 outcome = await self._write_by_owner(job_id, record, outcome.reason)
-            if outcome.result is StoreResult.STORED:
+            if outcome.result in _DECIDED:
                 return outcome
             is_uncertain |= outcome.result is StoreResult.UNKNOWN
             now_s = steady_s()
@@ -335,8 +346,7 @@
             stored = KeyValue(write.key, write.value, outcome.revision)
             return JobAnswer(StoreResult.STORED, stored=stored)
         if isinstance(outcome, GroupConflict):
-            found = outcome.item(write.key)
-            return JobAnswer(StoreResult.STORED, "it was already stored", found)
+            return _conflict_answer(group, outcome)
         if isinstance(outcome, Unavailable) and outcome.may_have_applied:
             return JobAnswer(StoreResult.UNKNOWN, outcome.reason)
         return JobAnswer(StoreResult.NOT_DONE, str(outcome))
@@ -356,8 +366,7 @@
     async def relay(self, body: StoreJob) -> StoreReply:
         """Write a job or a cancellation for another entry."""
         if body.record:
-            key = job_key(body.job_id)
-            group = WriteGroup(((key, ABSENT_REVISION),), (Write(key, body.record),))
+            group = _submission(body.job_id, body.record)
         else:
             group = _cancellation(body.job_id)
         answer = await self.write_once(group)
@@ -368,17 +377,18 @@
         return StoreReply(body.number, answer.result.value)
 
     async def cancel(self, job_id: JobId, budget_s: float) -> JobAnswer:
-        """Cancel a job permanently."""
+        """Cancel a job permanently, whether the store has it or not."""
         began_s = steady_s()
         found = await self.state(job_id)
-        if found.is_known and found.state is None:
-            answer = JobAnswer(StoreResult.NO_JOB)
-        else:
-            answer = await self._write(
-                job_id, b"", _cancellation(job_id), began_s + budget_s
-            )
-            if answer.result is StoreResult.STORED:
-                self._owner.notify(JobCancelled(job_id))
+        answer = await self._write(
+            job_id, b"", _cancellation(job_id), began_s + budget_s
+        )
+        if answer.result is StoreResult.STORED:
+            # Writes of the job that are executed from now on have no effect.
+            self._uncertain_since_s.pop(job_id, None)
+            self._owner.notify(JobCancelled(job_id))
+            if found.is_known and found.state is None:
+                answer = JobAnswer(StoreResult.NO_JOB)
         self._record_outcome("job_cancel", "cancel", job_id, answer, began_s)
         return answer
 
@@ -408,6 +418,8 @@
         if not isinstance(found, Found):
             return StateAnswer(None, False, found.reason)
         if found.item is None:
+            if self.may_be_stored(job_id):
+                return StateAnswer(None, False, "a write of the job is uncertain")
             return StateAnswer(None, True)
         spec = decode_spec(found.item.value)
         run = await self._store.get(part_key(job_id, HEAD))
@@ -433,6 +445,23 @@
         return None
 
 
+def _submission(job_id: JobId, record: bytes) -> WriteGroup:
+    """Return the group that stores a job, unless it is stored or cancelled."""
+    key = job_key(job_id)
+    conditions = ((key, ABSENT_REVISION), (cancel_key(job_id), ABSENT_REVISION))
+    return WriteGroup(conditions, (Write(key, record),))
+
+
+def _conflict_answer(group: WriteGroup, conflict: GroupConflict) -> JobAnswer:
+    """Return what a conflict says of a submission or a cancellation."""
+    stored = conflict.item(group.writes[0].key)
+    if stored is not None:
+        return JobAnswer(StoreResult.STORED, "it was already stored", stored)
+    if any(conflict.item(key) is not None for key, _ in group.conditions):
+        return JobAnswer(StoreResult.CANCELLED, "the job was cancelled")
+    return JobAnswer(StoreResult.UNKNOWN, "a conflict without its cause")
+
+
 def _cancellation(job_id: JobId) -> WriteGroup:
     key = cancel_key(job_id)
     return WriteGroup(((key, ABSENT_REVISION),), (Write(key, b"1"),))
--- a/packages/jobs/almondspan_jobs/job_table.py
+++ b/packages/jobs/almondspan_jobs/job_table.py
@@ -407,9 +407,14 @@
 
     def extra_keys(self, job_id: JobId) -> list[str]:
         """Return the keys of a job's progress besides the head."""
-        parts = self._tracking[job_id].extra_parts
+        tracking = self._tracking.get(job_id)
+        parts = tracking.extra_parts if tracking is not None else ()
         return [part_key(job_id, part) for part in parts]
 
+    def is_kept(self, job_id: JobId) -> bool:
+        """Return whether a job is known, and not removed from the store."""
+        return job_id in self.jobs and job_id not in self._removed_at
+
     def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
         """Record that jobs are removed from the store."""
         self._removed_at.update((job_id, revision) for job_id in job_ids)
--- a/packages/jobs/almondspan_jobs/options.py
+++ b/packages/jobs/almondspan_jobs/options.py
@@ -98,6 +98,11 @@
     finished_retention_s: float = 150.0
     """How long a finished job is kept in memory and in the store."""
 
+    @property
+    def cancellation_retention_s(self) -> float:
+        """How long the cancellation of a job that was never stored is kept."""
+        return max(self.finished_retention_s, 2 * self.late_write_s)
+
     # The entry.
     store_timeout_s: float = 1.2
     refused_write_retry_s: float = 0.3
--- a/packages/jobs/almondspan_jobs/owner.py
+++ b/packages/jobs/almondspan_jobs/owner.py
@@ -426,6 +426,8 @@
                 continue
             revision = self._committer.revision
             self.scheduler.on_removed(job_ids, revision)
+            if self._reported is not None:
+                self.scheduler.forget_removed(self._reported)
             self._log.line("jobs_removed", revision=revision, jobs=job_ids)
 
     async def _remove_extra(self, job_ids: Sequence[JobId]) -> bool:
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -35,6 +35,7 @@
 from almondspan_jobs.clocks import steady_s
 from almondspan_jobs.command_dispatcher import CommandDispatcher
 from almondspan_jobs.crash_monitor import CrashMonitor
+from almondspan_jobs.early_cancellations import EarlyCancellations
 from almondspan_jobs.evacuations import EvacuationRequests
 from almondspan_jobs.evacuator import Evacuator
 from almondspan_jobs.event_log import EventLog
@@ -98,6 +99,9 @@
         self._learned_from_s = -math.inf
         """From when on what is learned of the workers is stored with the decisions."""
         self._table: Final = JobTable(log)
+        self._early_cancellations: Final = EarlyCancellations(
+            options.cancellation_retention_s
+        )
         self._fleet: Final = Fleet(options)
         table, fleet = self._table, self._fleet
         self._assignments: Final = Assignments(table, fleet, log)
@@ -226,10 +230,17 @@
     def add_job(self, job_id: JobId, spec: JobSpec) -> None:
         """Add a stored job; a known one is left unchanged."""
         self._table.add(job_id, spec)
+        if job_id in self._early_cancellations:
+            # An entry of an earlier release stores a job also after its cancellation.
+            self._early_cancellations.discard(job_id)
+            self._table.cancel(job_id)
 
     def cancel_job(self, job_id: JobId) -> None:
         """Cancel a job unless it has already reached a final state."""
-        self._table.cancel(job_id)
+        if self._table.is_kept(job_id):
+            self._table.cancel(job_id)
+        else:
+            self._early_cancellations.add(job_id)
 
     def on_report(self, node: str, report: WorkerReport) -> None:
         """Handle a worker's report about itself, forwarded by its agent."""
@@ -376,10 +387,14 @@
     # Removing finished jobs
 
     def removable_jobs(self) -> list[JobId]:
-        """Return some finished jobs whose records are to be removed from the store."""
-        return self._table.removable(
-            self._options.finished_retention_s, self._options.max_jobs_per_commit // 2
-        )
+        """Return some jobs whose records are to be removed from the store.
+
+        They are finished, or were cancelled before they were stored.
+        """
+        n_most = self._options.max_jobs_per_commit // 2
+        finished = self._table.removable(self._options.finished_retention_s, n_most)
+        n_left = n_most - len(finished)
+        return finished + self._early_cancellations.removable(n_left)
 
     def extra_keys(self, job_id: JobId) -> list[str]:
         """Return the keys of a job's progress besides the head."""
@@ -387,8 +402,11 @@
 
     def on_removed(self, job_ids: Sequence[JobId], revision: Revision) -> None:
         """Record that the records of jobs are removed from the store."""
-        self._table.on_removed(job_ids, revision)
+        known = [job_id for job_id in job_ids if job_id in self._table.jobs]
+        self._table.on_removed(known, revision)
+        self._early_cancellations.on_removed(job_ids, revision)
 
     def forget_removed(self, reported: Revision) -> None:
         """Drop removed jobs; the store has reported its changes up to a revision."""
         self._table.forget_removed(reported)
+        self._early_cancellations.forget_removed(reported)
