Remember the uncertain writes that an entry makes for others

What callers could see: the owner writes a job for an entry that the store turns away, and that write gets no answer. The caller, told 504, submits again at the owner's entry, which the store turns away too: it was told 503, that the job never runs, or by a GET 410, and the late write then stored the job.

`JobApi.relay` kept no account of its writes, so the entry took the store's word, or its own refused write, for the whole truth.

Change: own and relayed writes are counted in one place (`JobApi._writing`).

Evidence: test_uncertain_write_for_another_entry_is_remembered, both cases, failed on: NOT_DONE and a state that is known.

--- a/packages/jobs/almondspan_jobs/job_api.py
+++ b/packages/jobs/almondspan_jobs/job_api.py
@@ -20,6 +20,8 @@
 import asyncio
 import math
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Final
@@ -129,7 +131,7 @@
         self._uncertain_since_s: dict[JobId, float] = {}
         """Jobs with a write of uncertain outcome, and when it was given up."""
         self._n_requests: Final[Counter[JobId]] = Counter()
-        """Number of requests that are writing a job now."""
+        """Number of requests that are writing a job now, also of other entries."""
         self._write_begun_s: Final[dict[int, float]] = {}
         """When each write that is not answered yet has begun, the oldest first."""
         self._last_write = 0
@@ -247,6 +249,12 @@
         self, job_id: JobId, record: bytes, group: WriteGroup, until_s: float
     ) -> JobAnswer:
         """Write directly or through the owner until stored or out of time."""
+        with self._writing(job_id):
+            return await self._write_until_answered(job_id, record, group, until_s)
+
+    @contextmanager
+    def _writing(self, job_id: JobId) -> Iterator[None]:
+        """Count a write of a job, of uncertain outcome if it is cut off."""
         self._n_requests[job_id] += 1
         if job_id in self._n_doubted:
             self._written_when_doubted.add(job_id)
@@ -254,7 +262,7 @@
         number = self._last_write
         self._write_begun_s[number] = steady_s()
         try:
-            return await self._write_until_answered(job_id, record, group, until_s)
+            yield
         except asyncio.CancelledError:
             self._uncertain_since_s[job_id] = steady_s()
             raise
@@ -369,7 +377,10 @@
             group = _submission(body.job_id, body.record)
         else:
             group = _cancellation(body.job_id)
-        answer = await self.write_once(group)
+        with self._writing(body.job_id):
+            answer = await self.write_once(group)
+        if answer.result is StoreResult.UNKNOWN:
+            self._uncertain_since_s[body.job_id] = steady_s()
         if body.record:
             self._notify_of_job(body.job_id, answer)
         elif answer.result is StoreResult.STORED:
--- a/tests/jobs/test_job_api.py
+++ b/tests/jobs/test_job_api.py
@@ -12,7 +12,7 @@
 from almondspan_decisions.job_progress import JobState
 from almondspan_decisions.shapes import Shape
 from almondspan_jobs.job_api import JobApi, StoreResult
-from almondspan_jobs.messages import JobStored, StateReply, StoreReply
+from almondspan_jobs.messages import JobStored, StateReply, StoreJob, StoreReply
 from almondspan_jobs.metrics import Metrics
 from almondspan_jobs.options import JobOptions
 from almondspan_jobs.records import decode_spec, encode_spec
@@ -107,6 +107,29 @@
     assert asyncio.run(main()) == [JobStored(JOB, encode_spec(SPEC), revision)] * 2
 
 
+@pytest.mark.parametrize(
+    "is_cut_off",
+    [pytest.param(False, id="unanswered"), pytest.param(True, id="cut_off")],
+)
+def test_uncertain_write_for_another_entry_is_remembered(is_cut_off: bool) -> None:
+    """Guards against a refusal, or a 410, of a job that this entry may have stored."""
+
+    async def main() -> tuple[StoreResult, bool]:
+        faults = StoreFaults(late_share=1.0)
+        api = make_api(StoreReply(1, "not_done"), faults)
+        relaying = asyncio.create_task(api.relay(StoreJob(1, JOB, encode_spec(SPEC))))
+        await asyncio.sleep(0.1)
+        if is_cut_off:
+            relaying.cancel()
+        await asyncio.gather(relaying, return_exceptions=True)
+        faults.late_share = 0.0
+        state = await api.state(JOB)
+        faults.is_refusing = True
+        return (await api.submit(JOB, SPEC, 0.1)).result, state.is_known
+
+    assert asyncio.run(main()) == (StoreResult.UNKNOWN, False)
+
+
 MOST_STEPS = tuple(
     StepSpec(1, Shape(4_000, 16_000), estimate_ms=90_000, after=(0,) if n else ())
     for n in range(5_000)
