--- a/tests/site/fake_platform.py
+++ b/tests/site/fake_platform.py
@@ -78,6 +78,9 @@
         """If set, every call is answered with this status."""
         self.bytes_per_s = 0
         """If set, answers are sent at this rate, in pieces."""
+        self.is_silent = False
+        """Whether calls get no answer until the store is closed."""
+        self._closing = asyncio.Event()
 
         super().__init__(
             [
@@ -92,6 +95,9 @@
 
     def _guard(self, handler: Handler) -> GuardedHandler:
         async def handle(request: web.Request) -> web.StreamResponse:
+            if self.is_silent:
+                await self._closing.wait()
+                return web.json_response({}, status=503)
             if self.status:
                 return web.json_response({}, status=self.status)
             response = await handler(request)
@@ -101,6 +107,10 @@
 
         return handle
 
+    async def close(self) -> None:
+        self._closing.set()
+        await super().close()
+
     async def _send_slowly(
         self, request: web.Request, answer: web.Response
     ) -> web.StreamResponse:
