Answer every request by a time that counts from the request to shut down

Cause: nothing bound a request's waits to the process's end. The drain was a chain of sleeps that bounded itself only: 2.6 s for the balancer, 2.2 s for what was in flight by then, 1 s for the server; requests went on being read until its very end, and a wait could take any part of 2.6 s (admission's confirmation here; a write, a relayed write, the owner's or the store's answer and a slow body all the same). The chain also began after the resignation, which makes calls to the store and closes a link to every agent, so with a slow store it ran past SIGKILL.

Weighed: to shorten admission's wait in a drain (the claim's guess; one of the waits), and to read until the end and refuse at once (a refusal must be true, which takes a read of the store).

--- a/tests/site/test_drain.py
+++ b/tests/site/test_drain.py
@@ -24,6 +24,9 @@
 from almondspan_standins.virtual_time import run_with_sockets
 
 GRACE_S = 6.0
+LATE_S = 4.4
+"""When the last bytes of a request arrive, after the request to shut down."""
+
 JOB = json.dumps({"steps": [{"count": 1, "cpu": 100, "memMb": 10}]}).encode()
 
 
@@ -168,6 +171,39 @@
 SUBMISSION = request("POST", 1, JOB)
 
 
+@pytest.mark.parametrize(
+    ("data", "n_early"),
+    [
+        pytest.param(SUBMISSION, 20, id="submission"),
+        pytest.param(SUBMISSION, len(SUBMISSION) - 5, id="submission_with_slow_body"),
+        pytest.param(request("DELETE", 2), 20, id="cancellation"),
+        pytest.param(request("GET", 3), 20, id="state"),
+        pytest.param(request("GET", 0), 20, id="count"),
+    ],
+)
+def test_request_that_is_read_late_in_the_drain_is_answered(
+    path: Path, data: bytes, n_early: int
+) -> None:
+    """Guards against LOST: a wait that ends after the process, on any path.
+
+    The store falls silent just before the request is complete.
+    """
+
+    async def body(rig: Rig) -> None:
+        client = await rig.connect()
+        rig.stop()
+        await client.send(data[:n_early])
+        await asyncio.sleep(LATE_S - 0.1)
+        rig.store.is_silent = True
+        await asyncio.sleep(0.1)
+        await client.send(data[n_early:])
+        statuses = await client.statuses()
+        assert len(statuses) == 1
+        assert statuses[0] in (503, 504)
+
+    with_entry(path, body)
+
+
 def test_requests_that_were_sent_ahead_are_answered(path: Path) -> None:
     """Guards against LOST: the answer to the first one closed their connection."""
 
@@ -201,3 +237,20 @@
         assert not await rig.can_connect()
 
     with_entry(path, body)
+
+
+def test_drain_is_timed_from_the_request_to_shut_down(path: Path) -> None:
+    """Guards against LOST: calls to a silent store, first, used up the time."""
+
+    async def body(rig: Rig) -> None:
+        client = await rig.connect()
+        await asyncio.sleep(0.1)
+        rig.store.is_silent = True
+        rig.stop()
+        loop = asyncio.get_running_loop()
+        stopped_s = loop.time()
+        await client.send(SUBMISSION[:20])
+        assert await client.statuses() == []
+        assert loop.time() - stopped_s < GRACE_S
+
+    with_entry(path, body)
