Answer the commands at the worker before an agent ends

What the owner saw: an agent with SIGTERM cut off the starts and stops that it had sent to its worker, and dropped those that waited. The owner had to take each for one that may have happened.

`WorkerAgent.close` cancelled its commands. Found by reading.

Change: the agent first refuses the starts that it has not sent (NOT_TAKEN, so the owner places their tasks elsewhere) and waits up to 0.6 s, as long as a call to the worker and its answer may take, for the commands at the worker.

Evidence: test_command_at_the_worker_is_answered_before_the_agent_ends (both cases) and test_start_that_comes_as_the_agent_ends_is_refused failed on: no answer.

--- a/packages/jobs/almondspan_jobs/worker_agent.py
+++ b/packages/jobs/almondspan_jobs/worker_agent.py
@@ -90,7 +90,11 @@
         await self._report_check.start()
 
     async def close(self) -> None:
-        """Stop polling and close the channels; the worker's lease then expires."""
+        """Answer the commands at the worker, stop polling and close the channels.
+
+        The worker's lease then expires.
+        """
+        await self._commands.drain()
         await self._polls.close()
         await self._report_check.close()
         await self._commands.close()
--- a/packages/jobs/almondspan_jobs/worker_commands.py
+++ b/packages/jobs/almondspan_jobs/worker_commands.py
@@ -37,6 +37,10 @@
 __all__ = ["WorkerCommands"]
 
 
+DRAIN_S: Final = 0.6
+"""How long commands may take at the worker when the agent shuts down."""
+
+
 class _AttemptKey(NamedTuple):
     """Identifies the start of an attempt by the owner of an epoch."""
 
@@ -71,6 +75,16 @@
             n_slots
         )
         self._tasks: Final[set[asyncio.Task[None]]] = set()
+        self._is_draining = False
+
+    async def drain(self) -> None:
+        """Refuse starts that are not sent yet, and wait for the commands at the worker.
+
+        Without their answers the owner would not know what became of them.
+        """
+        self._is_draining = True
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=DRAIN_S)
 
     async def close(self) -> None:
         """Cancel the commands under way."""
@@ -171,7 +185,7 @@
         is_silent = bool(incarnation.failed_verdict)
         if incarnation.state.is_leaving or is_silent or self._state.channel is None:
             return Verdict.NOT_TAKEN
-        if incarnation.state.place in self._state.evacuated:
+        if self._is_draining or incarnation.state.place in self._state.evacuated:
             return Verdict.NOT_TAKEN
         return None
 
--- a/tests/jobs/test_agent_hand_over.py
+++ b/tests/jobs/test_agent_hand_over.py
@@ -352,6 +352,55 @@
     run_test(body)
 
 
+@pytest.mark.parametrize(
+    ("make_command", "reply"),
+    [
+        pytest.param(start, StartReply, id="start"),
+        pytest.param(revoke, AttemptRevoked, id="revocation"),
+    ],
+)
+def test_command_at_the_worker_is_answered_before_the_agent_ends(
+    run_test: RunTest, make_command: Callable[[str], Message], reply: type[Message]
+) -> None:
+    """Guards against an owner that can't tell what became of its command."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        owner.post(make_command("a"))
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(hand_over.close())
+        await asyncio.sleep(0.1)
+        hand_over.worker.release.set()
+        await closing
+        await asyncio.sleep(0.1)
+        assert [body.task for body in owner.inbox if isinstance(body, reply)] == ["a"]
+
+    run_test(body)
+
+
+def test_start_that_comes_as_the_agent_ends_is_refused(run_test: RunTest) -> None:
+    """Guards against new work for an endpoint that leaves."""
+
+    async def body(hand_over: HandOver) -> None:
+        owner = await hand_over.connect_owner(1)
+        for name in ("a", "b"):
+            owner.post(start(name))
+        await asyncio.sleep(0.1)
+        closing = asyncio.create_task(hand_over.close())
+        await asyncio.sleep(0.1)
+        owner.post(start("c"))
+        await asyncio.sleep(0.1)
+        hand_over.worker.release.set()
+        await closing
+        await asyncio.sleep(0.1)
+        replies = [body for body in owner.inbox if isinstance(body, StartReply)]
+        verdicts = {reply.task: reply.verdict for reply in replies}
+        assert hand_over.worker.started == ["a"]
+        assert [verdicts[name] for name in ("b", "c")] == [Verdict.NOT_TAKEN.value] * 2
+
+    run_test(body)
+
+
 @pytest.mark.parametrize(
     ("is_owner_gone", "wait_s"),
     [
