Repeat the latest notifications on a new channel to the owner

What callers could see: a task started 4.1 s after its job's cancelling was acknowledged (3 s are allowed), if all open channels had gone silent just before.

The owner answers and acts by what its watch of the store has told it, which may be silent for 5.6 s before it is found so. The notification that covers this is lost with the entry's channel, or was never sent while there was none.

--- a/packages/jobs/almondspan_jobs/owner_link.py
+++ b/packages/jobs/almondspan_jobs/owner_link.py
@@ -22,6 +22,7 @@
 )
 from almondspan_jobs.network import DialFailed, Network
 from almondspan_jobs.options import JobOptions
+from almondspan_jobs.recent_notices import RecentNotices
 from almondspan_jobs.records import AgentRecord, OwnerRecord
 from almondspan_jobs.relay import dial_via_agent
 from almondspan_jobs.supervision import keep_running
@@ -71,6 +72,7 @@
         self._pending: Final[dict[int, asyncio.Future[Message]]] = {}
         self._background: Final[set[asyncio.Task[Message | None]]] = set()
         self._last_number = 0
+        self._notices: Final = RecentNotices()
 
     def set_owner(self, record: OwnerRecord | None) -> None:
         """Connect to the owner in the record; None keeps the previous one."""
@@ -97,7 +99,11 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     def notify(self, body: Message) -> None:
-        """Send a notification; the owner's store watch makes up for a lost one."""
+        """Send a notification, and repeat it on a channel that is opened soon after.
+
+        The owner's store watch makes up for one that is lost all the same.
+        """
+        self._notices.add(body)
         if self.is_local:
             task = asyncio.ensure_future(self._local(body))
             self._background.add(task)
@@ -150,6 +156,8 @@
                 await asyncio.sleep(self._options.dial_retry_s * jitter)
                 continue
             self._channel = channel
+            for body in self._notices.latest():
+                channel.post(body)
             try:
                 await self._read(channel, record)
             finally:
--- a/tests/jobs/test_entries.py
+++ b/tests/jobs/test_entries.py
@@ -7,6 +7,7 @@
     JobSimulation,
     SimulatedEntry,
     follower_of,
+    lines,
     owner_of,
     refuse,
     silence,
@@ -213,3 +214,28 @@
     simulation.spawn(machine.process, ask())
     simulation.run(3.0)
     assert [answer.is_known for answer in found] == [False]
+
+
+def test_owner_with_a_silent_watch_learns_of_a_cancelling_from_the_next_channel(
+    simulation: JobSimulation,
+) -> None:
+    """Guards against UNASKED: the notification was lost with the channel before."""
+    owner, machine = owner_of(simulation), follower_of(simulation)
+    first = StepSpec(1, Shape(100, 100), estimate_ms=4_500)
+    last = StepSpec(1, Shape(100, 100), estimate_ms=100, after=(0,))
+    job = simulation.make_job((first, last))
+    simulation.submit(job, machine)
+    simulation.run(0.3)
+    owner.faults.is_watch_silent = True
+    # The answer to the watch that waits by now is lost, too.
+    simulation.run(0.1)
+    pair = frozenset({owner.name, machine.name})
+    simulation.hub.cuts.add(pair)
+    simulation.cancel(job, machine)
+    simulation.run(2.0)
+    assert job.cancel_answers == [StoreResult.STORED]
+    simulation.hub.cuts.discard(pair)
+    simulation.run(0.8)
+    assert lines(simulation, f" {owner.name} job_cancelled job={job.job_id} ")
+    simulation.run(6.0)
+    assert {run.task for run in simulation.runs()} == {f"{job.job_id}.0.0.0"}
