--- a/packages/jobs/almondspan_jobs/early_cancellations.py
+++ b/packages/jobs/almondspan_jobs/early_cancellations.py
@@ -31,7 +31,7 @@
 
     def add(self, job_id: JobId) -> None:
         """Add the cancellation of a job that the owner does not know."""
-        self._seen_s.setdefault(job_id, steady_s())
+        self._seen_s[job_id] = steady_s()
 
     def discard(self, job_id: JobId) -> None:
         """Forget a cancellation whose job is known now, and removed with it."""
--- a/packages/jobs/almondspan_jobs/records.py
+++ b/packages/jobs/almondspan_jobs/records.py
@@ -9,7 +9,7 @@
 ``as/homes``           `HomeAgentsRecord`: the agent of each worker incarnation
 ``as/harm``            `InterferenceRecord`: the learned interference weights
 ``as/in/<job>/job``    the `JobSpec`, written once by an entry
-``as/in/<job>/cancel`` the cancellation, written by an entry
+``as/in/<job>/cancel`` the cancellation, written by an entry, also without a job
 ``as/run/<job>...``    the progress of the job, written by the owner (progress_records)
 =====================  =========================================================
 
--- a/packages/jobs/almondspan_jobs/scheduler.py
+++ b/packages/jobs/almondspan_jobs/scheduler.py
@@ -239,8 +239,9 @@
         """Cancel a job unless it has already reached a final state."""
         if self._table.is_kept(job_id):
             self._table.cancel(job_id)
-        else:
+        elif job_id not in self._early_cancellations:
             self._early_cancellations.add(job_id)
+            self._log.line("job_cancelled_early", job=job_id)
 
     def on_report(self, node: str, report: WorkerReport) -> None:
         """Handle a worker's report about itself, forwarded by its agent."""
