--- a/misc/job_mutant_table.py
+++ b/misc/job_mutant_table.py
@@ -303,8 +303,8 @@
         "start tasks at an agent whose place is evacuated",
         "jobs",
         "worker_commands.py",
-        "        if incarnation.state.place in self._state.evacuated:",
-        "        if False:",
+        "if self._is_draining or incarnation.state.place in self._state.evacuated:",
+        "if self._is_draining:",
     ),
     mutant(
         "tell an agent of evacuations with the next change only",
@@ -355,4 +355,41 @@
         "    for placed in moved:\n        free.take(placed)\n",
         "",
     ),
+    mutant(
+        "store a job after its cancellation",
+        "jobs",
+        "job_api.py",
+        "((key, ABSENT_REVISION), (cancel_key(job_id), ABSENT_REVISION))",
+        "((key, ABSENT_REVISION),)",
+    ),
+    mutant(
+        "forget the uncertain writes for other entries",
+        "jobs",
+        "job_api.py",
+        "        if answer.result is StoreResult.UNKNOWN:\n"
+        "            self._uncertain_since_s[body.job_id] = steady_s()\n",
+        "",
+    ),
+    mutant(
+        "keep early cancellations in the store for ever",
+        "jobs",
+        "scheduler.py",
+        "        return finished + self._early_cancellations.removable(n_left)",
+        "        return finished",
+    ),
+    mutant(
+        "send notifications once",
+        "jobs",
+        "owner_link.py",
+        "            for body in self._notices.latest():\n"
+        "                channel.post(body)\n",
+        "",
+    ),
+    mutant(
+        "cut off the commands at the worker of an agent that ends",
+        "jobs",
+        "worker_agent.py",
+        "        await self._commands.drain()\n",
+        "",
+    ),
 )
